--- a/packages/placement/src/candidates.ts
+++ b/packages/placement/src/candidates.ts
@@ -79,8 +79,6 @@
 	const byName = new Map(workers.map((worker) => [worker.name, worker]));
 	return workers
 		.map((_, start) => runFromWorker(workers, start, count))
-		.filter(
-			(blocks): blocks is Block[] =>
-				blocks !== undefined && blocks.every((block) => isEligible(byName.get(block.worker)!) && isFree(block)),
-		);
+		.filter((blocks) => blocks !== undefined)
+		.filter((blocks) => blocks.every((block) => isEligible(byName.get(block.worker)!) && isFree(block)));
 };
