Serve the whole path in separate processes

Cause: no request or job could be served end to end. Change: clients of store, instance list, workers, endpoints and peers; caller and operator interfaces; the instance daemon; the command line; stand-ins; examples for Québec and Lima; the demo. Ruled out: letting the planner's rack write alone decide which placement starts, because two planners could place one job in two racks; an assignment in the job's record, written before the first start, admits exactly one.

--- /dev/null
+++ b/packages/caller/src/caller.ts
@@ -0,0 +1,30 @@
+import {ServiceError} from '@bergamotgauge/model';
+import type {Request} from 'express';
+import {authenticate} from './authenticate.js';
+import {NOT_ACCEPTING_RETRY_AFTER_MS} from './constants.js';
+import type {Caller, CallerService} from './types.js';
+
+/**
+Gives the caller of a request.
+
+@throws {ServiceError} `unauthenticated`, or `forbidden` for a token that is not a caller's.
+*/
+export const callerOf = (service: CallerService, request: Request): Caller => {
+	const token = authenticate(service.bundle()?.tokens ?? [], request.get('authorization'));
+	if (token.role !== 'caller' || token.customer === undefined) {
+		throw new ServiceError('the token is not a caller token', {code: 'forbidden', verdict: 'not-run'});
+	}
+
+	return {...token, customer: token.customer};
+};
+
+/** @throws {ServiceError} `draining` while the instance starts or stops. */
+export const requireAccepting = (service: CallerService): void => {
+	if (!service.isAccepting()) {
+		throw new ServiceError('this instance takes no new work', {
+			code: 'draining',
+			verdict: 'not-run',
+			retryAfterMs: NOT_ACCEPTING_RETRY_AFTER_MS,
+		});
+	}
+};
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,3 @@
-export const placeholder = true;
+export type * from './types.js';
+export * from './constants.js';
+export {createProgram, exitCodeOf} from './program.js';
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,1 +1,2 @@
-export const placeholder = true;
+export type * from './types.js';
+export {startInstanceProcess, startStandIn} from './processes.js';
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,239 @@
+import {strict as assert} from 'node:assert';
+import {createHash, randomBytes} from 'node:crypto';
+import {fileURLToPath} from 'node:url';
+import process from 'node:process';
+import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
+import type {Declarations, JobOutcome, Rack} from '@bergamotgauge/model';
+import {createOperatorClient, loadDirectory, type OperatorClient} from '@bergamotgauge/operator';
+import {request} from 'undici';
+import {GANG_RUN_MS, POLL_MS, STEP_DEADLINE_MS} from './constants.js';
+import {startInstanceProcess, startStandIn, type StartedInstance} from './processes.js';
+
+const EXAMPLE = fileURLToPath(new URL('../../../examples/quebec', import.meta.url));
+const ZONES = ['a', 'b', 'c'] as const;
+
+const say = (text: string): void => {
+	process.stdout.write(`${text}\n`);
+};
+
+const newToken = (): string => randomBytes(32).toString('base64url');
+
+const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex');
+
+const until = async <Result>(what: string, probe: () => Promise<Result | undefined>): Promise<Result> => {
+	const deadlineMs = Date.now() + STEP_DEADLINE_MS;
+	for (;;) {
+		const result = await probe();
+		if (result !== undefined) {
+			return result;
+		}
+
+		if (Date.now() > deadlineMs) {
+			throw new Error(`${what} did not happen within ${STEP_DEADLINE_MS} ms`);
+		}
+
+		await sleep(POLL_MS);
+	}
+};
+
+type Platform = Readonly<{
+	storeUrl: string;
+	listUrl: string;
+	/** Worker addresses by name. */
+	workers: Readonly<Record<string, string>>;
+}>;
+
+const startPlatform = async (lifecycle: Lifecycle, racks: readonly Rack[]): Promise<Platform> => {
+	const [store, list] = await Promise.all([
+		startStandIn(lifecycle, ['store']),
+		startStandIn(lifecycle, ['instance-list', '--lag-ms', '100']),
+	]);
+	const listUrl = `http://${list.address}`;
+	const names = racks.flatMap((rack) => rack.workers).map((worker) => worker.name);
+	const endpointNames = Array.from({length: 30}, (_, index) => `runner-${index + 1}`);
+	const zones = ZONES.join(',');
+	const [workers] = await Promise.all([
+		startStandIn(lifecycle, ['workers', '--list', listUrl, '--names', names.join(','), '--availability-zones', zones]),
+		startStandIn(lifecycle, [
+			'endpoints',
+			'--list',
+			listUrl,
+			'--names',
+			endpointNames.join(','),
+			'--availability-zones',
+			zones,
+			'--label',
+			'service=listings',
+		]),
+	]);
+	say(`platform: store, instance list, ${names.length} workers, ${endpointNames.length} endpoints`);
+	return {storeUrl: `http://${store.address}`, listUrl, workers};
+};
+
+const register = async (listUrl: string, id: string, address: string, availabilityZone: string): Promise<void> => {
+	const response = await request(`${listUrl}/v1/instances/${id}`, {
+		method: 'PUT',
+		headers: {'content-type': 'application/json'},
+		body: JSON.stringify({id, role: 'instance', address, availabilityZone, state: 'live', labels: {}}),
+	});
+	await response.body.dump();
+};
+
+const startInstances = async (
+	lifecycle: Lifecycle,
+	platform: Platform,
+	operatorToken: string,
+): Promise<readonly StartedInstance[]> =>
+	Promise.all(
+		ZONES.map(async (zone, index) => {
+			const id = `q${index + 1}`;
+			const instance = await startInstanceProcess(lifecycle, id, [
+				'--availability-zone',
+				zone,
+				'--port',
+				'0',
+				'--peer-port',
+				'0',
+				'--store-url',
+				platform.storeUrl,
+				'--instance-list-url',
+				platform.listUrl,
+				'--bootstrap-token-sha256',
+				sha256(operatorToken),
+			]);
+			await register(platform.listUrl, id, instance.peerAddress, zone);
+			return instance;
+		}),
+	);
+
+const sendRequest = async (address: string, token: string): Promise<void> => {
+	const response = await request(`http://${address}/v1/services/listings/match?role=lead`, {
+		method: 'POST',
+		headers: {authorization: `Bearer ${token}`, 'content-type': 'application/json'},
+		body: JSON.stringify({listing: 'reel-1'}),
+	});
+	const text = await response.body.text();
+	assert.equal(response.statusCode, 200, text);
+	const answer = JSON.parse(text) as Readonly<{endpoint: string; path: string; echo: string}>;
+	assert.equal(answer.path, '/match?role=lead');
+	assert.equal(answer.echo, '{"listing":"reel-1"}');
+	say(`request: answered by ${answer.endpoint}, verdict ${String(response.headers['request-verdict'])}`);
+};
+
+const jobBody = (accelerators: number, runMs: number): unknown => ({
+	jobClass: 'render',
+	labels: {work: 'reel'},
+	accelerators,
+	declaredSeconds: 10,
+	payload: {runMs, answer: {frames: 24}},
+});
+
+const submit = async (client: OperatorClient, body: unknown): Promise<string> => {
+	const {id} = (await client.call('POST', '/v1/jobs', body)) as Readonly<{id: string}>;
+	return id;
+};
+
+type JobReply = Readonly<{state: string; attempt: number; outcome?: JobOutcome}>;
+
+const waitForState = async (client: OperatorClient, id: string, state: string): Promise<JobReply> =>
+	until(`job ${state}`, async () => {
+		const job = (await client.call('GET', `/v1/jobs/${id}`)) as JobReply;
+		return job.state === state ? job : undefined;
+	});
+
+const countStarts = async (platform: Platform, job: string): Promise<number> => {
+	const counts = await Promise.all(
+		Object.values(platform.workers).map(async (address) => {
+			const response = await request(`http://${address}/starts`);
+			const starts = (await response.body.json()) as Readonly<Record<string, number>>;
+			return starts[job] ?? 0;
+		}),
+	);
+	return counts.reduce((sum, count) => sum + count, 0);
+};
+
+const loadExample = async (operatorToken: string, callerToken: string): Promise<Declarations> => {
+	const result = await loadDirectory(EXAMPLE);
+	assert.ok(result.ok, JSON.stringify(result));
+	const customer = result.declarations.customers[0]!;
+	return {
+		...result.declarations,
+		tokens: [
+			{name: 'demo-operator', sha256: sha256(operatorToken), role: 'operator', partner: customer.partner},
+			{
+				name: 'demo-caller',
+				sha256: sha256(callerToken),
+				role: 'caller',
+				partner: customer.partner,
+				customer: customer.name,
+			},
+		],
+	};
+};
+
+const runJobs = async (
+	platform: Platform,
+	instances: readonly StartedInstance[],
+	callerToken: string,
+): Promise<void> => {
+	const clientOf = (index: number) =>
+		createOperatorClient({url: `http://${instances[index]!.address}`, token: callerToken});
+	const gang = await submit(clientOf(0), jobBody(16, 200));
+	const {outcome} = await waitForState(clientOf(1), gang, 'ended');
+	assert.equal(outcome?.kind, 'succeeded');
+	assert.equal(await countStarts(platform, gang), 2, 'two workers of eight accelerators run the gang');
+	say(`gang of 16: ${outcome.kind}, verdict ${outcome.verdict}, answer ${JSON.stringify(outcome.answer)}`);
+
+	await assert.rejects(submit(clientOf(2), jobBody(65, 100)), (error: Error) => {
+		say(`impossible job: refused: ${error.message}`);
+		return 'verdict' in error && error.verdict === 'not-run';
+	});
+
+	const survivor = await submit(clientOf(1), jobBody(16, GANG_RUN_MS));
+	await until('start of the job', async () => ((await countStarts(platform, survivor)) === 2 ? true : undefined));
+	const victim = instances[0]!;
+	victim.process.child.kill('SIGKILL');
+	say(`killed ${victim.process.name} (SIGKILL) while the job runs`);
+	const ended = await waitForState(clientOf(1), survivor, 'ended');
+	const starts = await countStarts(platform, survivor);
+	assert.equal(ended.outcome?.kind, 'succeeded');
+	assert.equal(starts, 2, 'each of the two tasks started once');
+	say(`job after the kill: ${ended.outcome.kind} once (attempt ${ended.attempt}, ${starts} task starts on 2 workers)`);
+};
+
+const runDemo = async (lifecycle: Lifecycle): Promise<void> => {
+	const operatorToken = newToken();
+	const callerToken = newToken();
+	const declarations = await loadExample(operatorToken, callerToken);
+	const platform = await startPlatform(lifecycle, declarations.racks);
+	const instances = await startInstances(lifecycle, platform, operatorToken);
+	say(`instances: ${instances.map(({process: {name}, address}) => `${name} at ${address}`).join(', ')}`);
+
+	const operator = createOperatorClient({url: `http://${instances[0]!.address}`, token: operatorToken});
+	await until('three live members', async () => {
+		const response = await request(`http://${instances[0]!.address}/readyz`);
+		await response.body.dump();
+		return response.statusCode === 200 ? true : undefined;
+	});
+	const generation = await operator.apply(0, declarations);
+	await until('the configuration in force', async () => {
+		const {instances: statuses} = await operator.status();
+		const isInForce = statuses.length === 3 && statuses.every((status) => status.generation === generation);
+		return isInForce ? true : undefined;
+	});
+	say(`examples/quebec: generation ${generation} is in force on 3 instances`);
+	await sendRequest(instances[2]!.address, callerToken);
+	await runJobs(platform, instances, callerToken);
+};
+
+const startedMs = Date.now();
+const lifecycle = createLifecycle('demo');
+try {
+	await runDemo(lifecycle);
+	say(`done in ${((Date.now() - startedMs) / 1000).toFixed(1)} s`);
+} catch (error) {
+	say(`failed: ${error instanceof Error ? (error.stack ?? error.message) : String(error)}`);
+	process.exitCode = 1;
+} finally {
+	await lifecycle.close();
+}
--- /dev/null
+++ b/packages/instance/src/constants.ts
@@ -0,0 +1,25 @@
+/** The planner looks at the queue at least this often; changes wake it earlier. */
+export const PLANNER_INTERVAL_MS = 500;
+
+/** A rack is reconciled at least this often; changes wake it earlier. */
+export const RACK_INTERVAL_MS = 500;
+
+/** Changes that arrive within this time go into one placement pass. */
+export const PLANNER_DELAY_MS = 10;
+
+/** Replicated store prefixes; claims are read only by the owner of their shard. */
+export const REPLICATED_PREFIXES = ['config/', 'racks/', 'jobs/', 'slots/'] as const;
+
+/** A worker that gave no report for this long gets no new placement. */
+export const WORKER_DOWN_AFTER_MS = 5000;
+
+export const DRAIN_POLL_MS = 20;
+
+/** Time for the load balancer to see that readiness is off. */
+export const READINESS_LEAD_MS = 500;
+
+/** Instances that hold a watch of the store. */
+export const WATCHER_COUNT = 2;
+
+/** Clocks of instance and worker may run apart by this much during one lease. */
+export const LEASE_MARGIN_MS = 5000;
--- /dev/null
+++ b/packages/instance/src/gang-actions.ts
@@ -0,0 +1,192 @@
+import {
+	toServiceError,
+	type Block,
+	type JobClass,
+	type JobRecord,
+	type Placement,
+	type TaskReport,
+} from '@bergamotgauge/model';
+import type {TaskReference, WorkerClient} from '@bergamotgauge/worker';
+import {bundleOf, type Context} from './context.js';
+import {reportsOf} from './gang.js';
+import type {JobStore} from './job-store.js';
+import {writeRack} from './rack-writer.js';
+import type {WorkerLinks} from './worker-links.js';
+
+export type GangActionOptions = Readonly<{
+	context: Context;
+	jobs: JobStore;
+	links: WorkerLinks;
+}>;
+
+/** One attempt of a job with its rack. */
+export type Gang = Readonly<{
+	rack: string;
+	placement: Placement;
+	job: JobRecord | undefined;
+}>;
+
+const referenceOf = ({job, attempt, token}: Placement): TaskReference => ({job, attempt, token});
+
+const classOf = ({context}: GangActionOptions, {placement}: Gang): JobClass | undefined =>
+	bundleOf(context.replica)?.jobClasses.find(({name}) => name === placement.jobClass);
+
+/** Calls every worker of the gang at the same time. Workers whose lease has expired have no task left and are passed over. */
+const callWorkers = async (
+	{links}: GangActionOptions,
+	{placement}: Gang,
+	call: (client: WorkerClient, block: Block, index: number) => Promise<number>,
+): Promise<void> => {
+	await Promise.all(
+		placement.blocks.map(async (block, index) => {
+			const client = links.client(block.worker);
+			if (client && !links.isLeaseExpired(block.worker)) {
+				links.requireSequence(block.worker, await call(client, block, index));
+			}
+		}),
+	);
+};
+
+const stopTasks = async (options: GangActionOptions, gang: Gang): Promise<void> =>
+	callWorkers(options, gang, async (client) => client.stop(referenceOf(gang.placement)));
+
+/** Stops the tasks on every worker and removes the placement with one write. */
+export const releaseGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
+	const {rack, placement} = gang;
+	// Accelerators are given up only after their tasks have stopped.
+	await stopTasks(options, gang);
+	await writeRack(options.context, rack, (record) => {
+		const placements = record.placements.filter(
+			({job, attempt, token}) => job !== placement.job || attempt !== placement.attempt || token !== placement.token,
+		);
+		return placements.length === record.placements.length ? undefined : {...record, placements};
+	});
+};
+
+/** Gives the attempt to this placement, unless another placement has it. */
+const assign = async ({jobs}: GangActionOptions, {rack, placement}: Gang): Promise<boolean> => {
+	const {job, attempt, token} = placement;
+	const record = await jobs.update(job, (current) =>
+		current.attempt === attempt && !current.assignment && !current.cancelRequested
+			? {...current, assignment: {rack, token}}
+			: current,
+	);
+	return record?.attempt === attempt && record.assignment?.rack === rack && record.assignment.token === token;
+};
+
+/** Prepares every worker of the gang, assigns the attempt, then starts every task. Nothing starts before all have prepared. */
+export const startGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
+	const {placement, job} = gang;
+	if (!job) {
+		return;
+	}
+
+	if (!job.assignment && placement.blocks.some(({worker}) => options.links.isDown(worker))) {
+		await releaseGang(options, gang);
+		return;
+	}
+
+	await callWorkers(options, gang, async (client, block, index) =>
+		client.prepare({
+			...referenceOf(placement),
+			block,
+			cores: block.count * job.coresPerAccelerator,
+			memoryGigabytes: block.count * job.memoryGigabytesPerAccelerator,
+			isLead: index === 0,
+			payload: job.payload,
+		}),
+	);
+	if (await assign(options, gang)) {
+		await callWorkers(options, gang, async (client) => client.start(referenceOf(placement)));
+	}
+};
+
+export const succeedGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
+	const [lead] = reportsOf(gang.placement, options.links.tasks);
+	await options.jobs.end(gang.placement.job, {
+		kind: 'succeeded',
+		verdict: 'ran',
+		reason: 'all tasks succeeded',
+		answer: lead?.answer,
+	});
+	await releaseGang(options, gang);
+};
+
+const withNextAttempt = (record: JobRecord, {attempt, placedAtMs}: Placement): JobRecord => {
+	if (record.attempt !== attempt) {
+		return record;
+	}
+
+	const {assignment: _, ...rest} = record;
+	const ranSeconds = record.ranSeconds + (Date.now() - placedAtMs) / 1000;
+	return {...rest, attempt: attempt + 1, ranSeconds};
+};
+
+/** Queues the next attempt, or ends a job that must not run twice. */
+export const requeueGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
+	const {placement, job} = gang;
+	const reports = reportsOf(placement, options.links.tasks);
+	const isCheckpointed = reports.every((report) => report?.state === 'checkpointed' || report?.state === 'succeeded');
+	// The next attempt starts only when no task of this one can still run.
+	await stopTasks(options, gang);
+	if (job?.assignment && !isCheckpointed && classOf(options, gang)?.retryRule !== 'idempotent') {
+		await options.jobs.end(placement.job, {
+			kind: 'unknown',
+			verdict: 'may-have-run',
+			reason: 'the attempt stopped after its start and the class allows no second one',
+		});
+	} else {
+		await options.jobs.update(placement.job, (record) => withNextAttempt(record, placement));
+	}
+
+	await releaseGang(options, gang);
+};
+
+export const failGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
+	const {placement} = gang;
+	const reports = reportsOf(placement, options.links.tasks);
+	const failed = reports.find((report): report is TaskReport => report?.state === 'failed');
+	const failedWorkers = placement.blocks
+		.filter((_, index) => reports[index]?.state === 'failed')
+		.map(({worker}) => worker);
+	const jobClass = classOf(options, gang);
+	await stopTasks(options, gang);
+	if (jobClass?.retryRule !== 'idempotent' || placement.attempt >= jobClass.maxAttempts) {
+		await options.jobs.end(placement.job, {
+			kind: 'failed',
+			verdict: 'ran',
+			reason: failed?.reason ?? 'a task failed',
+		});
+	} else {
+		await options.jobs.update(placement.job, (record) => {
+			const next = withNextAttempt(record, placement);
+			return next === record ? record : {...next, failedOn: [...new Set([...record.failedOn, ...failedWorkers])]};
+		});
+	}
+
+	await releaseGang(options, gang);
+};
+
+export const cancelGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
+	await stopTasks(options, gang);
+	await options.jobs.end(gang.placement.job, {
+		kind: 'cancelled',
+		verdict: gang.job?.assignment ? 'may-have-run' : 'not-run',
+		reason: 'the caller cancelled the job',
+	});
+	await releaseGang(options, gang);
+};
+
+/** Checkpoints every task; a task that cannot be checkpointed is stopped. */
+export const checkpointGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
+	const {placement} = gang;
+	await callWorkers(options, gang, async (client) => {
+		try {
+			return await client.checkpoint(referenceOf(placement));
+		} catch (error) {
+			const {message} = toServiceError(error, 'may-have-run');
+			options.context.log.warn('checkpoint-failed', {job: placement.job, error: message});
+			return client.stop(referenceOf(placement));
+		}
+	});
+};
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,1 +1,3 @@
-export const placeholder = true;
+export type * from './types.js';
+export {startInstance} from './instance.js';
+export {checkSettings} from './settings.js';
--- /dev/null
+++ b/packages/instance/src/job-store.ts
@@ -0,0 +1,158 @@
+import {Buffer} from 'node:buffer';
+import {
+	ENDED_JOB_LIFETIME_MS,
+	jobShardKey,
+	MAX_JOB_ANSWER_BYTES,
+	newJobId,
+	ServiceError,
+	type JobOutcome,
+	type JobRecord,
+	type JobShardRecord,
+	type JobSpecification,
+} from '@bergamotgauge/model';
+import {checkSubmission} from '@bergamotgauge/placement';
+import {createGroupCommit, type GroupCommit} from '@bergamotgauge/platform';
+import {allJobs, bundleOf, type Context} from './context.js';
+
+const EMPTY_SHARD: JobShardRecord = {jobs: {}};
+
+/** Writes job records. */
+export type JobStore = Readonly<{
+	submit: (customer: string, specification: JobSpecification) => Promise<JobRecord>;
+	/** Changes a queued job; returns undefined when it is gone or ended. */
+	update: (job: string, change: (record: JobRecord) => JobRecord) => Promise<JobRecord | undefined>;
+	end: (job: string, outcome: Omit<JobOutcome, 'endedAtMs'>) => Promise<JobRecord | undefined>;
+	get: (job: string) => JobRecord | undefined;
+}>;
+
+const withJob = (shard: JobShardRecord, job: JobRecord): JobShardRecord => ({jobs: {...shard.jobs, [job.id]: job}});
+
+const withoutExpired = (shard: JobShardRecord, nowMs: number): JobShardRecord => ({
+	jobs: Object.fromEntries(
+		Object.entries(shard.jobs).filter(
+			([, job]) => job.state === 'queued' || (job.outcome?.endedAtMs ?? 0) > nowMs - ENDED_JOB_LIFETIME_MS,
+		),
+	),
+});
+
+const boundedAnswer = (answer: unknown): unknown => {
+	const size = Buffer.byteLength(JSON.stringify(answer) ?? '');
+	return size <= MAX_JOB_ANSWER_BYTES
+		? answer
+		: {error: `the answer has ${size} bytes, more than ${MAX_JOB_ANSWER_BYTES}`};
+};
+
+const checkQueue = (context: Context, customerName: string): void => {
+	const customer = bundleOf(context.replica)?.customers.find(({name}) => name === customerName);
+	const queued = allJobs(context.replica).filter(
+		(job) => job.customer === customerName && job.state === 'queued',
+	).length;
+	if (customer && queued >= customer.quota.queuedJobs) {
+		throw new ServiceError(`customer ${customerName} has ${queued} queued jobs, its quota`, {
+			code: 'over-quota',
+			verdict: 'not-run',
+			retryAfterMs: 5000,
+		});
+	}
+};
+
+/**
+Creates the writer of job records. Changes of one shard are group-committed.
+
+@example
+```ts
+const job = await jobs.submit('acme', specification);
+```
+*/
+export const createJobStore = (context: Context): JobStore => {
+	const shards = new Map<string, GroupCommit<JobShardRecord>>();
+
+	const shardOf = (job: string): GroupCommit<JobShardRecord> => {
+		const key = jobShardKey(job);
+		let shard = shards.get(key);
+		if (!shard) {
+			shard = createGroupCommit<JobShardRecord>({
+				store: context.store,
+				key,
+				empty: EMPTY_SHARD,
+				known: () => context.replica.get(key),
+				onWritten: context.publish,
+			});
+			shards.set(key, shard);
+		}
+
+		return shard;
+	};
+
+	const get = (job: string): JobRecord | undefined => {
+		const shard = context.replica.get(jobShardKey(job)).value as JobShardRecord | undefined;
+		return shard && Object.hasOwn(shard.jobs, job) ? shard.jobs[job] : undefined;
+	};
+
+	const update: JobStore['update'] = async (job, change) =>
+		shardOf(job).submit((shard) => {
+			const record = shard.jobs[job];
+			if (record?.state !== 'queued') {
+				return {value: shard, result: undefined};
+			}
+
+			const next = change(record);
+			return {value: withJob(shard, next), result: next};
+		});
+
+	return {
+		get,
+		update,
+		async submit(customer, specification) {
+			const bundle = bundleOf(context.replica);
+			if (!bundle) {
+				throw new ServiceError('no configuration is in force', {
+					code: 'draining',
+					verdict: 'not-run',
+					retryAfterMs: 1000,
+				});
+			}
+
+			checkSubmission(bundle, customer, specification);
+			checkQueue(context, customer);
+			const job: JobRecord = {
+				...specification,
+				id: newJobId(),
+				customer,
+				submittedAtMs: Date.now(),
+				attempt: 1,
+				failedOn: [],
+				cancelRequested: false,
+				state: 'queued',
+				ranSeconds: 0,
+			};
+			await shardOf(job.id).submit((shard) => ({
+				value: withJob(withoutExpired(shard, job.submittedAtMs), job),
+				result: job,
+			}));
+			context.log.info('job-accepted', {job: job.id, customer, accelerators: job.accelerators});
+			return job;
+		},
+		async end(job, outcome) {
+			const ended = await update(job, (record) => ({
+				...record,
+				state: 'ended',
+				outcome: {
+					...outcome,
+					...(outcome.answer !== undefined && {answer: boundedAnswer(outcome.answer)}),
+					endedAtMs: Date.now(),
+				},
+			}));
+			if (ended) {
+				context.log.info('job-ended', {job, outcome: outcome.kind, verdict: outcome.verdict, reason: outcome.reason});
+				context.metrics.observe('job_milliseconds', Date.now() - ended.submittedAtMs, {
+					customer: ended.customer,
+					class: ended.jobClass,
+					outcome: outcome.kind,
+				});
+			}
+
+			return ended;
+		},
+	};
+};
--- /dev/null
+++ b/packages/instance/src/rack-loop.ts
@@ -0,0 +1,66 @@
+import {sleep} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
+import {RACK_INTERVAL_MS} from './constants.js';
+import {allRacks, isOwner} from './context.js';
+import {gangStateOf} from './gang.js';
+import {
+	cancelGang,
+	checkpointGang,
+	failGang,
+	releaseGang,
+	requeueGang,
+	startGang,
+	succeedGang,
+	type Gang,
+	type GangActionOptions,
+} from './gang-actions.js';
+import {reconcile, standingOf, type ReconcileAction} from './reconcile.js';
+import type {Waker} from './waker.js';
+
+type Action = (options: GangActionOptions, gang: Gang) => Promise<void>;
+
+const ACTIONS: Readonly<Record<ReconcileAction, Action>> = {
+	async wait() {},
+	start: startGang,
+	succeed: succeedGang,
+	fail: failGang,
+	checkpoint: checkpointGang,
+	requeue: requeueGang,
+	cancel: cancelGang,
+	release: releaseGang,
+};
+
+const reconcileGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
+	const {log, metrics} = options.context;
+	const state = gangStateOf(gang.placement, options.links.tasks);
+	const action = reconcile(standingOf(gang.job, gang.rack, gang.placement), state);
+	try {
+		await ACTIONS[action](options, gang);
+	} catch (error) {
+		const {code, message} = toServiceError(error, 'may-have-run');
+		metrics.count('reconcile_failures_total', {action, code});
+		log.warn('reconcile-failed', {job: gang.placement.job, rack: gang.rack, action, code, error: message});
+	}
+};
+
+/**
+Brings the workers and the job records of owned racks in line with the placements until the signal aborts.
+
+@example
+```ts
+lifecycle.run('racks', async (signal) => runRackLoop(options, waker, signal));
+```
+*/
+export const runRackLoop = async (options: GangActionOptions, waker: Waker, signal: AbortSignal): Promise<void> => {
+	const {context, jobs} = options;
+	while (!signal.aborted) {
+		const gangs = [...allRacks(context.replica).values()]
+			.filter(({rack}) => isOwner(context, `racks/${rack}`))
+			.flatMap(({rack, placements}) =>
+				placements.map((placement): Gang => ({rack, placement, job: jobs.get(placement.job)})),
+			);
+		await Promise.all(gangs.map(async (gang) => reconcileGang(options, gang)));
+		await waker.wait(RACK_INTERVAL_MS, signal);
+		await sleep(0, signal);
+	}
+};
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -69,8 +69,8 @@
 	rack: string;
 	/** Place in the rack; adjacent positions hold adjacent accelerators. */
 	position: number;
-	/** Base URL of the worker's HTTP interface. */
-	address: string;
+	/** Base URL of the worker's HTTP interface; the instance list gives it where this is not set. */
+	address?: string;
 	availabilityZone: string;
 	cores: number;
 	memoryGigabytes: number;
@@ -236,6 +236,12 @@
 
 export type JobState = 'queued' | 'ended';
 
+/** The one placement that may start the current attempt. */
+export type Assignment = Readonly<{
+	rack: string;
+	token: number;
+}>;
+
 export type JobRecord = JobSpecification &
 	Readonly<{
 		id: string;
@@ -246,6 +252,8 @@
 		/** Workers on which earlier attempts failed. */
 		failedOn: readonly string[];
 		cancelRequested: boolean;
+		/** Written before the first task starts; two instances that place one job cannot both write it. */
+		assignment?: Assignment;
 		state: JobState;
 		outcome?: JobOutcome;
 		/** Time that ended attempts ran, for correction of the estimate. */
--- /dev/null
+++ b/packages/peer/src/peer-server.ts
@@ -0,0 +1,104 @@
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import type {Lifecycle} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
+import type {Log} from '@bergamotgauge/telemetry';
+import {createFrameReader, encodeFrame} from './frame.js';
+import type {Frame, Handlers} from './types.js';
+
+export type PeerServerOptions = Readonly<{
+	host: string;
+	port: number;
+	handlers: Handlers;
+	lifecycle: Lifecycle;
+	log: Log;
+}>;
+
+const answer = async (frame: Extract<Frame, {kind: 'request'}>, handlers: Handlers, from: string): Promise<Frame> => {
+	const handler = handlers.requests[frame.method];
+	if (!handler) {
+		const error = {code: 'bad-request', verdict: 'not-run', message: `unknown method ${frame.method}`};
+		return {kind: 'response', id: frame.id, ok: false, error};
+	}
+
+	try {
+		return {kind: 'response', id: frame.id, ok: true, body: await handler(frame.body, from)};
+	} catch (error) {
+		const {code, verdict, message, retryAfterMs} = toServiceError(error, 'may-have-run');
+		return {
+			kind: 'response',
+			id: frame.id,
+			ok: false,
+			error: {code, verdict, message, ...(retryAfterMs !== undefined && {retryAfterMs})},
+		};
+	}
+};
+
+const serveConnection = (socket: Socket, {handlers, log}: PeerServerOptions): void => {
+	const reader = createFrameReader();
+	const from = `${socket.remoteAddress}:${socket.remotePort}`;
+
+	const handle = async (frame: Frame) => {
+		if (frame.kind === 'event') {
+			handlers.events[frame.method]?.(frame.body);
+		} else if (frame.kind === 'request') {
+			const response = encodeFrame(await answer(frame, handlers, from));
+			if (!socket.destroyed) {
+				socket.write(response);
+			}
+		}
+	};
+
+	socket.setNoDelay(true);
+	socket.on('data', (chunk) => {
+		try {
+			for (const frame of reader.push(chunk)) {
+				void handle(frame);
+			}
+		} catch (error) {
+			log.warn('peer-frame-refused', {from, error: String(error)});
+			socket.destroy();
+		}
+	});
+	socket.on('error', () => {
+		socket.destroy();
+	});
+};
+
+/**
+Listens for other instances.
+
+@example
+```ts
+const address = await startPeerServer({host: '127.0.0.1', port: 0, handlers, lifecycle, log});
+```
+
+@returns The bound `host:port`.
+*/
+export const startPeerServer = async (options: PeerServerOptions): Promise<string> => {
+	const {host, port, lifecycle} = options;
+	const sockets = new Set<Socket>();
+	const server = createServer((socket) => {
+		sockets.add(socket);
+		socket.on('close', () => {
+			sockets.delete(socket);
+		});
+		serveConnection(socket, options);
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	lifecycle.add('peer-server', async () => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		await new Promise<void>((resolve) => {
+			server.close(() => {
+				resolve();
+			});
+		});
+	});
+	const bound = server.address() as AddressInfo;
+	return `${bound.address}:${bound.port}`;
+};
--- /dev/null
+++ b/packages/peer/src/types.ts
@@ -0,0 +1,44 @@
+/** One message on a connection between instances. */
+export type Frame =
+	| Readonly<{kind: 'request'; id: number; method: string; body: unknown}>
+	| Readonly<{kind: 'response'; id: number; ok: true; body: unknown}>
+	| Readonly<{kind: 'response'; id: number; ok: false; error: FrameError}>
+	| Readonly<{kind: 'event'; method: string; body: unknown}>;
+
+export type FrameError = Readonly<{code: string; verdict: string; message: string; retryAfterMs?: number}>;
+
+export type RequestHandler = (body: unknown, from: string) => Promise<unknown> | unknown;
+
+export type EventHandler = (body: unknown) => void;
+
+export type Handlers = Readonly<{
+	requests: Readonly<Record<string, RequestHandler>>;
+	events: Readonly<Record<string, EventHandler>>;
+}>;
+
+export type MemberState = 'starting' | 'live' | 'leaving';
+
+/** What an instance says of itself in each heartbeat. */
+export type Heartbeat = Readonly<{
+	id: string;
+	/** Rises with each start of the instance, so that a restarted one is not its predecessor. */
+	incarnation: number;
+	state: MemberState;
+	/** Generation of the configuration in force. */
+	generation: number;
+	/** Store revision of the replica. */
+	revision: number;
+	availabilityZone: string;
+	/** Workers of owned racks that do not answer. */
+	workersDown: readonly string[];
+}>;
+
+export type Health = 'unknown' | 'alive' | 'suspect' | 'dead';
+
+export type Member = Readonly<{
+	id: string;
+	address: string;
+	health: Health;
+	heartbeat: Heartbeat | undefined;
+	lastHeardMs: number;
+}>;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,7 @@
-export const placeholder = true;
+export type * from './types.js';
+export {createGroupCommit, type Change, type GroupCommit} from './group-commit.js';
+export {createInstanceList, mergeListing, type InstanceList} from './instance-list.js';
+export {createReplica, type Replica} from './replica.js';
+export {createStoreClient, type StoreClientOptions} from './store-client.js';
+export {listAll, runWatcher} from './watcher.js';
+export {decodeValue, encodeValue} from './value-codec.js';
--- /dev/null
+++ b/packages/platform/src/instance-list.ts
@@ -0,0 +1,82 @@
+import {sleep, withDeadline} from '@bergamotgauge/lifecycle';
+import type {ListedInstance} from '@bergamotgauge/model';
+import Emittery from 'emittery';
+import {request} from 'undici';
+import {INSTANCE_LIST_POLL_MS, PLAUSIBLE_LIST_SHARE, STORE_DEADLINE_MS} from './constants.js';
+
+export type InstanceListEvents = {changed: readonly ListedInstance[]};
+
+/** The platform's list as last seen. */
+export type InstanceList = Readonly<{
+	current: () => readonly ListedInstance[];
+	/** Reads the list once. */
+	refresh: () => Promise<void>;
+	/** Reads the list until the signal aborts. */
+	run: (signal: AbortSignal) => Promise<void>;
+	events: Emittery<InstanceListEvents>;
+}>;
+
+/**
+Merges a new reading into the known list. A reading that lost more than half of the entries keeps the missing ones, because the list service can answer with an empty or partial list.
+
+@example
+```ts
+mergeListing(known, []); // known
+```
+*/
+export const mergeListing = (
+	known: readonly ListedInstance[],
+	reading: readonly ListedInstance[],
+): readonly ListedInstance[] => {
+	const ids = new Set(reading.map(({id}) => id));
+	const missing = known.filter(({id}) => !ids.has(id));
+	const kept = known.length - missing.length;
+	return kept < known.length * PLAUSIBLE_LIST_SHARE ? [...reading, ...missing] : reading;
+};
+
+/**
+Creates a reader of the platform's instance list.
+
+@example
+```ts
+const list = createInstanceList({url});
+lifecycle.run('instance-list', list.run);
+```
+*/
+export const createInstanceList = ({url}: Readonly<{url: string}>): InstanceList => {
+	const events = new Emittery<InstanceListEvents>();
+	let known: readonly ListedInstance[] = [];
+	let lastText = '';
+
+	const refresh = async () => {
+		const text = await withDeadline(STORE_DEADLINE_MS, async (signal) => {
+			const response = await request(`${url}/v1/instances`, {signal});
+			const body = await response.body.text();
+			if (response.statusCode !== 200) {
+				throw new Error(`the instance list answered ${response.statusCode}`);
+			}
+
+			return body;
+		});
+		if (text === lastText) {
+			return;
+		}
+
+		lastText = text;
+		const {instances} = JSON.parse(text) as Readonly<{instances: readonly ListedInstance[]}>;
+		known = mergeListing(known, instances);
+		await events.emit('changed', known);
+	};
+
+	return {
+		current: () => known,
+		events,
+		refresh,
+		async run(signal) {
+			while (!signal.aborted) {
+				await refresh();
+				await sleep(INSTANCE_LIST_POLL_MS, signal);
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/platform/src/value-codec.ts
@@ -0,0 +1,52 @@
+import {STORE_VALUE_LIMIT_BYTES, STORE_VALUE_MARGIN_BYTES, ServiceError} from '@bergamotgauge/model';
+import {decode, encode} from 'cbor-x';
+import {VALUE_SCHEMA_VERSION} from './constants.js';
+
+/** A value with the id of the write that made it. */
+export type Envelope = Readonly<{
+	schema: number;
+	operation: string;
+	data: unknown;
+}>;
+
+/**
+Encodes a value for the store.
+
+@example
+```ts
+const bytes = encodeValue('0198…', {jobs: {}});
+```
+
+@throws {ServiceError} `too-large` when the value would not fit the store.
+*/
+export const encodeValue = (operation: string, data: unknown): Uint8Array => {
+	const envelope: Envelope = {schema: VALUE_SCHEMA_VERSION, operation, data};
+	const bytes = encode(envelope);
+	const limit = STORE_VALUE_LIMIT_BYTES - STORE_VALUE_MARGIN_BYTES;
+	if (bytes.byteLength > limit) {
+		throw new ServiceError(`the value has ${bytes.byteLength} bytes, more than ${limit}`, {
+			code: 'too-large',
+			verdict: 'not-run',
+			status: 507,
+		});
+	}
+
+	return bytes;
+};
+
+/**
+Decodes a value of the store.
+
+@throws {ServiceError} `internal` when the value has a newer schema version.
+*/
+export const decodeValue = (bytes: Uint8Array): Envelope => {
+	const envelope = decode(bytes) as Envelope;
+	if (envelope.schema > VALUE_SCHEMA_VERSION) {
+		throw new ServiceError(`the value has schema version ${envelope.schema}, newer than ${VALUE_SCHEMA_VERSION}`, {
+			code: 'internal',
+			verdict: 'not-run',
+		});
+	}
+
+	return envelope;
+};
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,5 @@
-export const placeholder = true;
+export type * from './types.js';
+export {startEndpoint, type EndpointStandIn} from './endpoint.js';
+export {startInstanceList, type InstanceListStandIn} from './instance-list.js';
+export {startStore, type StoreStandIn} from './store.js';
+export {startWorker, type WorkerStandIn} from './worker.js';
--- /dev/null
+++ b/packages/worker/src/constants.ts
@@ -0,0 +1,11 @@
+export const WORKER_DEADLINE_MS = 2000;
+
+/** Added to the wait time of a report call; a longer call is treated as silent. */
+export const REPORT_GRACE_MS = 2000;
+
+/** A worker stops its tasks when no instance has renewed the lease for this long. */
+export const WORKER_LEASE_MS = 60_000;
+
+export const LEASE_RENEWAL_MS = 10_000;
+
+export const REPORT_WAIT_MS = 10_000;
--- a/xo.config.js
+++ b/xo.config.js
@@ -11,9 +11,12 @@
 			'no-await-in-loop': 'off',
 			// Prettier decides on line breaks inside braces.
 			'@stylistic/curly-newline': 'off',
-			'@typescript-eslint/no-empty-function': ['error', {allow: ['arrowFunctions']}],
+			'@typescript-eslint/no-empty-function': ['error', {allow: ['arrowFunctions', 'asyncMethods']}],
 			// Decoded values get their type where the schema version or the schema has been checked.
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// Streams and sockets of Node deliver Buffers.
+			'@typescript-eslint/no-restricted-types': 'off',
+			'new-cap': ['error', {newIsCap: true, capIsNew: true, capIsNewExceptions: ['Router']}],
 			// XO's convention, with SCREAMING_SNAKE_CASE constants added by the house style.
 			'@typescript-eslint/naming-convention': [
 				'error',
@@ -30,6 +33,12 @@
 			],
 		},
 	},
+	{
+		files: ['packages/cli/**/*.ts', 'packages/demo/**/*.ts', 'packages/bench/**/*.ts'],
+		rules: {
+			'unicorn/no-process-exit': 'off',
+		},
+	},
 ];
 
 export default config;
