Share rack writes between concurrent changes and give evictions a grace period

Cause: each release of a gang wrote its rack record alone, so a wave of cancellations cost one store write per job, and an eviction had no deadline after which its tasks are stopped. Ruled out: one timer per eviction, because the rack loop already visits each placement and can wait for the earliest deadline.

--- /dev/null
+++ b/packages/instance/src/engine.ts
@@ -0,0 +1,82 @@
+import {BUNDLE_KEY} from '@bergamotgauge/model';
+import {createWorkerClient, type WorkerClient} from '@bergamotgauge/worker';
+import {bundleOf, type Context} from './context.js';
+import {createJobStore, type JobStore} from './job-store.js';
+import {createJobViews, type JobViews} from './job-views.js';
+import {runPlanner} from './planner-loop.js';
+import {runRackLoop} from './rack-loop.js';
+import {createRackWriter} from './rack-writer.js';
+import {createWaker} from './waker.js';
+import {createWorkerLinks, type WorkerLinks} from './worker-links.js';
+
+export type EngineOptions = Readonly<{
+	context: Context;
+	createClient?: (address: string) => WorkerClient;
+}>;
+
+/** The parts of an instance that place and run jobs. */
+export type Engine = Readonly<{
+	jobs: JobStore;
+	views: JobViews;
+	links: WorkerLinks;
+	/** Starts the loops; they end with the life cycle of the context. */
+	start: () => void;
+}>;
+
+/**
+Creates the parts of an instance that place and run jobs.
+
+@example
+```ts
+const engine = createEngine({context});
+engine.start();
+const job = await engine.jobs.submit('acme', specification);
+```
+*/
+export const createEngine = ({context, createClient = createWorkerClient}: EngineOptions): Engine => {
+	const wakeRacks = createWaker();
+	const wakePlanner = createWaker();
+	const links = createWorkerLinks({context, createClient, onReport: wakeRacks.wake});
+	const jobs = createJobStore(context);
+	const views = createJobViews(context, jobs);
+	const racks = createRackWriter(context);
+
+	const wake = () => {
+		wakeRacks.wake();
+		wakePlanner.wake();
+	};
+
+	const refresh = () => {
+		links.refresh();
+		wake();
+	};
+
+	const workersDown = () => [
+		...links.down(),
+		...context.membership.members().flatMap(({heartbeat}) => heartbeat?.workersDown ?? []),
+	];
+
+	return {
+		jobs,
+		views,
+		links,
+		start() {
+			const {lifecycle, replica, membership, list} = context;
+			replica.events.on('changed', (entries) => {
+				if (entries.some(({key}) => key === BUNDLE_KEY)) {
+					context.log.info('configuration-in-force', {generation: bundleOf(replica)?.generation ?? 0});
+					links.refresh();
+				}
+
+				wake();
+			});
+			membership.events.on('changed', refresh);
+			list.events.on('changed', refresh);
+			lifecycle.run('racks', async (signal) => runRackLoop({context, jobs, links, racks}, wakeRacks, signal));
+			lifecycle.run('planner', async (signal) =>
+				runPlanner({context, jobs, racks, workersDown, waker: wakePlanner, onReasons: views.setReasons}, signal),
+			);
+			refresh();
+		},
+	};
+};
--- a/packages/instance/src/gang-actions.ts
+++ b/packages/instance/src/gang-actions.ts
@@ -10,13 +10,14 @@
 import {bundleOf, type Context} from './context.js';
 import {reportsOf} from './gang.js';
 import type {JobStore} from './job-store.js';
-import {writeRack} from './rack-writer.js';
+import type {RackWriter} from './rack-writer.js';
 import type {WorkerLinks} from './worker-links.js';
 
 export type GangActionOptions = Readonly<{
 	context: Context;
 	jobs: JobStore;
 	links: WorkerLinks;
+	racks: RackWriter;
 }>;
 
 /** One attempt of a job with its rack. */
@@ -55,7 +56,7 @@
 	const {rack, placement} = gang;
 	// Accelerators are given up only after their tasks have stopped.
 	await stopTasks(options, gang);
-	await writeRack(options.context, rack, (record) => {
+	await options.racks.write(rack, (record) => {
 		const placements = record.placements.filter(
 			({job, attempt, token}) => job !== placement.job || attempt !== placement.attempt || token !== placement.token,
 		);
@@ -93,6 +94,7 @@
 			cores: block.count * job.coresPerAccelerator,
 			memoryGigabytes: block.count * job.memoryGigabytesPerAccelerator,
 			isLead: index === 0,
+			...(job.checkpointAttempt !== undefined && {resumeFrom: job.checkpointAttempt}),
 			payload: job.payload,
 		}),
 	);
@@ -136,7 +138,10 @@
 			reason: 'the attempt stopped after its start and the class allows no second one',
 		});
 	} else {
-		await options.jobs.update(placement.job, (record) => withNextAttempt(record, placement));
+		await options.jobs.update(placement.job, (record) => {
+			const next = withNextAttempt(record, placement);
+			return next === record || !isCheckpointed ? next : {...next, checkpointAttempt: placement.attempt};
+		});
 	}
 
 	await releaseGang(options, gang);
@@ -177,9 +182,14 @@
 	await releaseGang(options, gang);
 };
 
-/** Checkpoints every task; a task that cannot be checkpointed is stopped. */
+/** Checkpoints every task; tasks that cannot be checkpointed, or not within the grace period, are stopped. */
 export const checkpointGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	const {placement} = gang;
+	if (Date.now() >= (placement.evictByMs ?? 0)) {
+		await stopTasks(options, gang);
+		return;
+	}
+
 	await callWorkers(options, gang, async (client) => {
 		try {
 			return await client.checkpoint(referenceOf(placement));
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,7 +1,7 @@
 import type {CallerService} from '@bergamotgauge/caller';
 import {createDispatcher, type Dispatcher, type Endpoint} from '@bergamotgauge/endpoint';
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
-import {BUNDLE_KEY, type ListedInstance} from '@bergamotgauge/model';
+import type {ListedInstance} from '@bergamotgauge/model';
 import type {OperatorService, Status} from '@bergamotgauge/operator';
 import {createMembership, startPeerServer, type Heartbeat, type MemberState} from '@bergamotgauge/peer';
 import {createInstanceList, createReplica, createStoreClient, type Changes} from '@bergamotgauge/platform';
@@ -9,15 +9,10 @@
 import {applyDeclarations} from './configuration.js';
 import {DRAIN_POLL_MS, READINESS_LEAD_MS} from './constants.js';
 import {allJobs, allRacks, bundleOf, type Context} from './context.js';
+import {createEngine, type Engine} from './engine.js';
 import {authenticateOperator, startHttpServer} from './http-server.js';
-import {createJobStore, type JobStore} from './job-store.js';
-import {createJobViews, type JobViews} from './job-views.js';
-import {runPlanner} from './planner-loop.js';
-import {runRackLoop} from './rack-loop.js';
 import {spreadEntry, startReplication} from './replication.js';
 import type {Instance, Settings} from './types.js';
-import {createWaker} from './waker.js';
-import {createWorkerLinks, type WorkerLinks} from './worker-links.js';
 
 type Mutable = {state: MemberState};
 
@@ -89,7 +84,7 @@
 	};
 };
 
-const createCallerService = (context: Context, jobs: JobStore, views: JobViews): CallerService => ({
+const createCallerService = (context: Context, {jobs, views}: Engine): CallerService => ({
 	bundle: () => bundleOf(context.replica),
 	isAccepting: () => context.state() === 'live',
 	submitJob: jobs.submit,
@@ -105,44 +100,6 @@
 	},
 });
 
-const startLoops = (
-	context: Context,
-	jobs: JobStore,
-	views: JobViews,
-	links: WorkerLinks,
-	wakeRacks: ReturnType<typeof createWaker>,
-): void => {
-	const {lifecycle, replica, membership, list} = context;
-	const wakePlanner = createWaker();
-	const refresh = () => {
-		links.refresh();
-		wakeRacks.wake();
-		wakePlanner.wake();
-	};
-
-	replica.events.on('changed', (data) => {
-		if (data.some(({key}) => key === BUNDLE_KEY)) {
-			const generation = bundleOf(replica)?.generation ?? 0;
-			context.log.info('configuration-in-force', {generation});
-			links.refresh();
-		}
-
-		wakeRacks.wake();
-		wakePlanner.wake();
-	});
-	membership.events.on('changed', refresh);
-	list.events.on('changed', refresh);
-	const workersDown = () => [
-		...links.down(),
-		...membership.members().flatMap(({heartbeat}) => heartbeat?.workersDown ?? []),
-	];
-	lifecycle.run('racks', async (signal) => runRackLoop({context, jobs, links}, wakeRacks, signal));
-	lifecycle.run('planner', async (signal) =>
-		runPlanner({context, jobs, workersDown, waker: wakePlanner, onReasons: views.setReasons}, signal),
-	);
-	refresh();
-};
-
 const followList = (context: Context, dispatcher: Dispatcher): void => {
 	const take = (list: readonly ListedInstance[]) => {
 		context.membership.applyList(list);
@@ -174,7 +131,6 @@
 	});
 	const status: Mutable = {state: 'starting'};
 	const incarnation = Date.now();
-	const wakeRacks = createWaker();
 	const heartbeat = (): Heartbeat => ({
 		id: settings.id,
 		incarnation,
@@ -182,12 +138,10 @@
 		generation: bundleOf(context.replica)?.generation ?? 0,
 		revision: context.replica.revision(),
 		availabilityZone: settings.availabilityZone,
-		workersDown: links.down(),
+		workersDown: engine.links.down(),
 	});
 	const context = createContext(settings, lifecycle, log, metrics, status, heartbeat);
-	const links = createWorkerLinks(context, wakeRacks.wake);
-	const jobs = createJobStore(context);
-	const views = createJobViews(context, jobs);
+	const engine = createEngine({context});
 	const dispatcher = createDispatcher({
 		availabilityZone: settings.availabilityZone,
 		lifecycle,
@@ -195,7 +149,7 @@
 		slotsOf: (_endpoint, service) => service.slots,
 		connectionsOf: (service) => service.connections,
 	});
-	const callerService = createCallerService(context, jobs, views);
+	const callerService = createCallerService(context, engine);
 	const drain = async () => {
 		if (status.state === 'leaving') {
 			return;
@@ -218,7 +172,7 @@
 		bundle: () => bundleOf(context.replica),
 		apply: async (operator, request) => applyDeclarations(context, operator, request),
 		status: () => statusOf(context, heartbeat),
-		explain: views.explain,
+		explain: engine.views.explain,
 		async drain(instance) {
 			if (instance === settings.id) {
 				void drain();
@@ -257,7 +211,7 @@
 		await context.list.refresh();
 		await startReplication(context);
 		followList(context, dispatcher);
-		startLoops(context, jobs, views, links, wakeRacks);
+		engine.start();
 		const address = await startHttpServer({
 			host: settings.host,
 			port: settings.port,
--- a/packages/instance/src/planner-loop.ts
+++ b/packages/instance/src/planner-loop.ts
@@ -4,8 +4,8 @@
 import {PLANNER_DELAY_MS, PLANNER_INTERVAL_MS} from './constants.js';
 import {allJobs, allRacks, bundleOf, isOwner, type Context} from './context.js';
 import type {JobStore} from './job-store.js';
-import {withPlacement} from './rack-record.js';
-import {writeRack} from './rack-writer.js';
+import {withEviction, withPlacement} from './rack-record.js';
+import type {RackWriter} from './rack-writer.js';
 import type {Waker} from './waker.js';
 
 /** The scheduler's input as this instance sees it now. */
@@ -19,10 +19,20 @@
 	nowMs: Date.now(),
 });
 
-const apply = async (context: Context, jobs: JobStore, decision: Decision): Promise<void> => {
+export type PlannerOptions = Readonly<{
+	context: Context;
+	jobs: JobStore;
+	racks: RackWriter;
+	workersDown: () => readonly string[];
+	waker: Waker;
+	/** Takes the reason for which each job waits. */
+	onReasons: (reasons: ReadonlyMap<string, string>) => void;
+}>;
+
+const apply = async ({context, jobs, racks}: PlannerOptions, decision: Decision): Promise<void> => {
 	switch (decision.kind) {
 		case 'place': {
-			const isWritten = await writeRack(context, decision.rack, (record) => withPlacement(record, decision.placement));
+			const isWritten = await racks.write(decision.rack, (record) => withPlacement(record, decision.placement));
 			if (isWritten) {
 				const {job, attempt} = decision.placement;
 				context.log.info('job-placed', {job, attempt, rack: decision.rack, reason: decision.reason});
@@ -32,18 +42,14 @@
 		}
 
 		case 'evict': {
-			await writeRack(context, decision.rack, (record) => ({
-				...record,
-				placements: record.placements.map((placement) =>
-					placement.job === decision.job ? {...placement, phase: 'evicting'} : placement,
-				),
-			}));
+			const evictByMs = Date.now() + decision.graceMs;
+			await racks.write(decision.rack, (record) => withEviction(record, decision.job, evictByMs));
 			context.log.info('job-evicted', {job: decision.job, rack: decision.rack, reason: decision.reason});
 			break;
 		}
 
 		case 'homes': {
-			await writeRack(context, decision.rack, (record) => ({...record, homes: decision.homes}));
+			await racks.write(decision.rack, (record) => ({...record, homes: decision.homes}));
 			context.log.info('homes-changed', {rack: decision.rack, reason: decision.reason});
 			break;
 		}
@@ -73,15 +79,6 @@
 	);
 };
 
-export type PlannerOptions = Readonly<{
-	context: Context;
-	jobs: JobStore;
-	workersDown: () => readonly string[];
-	waker: Waker;
-	/** Takes the reason for which each job waits. */
-	onReasons: (reasons: ReadonlyMap<string, string>) => void;
-}>;
-
 /**
 Places queued jobs while this instance owns the planner.
 
@@ -107,7 +104,7 @@
 			try {
 				await endCancelled(jobs, view);
 				for (const decision of decisions) {
-					await apply(context, jobs, decision);
+					await apply(options, decision);
 				}
 			} catch (error) {
 				const {code, message} = toServiceError(error, 'may-have-run');
--- a/packages/instance/src/rack-loop.ts
+++ b/packages/instance/src/rack-loop.ts
@@ -43,6 +43,16 @@
 	}
 };
 
+/** Time until the next pass: at the latest when the grace period of an eviction ends. */
+const waitMs = (gangs: readonly Gang[]): number => {
+	const nowMs = Date.now();
+	const graceMs = gangs
+		.map(({placement}) => placement.evictByMs ?? 0)
+		.filter((evictByMs) => evictByMs > nowMs)
+		.map((evictByMs) => evictByMs - nowMs);
+	return Math.min(RACK_INTERVAL_MS, ...graceMs);
+};
+
 /**
 Brings the workers and the job records of owned racks in line with the placements until the signal aborts.
 
@@ -60,7 +70,7 @@
 				placements.map((placement): Gang => ({rack, placement, job: jobs.get(placement.job)})),
 			);
 		await Promise.all(gangs.map(async (gang) => reconcileGang(options, gang)));
-		await waker.wait(RACK_INTERVAL_MS, signal);
+		await waker.wait(waitMs(gangs), signal);
 		await sleep(0, signal);
 	}
 };
--- a/packages/instance/src/rack-record.ts
+++ b/packages/instance/src/rack-record.ts
@@ -25,3 +25,16 @@
 		record.homes.some((home) => isForbiddenHome(home, placement));
 	return isRefused ? undefined : {...record, placements: [...record.placements, {...placement, token: record.epoch}]};
 };
+
+/** Marks a job's placement for eviction. A placement that is evicted already keeps its deadline. */
+export const withEviction = (record: RackRecord, job: string, evictByMs: number): RackRecord | undefined => {
+	const isEvictable = record.placements.some((placement) => placement.job === job && placement.phase === 'placed');
+	return isEvictable
+		? {
+				...record,
+				placements: record.placements.map((placement) =>
+					placement.job === job ? {...placement, phase: 'evicting', evictByMs} : placement,
+				),
+			}
+		: undefined;
+};
--- a/packages/instance/src/rack-writer.ts
+++ b/packages/instance/src/rack-writer.ts
@@ -1,40 +1,53 @@
 import {rackKey, type RackRecord} from '@bergamotgauge/model';
+import {createGroupCommit, type GroupCommit} from '@bergamotgauge/platform';
 import {emptyRack, type Context} from './context.js';
 
+/** A change of a rack record; undefined leaves the record as it is. */
+export type RackChange = (record: RackRecord) => RackRecord | undefined;
+
+/** Writes rack records. */
+export type RackWriter = Readonly<{
+	/** Changes a record by compare-and-swap; gives whether the record was changed. */
+	write: (rack: string, change: RackChange) => Promise<boolean>;
+}>;
+
 /**
-Changes a rack record by one compare-and-swap. The change gets the record with its next epoch set; it returns undefined to leave the record as it is.
+Creates the writer of rack records. Concurrent changes of one rack go into one write, so that a wave of cancellations costs few writes for each rack.
 
 @example
 ```ts
-await writeRack(context, 'r1', (record) => ({...record, placements: [...record.placements, placement]}));
+const racks = createRackWriter(context);
+await racks.write('r1', (record) => withPlacement(record, placement));
 ```
 
-@returns Whether the record was written.
-@throws {ServiceError} `store-unavailable`.
+@throws {ServiceError} `store-unavailable`, with the verdict of the write.
 */
-export const writeRack = async (
-	context: Context,
-	rack: string,
-	change: (record: RackRecord) => RackRecord | undefined,
-): Promise<boolean> => {
-	const key = rackKey(rack);
-	const entry = context.replica.get(key);
-	const current = (entry.value as RackRecord | undefined) ?? emptyRack(rack);
-	const next = change({...current, epoch: current.epoch + 1});
-	if (!next) {
-		return false;
-	}
-
-	const result = await context.store.put(key, next, entry.revision);
-	if (result.outcome === 'applied') {
-		context.publish({key, revision: result.revision, value: next});
-		return true;
-	}
-
-	context.metrics.count('rack_write_conflicts_total', {rack, outcome: result.outcome});
-	if (result.outcome === 'conflict') {
-		context.replica.applyOwnWrite(result.current);
-	}
-
-	return false;
+export const createRackWriter = (context: Context): RackWriter => {
+	const commits = new Map<string, GroupCommit<RackRecord>>();
+
+	const commitOf = (rack: string): GroupCommit<RackRecord> => {
+		let commit = commits.get(rack);
+		if (!commit) {
+			const key = rackKey(rack);
+			commit = createGroupCommit<RackRecord>({
+				store: context.store,
+				key,
+				empty: emptyRack(rack),
+				known: () => context.replica.get(key),
+				onWritten: context.publish,
+			});
+			commits.set(rack, commit);
+		}
+
+		return commit;
+	};
+
+	return {
+		write: async (rack, change) =>
+			commitOf(rack).submit((record) => {
+				// The change sees the epoch that its own write will have, which is the token of a new placement.
+				const next = change({...record, epoch: record.epoch + 1});
+				return next ? {value: next, result: true} : {value: record, result: false};
+			}),
+	};
 };
--- a/packages/instance/src/worker-links.ts
+++ b/packages/instance/src/worker-links.ts
@@ -1,12 +1,6 @@
 import {sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
 import type {Bundle, TaskReport, Worker} from '@bergamotgauge/model';
-import {
-	createWorkerClient,
-	LEASE_RENEWAL_MS,
-	REPORT_WAIT_MS,
-	WORKER_LEASE_MS,
-	type WorkerClient,
-} from '@bergamotgauge/worker';
+import {LEASE_RENEWAL_MS, REPORT_WAIT_MS, WORKER_LEASE_MS, type WorkerClient} from '@bergamotgauge/worker';
 import {LEASE_MARGIN_MS, WORKER_DOWN_AFTER_MS} from './constants.js';
 import {bundleOf, isOwner, type Context} from './context.js';
 
@@ -23,6 +17,13 @@
 	lastRenewalMs: number;
 };
 
+export type WorkerLinkOptions = Readonly<{
+	context: Context;
+	createClient: (address: string) => WorkerClient;
+	/** Called with each new report. */
+	onReport: () => void;
+}>;
+
 /** Connections to the workers of the racks that this instance owns. */
 export type WorkerLinks = Readonly<{
 	client: (worker: string) => WorkerClient | undefined;
@@ -73,17 +74,17 @@
 
 @example
 ```ts
-const links = createWorkerLinks(context, waker.wake);
+const links = createWorkerLinks({context, createClient: createWorkerClient, onReport: waker.wake});
 links.refresh();
 ```
 */
-export const createWorkerLinks = (context: Context, onReport: () => void): WorkerLinks => {
+export const createWorkerLinks = ({context, createClient, onReport}: WorkerLinkOptions): WorkerLinks => {
 	const links = new Map<string, Link>();
 
 	const open = (worker: Worker, address: string) => {
 		const lifecycle = context.lifecycle.child(`worker-${worker.name}`);
 		const link: Link = {
-			client: createWorkerClient(address),
+			client: createClient(address),
 			address,
 			lifecycle,
 			tasks: undefined,
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -175,6 +175,8 @@
 	blocks: readonly Block[];
 	preemptible: boolean;
 	phase: PlacementPhase;
+	/** While evicting: the time at which tasks that have not checkpointed are stopped. */
+	evictByMs?: number;
 	/** Fencing token: the epoch of the rack record that added this placement. */
 	token: number;
 	placedAtMs: number;
@@ -252,6 +254,8 @@
 		/** Workers on which earlier attempts failed. */
 		failedOn: readonly string[];
 		cancelRequested: boolean;
+		/** Attempt whose checkpoint the next one continues from. */
+		checkpointAttempt?: number;
 		/** Written before the first task starts; two instances that place one job cannot both write it. */
 		assignment?: Assignment;
 		state: JobState;
--- a/packages/standins/src/types.ts
+++ b/packages/standins/src/types.ts
@@ -12,6 +12,11 @@
 	runMs?: number;
 	result?: 'succeed' | 'fail';
 	answer?: unknown;
+	/** Time that a checkpoint takes. */
+	checkpointMs?: number;
+	/** Usage that the worker reports, where it differs from the declared size. */
+	coresUsed?: number;
+	memoryGigabytesUsed?: number;
 }>;
 
 export type WorkerTask = {
@@ -24,6 +29,9 @@
 	memoryGigabytes: number;
 	isLead: boolean;
 	behaviour: TaskBehaviour;
+	resumeFrom?: number;
+	isCheckpointing?: boolean;
+	throttledTo?: number;
 	timer?: NodeJS.Timeout;
 	answer?: unknown;
 	reason?: string;
--- a/packages/worker/src/types.ts
+++ b/packages/worker/src/types.ts
@@ -9,6 +9,8 @@
 	block: Block;
 	cores: number;
 	memoryGigabytes: number;
+	/** Attempt whose checkpoint the task continues from. */
+	resumeFrom?: number;
 	/** Whether this worker's answer is the job's answer. */
 	isLead: boolean;
 	payload: unknown;
