Throttle, then stop, tasks over their declared size on workers without guards

Cause: nothing acted on usage reports, so a task over its size harmed its neighbours where the worker enforces nothing itself. Change: usage guard with a tolerance of 10%, three checks in a row, throttle first. Conclusion: the neighbour ran on in the test; the size of a task that hides its usage is not covered.

--- a/packages/instance/src/constants.ts
+++ b/packages/instance/src/constants.ts
@@ -26,3 +26,12 @@
 
 /** Changes of a rack record that come within this time go into one write. */
 export const RACK_BATCH_MS = 10;
+
+/** Reported usage may exceed the declared size by this factor, because samples are taken over short times. */
+export const USAGE_TOLERANCE = 1.1;
+
+/** Checks in a row over the declared size after which a task is stopped. */
+export const USAGE_STRIKES = 3;
+
+/** Usage reports lag by seconds, so a throttled task gets this long to show its effect. */
+export const USAGE_STRIKE_INTERVAL_MS = 10_000;
--- a/packages/instance/src/failures.test.ts
+++ b/packages/instance/src/failures.test.ts
@@ -123,3 +123,32 @@
 	t.not(placement?.attempt, 1, 'the accelerators are free soon after its end');
 	await engine.close();
 });
+
+// Guards against a task over its declared size that starves its neighbours, and against stopping one for a single high sample.
+await t.test('a task over its size is throttled, then stopped, and its neighbour runs on', async (t) => {
+	const clock = pauseClock(t);
+	const world = await createWorld(1, 3, false);
+	const engine = world.startEngine({id: 'one'});
+	await engine.jobs.submit('alpha', specificationOf(1, {runMs: 120_000, coresUsed: 4}));
+	const greedy = await engine.jobs.submit('alpha', specificationOf(1, {runMs: 120_000, memoryGigabytesUsed: 2}));
+	const neighbour = await engine.jobs.submit('beta', specificationOf(1, {runMs: 120_000}));
+	await clock.tickAsync(5000);
+	const throttled = [...world.workers.values()]
+		.flatMap((worker) => [...worker.tasks.values()])
+		.filter((task) => task.throttledTo === 1);
+	t.equal(throttled.length, 2, 'both tasks over their size are throttled');
+	t.equal(engine.jobs.get(greedy.id)?.state, 'queued', 'one high sample stops nothing');
+	await clock.tickAsync(180_000);
+	t.match(engine.jobs.get(greedy.id)?.outcome, {
+		kind: 'failed',
+		verdict: 'ran',
+		reason: 'a task used 2 GB of memory, 1 GB are declared',
+	});
+	t.equal(engine.jobs.get(neighbour.id)?.outcome?.kind, 'succeeded');
+	t.same(
+		outcomes(world.jobs()).toSorted(),
+		['failed', 'succeeded', 'succeeded'],
+		'the task that obeyed its throttle succeeds',
+	);
+	await engine.close();
+});
--- a/packages/instance/src/rack-loop.ts
+++ b/packages/instance/src/rack-loop.ts
@@ -16,6 +16,7 @@
 } from './gang-actions.js';
 import {findOrphans, stopOrphans} from './orphans.js';
 import {reconcile, standingOf, type ReconcileAction} from './reconcile.js';
+import {createUsageGuard, type UsageGuard} from './usage-guard.js';
 import type {Waker} from './waker.js';
 
 type Action = (options: GangActionOptions, gang: Gang) => Promise<void>;
@@ -31,12 +32,15 @@
 	release: releaseGang,
 };
 
-const reconcileGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
+const reconcileGang = async (options: GangActionOptions, guard: UsageGuard, gang: Gang): Promise<void> => {
 	const {log, metrics} = options.context;
 	const state = gangStateOf(gang.placement, options.links.tasks);
 	const action = reconcile(standingOf(gang.job, gang.rack, gang.placement), state);
 	try {
 		await ACTIONS[action](options, gang);
+		if (state === 'running') {
+			await guard.check(gang);
+		}
 	} catch (error) {
 		const {code, message} = toServiceError(error, 'may-have-run');
 		metrics.count('reconcile_failures_total', {action, code});
@@ -80,13 +84,14 @@
 */
 export const runRackLoop = async (options: GangActionOptions, waker: Waker, signal: AbortSignal): Promise<void> => {
 	const {context, jobs} = options;
+	const guard = createUsageGuard(options);
 	while (!signal.aborted) {
 		const records = [...allRacks(context.replica).values()].filter(({rack}) => isOwner(context, `racks/${rack}`));
 		const gangs = records.flatMap(({rack, placements}) =>
 			placements.map((placement): Gang => ({rack, placement, job: jobs.get(placement.job)})),
 		);
 		await Promise.all([
-			...gangs.map(async (gang) => reconcileGang(options, gang)),
+			...gangs.map(async (gang) => reconcileGang(options, guard, gang)),
 			...records.map(async (record) => sweepRack(options, record)),
 		]);
 		await waker.wait(waitMs(gangs), signal);
--- a/packages/instance/src/test/world.ts
+++ b/packages/instance/src/test/world.ts
@@ -92,7 +92,7 @@
 	events: new Emittery(),
 });
 
-const rackOf = (name: string, workers: number): Rack => ({
+const rackOf = (name: string, workers: number, guards: boolean): Rack => ({
 	name,
 	pool: 'pool',
 	availabilityZone: 'a',
@@ -105,7 +105,7 @@
 		cores: 100,
 		memoryGigabytes: 100,
 		accelerators: 8,
-		guards: true,
+		guards,
 		labels: {},
 	})),
 });
@@ -121,7 +121,7 @@
 	...rest,
 });
 
-const bundleOf = (racks: number, workers: number): Bundle => ({
+const bundleOf = (racks: number, workers: number, guards: boolean): Bundle => ({
 	generation: 1,
 	customers: ['alpha', 'beta'].map((name) => ({
 		name,
@@ -143,7 +143,7 @@
 		},
 	],
 	placementRules: [],
-	racks: Array.from({length: racks}, (_, index) => rackOf(`r${index}`, workers)),
+	racks: Array.from({length: racks}, (_, index) => rackOf(`r${index}`, workers, guards)),
 	services: [],
 	tokens: [],
 });
@@ -161,9 +161,9 @@
 });
 
 /** Creates a store with a bundle of `racks` racks of `workersPerRack` workers. Time must be paused by the caller. */
-export const createWorld = async (racks = 1, workersPerRack = 3): Promise<World> => {
+export const createWorld = async (racks = 1, workersPerRack = 3, guards = true): Promise<World> => {
 	const store = createMemoryStore();
-	const bundle = bundleOf(racks, workersPerRack);
+	const bundle = bundleOf(racks, workersPerRack, guards);
 	await store.put(BUNDLE_KEY, bundle, 0);
 	const workers = new Map(
 		bundle.racks.flatMap((rack) => rack.workers).map(({name}) => [name, createWorkerModel(name)]),
