--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,2 +1,1 @@
-export type * from './types.js';
-export {startInstanceProcess, startStandIn} from './processes.js';
+export * from './constants.js';
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,13 +1,19 @@
 import {strict as assert} from 'node:assert';
-import {createHash, randomBytes} from 'node:crypto';
 import {fileURLToPath} from 'node:url';
 import process from 'node:process';
+import {
+	newToken,
+	sha256,
+	startListedInstance,
+	startPlatform,
+	type Platform,
+	type StartedInstance,
+} from '@bergamotgauge/harness';
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
-import type {Declarations, JobOutcome, Rack} from '@bergamotgauge/model';
+import type {Declarations, JobOutcome} from '@bergamotgauge/model';
 import {createOperatorClient, loadDirectory, type OperatorClient} from '@bergamotgauge/operator';
 import {request} from 'undici';
-import {GANG_RUN_MS, POLL_MS, STEP_DEADLINE_MS} from './constants.js';
-import {startInstanceProcess, startStandIn, type StartedInstance} from './processes.js';
+import {ENDPOINT_COUNT, GANG_RUN_MS, LIST_LAG_MS, POLL_MS, STEP_DEADLINE_MS} from './constants.js';
 
 const EXAMPLE = fileURLToPath(new URL('../../../examples/quebec', import.meta.url));
 const ZONES = ['a', 'b', 'c'] as const;
@@ -16,10 +22,6 @@
 	process.stdout.write(`${text}\n`);
 };
 
-const newToken = (): string => randomBytes(32).toString('base64url');
-
-const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex');
-
 const until = async <Result>(what: string, probe: () => Promise<Result | undefined>): Promise<Result> => {
 	const deadlineMs = Date.now() + STEP_DEADLINE_MS;
 	for (;;) {
@@ -36,75 +38,25 @@
 	}
 };
 
-type Platform = Readonly<{
-	storeUrl: string;
-	listUrl: string;
-	/** Worker addresses by name. */
-	workers: Readonly<Record<string, string>>;
-}>;
-
-const startPlatform = async (lifecycle: Lifecycle, racks: readonly Rack[]): Promise<Platform> => {
-	const [store, list] = await Promise.all([
-		startStandIn(lifecycle, ['store']),
-		startStandIn(lifecycle, ['instance-list', '--lag-ms', '100']),
-	]);
-	const listUrl = `http://${list.address}`;
-	const names = racks.flatMap((rack) => rack.workers).map((worker) => worker.name);
-	const endpointNames = Array.from({length: 30}, (_, index) => `runner-${index + 1}`);
-	const zones = ZONES.join(',');
-	const [workers] = await Promise.all([
-		startStandIn(lifecycle, ['workers', '--list', listUrl, '--names', names.join(','), '--availability-zones', zones]),
-		startStandIn(lifecycle, [
-			'endpoints',
-			'--list',
-			listUrl,
-			'--names',
-			endpointNames.join(','),
-			'--availability-zones',
-			zones,
-			'--label',
-			'service=listings',
-		]),
-	]);
-	say(`platform: store, instance list, ${names.length} workers, ${endpointNames.length} endpoints`);
-	return {storeUrl: `http://${store.address}`, listUrl, workers};
-};
-
-const register = async (listUrl: string, id: string, address: string, availabilityZone: string): Promise<void> => {
-	const response = await request(`${listUrl}/v1/instances/${id}`, {
-		method: 'PUT',
-		headers: {'content-type': 'application/json'},
-		body: JSON.stringify({id, role: 'instance', address, availabilityZone, state: 'live', labels: {}}),
+const startAll = async (lifecycle: Lifecycle, declarations: Declarations, operatorToken: string) => {
+	const platform = await startPlatform(lifecycle, {
+		racks: declarations.racks,
+		endpointCount: ENDPOINT_COUNT,
+		service: 'listings',
+		availabilityZones: ZONES,
+		listLagMs: LIST_LAG_MS,
 	});
-	await response.body.dump();
-};
-
-const startInstances = async (
-	lifecycle: Lifecycle,
-	platform: Platform,
-	operatorToken: string,
-): Promise<readonly StartedInstance[]> =>
-	Promise.all(
-		ZONES.map(async (zone, index) => {
-			const id = `q${index + 1}`;
-			const instance = await startInstanceProcess(lifecycle, id, [
-				'--availability-zone',
-				zone,
-				'--port',
-				'0',
-				'--peer-port',
-				'0',
-				'--store-url',
-				platform.storeUrl,
-				'--instance-list-url',
-				platform.listUrl,
-				'--bootstrap-token-sha256',
-				sha256(operatorToken),
-			]);
-			await register(platform.listUrl, id, instance.peerAddress, zone);
-			return instance;
-		}),
+	say(
+		`platform: store, instance list, ${Object.keys(platform.workers).length} workers, ${Object.keys(platform.endpoints).length} endpoints`,
+	);
+	const instances = await Promise.all(
+		ZONES.map(async (availabilityZone, index) =>
+			startListedInstance(lifecycle, {id: `q${index + 1}`, availabilityZone, platform, operatorToken}),
+		),
 	);
+	say(`instances: ${instances.map(({process: {name}, address}) => `${name} at ${address}`).join(', ')}`);
+	return {platform, instances};
+};
 
 const sendRequest = async (address: string, token: string): Promise<void> => {
 	const response = await request(`http://${address}/v1/services/listings/match?role=lead`, {
@@ -205,10 +157,7 @@
 	const operatorToken = newToken();
 	const callerToken = newToken();
 	const declarations = await loadExample(operatorToken, callerToken);
-	const platform = await startPlatform(lifecycle, declarations.racks);
-	const instances = await startInstances(lifecycle, platform, operatorToken);
-	say(`instances: ${instances.map(({process: {name}, address}) => `${name} at ${address}`).join(', ')}`);
-
+	const {platform, instances} = await startAll(lifecycle, declarations, operatorToken);
 	const operator = createOperatorClient({url: `http://${instances[0]!.address}`, token: operatorToken});
 	await until('three live members', async () => {
 		const response = await request(`http://${instances[0]!.address}/readyz`);
--- /dev/null
+++ b/packages/harness/src/constants.ts
@@ -0,0 +1,3 @@
+export const START_DEADLINE_MS = 20_000;
+
+export const READY_POLL_MS = 50;
--- /dev/null
+++ b/packages/harness/src/index.ts
@@ -0,0 +1,5 @@
+export type * from './types.js';
+export {startListedInstance, type InstanceOptions} from './instances.js';
+export {register, startPlatform} from './platform.js';
+export {startInstanceProcess, startStandIn} from './processes.js';
+export {newToken, sha256} from './tokens.js';
--- a/packages/demo/src/processes.ts
+++ b/packages/harness/src/processes.ts
@@ -6,7 +6,7 @@
 import {createInterface} from 'node:readline';
 import {withDeadline, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {START_DEADLINE_MS} from './constants.js';
-import type {DemoProcess} from './types.js';
+import type {StartedInstance, StartedProcess} from './types.js';
 
 const require = createRequire(import.meta.url);
 
@@ -15,7 +15,7 @@
 const READY = /^ready (?<json>.*)$/v;
 const STARTED = /event=instance-started.*address=(?<address>\S+) peerAddress=(?<peerAddress>\S+)/v;
 
-type Started<Result> = Readonly<{process: DemoProcess; result: Result}>;
+type Started<Result> = Readonly<{process: StartedProcess; result: Result}>;
 
 const start = async <Result>(
 	lifecycle: Lifecycle,
@@ -63,8 +63,6 @@
 	return result;
 };
 
-export type StartedInstance = Readonly<{process: DemoProcess; address: string; peerAddress: string}>;
-
 /** Starts an instance process. */
 export const startInstanceProcess = async (
 	lifecycle: Lifecycle,
--- /dev/null
+++ b/packages/harness/src/tokens.ts
@@ -0,0 +1,9 @@
+import {createHash, randomBytes} from 'node:crypto';
+
+const TOKEN_BYTES = 32;
+
+/** A new random access token. */
+export const newToken = (): string => randomBytes(TOKEN_BYTES).toString('base64url');
+
+/** Hex SHA-256, as declarations hold a token. */
+export const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex');
