Add the capacity bench and the text of docs/CAPACITY.md

Ruled out: reading usage from the instances' own metrics, because a process that reports itself adds to what it measures; the process table of the kernel gives CPU time, bytes and memory from outside.

--- /dev/null
+++ b/packages/bench/src/capacity/constants.ts
@@ -0,0 +1,62 @@
+import type {Scale} from './types.js';
+
+export const FULL_SCALE: Scale = {
+	windowMs: 8000,
+	settleMs: 3000,
+	workers: [16, 32, 64, 128],
+	instances: [2, 4, 8, 16],
+	changesPerSecond: [0.5, 1, 2, 4],
+	jobsPerSecond: [2, 4, 8, 16],
+	requestsPerSecond: [50, 100, 200, 400],
+	runningTasks: [32, 64, 128, 256],
+	waitingJobs: [125, 250, 500, 1000],
+};
+
+export const QUICK_SCALE: Scale = {
+	...FULL_SCALE,
+	windowMs: 800,
+	settleMs: 300,
+	workers: [8, 16, 32, 64],
+	instances: [1, 2, 4, 8],
+};
+
+/** Instances of an experiment that does not vary their number. */
+export const BASE_INSTANCES = 3;
+
+export const BASE_WORKERS = 32;
+
+export const WORKERS_PER_RACK = 8;
+
+/** Kernel clock ticks in a second, by which the process table counts CPU time. */
+export const CLOCK_TICKS_PER_SECOND = 100;
+
+/** Run time of jobs that must not end during a measurement. */
+export const ENDLESS_RUN_MS = 3_600_000;
+
+/** Size that the service is designed for; docs/design.md section 2.6. */
+export const TARGET = {
+	workers: 890,
+	accelerators: 1600,
+	jobsPerDay: 1200,
+	runningTasks: 3200,
+	customers: 120,
+	changesPerDay: 300,
+	regions: 3,
+	availabilityZones: 8,
+	/** Three in each availability zone. */
+	instances: 24,
+	restartsPerDay: 90,
+	failuresPerDay: 9,
+	waitingJobs: 1000,
+} as const;
+
+export const LIMITS = {
+	cpu: 0.017,
+	memory: 256 * 1024 * 1024,
+	bytesPerSecond: 30 * 1024,
+	storeWritesPerSecond: 300,
+	storeReadsPerSecond: 2000,
+	urgentStartMs: 1100,
+} as const;
+
+export const SECONDS_PER_DAY = 86_400;
--- /dev/null
+++ b/packages/bench/src/capacity/main.ts
@@ -0,0 +1,40 @@
+import {writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {Command} from 'commander';
+import {FULL_SCALE, QUICK_SCALE} from './constants.js';
+import {EXPERIMENTS} from './experiments.js';
+import {updatePage} from './page.js';
+import type {Series} from './types.js';
+
+type Options = Readonly<{quick?: boolean; json?: string; page: string; only?: string}>;
+
+const say = (line: string): void => {
+	process.stdout.write(`${line}\n`);
+};
+
+const program = new Command('bench:capacity')
+	.description('Measure the slopes of control and rewrite the tables of docs/CAPACITY.md')
+	.option('--quick', 'short windows; ends in about a minute and leaves the page as it is')
+	.option('--json <file>', 'write all points and fits')
+	.option('--only <name>', 'run one experiment and leave the page as it is')
+	.option('--page <file>', 'page whose tables are rewritten', 'docs/CAPACITY.md')
+	.action(async ({quick, json, page, only}: Options) => {
+		const scale = quick ? QUICK_SCALE : FULL_SCALE;
+		const series: Series[] = [];
+		for (const experiment of EXPERIMENTS) {
+			if (only === undefined || only === experiment.name) {
+				series.push(...(await experiment.run(scale, say)));
+			}
+		}
+
+		if (json !== undefined) {
+			await writeFile(json, `${JSON.stringify({scale, series}, undefined, 2)}\n`);
+		}
+
+		if (!quick && only === undefined) {
+			await updatePage(page, series);
+			say(`rewrote the tables of ${page}`);
+		}
+	});
+
+await program.parseAsync();
