Place jobs by guarantees, claims, reservations and packing scores

planPass now assigns and moves homes, lets owners, urgent work and partners below their share evict borrowed work with the fewest lost accelerator-seconds, reserves accelerators for blocked jobs with corrected run times, and packs so that blocks of the largest guaranteed shape stay whole. planQuarantines, planHomes, explainJob and checkInvariant are new.

--- /dev/null
+++ b/packages/placement/src/check-invariant.ts
@@ -0,0 +1,89 @@
+import {fleetOf, type FleetRack} from './fleet.js';
+import {acceleratorsOf, add, forEachCell} from './pass-state.js';
+import type {PlacementView, Violation} from './types.js';
+
+type Report = (kind: Violation['kind'], reason: string) => void;
+
+const checkRack = (view: PlacementView, fleetRack: FleetRack, report: Report): void => {
+	const record = view.racks.get(fleetRack.rack.name);
+	const occupant = new Map<number, string>();
+	const owner = new Map<number, string>();
+	for (const home of record?.homes ?? []) {
+		forEachCell(fleetRack, home.blocks, (cell) => {
+			if (owner.has(cell)) {
+				report('home-overlap', `home ${home.index} of ${home.guarantee} overlaps another home`);
+			}
+
+			owner.set(cell, home.customer);
+		});
+	}
+
+	const jobs = new Map(view.jobs.map((job) => [job.id, job]));
+	for (const placement of record?.placements ?? []) {
+		const cells: number[] = [];
+		forEachCell(fleetRack, placement.blocks, (cell) => {
+			cells.push(cell);
+			if (occupant.has(cell)) {
+				report('double-booking', `jobs ${occupant.get(cell)} and ${placement.job} hold the same accelerator`);
+			}
+
+			occupant.set(cell, placement.job);
+		});
+		const expected = jobs.get(placement.job)?.accelerators ?? acceleratorsOf(placement.blocks);
+		const isAdjacent = cells.every((cell, index) => index === 0 || cell === cells[index - 1]! + 1);
+		const isRun = isAdjacent && fleetRack.starts(expected).includes(cells[0] ?? -1);
+		if (cells.length !== expected || !isRun) {
+			report('partial-gang', `job ${placement.job} holds ${cells.length} of ${expected} adjacent accelerators`);
+		}
+
+		const firmCell = cells.find((cell) => owner.has(cell) && owner.get(cell) !== placement.customer);
+		if (!placement.preemptible && firmCell !== undefined) {
+			report('home-occupied', `job ${placement.job} can't be evicted and occupies a home of ${owner.get(firmCell)}`);
+		}
+	}
+};
+
+/**
+Lists what breaks the invariants R1 and R2 in the rack records: homes that can't be reclaimed, accelerators held twice, gangs held in part, one job placed twice, customers above their quota.
+
+@example
+```ts
+if (checkInvariant(view).length > 0) {
+	log.error('placement invariant broken');
+}
+```
+*/
+export const checkInvariant = (view: PlacementView): readonly Violation[] => {
+	const violations: Violation[] = [];
+	const rackOfJob = new Map<string, string>();
+	const held = new Map<string, number>();
+	const {racks} = fleetOf(view.bundle);
+	for (const fleetRack of racks) {
+		const {name} = fleetRack.rack;
+		const report: Report = (kind, reason) => {
+			violations.push({kind, rack: name, reason});
+		};
+
+		checkRack(view, fleetRack, report);
+		for (const placement of view.racks.get(name)?.placements ?? []) {
+			add(held, placement.customer, acceleratorsOf(placement.blocks));
+			if (rackOfJob.has(placement.job)) {
+				report('double-booking', `job ${placement.job} is also placed in rack ${rackOfJob.get(placement.job)}`);
+			}
+
+			rackOfJob.set(placement.job, name);
+		}
+	}
+
+	for (const {name, quota} of view.bundle.customers) {
+		if ((held.get(name) ?? 0) > quota.accelerators) {
+			violations.push({
+				kind: 'quota',
+				rack: '',
+				reason: `customer ${name} holds ${held.get(name)} of ${quota.accelerators} accelerators`,
+			});
+		}
+	}
+
+	return violations;
+};
--- /dev/null
+++ b/packages/placement/src/demand.ts
@@ -0,0 +1,64 @@
+import type {Customer, JobClass, JobRecord} from '@bergamotgauge/model';
+import type {Eligibility} from './fleet.js';
+import type {PassState, RackState} from './pass-state.js';
+import type {Estimate} from './types.js';
+
+/** A waiting job with all that the search for a place depends on. */
+export type Demand = Readonly<{
+	job: JobRecord;
+	jobClass: JobClass;
+	customer: Customer;
+	estimate: Estimate;
+	isPreemptible: boolean;
+	eligibility: Eligibility;
+	/** Position in the order of the queue; higher goes first. */
+	rank: number;
+}>;
+
+/**
+True when work of the class may be evicted. Work that must not be repeated may be evicted only by a checkpoint.
+
+@example
+```ts
+isPreemptibleClass({...jobClass, retryRule: 'at-most-once', checkpointSeconds: 0}); // false
+```
+*/
+export const isPreemptibleClass = (jobClass: JobClass): boolean =>
+	jobClass.preemptible && (jobClass.retryRule === 'idempotent' || jobClass.checkpointSeconds > 0);
+
+/** Whether the partner's declared share of the rack's pool admits work of this size that can't be evicted. */
+export const fitsShare = ({fleet, firmByPartner}: PassState, rack: RackState, demand: Demand): boolean => {
+	const pool = fleet.pools.get(rack.fleetRack.rack.pool);
+	if (!pool || pool.shares.length === 0 || demand.isPreemptible) {
+		return true;
+	}
+
+	const {partner} = demand.customer;
+	const share = pool.shares.find((declared) => declared.partner === partner)?.share ?? 0;
+	const limit = share * (fleet.poolAccelerators.get(pool.name) ?? 0);
+	return (firmByPartner.get(`${pool.name}/${partner}`) ?? 0) + demand.job.accelerators <= limit + 1e-9;
+};
+
+/** Accelerators by which a partner is above (positive) or below its declared share of a pool; 0 without shares. */
+export const shareExcess = ({fleet, heldByPartner}: PassState, poolName: string, partner: string): number => {
+	const pool = fleet.pools.get(poolName);
+	if (!pool || pool.shares.length === 0) {
+		return 0;
+	}
+
+	const share = pool.shares.find((declared) => declared.partner === partner)?.share ?? 0;
+	return (heldByPartner.get(`${poolName}/${partner}`) ?? 0) - share * (fleet.poolAccelerators.get(poolName) ?? 0);
+};
+
+/** Whether the job may run on the worker, apart from the accelerators in use there. */
+export const isAdmitted = (rack: RackState, workerIndex: number, demand: Demand): boolean => {
+	const worker = rack.fleetRack.workers[workerIndex]!;
+	return (
+		rack.isUsable[workerIndex]! &&
+		demand.eligibility[rack.fleetRack.index]![workerIndex]! &&
+		!demand.job.failedOn.includes(worker.name) &&
+		// Probation risks only work that may be repeated and that stays on the one worker.
+		(!rack.isOnProbation[workerIndex]! ||
+			(demand.jobClass.retryRule === 'idempotent' && demand.job.accelerators <= worker.accelerators))
+	);
+};
--- a/packages/placement/src/eligibility.ts
+++ b/packages/placement/src/eligibility.ts
@@ -1,6 +1,7 @@
 import {matchesSelector, type Bundle, type JobSpecification, type Labels, type Worker} from '@bergamotgauge/model';
 
-const workerLabels = (worker: Worker): Labels => ({
+/** Labels of a worker with its name, rack and availability zone, which selectors may match too. */
+export const workerLabels = (worker: Worker): Labels => ({
 	...worker.labels,
 	worker: worker.name,
 	rack: worker.rack,
--- /dev/null
+++ b/packages/placement/src/ended-jobs.ts
@@ -0,0 +1,46 @@
+import type {JobClass, JobRecord} from '@bergamotgauge/model';
+import type {EndDecision} from './types.js';
+
+/** Failures on workers that are quarantined now count against the job only beyond this many times its attempts. */
+const QUARANTINED_FAILURE_FACTOR = 2;
+
+const end = (job: JobRecord, outcome: EndDecision['outcome']): EndDecision => ({
+	kind: 'end',
+	job: job.id,
+	outcome,
+	reason: outcome.reason,
+});
+
+/** Ends a job that must not or need not run again: cancelled, at-most-once after a failure, or failed on several workers. */
+export const endOfJob = (
+	job: JobRecord,
+	jobClass: JobClass,
+	quarantined: ReadonlySet<string>,
+	nowMs: number,
+): EndDecision | undefined => {
+	if (job.cancelRequested) {
+		const verdict = job.attempt === 1 ? 'not-run' : 'may-have-run';
+		return end(job, {kind: 'cancelled', verdict, reason: 'cancelled while it waited', endedAtMs: nowMs});
+	}
+
+	const failedOn = [...new Set(job.failedOn)];
+	if (failedOn.length > 0 && jobClass.retryRule === 'at-most-once') {
+		return end(job, {
+			kind: 'failed',
+			verdict: 'may-have-run',
+			reason: `failed on ${failedOn.join(', ')}, and its class ${jobClass.name} runs at most once`,
+			endedAtMs: nowMs,
+		});
+	}
+
+	const ownFault = failedOn.filter((worker) => !quarantined.has(worker));
+	const isOwnFault = ownFault.length >= jobClass.maxAttempts;
+	return isOwnFault || failedOn.length >= jobClass.maxAttempts * QUARANTINED_FAILURE_FACTOR
+		? end(job, {
+				kind: 'failed',
+				verdict: 'ran',
+				reason: `failed on ${failedOn.length} workers (${failedOn.join(', ')}), so the fault is the job's`,
+				endedAtMs: nowMs,
+			})
+		: undefined;
+};
--- /dev/null
+++ b/packages/placement/src/homes.test.ts
@@ -0,0 +1,107 @@
+import t from 'tap';
+import {
+	applyAll,
+	applyDecision,
+	testBundle,
+	testClasses,
+	testCustomer,
+	testGuarantee,
+	testJob,
+	testRacks,
+	testView,
+} from './test-view.js';
+import {checkGuarantees, checkInvariant, explainJob, planHomes, planPass} from './index.js';
+
+const bundle = testBundle({racks: testRacks(2, 2), guarantees: [testGuarantee('a', 1, 16)]});
+
+// Guards against placements that depend on homes which are not written yet.
+await t.test('homes come before placements', async (t) => {
+	const view = testView(bundle, [testJob('j', ['a', 'firm', 16])]);
+	t.match(planPass(view), [
+		{kind: 'homes', rack: 'r0', homes: [{guarantee: 'a-16', index: 0}]},
+		{kind: 'place', rack: 'r0', placement: {job: 'j', guarantee: 'a-16', homeIndex: 0}},
+	]);
+});
+
+// Guards against a moment without a home, and against an old home that stays for ever.
+await t.test('a home moves by writing the new one first', async (t) => {
+	let view = applyAll(testView(bundle), planPass(testView(bundle)));
+	view = {...view, workersDown: new Set(['r0w1'])};
+	const first = planPass(view);
+	t.match(first, [{kind: 'homes', rack: 'r1', homes: [{guarantee: 'a-16', index: 0}]}]);
+	t.equal(first.length, 1, 'the old home stays in this pass');
+	view = applyAll(view, first);
+	t.match(planPass(view), [{kind: 'homes', rack: 'r0', homes: []}]);
+	view = applyAll(view, planPass(view));
+	t.same(planPass({...view, workersDown: new Set()}), [], 'the home stays when the worker returns');
+});
+
+// Guards against a guarantee that can't be honoured in silence.
+await t.test('a shortfall is reported by name', async (t) => {
+	const homes = applyAll(testView(bundle), planPass(testView(bundle)));
+	const view = {
+		...homes,
+		workersDown: new Set(['r0w0', 'r1w1']),
+		jobs: [testJob('j', ['a', 'firm', 16])],
+	};
+	t.match(planHomes(view).shortfalls, [{guarantee: 'a-16', index: 0, customer: 'a'}]);
+	t.match(explainJob(view, 'j').reason, /guarantee a-16 has no home for shape 1/v);
+	t.same(planHomes(view).decisions, [], 'the home waits for its workers');
+});
+
+// Guards against a home on accelerators that can't be reclaimed.
+await t.test('a new home avoids work that cannot be evicted', async (t) => {
+	const open = testBundle({racks: testRacks(2, 2)});
+	let view = testView(open, [testJob('firm', ['b', 'firm', 1]), testJob('batch', ['b', 'batch', 16])]);
+	view = applyAll(view, planPass(view));
+	const firmRack = [...view.racks.values()].find(({placements}) => placements.some(({job}) => job === 'firm'))!.rack;
+	const withGuarantee = {...view, bundle};
+	const [decision] = planPass(withGuarantee);
+	t.match(decision, {kind: 'homes', rack: firmRack === 'r0' ? 'r1' : 'r0'});
+	t.same(checkInvariant(applyDecision(withGuarantee, decision!)), []);
+});
+
+// Guards against a set of guarantees that could never be honoured together.
+await t.test('guarantees that do not fit are refused by name', async (t) => {
+	const guarantees = [testGuarantee('a', 2, 16), {...testGuarantee('b', 1, 8), name: 'late'}];
+	t.throws(() => {
+		checkGuarantees(testBundle({racks: testRacks(2, 2), guarantees}));
+	}, /guarantee late does not fit/v);
+	const selective = {...testGuarantee('b', 1, 8), name: 'z', workerSelector: {matchLabels: {worker: 'r0w0'}}};
+	t.doesNotThrow(() => {
+		checkGuarantees(testBundle({guarantees: [testGuarantee('a', 1, 8), selective]}));
+	}, 'the shape with fewer possible runs is placed first');
+});
+
+// Guards against each way in which a record can break R1, R2 or a quota without notice.
+await t.test('checkInvariant names what is broken', async (t) => {
+	const small = testBundle({customers: [testCustomer('a'), testCustomer('b', 'b', 4)], guarantees: bundle.guarantees});
+	const view = testView(small, [testJob('x', ['b', 'firm', 8]), testJob('y', ['b', 'firm', 8])]);
+	const placement = {
+		attempt: 1,
+		customer: 'b',
+		jobClass: testClasses[0]!.name,
+		preemptible: false,
+		phase: 'placed' as const,
+		token: 1,
+		placedAtMs: 0,
+		expectedEndMs: 1,
+	};
+	const blocks = [{worker: 'r0w0', first: 0, count: 8}];
+	const homes = [{guarantee: 'a-16', index: 0, customer: 'a', blocks}];
+	const broken = {
+		rack: 'r0',
+		epoch: 1,
+		homes: [...homes, ...homes],
+		quarantines: [],
+		placements: [
+			{...placement, job: 'x', blocks},
+			{...placement, job: 'y', blocks: [{worker: 'r0w0', first: 0, count: 4}]},
+		],
+	};
+	const kinds = checkInvariant({...view, racks: new Map([['r0', broken]])}).map(({kind}) => kind);
+	t.same(
+		[...new Set(kinds)].toSorted(),
+		['double-booking', 'home-occupied', 'home-overlap', 'partial-gang', 'quota'].toSorted(),
+	);
+});
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,6 +1,13 @@
 export type * from './types.js';
 export {adjacentRuns, occupancyOf, type Occupancy} from './candidates.js';
 export {checkGuarantees} from './check-guarantees.js';
+export {checkInvariant} from './check-invariant.js';
 export {checkSubmission} from './check-submission.js';
-export {eligibleWorker} from './eligibility.js';
+export {eligibleWorker, workerLabels} from './eligibility.js';
+export {explainJob} from './explain-job.js';
+export {planHomes, type HomePlan} from './homes.js';
+export {responseRatioOrder} from './order.js';
 export {planPass} from './plan-pass.js';
+export {planQuarantines} from './quarantine.js';
+export {correctedEstimate, recordRunTime} from './run-times.js';
+export {SCORES} from './scores/index.js';
--- /dev/null
+++ b/packages/placement/src/pass-state.ts
@@ -0,0 +1,181 @@
+import type {Block, Home, JobRecord, Placement} from '@bergamotgauge/model';
+import {fleetOf, type Fleet, type FleetRack} from './fleet.js';
+import type {PlacementView} from './types.js';
+
+/** A placement as the pass sees it; `token` is unset for those of this pass. */
+export type Held = Readonly<{
+	placement: Omit<Placement, 'token'>;
+	rack: number;
+	accelerators: number;
+	/** Expected end, moved on for work that overran it. */
+	endMs: number;
+	/** Absent when the view has no record of the job any more. */
+	job: JobRecord | undefined;
+	/** True for placements that this pass decided. */
+	isNew: boolean;
+}>;
+
+/** Accelerators kept for a waiting job until the time at which they are all expected to be free. */
+export type Hold = Readonly<{job: string; readyMs: number}>;
+
+export type RackState = {
+	readonly fleetRack: FleetRack;
+	/** Index into `held` by cell; -1 when free. */
+	readonly occupant: Int32Array;
+	/** Index into `homes` by cell; -1 outside homes. */
+	readonly home: Int32Array;
+	/** Index into `holds` by cell; -1 without a hold. */
+	readonly hold: Int32Array;
+	readonly isUsable: boolean[];
+	readonly isOnProbation: boolean[];
+	readonly coresLeft: Float64Array;
+	readonly memoryLeft: Float64Array;
+	free: number;
+	/** Free cells by whether they lie in a free block of the largest guaranteed shape; absent when outdated. */
+	whole: Uint8Array | undefined;
+};
+
+export type PassState = {
+	readonly view: PlacementView;
+	readonly fleet: Fleet;
+	readonly racks: readonly RackState[];
+	readonly held: Held[];
+	readonly homes: Home[];
+	readonly holds: Hold[];
+	readonly heldByJob: Map<string, Held>;
+	readonly heldByCustomer: Map<string, number>;
+	/** Accelerators by `pool/partner`; the second map counts work that can't be evicted. */
+	readonly heldByPartner: Map<string, number>;
+	readonly firmByPartner: Map<string, number>;
+};
+
+export const add = (counts: Map<string, number>, key: string, amount: number): void => {
+	counts.set(key, (counts.get(key) ?? 0) + amount);
+};
+
+export const acceleratorsOf = (blocks: readonly Block[]): number => {
+	let sum = 0;
+	for (const block of blocks) {
+		sum += block.count;
+	}
+
+	return sum;
+};
+
+/** Calls `visit` with each cell of the blocks that the rack has. */
+export const forEachCell = (rack: FleetRack, blocks: readonly Block[], visit: (cell: number) => void): void => {
+	for (const block of blocks) {
+		const worker = rack.workerIndex.get(block.worker);
+		if (worker === undefined) {
+			continue;
+		}
+
+		const first = rack.firstCell[worker]!;
+		const end = Math.min(block.first + block.count, rack.workers[worker]!.accelerators);
+		for (let index = block.first; index < end; index += 1) {
+			visit(first + index);
+		}
+	}
+};
+
+// Work that overran its expected end is taken to need half of the time that it ran again.
+const endOf = (placement: Omit<Placement, 'token'>, nowMs: number): number =>
+	placement.expectedEndMs > nowMs
+		? placement.expectedEndMs
+		: nowMs + Math.max(1000, (nowMs - placement.placedAtMs) / 2);
+
+/** Enters a placement into the state. */
+export const occupy = (
+	state: PassState,
+	rackIndex: number,
+	placement: Omit<Placement, 'token'>,
+	{job, isNew}: Readonly<{job: JobRecord | undefined; isNew: boolean}>,
+): void => {
+	const rack = state.racks[rackIndex]!;
+	const accelerators = acceleratorsOf(placement.blocks);
+	const index = state.held.length;
+	const held = {placement, rack: rackIndex, accelerators, endMs: endOf(placement, state.view.nowMs), job, isNew};
+	state.held.push(held);
+	state.heldByJob.set(placement.job, held);
+	forEachCell(rack.fleetRack, placement.blocks, (cell) => {
+		if (rack.occupant[cell] === -1) {
+			rack.free -= 1;
+		}
+
+		rack.occupant[cell] = index;
+	});
+	rack.whole = undefined;
+	add(state.heldByCustomer, placement.customer, accelerators);
+	const partner = state.fleet.customers.get(placement.customer)?.partner ?? '';
+	const key = `${rack.fleetRack.rack.pool}/${partner}`;
+	add(state.heldByPartner, key, accelerators);
+	if (!placement.preemptible) {
+		add(state.firmByPartner, key, accelerators);
+	}
+
+	if (job) {
+		for (const block of placement.blocks) {
+			const worker = rack.fleetRack.workerIndex.get(block.worker);
+			if (worker !== undefined) {
+				rack.coresLeft[worker]! -= block.count * job.coresPerAccelerator;
+				rack.memoryLeft[worker]! -= block.count * job.memoryGigabytesPerAccelerator;
+			}
+		}
+	}
+};
+
+const createRackState = (view: PlacementView, fleetRack: FleetRack): RackState => {
+	const quarantines = view.racks.get(fleetRack.rack.name)?.quarantines ?? [];
+	const quarantined = new Set(quarantines.filter(({state}) => state === 'quarantined').map(({worker}) => worker));
+	const onProbation = new Set(quarantines.filter(({state}) => state === 'probation').map(({worker}) => worker));
+	return {
+		fleetRack,
+		occupant: new Int32Array(fleetRack.cells).fill(-1),
+		home: new Int32Array(fleetRack.cells).fill(-1),
+		hold: new Int32Array(fleetRack.cells).fill(-1),
+		isUsable: fleetRack.workers.map(({name}) => !view.workersDown.has(name) && !quarantined.has(name)),
+		isOnProbation: fleetRack.workers.map(({name}) => onProbation.has(name)),
+		coresLeft: Float64Array.from(fleetRack.workers, ({cores}) => cores),
+		memoryLeft: Float64Array.from(fleetRack.workers, ({memoryGigabytes}) => memoryGigabytes),
+		free: fleetRack.cells,
+		whole: undefined,
+	};
+};
+
+/** Indexes a view for one pass. `homes` replaces the homes of the records. */
+export const createPassState = (view: PlacementView, homes: ReadonlyMap<string, readonly Home[]>): PassState => {
+	const fleet = fleetOf(view.bundle);
+	const state: PassState = {
+		view,
+		fleet,
+		racks: fleet.racks.map((fleetRack) => createRackState(view, fleetRack)),
+		held: [],
+		homes: [],
+		holds: [],
+		heldByJob: new Map(),
+		heldByCustomer: new Map(),
+		heldByPartner: new Map(),
+		firmByPartner: new Map(),
+	};
+	const jobs = new Map<string, JobRecord>();
+	for (const job of view.jobs) {
+		jobs.set(job.id, job);
+	}
+
+	for (const [rackIndex, rack] of state.racks.entries()) {
+		const {name} = rack.fleetRack.rack;
+		for (const home of homes.get(name) ?? view.racks.get(name)?.homes ?? []) {
+			const index = state.homes.length;
+			state.homes.push(home);
+			forEachCell(rack.fleetRack, home.blocks, (cell) => {
+				rack.home[cell] = index;
+			});
+		}
+
+		for (const placement of view.racks.get(name)?.placements ?? []) {
+			occupy(state, rackIndex, placement, {job: jobs.get(placement.job), isNew: false});
+		}
+	}
+
+	return state;
+};
--- /dev/null
+++ b/packages/placement/src/scores/fragmentation.ts
@@ -0,0 +1,8 @@
+import type {Score} from '../types.js';
+
+/** Keeps free blocks of the largest guaranteed shape whole. */
+export const fragmentationScore: Score = {
+	name: 'fragmentation',
+	weight: (weights) => 1 + 4 * weights.fragmentation,
+	score: (run) => run.brokenAccelerators + run.wholeAccelerators / 4 + run.remainingOnWorker / 8,
+};
