Add the placement bench and index the pass for speed

npm run bench:placement replays seeded traces in virtual time under five policies, times single passes at the two-year size and prints the goals. A trial at the two-year size showed that searches for evictions looked up classes and compared strings for every accelerator; costs are now computed once a pass, homes are indexed by customer, and racks without a long enough free run are skipped.

--- /dev/null
+++ b/packages/bench/src/placement/pass-timing.ts
@@ -0,0 +1,114 @@
+import {performance} from 'node:perf_hooks';
+import type {Bundle, JobRecord, RackRecord} from '@bergamotgauge/model';
+import {planArrival, planPass, type PlacementView} from '@bergamotgauge/placement';
+import {percentile} from './measure.js';
+import {createRandom} from './random.js';
+import {createJob, MIXED, type Mix} from './traces/arrivals.js';
+import {twoYearBundle} from './traces/fleet.js';
+
+export type PassTiming = Readonly<{
+	scale: number;
+	workers: number;
+	accelerators: number;
+	running: number;
+	waiting: number;
+	customers: number;
+	passP50Ms: number;
+	passP99Ms: number;
+	arrivalP50Ms: number;
+	arrivalP99Ms: number;
+}>;
+
+/** Small jobs fill the pool with as many placements as it holds. */
+const FILLING: Mix = {...MIXED, sizes: [[1, 1]], classes: [['render', 1]]};
+
+const MINUTES_WAITED = 60;
+
+const fill = (bundle: Bundle, seed: number): PlacementView => {
+	const random = createRandom(seed);
+	let view: PlacementView = {bundle, racks: new Map(), jobs: [], workersDown: new Set(), nowMs: 0};
+	const accelerators = bundle.racks
+		.flatMap(({workers}) => workers)
+		.reduce((sum, worker) => sum + worker.accelerators, 0);
+	const jobs = Array.from(
+		{length: accelerators * 1.25},
+		(_, index) => createJob(random, bundle, FILLING, {id: `r${index}`, submittedAtMs: 0}).job,
+	);
+	view = {...view, jobs};
+	const records = new Map<string, RackRecord>();
+	const running = new Set<string>();
+	for (const decision of planPass(view)) {
+		const empty = {epoch: 0, homes: [], placements: [], quarantines: []};
+		if (decision.kind === 'homes') {
+			records.set(decision.rack, {...empty, rack: decision.rack, homes: decision.homes});
+		} else if (decision.kind === 'place') {
+			const record = records.get(decision.rack) ?? {...empty, rack: decision.rack};
+			const placements = [...record.placements, {...decision.placement, token: 1}];
+			records.set(decision.rack, {...record, placements});
+			running.add(decision.placement.job);
+		}
+	}
+
+	return {...view, racks: records, jobs: jobs.filter(({id}) => running.has(id)), nowMs: MINUTES_WAITED * 60_000};
+};
+
+/** Ends a few jobs, as between two passes, so that the pass has free accelerators to decide on. */
+const endSome = (view: PlacementView, count: number, offset: number): PlacementView => {
+	const ended = new Set(
+		view.jobs.filter((_, index) => (index + offset) % Math.ceil(view.jobs.length / count) === 0).map(({id}) => id),
+	);
+	const racks = new Map(
+		[...view.racks].map(([rack, record]) => [
+			rack,
+			{...record, placements: record.placements.filter(({job}) => !ended.has(job))},
+		]),
+	);
+	return {...view, racks, jobs: view.jobs.filter(({id}) => !ended.has(id))};
+};
+
+/** Times full passes and single arrivals at a fraction of the two-year size. */
+export const timePasses = (scale: number, repetitions: number): PassTiming => {
+	const bundle = twoYearBundle(scale);
+	const full = fill(bundle, 1);
+	const random = createRandom(2);
+	const waitingCount = Math.round(1000 * scale);
+	const passMs: number[] = [];
+	const arrivalMs: number[] = [];
+	for (let repetition = 0; repetition < repetitions; repetition += 1) {
+		const waiting: JobRecord[] = Array.from(
+			{length: waitingCount},
+			(_, index) =>
+				createJob(random, bundle, MIXED, {
+					id: `w${repetition}-${index}`,
+					submittedAtMs: random.between(0, MINUTES_WAITED * 60_000),
+				}).job,
+		);
+		const base = endSome(full, 40 * scale, repetition);
+		// Every fifth pass sees a new bundle, as after a change of the declarations.
+		const view = {...base, bundle: repetition % 5 === 0 ? {...bundle} : bundle, jobs: [...base.jobs, ...waiting]};
+		const began = performance.now();
+		planPass(view);
+		passMs.push(performance.now() - began);
+		const {job} = createJob(random, bundle, MIXED, {id: `a${repetition}`, submittedAtMs: view.nowMs});
+		const arrived = {...view, jobs: [...view.jobs, job]};
+		const arrivalBegan = performance.now();
+		planArrival(arrived, job.id);
+		arrivalMs.push(performance.now() - arrivalBegan);
+	}
+
+	// The first passes run before the code is compiled; a daemon runs it all day.
+	const warm = Math.min(20, Math.floor(repetitions / 4));
+	const workers = bundle.racks.flatMap((rack) => rack.workers);
+	return {
+		scale,
+		workers: workers.length,
+		accelerators: workers.reduce((sum, worker) => sum + worker.accelerators, 0),
+		running: full.jobs.length,
+		waiting: waitingCount,
+		customers: bundle.customers.length,
+		passP50Ms: percentile(passMs.slice(warm), 50),
+		passP99Ms: percentile(passMs.slice(warm), 99),
+		arrivalP50Ms: percentile(arrivalMs.slice(warm), 50),
+		arrivalP99Ms: percentile(arrivalMs.slice(warm), 99),
+	};
+};
--- /dev/null
+++ b/packages/bench/src/placement/policies/easy-backfill.ts
@@ -0,0 +1,100 @@
+import type {JobRecord} from '@bergamotgauge/model';
+import type {Decision} from '@bergamotgauge/placement';
+import type {Policy} from '../types.js';
+import {createGrid, forEachRun, isOverQuota, isPlaceFree, placeAt, type Grid, type Place} from './grid.js';
+
+type Shadow = Readonly<{place: Place; readyMs: number}>;
+
+const shadowOf = (grid: Grid, job: JobRecord, placedNow: ReadonlyMap<string, number>): Shadow | undefined => {
+	const {view} = grid;
+	const ends = new Map<string, number>();
+	for (const {placements} of view.racks.values()) {
+		for (const {blocks, expectedEndMs} of placements) {
+			for (const {worker, first, count} of blocks) {
+				for (let cell = first; cell < first + count; cell += 1) {
+					ends.set(`${worker}/${cell}`, Math.max(view.nowMs + 1000, expectedEndMs));
+				}
+			}
+		}
+	}
+
+	let best: Shadow | undefined;
+	forEachRun(grid, job, (place) => {
+		let readyMs = view.nowMs;
+		for (const {worker, first, count} of place.blocks) {
+			for (let cell = first; cell < first + count; cell += 1) {
+				const key = `${worker}/${cell}`;
+				readyMs = Math.max(readyMs, ends.get(key) ?? placedNow.get(key) ?? 0);
+			}
+		}
+
+		if (readyMs < (best?.readyMs ?? Number.POSITIVE_INFINITY)) {
+			best = {place, readyMs};
+		}
+
+		return false;
+	});
+	return best;
+};
+
+const overlaps = (a: Place, b: Place): boolean =>
+	a.rack === b.rack &&
+	a.blocks.some((left) =>
+		b.blocks.some(
+			(right) =>
+				left.worker === right.worker && left.first < right.first + right.count && right.first < left.first + left.count,
+		),
+	);
+
+const backfill = (grid: Grid, job: JobRecord, shadow: Shadow | undefined): Place | undefined => {
+	const isInTime = !shadow || grid.view.nowMs + job.declaredSeconds * 1000 <= shadow.readyMs;
+	let found: Place | undefined;
+	forEachRun(grid, job, (place) => {
+		if (isPlaceFree(grid, place) && (isInTime || !overlaps(place, shadow.place))) {
+			found = place;
+		}
+
+		return found !== undefined;
+	});
+	return found;
+};
+
+/** EASY: a reservation for the first blocked job by declared run times; others pass when they don't delay it. */
+export const EASY_BACKFILL: Policy = {
+	name: 'easy-backfill',
+	isOurs: false,
+	decide(view) {
+		const grid = createGrid(view);
+		const decisions: Decision[] = [];
+		const placedNow = new Map<string, number>();
+		// A size that found no place for a short job finds none for a longer one in the same pass.
+		const failed = new Map<number, number>();
+		let shadow: Shadow | undefined;
+		for (const job of view.jobs) {
+			const isKnown = job.failedOn.length === 0 && job.declaredSeconds >= (failed.get(job.accelerators) ?? Infinity);
+			if (grid.placed.has(job.id) || isKnown || isOverQuota(grid, job)) {
+				continue;
+			}
+
+			const place = backfill(grid, job, shadow);
+			if (place) {
+				decisions.push(placeAt(grid, job, place));
+				for (const {worker, first, count} of place.blocks) {
+					for (let cell = first; cell < first + count; cell += 1) {
+						placedNow.set(`${worker}/${cell}`, view.nowMs + job.declaredSeconds * 1000);
+					}
+				}
+
+				continue;
+			}
+
+			if (job.failedOn.length === 0) {
+				failed.set(job.accelerators, job.declaredSeconds);
+			}
+
+			shadow ??= shadowOf(grid, job, placedNow);
+		}
+
+		return decisions;
+	},
+};
--- /dev/null
+++ b/packages/bench/src/placement/replay-pool.ts
@@ -0,0 +1,32 @@
+import {Worker} from 'node:worker_threads';
+import type {ReplayResult} from './types.js';
+
+export type ReplayTask = Readonly<{trace: string; policy: string; seed: number; hours: number}>;
+
+/** Threads besides the main one; other work runs on the same machine. */
+const MAX_THREADS = 4;
+
+const runThread = async (tasks: ReplayTask[], results: ReplayResult[]): Promise<void> => {
+	const thread = new Worker(new URL('replay-thread.js', import.meta.url));
+	try {
+		for (let task = tasks.shift(); task; task = tasks.shift()) {
+			thread.postMessage(task);
+			const result = await new Promise<ReplayResult>((resolve, reject) => {
+				thread.once('message', resolve);
+				thread.once('error', reject);
+			});
+			thread.removeAllListeners();
+			results.push(result);
+		}
+	} finally {
+		await thread.terminate();
+	}
+};
+
+/** Runs all replays on a few threads. The order of the results is that of their ends. */
+export const runReplays = async (tasks: readonly ReplayTask[]): Promise<readonly ReplayResult[]> => {
+	const left = [...tasks];
+	const results: ReplayResult[] = [];
+	await Promise.all(Array.from({length: MAX_THREADS}, async () => runThread(left, results)));
+	return results;
+};
--- /dev/null
+++ b/packages/bench/src/placement/replay-state.ts
@@ -0,0 +1,48 @@
+import type {createEventQueue} from './event-queue.js';
+import type {Policy, TraceJob} from './types.js';
+import type {Attempt, World} from './world.js';
+
+export type Event =
+	| Readonly<{kind: 'arrive'; entry: TraceJob}>
+	| Readonly<{kind: 'cancel'; job: string}>
+	| Readonly<{kind: 'finish'; attempt: Attempt}>
+	| Readonly<{kind: 'evicted'; attempt: Attempt; isSaved: boolean}>
+	| Readonly<{kind: 'outage'; index: number; isStart: boolean}>
+	| Readonly<{kind: 'pass'}>;
+
+export type Observed = {
+	readonly ratios: number[];
+	readonly urgentStarts: number[];
+	readonly passMs: number[];
+	readonly started: Set<string>;
+	succeeded: number;
+	wronglyFailed: number;
+	violations: number;
+	partialGangs: number;
+	shortfallMs: number;
+	lastPassMs: number;
+	shortfalls: number;
+	evictions: number;
+};
+
+export type Replay = Readonly<{
+	world: World;
+	policy: Policy;
+	observed: Observed;
+	events: ReturnType<typeof createEventQueue<Event>>;
+}>;
+
+export const newObserved = (): Observed => ({
+	ratios: [],
+	urgentStarts: [],
+	passMs: [],
+	started: new Set(),
+	succeeded: 0,
+	wronglyFailed: 0,
+	violations: 0,
+	partialGangs: 0,
+	shortfallMs: 0,
+	lastPassMs: 0,
+	shortfalls: 0,
+	evictions: 0,
+});
--- /dev/null
+++ b/packages/bench/src/placement/traces/days.ts
@@ -0,0 +1,124 @@
+import type {Bundle} from '@bergamotgauge/model';
+import {createRandom, type Random} from '../random.js';
+import type {Outage, Trace, TraceFactory, TraceJob} from '../types.js';
+import {burst, inOrder, MIXED, steadyArrivals, type Mix} from './arrivals.js';
+import {limaBundle, quebecBundle} from './fleet.js';
+
+const HOUR_MS = 3_600_000;
+
+type Day = Readonly<{
+	name: string;
+	createBundle: () => Bundle;
+	load: number;
+	mix?: Mix;
+	extra?: (random: Random, bundle: Bundle, hours: number) => readonly TraceJob[];
+	change?: (random: Random, jobs: readonly TraceJob[], hours: number) => readonly TraceJob[];
+	outages?: (random: Random, bundle: Bundle, hours: number) => readonly Outage[];
+}>;
+
+const day = ({name, createBundle, load, mix = MIXED, extra, change, outages}: Day): TraceFactory => ({
+	name,
+	create({seed, hours}): Trace {
+		const random = createRandom(seed);
+		const bundle = createBundle();
+		const steady = steadyArrivals(random, {bundle, mix, hours, load});
+		const all = inOrder([...steady, ...(extra?.(random, bundle, hours) ?? [])]);
+		return {
+			name,
+			bundle,
+			jobs: change?.(random, all, hours) ?? all,
+			outages: outages?.(random, bundle, hours) ?? [],
+			horizonMs: hours * HOUR_MS,
+		};
+	},
+});
+
+const SMALL: Mix = {
+	...MIXED,
+	sizes: [
+		[1, 3],
+		[2, 1],
+	],
+	seconds: [60, 1800],
+};
+
+const LARGE: Mix = {
+	...MIXED,
+	sizes: [
+		[16, 5],
+		[32, 1],
+	],
+	classes: [
+		['render', 3],
+		['firm', 1],
+	],
+	seconds: [600, 5400],
+};
+
+const bursts =
+	(mix: Mix, count: number, times: number) =>
+	(random: Random, bundle: Bundle, hours: number): TraceJob[] =>
+		Array.from({length: times}, (_, index) =>
+			burst(random, {
+				bundle,
+				mix,
+				name: `b${index}`,
+				count,
+				atMs: ((index + 0.5 + random.next() / 4) / times) * hours * HOUR_MS,
+				overMs: 60_000,
+			}),
+		).flat();
+
+const middle = (hours: number, kind: Outage['kind'], workers: readonly string[]): Outage[] => [
+	{kind, workers, fromMs: 0.4 * hours * HOUR_MS, toMs: 0.6 * hours * HOUR_MS},
+];
+
+const workersOf = ({racks}: Bundle, isLost: (rack: Bundle['racks'][number]) => boolean): string[] =>
+	racks.filter((rack) => isLost(rack)).flatMap(({workers}) => workers.map(({name}) => name));
+
+export const DAYS: readonly TraceFactory[] = [
+	day({name: 'quebec-day', createBundle: quebecBundle, load: 0.85}),
+	day({name: 'lima-day', createBundle: limaBundle, load: 0.6, extra: bursts(LARGE, 8, 2)}),
+	day({name: 'small-bursts', createBundle: quebecBundle, load: 0.6, extra: bursts(SMALL, 200, 4)}),
+	day({name: 'large-bursts', createBundle: limaBundle, load: 0.5, extra: bursts(LARGE, 16, 3)}),
+	day({name: 'wrong-estimates', createBundle: quebecBundle, load: 0.75, mix: {...MIXED, ratio: [0.3, 5]}}),
+	day({
+		name: 'mass-cancellation',
+		createBundle: quebecBundle,
+		load: 0.6,
+		extra: bursts(SMALL, 300, 2),
+		change: (random, jobs) =>
+			jobs.map((entry) =>
+				entry.job.id.startsWith('b') && random.next() < 0.9 ? {...entry, cancelAfterSeconds: 300} : entry,
+			),
+	}),
+	day({
+		name: 'failing-workers',
+		createBundle: quebecBundle,
+		load: 0.6,
+		change: (random, jobs) => jobs.map((entry) => (random.next() < 0.01 ? {...entry, isFaulty: true} : entry)),
+		outages: (_random, _bundle, hours) => middle(hours, 'failing', ['r0w0', 'r1w3', 'r2w5']),
+	}),
+	day({
+		name: 'rack-loss',
+		createBundle: quebecBundle,
+		load: 0.6,
+		outages: (_random, bundle, hours) =>
+			middle(
+				hours,
+				'lost',
+				workersOf(bundle, ({name}) => name === 'r1'),
+			),
+	}),
+	day({
+		name: 'zone-loss',
+		createBundle: limaBundle,
+		load: 0.5,
+		outages: (_random, bundle, hours) =>
+			middle(
+				hours,
+				'lost',
+				workersOf(bundle, ({availabilityZone}) => availabilityZone === 'z0'),
+			),
+	}),
+];
--- a/packages/placement/src/check-invariant.ts
+++ b/packages/placement/src/check-invariant.ts
@@ -1,11 +1,16 @@
+import type {JobRecord, RackRecord} from '@bergamotgauge/model';
 import {fleetOf, type FleetRack} from './fleet.js';
 import {acceleratorsOf, add, forEachCell} from './pass-state.js';
 import type {PlacementView, Violation} from './types.js';
 
 type Report = (kind: Violation['kind'], reason: string) => void;
 
-const checkRack = (view: PlacementView, fleetRack: FleetRack, report: Report): void => {
-	const record = view.racks.get(fleetRack.rack.name);
+const checkRack = (
+	record: RackRecord | undefined,
+	fleetRack: FleetRack,
+	jobs: ReadonlyMap<string, JobRecord>,
+	report: Report,
+): void => {
 	const occupant = new Map<number, string>();
 	const owner = new Map<number, string>();
 	for (const home of record?.homes ?? []) {
@@ -18,7 +23,6 @@
 		});
 	}
 
-	const jobs = new Map(view.jobs.map((job) => [job.id, job]));
 	for (const placement of record?.placements ?? []) {
 		const cells: number[] = [];
 		forEachCell(fleetRack, placement.blocks, (cell) => {
@@ -58,13 +62,14 @@
 	const rackOfJob = new Map<string, string>();
 	const held = new Map<string, number>();
 	const {racks} = fleetOf(view.bundle);
+	const jobs = new Map(view.jobs.map((job) => [job.id, job]));
 	for (const fleetRack of racks) {
 		const {name} = fleetRack.rack;
 		const report: Report = (kind, reason) => {
 			violations.push({kind, rack: name, reason});
 		};
 
-		checkRack(view, fleetRack, report);
+		checkRack(view.racks.get(name), fleetRack, jobs, report);
 		for (const placement of view.racks.get(name)?.placements ?? []) {
 			add(held, placement.customer, acceleratorsOf(placement.blocks));
 			if (rackOfJob.has(placement.job)) {
--- a/packages/placement/src/claims.ts
+++ b/packages/placement/src/claims.ts
@@ -39,9 +39,7 @@
 	name: 'guarantee',
 	isUrgent: false,
 	applies: (state, demand) =>
-		state.homes.some(
-			(home) => home.customer === demand.customer.name && acceleratorsOf(home.blocks) >= demand.job.accelerators,
-		),
+		state.homesByCustomer.get(demand.customer.name)?.some(({size}) => size >= demand.job.accelerators) ?? false,
 	isVictim: (_state, demand) => (held) =>
 		!isOwner(held, demand) || (held.placement.guarantee === undefined && held.accelerators < demand.job.accelerators),
 	isRunConsidered: (state, demand) => (run) => {
@@ -56,14 +54,11 @@
 	},
 };
 
-const isBorrowed = (state: PassState, held: Held): boolean =>
-	held.placement.guarantee === undefined && state.fleet.classes.get(held.placement.jobClass)?.urgency !== 'urgent';
-
 export const URGENT_CLAIM: Claim = {
 	name: 'urgency',
 	isUrgent: true,
 	applies: (_state, {jobClass}) => jobClass.urgency === 'urgent',
-	isVictim: (state) => (held) => isBorrowed(state, held),
+	isVictim: () => (held) => held.isBorrowed,
 };
 
 /** A partner below its share of a pool takes back what a partner above its share holds. */
@@ -80,7 +75,7 @@
 		const {pool} = rack.fleetRack.rack;
 		const partner = state.fleet.customers.get(held.placement.customer)?.partner ?? '';
 		return (
-			isBorrowed(state, held) &&
+			held.isBorrowed &&
 			partner !== demand.customer.partner &&
 			shareExcess(state, pool, partner) > 0 &&
 			shareExcess(state, pool, demand.customer.partner) + demand.job.accelerators <= 0
@@ -89,7 +84,7 @@
 };
 
 const canCheckpoint = (state: PassState, held: Held): boolean =>
-	(state.fleet.classes.get(held.placement.jobClass)?.checkpointSeconds ?? 0) > 0 &&
+	(held.jobClass?.checkpointSeconds ?? 0) > 0 &&
 	state.view.nowMs - held.placement.placedAtMs >= MIN_RUN_BEFORE_EVICTION_SECONDS * 1000;
 
 const work = ({job, estimate}: Demand): number => job.accelerators * estimate.expectedSeconds;
@@ -100,7 +95,7 @@
 	isUrgent: false,
 	applies: (state, demand) => waitedSeconds(state, demand) >= MAX_RESERVATION_DELAY_SECONDS,
 	isVictim: (state, demand) => (held) =>
-		isBorrowed(state, held) &&
+		held.isBorrowed &&
 		canCheckpoint(state, held) &&
 		(held.job === undefined ||
 			held.job.submittedAtMs > demand.job.submittedAtMs ||
@@ -114,7 +109,7 @@
 	isUrgent: false,
 	applies: (state, demand) => waitedSeconds(state, demand) >= GAIN_WAIT_RATIO * demand.estimate.expectedSeconds,
 	isVictim: (state, demand) => (held) =>
-		isBorrowed(state, held) &&
+		held.isBorrowed &&
 		canCheckpoint(state, held) &&
 		held.endMs - state.view.nowMs >= GAIN_REMAINING_RATIO * 1000 * demand.estimate.expectedSeconds,
 	maxLost: (demand) => work(demand) * 0.05,
@@ -131,6 +126,7 @@
 	const eviction = cheapestEviction(state, demand, {
 		cost: evictionCost(state, claim.isVictim(state, demand), claim.isUrgent),
 		isRunConsidered: claim.isRunConsidered?.(state, demand),
+		isInOwnHome: claim === GUARANTEE_CLAIM,
 	});
 	return eviction && eviction.lostAcceleratorSeconds <= (claim.maxLost?.(demand) ?? Number.POSITIVE_INFINITY)
 		? eviction
--- a/packages/placement/src/demand.ts
+++ b/packages/placement/src/demand.ts
@@ -26,17 +26,17 @@
 export const isPreemptibleClass = (jobClass: JobClass): boolean =>
 	jobClass.preemptible && (jobClass.retryRule === 'idempotent' || jobClass.checkpointSeconds > 0);
 
-/** Whether the partner's declared share of the rack's pool admits work of this size that can't be evicted. */
-export const fitsShare = ({fleet, firmByPartner}: PassState, rack: RackState, demand: Demand): boolean => {
-	const pool = fleet.pools.get(rack.fleetRack.rack.pool);
+/** Whether the partner's declared share of a pool admits work of this size that can't be evicted. */
+export const fitsShare = ({fleet, firmByPartner}: PassState, poolName: string, demand: Demand): boolean => {
+	const pool = fleet.pools.get(poolName);
 	if (!pool || pool.shares.length === 0 || demand.isPreemptible) {
 		return true;
 	}
 
 	const {partner} = demand.customer;
 	const share = pool.shares.find((declared) => declared.partner === partner)?.share ?? 0;
-	const limit = share * (fleet.poolAccelerators.get(pool.name) ?? 0);
-	return (firmByPartner.get(`${pool.name}/${partner}`) ?? 0) + demand.job.accelerators <= limit + 1e-9;
+	const limit = share * (fleet.poolAccelerators.get(poolName) ?? 0);
+	return (firmByPartner.get(`${poolName}/${partner}`) ?? 0) + demand.job.accelerators <= limit + 1e-9;
 };
 
 /** Accelerators by which a partner is above (positive) or below its declared share of a pool; 0 without shares. */
--- a/packages/placement/src/explain-job.ts
+++ b/packages/placement/src/explain-job.ts
@@ -37,7 +37,7 @@
 	};
 	const cost = evictionCost(state, () => true, false);
 	const eviction = cheapestEviction(state, demand, {
-		cost: (held, rack) => Math.min(cost(held, rack), UNSAFE_COST + held.endMs - view.nowMs),
+		cost: (index, rack) => Math.min(cost(index, rack), UNSAFE_COST + state.held[index]!.endMs - view.nowMs),
 	});
 	return (eviction?.victims ?? []).map((held) => obstacle(state, held));
 };
--- a/packages/placement/src/free-run.ts
+++ b/packages/placement/src/free-run.ts
@@ -1,6 +1,6 @@
 import type {Weights} from '@bergamotgauge/model';
 import type {Demand} from './demand.js';
-import {acceleratorsOf, type PassState, type RackState} from './pass-state.js';
+import {acceleratorsOf, longestFreeRun, type PassState, type RackState} from './pass-state.js';
 import type {Score, ScoredRun} from './types.js';
 import {forEachRun, homeUse, isRunAdmitted, isRunFree, keepsToItsPart, type Run} from './windows.js';
 
@@ -99,7 +99,7 @@
 	forEachRun(
 		state,
 		demand,
-		(rack) => rack.free >= accelerators,
+		(rack) => longestFreeRun(rack) >= accelerators,
 		(run) => {
 			if (
 				!isRunFree(state, run, demand, endMs) ||
--- a/packages/placement/src/pass-state.ts
+++ b/packages/placement/src/pass-state.ts
@@ -1,7 +1,10 @@
-import type {Block, Home, JobRecord, Placement} from '@bergamotgauge/model';
+import type {Block, Home, JobClass, JobRecord, Placement} from '@bergamotgauge/model';
 import {fleetOf, type Fleet, type FleetRack} from './fleet.js';
 import type {PlacementView} from './types.js';
 
+/** Marks costs that are not computed yet. */
+export const UNKNOWN_COST = -1;
+
 /** A placement as the pass sees it; `token` is unset for those of this pass. */
 export type Held = Readonly<{
 	placement: Omit<Placement, 'token'>;
@@ -9,6 +12,11 @@
 	accelerators: number;
 	/** Expected end, moved on for work that overran it. */
 	endMs: number;
+	isEvicting: boolean;
+	/** True for work that neither is urgent nor uses a home of its own customer. */
+	isBorrowed: boolean;
+	/** Absent when the class is no longer declared. */
+	jobClass: JobClass | undefined;
 	/** Absent when the view has no record of the job any more. */
 	job: JobRecord | undefined;
 	/** True for placements that this pass decided. */
@@ -31,14 +39,26 @@
 	readonly coresLeft: Float64Array;
 	readonly memoryLeft: Float64Array;
 	free: number;
+	/** Longest run of free cells, across workers too; -1 when outdated. */
+	longestFree: number;
 	/** Free cells by whether they lie in a free block of the largest guaranteed shape; absent when outdated. */
 	whole: Uint8Array | undefined;
 };
 
+/** Where a home lies. */
+export type HomePlace = Readonly<{rack: RackState; index: number; first: number; size: number}>;
+
 export type PassState = {
 	readonly view: PlacementView;
 	readonly fleet: Fleet;
 	readonly racks: readonly RackState[];
+	/** Racks that have accelerators. */
+	readonly usableRacks: readonly RackState[];
+	readonly homesByCustomer: Map<string, HomePlace[]>;
+	/** Accelerator-seconds that the eviction of a placement loses, by index into `held`; infinite where it is unsafe. */
+	readonly evictionCosts: number[];
+	/** The same for an eviction for urgent work, whose grace is shorter. */
+	readonly urgentEvictionCosts: number[];
 	readonly held: Held[];
 	readonly homes: Home[];
 	readonly holds: Hold[];
@@ -94,8 +114,21 @@
 	const rack = state.racks[rackIndex]!;
 	const accelerators = acceleratorsOf(placement.blocks);
 	const index = state.held.length;
-	const held = {placement, rack: rackIndex, accelerators, endMs: endOf(placement, state.view.nowMs), job, isNew};
+	const jobClass = state.fleet.classes.get(placement.jobClass);
+	const held: Held = {
+		placement,
+		rack: rackIndex,
+		accelerators,
+		endMs: endOf(placement, state.view.nowMs),
+		isEvicting: placement.phase === 'evicting',
+		isBorrowed: placement.guarantee === undefined && jobClass?.urgency !== 'urgent',
+		jobClass,
+		job,
+		isNew,
+	};
 	state.held.push(held);
+	state.evictionCosts.push(UNKNOWN_COST);
+	state.urgentEvictionCosts.push(UNKNOWN_COST);
 	state.heldByJob.set(placement.job, held);
 	forEachCell(rack.fleetRack, placement.blocks, (cell) => {
 		if (rack.occupant[cell] === -1) {
@@ -105,6 +138,7 @@
 		rack.occupant[cell] = index;
 	});
 	rack.whole = undefined;
+	rack.longestFree = -1;
 	add(state.heldByCustomer, placement.customer, accelerators);
 	const partner = state.fleet.customers.get(placement.customer)?.partner ?? '';
 	const key = `${rack.fleetRack.rack.pool}/${partner}`;
@@ -138,6 +172,7 @@
 		coresLeft: Float64Array.from(fleetRack.workers, ({cores}) => cores),
 		memoryLeft: Float64Array.from(fleetRack.workers, ({memoryGigabytes}) => memoryGigabytes),
 		free: fleetRack.cells,
+		longestFree: -1,
 		whole: undefined,
 	};
 };
@@ -145,10 +180,15 @@
 /** Indexes a view for one pass. `homes` replaces the homes of the records. */
 export const createPassState = (view: PlacementView, homes: ReadonlyMap<string, readonly Home[]>): PassState => {
 	const fleet = fleetOf(view.bundle);
+	const racks = fleet.racks.map((fleetRack) => createRackState(view, fleetRack));
 	const state: PassState = {
 		view,
 		fleet,
-		racks: fleet.racks.map((fleetRack) => createRackState(view, fleetRack)),
+		racks,
+		usableRacks: racks.filter(({fleetRack}) => fleetRack.cells > 0),
+		homesByCustomer: new Map(),
+		evictionCosts: [],
+		urgentEvictionCosts: [],
 		held: [],
 		homes: [],
 		holds: [],
@@ -167,9 +207,15 @@
 		for (const home of homes.get(name) ?? view.racks.get(name)?.homes ?? []) {
 			const index = state.homes.length;
 			state.homes.push(home);
+			const cells: number[] = [];
 			forEachCell(rack.fleetRack, home.blocks, (cell) => {
 				rack.home[cell] = index;
+				cells.push(cell);
 			});
+			if (cells.length > 0) {
+				const place = {rack, index, first: cells[0]!, size: cells.length};
+				state.homesByCustomer.set(home.customer, [...(state.homesByCustomer.get(home.customer) ?? []), place]);
+			}
 		}
 
 		for (const placement of view.racks.get(name)?.placements ?? []) {
@@ -179,3 +225,19 @@
 
 	return state;
 };
+
+/** Longest run of free cells of a rack. A longer shape finds no place, which spares the search. */
+export const longestFreeRun = (rack: RackState): number => {
+	if (rack.longestFree === -1) {
+		let length = 0;
+		let longest = 0;
+		for (const occupant of rack.occupant) {
+			length = occupant === -1 ? length + 1 : 0;
+			longest = Math.max(longest, length);
+		}
+
+		rack.longestFree = longest;
+	}
+
+	return rack.longestFree;
+};
--- a/packages/placement/src/plan-pass.ts
+++ b/packages/placement/src/plan-pass.ts
@@ -1,16 +1,13 @@
-import type {JobRecord} from '@bergamotgauge/model';
 import {CLAIMS, evictionFor, GUARANTEE_CLAIM, URGENT_CLAIM, type Claim} from './claims.js';
 import {EVICTION_SEARCH_LIMIT, RESERVATION_LIMIT} from './constants.js';
-import {isPreemptibleClass, type Demand} from './demand.js';
-import {endOfJob} from './ended-jobs.js';
+import type {Demand} from './demand.js';
 import {graceMs, type Eviction} from './eviction.js';
 import {bestFreeRun, holdEndMs} from './free-run.js';
 import type {Eligibility} from './fleet.js';
 import {planHomes} from './homes.js';
-import {responseRatioOrder} from './order.js';
 import {add, createPassState, occupy, type PassState} from './pass-state.js';
+import {createQueue} from './queue.js';
 import {earliestRun, reserve} from './reservation.js';
-import {correctedEstimate} from './run-times.js';
 import {SCORES} from './scores/index.js';
 import type {Decision, EvictDecision, PassOptions, PlaceDecision, PlacementView, Score} from './types.js';
 import {blocksOf, homeUse, type Run} from './windows.js';
@@ -27,22 +24,12 @@
 	readonly evicted: Set<string>;
 };
 
-const quarantinedWorkers = (view: PlacementView): Set<string> => {
-	const workers = new Set<string>();
-	for (const {quarantines} of view.racks.values()) {
-		for (const {worker, state} of quarantines) {
-			if (state === 'quarantined') {
-				workers.add(worker);
-			}
-		}
-	}
-
-	return workers;
+/** Demands with the same key and eligibility find the same free runs; only homes tell the customers of a partner apart. */
+const demandKey = ({homesByCustomer}: PassState, {job, jobClass, isPreemptible, customer}: Demand): string => {
+	const owner = homesByCustomer.has(customer.name) ? `customer ${customer.name}` : customer.partner;
+	return `${job.accelerators}/${isPreemptible}/${jobClass.retryRule}/${jobClass.checkpointSeconds > 0}/${owner}`;
 };
 
-const demandKey = ({job, jobClass, isPreemptible, customer}: Demand): string =>
-	`${job.accelerators}/${isPreemptible}/${jobClass.retryRule}/${jobClass.checkpointSeconds > 0}/${customer.name}`;
-
 const placement = (pass: Pass, demand: Demand, {rack, start}: Run): PlaceDecision => {
 	const {state} = pass;
 	const {job} = demand;
@@ -74,7 +61,7 @@
 	const isMemoized = demand.job.failedOn.length === 0;
 	const known = failures.get(demand.eligibility) ?? new Map<string, number>();
 	failures.set(demand.eligibility, known);
-	const key = demandKey(demand);
+	const key = demandKey(pass.state, demand);
 	const endMs = holdEndMs(state, demand);
 	if (isMemoized && endMs >= (known.get(key) ?? Number.POSITIVE_INFINITY)) {
 		return undefined;
@@ -98,7 +85,7 @@
 	const decisions: EvictDecision[] = [];
 	let readyMs = pass.state.view.nowMs;
 	for (const held of eviction.victims) {
-		const grace = graceMs(pass.state, held, isUrgent);
+		const grace = graceMs(held, isUrgent);
 		readyMs = Math.max(readyMs, pass.state.view.nowMs + grace);
 		if (held.placement.phase === 'placed' && !pass.evicted.has(held.placement.job)) {
 			pass.evicted.add(held.placement.job);
@@ -119,7 +106,7 @@
 const tryEvict = (pass: Pass, demand: Demand): readonly Decision[] | undefined => {
 	for (const claim of CLAIMS) {
 		const isBounded = claim !== GUARANTEE_CLAIM && claim !== URGENT_CLAIM;
-		if (!claim.applies(pass.state, demand) || (isBounded && pass.searches >= EVICTION_SEARCH_LIMIT)) {
+		if ((isBounded && pass.searches >= EVICTION_SEARCH_LIMIT) || !claim.applies(pass.state, demand)) {
 			continue;
 		}
 
@@ -145,7 +132,7 @@
 	const {state} = pass;
 	const known = pass.reasons.get(demand.eligibility) ?? new Map<string, string>();
 	pass.reasons.set(demand.eligibility, known);
-	const key = demandKey(demand);
+	const key = demandKey(pass.state, demand);
 	const isMemoized = demand.job.failedOn.length === 0;
 	const reason = (isMemoized ? known.get(key) : undefined) ?? waitReason(state, demand);
 	if (isMemoized) {
@@ -170,9 +157,22 @@
 	return {kind: 'wait', job: demand.job.id, reason};
 };
 
+const isWithinQuota = ({state}: Pass, {customer, job}: Demand): boolean =>
+	(state.heldByCustomer.get(customer.name) ?? 0) + job.accelerators <= customer.quota.accelerators;
+
+const createPass = (state: PassState, {scores = SCORES}: PassOptions): Pass => ({
+	state,
+	scores,
+	failures: new Map(),
+	reasons: new Map(),
+	reservations: 0,
+	searches: 0,
+	evicted: new Set(),
+});
+
 const decide = (pass: Pass, demand: Demand): readonly Decision[] => {
 	const {customer, job} = demand;
-	if ((pass.state.heldByCustomer.get(customer.name) ?? 0) + job.accelerators > customer.quota.accelerators) {
+	if (!isWithinQuota(pass, demand)) {
 		return [{kind: 'wait', job: job.id, reason: `the quota of customer ${customer.name} is in use`}];
 	}
 
@@ -191,15 +191,6 @@
 	return [wait(pass, demand)];
 };
 
-/** Urgent work first, then work with a home of its own, so that no borrower takes a home in the same pass. */
-const tierOf = (state: PassState, demand: Demand): number => {
-	if (demand.jobClass.urgency === 'urgent') {
-		return 2;
-	}
-
-	return state.homes.length > 0 && GUARANTEE_CLAIM.applies(state, demand) ? 1 : 0;
-};
-
 /**
 Decides what to do with the queued jobs: changes of homes first, then one decision for each job that is not placed yet, preceded by the evictions it needs.
 
@@ -211,63 +202,42 @@
 ```
 */
 export const planPass = (view: PlacementView, options: PassOptions = {}): readonly Decision[] => {
-	const {order = responseRatioOrder, estimate = correctedEstimate(view.runTimes), scores = SCORES} = options;
 	const homePlan = planHomes(view);
-	const decisions: Decision[] = [...homePlan.decisions];
 	const state = createPassState(view, homePlan.homes);
-	const quarantined = quarantinedWorkers(view);
-	const queue: Array<{demand: Demand; tier: number; position: number}> = [];
-	const demandOf = (job: JobRecord): Demand | Decision => {
-		const jobClass = state.fleet.classes.get(job.jobClass);
-		const customer = state.fleet.customers.get(job.customer);
-		if (!jobClass || !customer) {
-			return {kind: 'wait', job: job.id, reason: 'its class or its customer is no longer declared'};
-		}
-
-		const ended = endOfJob(job, jobClass, quarantined, view.nowMs);
-		if (ended) {
-			return ended;
-		}
+	const {queue, decided} = createQueue(state, options);
+	const pass = createPass(state, options);
+	const decisions: Decision[] = [...homePlan.decisions, ...decided];
+	for (const demand of queue) {
+		decisions.push(...decide(pass, demand));
+	}
 
-		const estimated = estimate(job);
-		const heldAccelerators = state.heldByCustomer.get(job.customer) ?? 0;
-		return {
-			job,
-			jobClass,
-			customer,
-			estimate: estimated,
-			isPreemptible: isPreemptibleClass(jobClass),
-			eligibility: state.fleet.eligibility(job),
-			rank: order({job, jobClass, customer, estimate: estimated, heldAccelerators}, view.nowMs),
-		};
-	};
+	return decisions;
+};
 
-	for (const [position, job] of view.jobs.entries()) {
-		if (job.state !== 'queued' || state.heldByJob.has(job.id)) {
-			continue;
-		}
+/**
+Decides on one job alone, at a cost that doesn't grow with the length of the queue beyond reading it. The accelerators that the jobs ahead wait for are kept for them. The next full pass decides on all others.
 
-		const demand = demandOf(job);
-		if ('kind' in demand) {
-			decisions.push(demand);
-		} else {
-			queue.push({demand, tier: tierOf(state, demand), position});
-		}
+@example
+```ts
+const decisions = planArrival({...view, jobs: [...view.jobs, job]}, job.id);
+```
+*/
+export const planArrival = (view: PlacementView, jobId: string, options: PassOptions = {}): readonly Decision[] => {
+	const homePlan = planHomes(view);
+	const state = createPassState(view, homePlan.homes);
+	const {queue, decided} = createQueue(state, options);
+	const demand = queue.find(({job}) => job.id === jobId);
+	if (!demand) {
+		return decided.filter((decision) => 'job' in decision && decision.job === jobId);
 	}
 
-	queue.sort((a, b) => b.tier - a.tier || b.demand.rank - a.demand.rank || a.position - b.position);
-	const pass: Pass = {
-		state,
-		scores,
-		failures: new Map(),
-		reasons: new Map(),
-		reservations: 0,
-		searches: 0,
-		evicted: new Set(),
-	};
-	for (const {demand} of queue) {
-		decisions.push(...decide(pass, demand));
+	const pass = createPass(state, options);
+	for (const ahead of queue.slice(0, Math.min(RESERVATION_LIMIT, queue.indexOf(demand)))) {
+		const reservation = isWithinQuota(pass, ahead) ? earliestRun(state, ahead) : undefined;
+		if (reservation) {
+			reserve(state, ahead.job.id, ahead.job.accelerators, reservation);
+		}
 	}
 
-	return decisions;
+	return [...homePlan.decisions, ...decide(pass, demand)];
 };
--- a/packages/placement/src/wait-reason.ts
+++ b/packages/placement/src/wait-reason.ts
@@ -8,8 +8,8 @@
 	let isAvailable = false;
 	let isInShare = false;
 	let isOutsideHomes = false;
-	for (const rack of state.racks) {
-		const isShared = fitsShare(state, rack, demand);
+	for (const rack of state.usableRacks) {
+		const isShared = fitsShare(state, rack.fleetRack.rack.pool, demand);
 		for (const start of rack.fleetRack.starts(accelerators)) {
 			let isRunAvailable = true;
 			const last = rack.fleetRack.workerOfCell[start + accelerators - 1]!;
--- a/packages/placement/src/windows.ts
+++ b/packages/placement/src/windows.ts
@@ -161,12 +161,19 @@
 	isRackConsidered: (rack: RackState) => boolean,
 	visit: (run: Run) => void,
 ): void => {
-	for (const rack of state.racks) {
+	let poolName: string | undefined;
+	let isInShare = false;
+	for (const rack of state.usableRacks) {
 		if (!isRackConsidered(rack)) {
 			continue;
 		}
 
-		const isInShare = fitsShare(state, rack, demand);
+		const {pool} = rack.fleetRack.rack;
+		if (pool !== poolName) {
+			poolName = pool;
+			isInShare = fitsShare(state, pool, demand);
+		}
+
 		for (const start of rack.fleetRack.starts(demand.job.accelerators)) {
 			// A guarantee comes before the split of the pool, so an own home is open also above the share.
 			if (isInShare || isOwnHomeCell(state, rack, start, demand)) {
@@ -175,3 +182,14 @@
 		}
 	}
 };
+
+/** Calls `visit` with each run of the demand's shape inside the homes of its own customer. */
+export const forEachOwnHomeRun = (state: PassState, {customer, job}: Demand, visit: (run: Run) => void): void => {
+	for (const {rack, first, size} of state.homesByCustomer.get(customer.name) ?? []) {
+		for (const start of rack.fleetRack.starts(job.accelerators)) {
+			if (start >= first && start + job.accelerators <= first + size) {
+				visit({rack, start});
+			}
+		}
+	}
+};
