Feed run times, task ends and quarantines to the scheduler; test them end to end

Cause: the daemon passed no observations to the placement policy, so estimates were not corrected, no worker was quarantined, and a job that failed everywhere ended by its attempts alone. Change: the view carries run times and ends of tasks; quarantines are written before each pass; violations, shortfalls and the queue are gauges; explain uses the policy's own explanation.

--- a/packages/instance/src/engine.ts
+++ b/packages/instance/src/engine.ts
@@ -39,7 +39,6 @@
 	const wakePlanner = createWaker();
 	const links = createWorkerLinks({context, createClient, onReport: wakeRacks.wake});
 	const jobs = createJobStore(context);
-	const views = createJobViews(context, jobs);
 	const racks = createRackWriter(context);
 
 	const wake = () => {
@@ -57,6 +56,8 @@
 		...context.membership.members().flatMap(({heartbeat}) => heartbeat?.workersDown ?? []),
 	];
 
+	const views = createJobViews({context, jobs, workersDown});
+
 	return {
 		jobs,
 		views,
--- a/packages/instance/src/failures.test.ts
+++ b/packages/instance/src/failures.test.ts
@@ -152,3 +152,91 @@
 	);
 	await engine.close();
 });
+
+// Guards against a job that waits for good because it has failed on every worker that could run it.
+await t.test('a job that fails on every worker ends as failed', async (t) => {
+	const clock = pauseClock(t);
+	const world = await createWorld(1, 2);
+	const engine = world.startEngine({id: 'one'});
+	await engine.jobs.submit('alpha', specificationOf(1, {runMs: 1000, result: 'fail'}));
+	await clock.tickAsync(60_000);
+	t.same(outcomes(world.jobs()), ['failed']);
+	await engine.close();
+});
+
+// Guards against a worker that fails everything and, because it is always free, takes job after job.
+await t.test('a worker that fails everything is quarantined and the jobs succeed elsewhere', async (t) => {
+	const clock = pauseClock(t);
+	const world = await createWorld(4);
+	world.workers.get('r1-w1')!.faults.failAll = true;
+	const engine = world.startEngine({id: 'one'});
+	const submitted = Promise.all(
+		Array.from({length: 48}, async () => engine.jobs.submit('alpha', specificationOf(4, {runMs: 2000}))),
+	);
+	await clock.tickAsync(60_000);
+	await submitted;
+	t.ok(
+		world.jobs().every((job) => job.outcome?.kind === 'succeeded'),
+		'every job succeeds',
+	);
+	const quarantined = world.racks().flatMap((rack) => rack.quarantines.map(({worker}) => worker));
+	t.same(quarantined, ['r1-w1']);
+	await engine.close();
+});
+
+// Guards against a bad release of a job that fails everywhere and takes the whole pool into quarantine.
+await t.test('jobs that fail everywhere quarantine at most a capped share of the pool', async (t) => {
+	const clock = pauseClock(t);
+	const world = await createWorld(4);
+	for (const worker of world.workers.values()) {
+		worker.faults.failAll = true;
+	}
+
+	const engine = world.startEngine({id: 'one'});
+	const submitted = Promise.all(
+		Array.from({length: 40}, async () => engine.jobs.submit('alpha', specificationOf(1, {runMs: 2000}))),
+	);
+	await clock.tickAsync(120_000);
+	await submitted;
+	t.ok(
+		world.jobs().every((job) => job.outcome?.kind === 'failed'),
+		'every job ends as failed',
+	);
+	const quarantined = world.racks().flatMap((rack) => rack.quarantines.filter(({state}) => state === 'quarantined'));
+	t.ok(
+		quarantined.length <= 1,
+		`${quarantined.length} of 12 workers are quarantined; the cap is a tenth, at least one`,
+	);
+	await engine.close();
+});
+
+// Guards against a guarantee that cannot be reclaimed in time while others use its accelerators.
+await t.test('urgent work reclaims its guarantee within 1.1 s from a pool full of borrowed work', async (t) => {
+	const clock = pauseClock(t);
+	const world = await createWorld(2);
+	const engine = world.startEngine({id: 'one'});
+	const borrowed = Promise.all(
+		Array.from({length: 48}, async () =>
+			engine.jobs.submit('beta', specificationOf(1, {runMs: 3_600_000, checkpointMs: 30_000})),
+		),
+	);
+	await clock.tickAsync(10_000);
+	await borrowed;
+	t.equal(totalStarts(world), 48, 'borrowed work holds every accelerator');
+	const submittedMs = clock.now;
+	const submission = engine.jobs.submit('alpha', specificationOf(8, {runMs: 10_000}, 'urgent'));
+	await clock.tickAsync(1);
+	const urgent = await submission;
+	while (totalStarts(world) < 49 && clock.now < submittedMs + 10_000) {
+		await clock.tickAsync(10);
+	}
+
+	t.ok(clock.now - submittedMs <= 1100, `the urgent job started after ${clock.now - submittedMs} ms`);
+	await clock.tickAsync(11_000);
+	t.equal(engine.jobs.get(urgent.id)?.outcome?.kind, 'succeeded');
+	t.ok(
+		world.jobs().every((job) => job.id === urgent.id || job.state === 'queued'),
+		'the evicted work is queued or runs again',
+	);
+	await engine.close();
+});
--- a/packages/instance/src/gang-actions.ts
+++ b/packages/instance/src/gang-actions.ts
@@ -1,4 +1,5 @@
 import {
+	MAX_TASK_ENDS,
 	toServiceError,
 	type Block,
 	type JobClass,
@@ -112,14 +113,33 @@
 	}
 };
 
+/** Adds the ends of the gang's tasks to the job's record. */
+const withTaskEnds = (
+	record: JobRecord,
+	placement: Placement,
+	reports: ReadonlyArray<TaskReport | undefined>,
+): JobRecord => {
+	const atMs = Date.now();
+	const ends = placement.blocks.flatMap(({worker}, index) => {
+		const state = reports[index]?.state;
+		return state === 'succeeded' || state === 'failed' ? [{worker, isSuccess: state === 'succeeded', atMs}] : [];
+	});
+	return {...record, taskEnds: [...(record.taskEnds ?? []), ...ends].slice(-MAX_TASK_ENDS)};
+};
+
 export const succeedGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
-	const [lead] = reportsOf(gang.placement, options.links.tasks);
-	await options.jobs.end(gang.placement.job, {
+	const {placement} = gang;
+	const reports = reportsOf(placement, options.links.tasks);
+	const outcome = {
 		kind: 'succeeded',
 		verdict: 'ran',
 		reason: 'all tasks succeeded',
-		answer: lead?.answer,
-	});
+		answer: reports[0]?.answer,
+	} as const;
+	await options.jobs.end(placement.job, outcome, (record) => ({
+		...withTaskEnds(record, placement, reports),
+		ranSeconds: record.ranSeconds + (Date.now() - placement.placedAtMs) / 1000,
+	}));
 	await releaseGang(options, gang);
 };
 
@@ -159,23 +179,29 @@
 export const failGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	const {placement} = gang;
 	const reports = reportsOf(placement, options.links.tasks);
-	const failed = reports.find((report): report is TaskReport => report?.state === 'failed');
+	const failed = reports.find((report) => report?.state === 'failed');
 	const failedWorkers = placement.blocks
 		.filter((_, index) => reports[index]?.state === 'failed')
 		.map(({worker}) => worker);
 	const jobClass = classOf(options, gang);
 	await stopUnfinished(options, gang);
-	if (jobClass?.retryRule !== 'idempotent' || placement.attempt >= jobClass.maxAttempts) {
-		await options.jobs.end(placement.job, {
-			kind: 'failed',
-			verdict: 'ran',
-			reason: failed?.reason ?? 'a task failed',
-		});
-	} else {
+	if (jobClass?.retryRule === 'idempotent') {
+		// The scheduler ends the job when it has failed on several workers that are not at fault themselves.
 		await options.jobs.update(placement.job, (record) => {
 			const next = withNextAttempt(record, placement);
-			return next === record ? record : {...next, failedOn: [...new Set([...record.failedOn, ...failedWorkers])]};
+			return next === record
+				? record
+				: {
+						...withTaskEnds(next, placement, reports),
+						failedOn: [...new Set([...record.failedOn, ...failedWorkers])],
+					};
 		});
+	} else {
+		await options.jobs.end(
+			placement.job,
+			{kind: 'failed', verdict: 'ran', reason: failed?.reason ?? 'a task failed'},
+			(record) => withTaskEnds(record, placement, reports),
+		);
 	}
 
 	await releaseGang(options, gang);
--- a/packages/instance/src/job-store.ts
+++ b/packages/instance/src/job-store.ts
@@ -21,7 +21,12 @@
 	submit: (customer: string, specification: JobSpecification) => Promise<JobRecord>;
 	/** Changes a queued job; returns undefined when it is gone or ended. */
 	update: (job: string, change: (record: JobRecord) => JobRecord) => Promise<JobRecord | undefined>;
-	end: (job: string, outcome: Omit<JobOutcome, 'endedAtMs'>) => Promise<JobRecord | undefined>;
+	/** Ends a queued job; `change` applies to the record in the same write. */
+	end: (
+		job: string,
+		outcome: Omit<JobOutcome, 'endedAtMs'>,
+		change?: (record: JobRecord) => JobRecord,
+	) => Promise<JobRecord | undefined>;
 	get: (job: string) => JobRecord | undefined;
 }>;
 
@@ -133,9 +138,9 @@
 			context.log.info('job-accepted', {job: job.id, customer, accelerators: job.accelerators});
 			return job;
 		},
-		async end(job, outcome) {
+		async end(job, outcome, change = (record) => record) {
 			const ended = await update(job, (record) => ({
-				...record,
+				...change(record),
 				state: 'ended',
 				outcome: {
 					...outcome,
--- a/packages/instance/src/job-views.ts
+++ b/packages/instance/src/job-views.ts
@@ -1,7 +1,9 @@
 import type {JobView} from '@bergamotgauge/caller';
 import type {JobRecord, Placement} from '@bergamotgauge/model';
-import {allJobs, allRacks, type Context} from './context.js';
+import {explainJob} from '@bergamotgauge/placement';
+import {allJobs, allRacks, bundleOf, type Context} from './context.js';
 import type {JobStore} from './job-store.js';
+import {placementView} from './placement-view.js';
 
 export type JobViews = Readonly<{
 	get: (customer: string, job: string) => JobView | undefined;
@@ -10,10 +12,16 @@
 	setReasons: (reasons: ReadonlyMap<string, string>) => void;
 }>;
 
+export type JobViewOptions = Readonly<{
+	context: Context;
+	jobs: JobStore;
+	workersDown: () => readonly string[];
+}>;
+
 type Located = Readonly<{rack: string; placement: Placement}>;
 
 /** What callers and operators see of jobs. */
-export const createJobViews = (context: Context, jobs: JobStore): JobViews => {
+export const createJobViews = ({context, jobs, workersDown}: JobViewOptions): JobViews => {
 	let reasons: ReadonlyMap<string, string> = new Map();
 
 	const locate = (job: JobRecord): Located | undefined => {
@@ -51,7 +59,13 @@
 				.map((job) => view(job)),
 		explain(id) {
 			const job = jobs.get(id);
-			return job && {...view(job), customer: job.customer, jobClass: job.jobClass, location: locate(job)};
+			const bundle = bundleOf(context.replica);
+			if (!job || !bundle) {
+				return undefined;
+			}
+
+			const view = placementView(context, bundle, workersDown());
+			return {customer: job.customer, jobClass: job.jobClass, attempt: job.attempt, ...explainJob(view, id)};
 		},
 		setReasons(next) {
 			reasons = next;
--- a/packages/instance/src/planner-loop.ts
+++ b/packages/instance/src/planner-loop.ts
@@ -1,24 +1,21 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError, type Bundle} from '@bergamotgauge/model';
-import {planPass, type Decision, type PlacementView} from '@bergamotgauge/placement';
+import {
+	checkInvariant,
+	planHomes,
+	planPass,
+	planQuarantines,
+	type Decision,
+	type PlacementView,
+} from '@bergamotgauge/placement';
 import {PLANNER_DELAY_MS, PLANNER_INTERVAL_MS} from './constants.js';
-import {allJobs, allRacks, bundleOf, isOwner, type Context} from './context.js';
+import {bundleOf, emptyRack, isOwner, type Context} from './context.js';
 import type {JobStore} from './job-store.js';
+import {placementView} from './placement-view.js';
 import {withEviction, withPlacement} from './rack-record.js';
 import type {RackWriter} from './rack-writer.js';
 import type {Waker} from './waker.js';
 
-/** The scheduler's input as this instance sees it now. */
-export const placementView = (context: Context, bundle: Bundle, workersDown: readonly string[]): PlacementView => ({
-	bundle,
-	racks: allRacks(context.replica),
-	jobs: allJobs(context.replica)
-		.filter((job) => job.state === 'queued')
-		.toSorted((a, b) => a.submittedAtMs - b.submittedAtMs || a.id.localeCompare(b.id)),
-	workersDown: new Set(workersDown),
-	nowMs: Date.now(),
-});
-
 export type PlannerOptions = Readonly<{
 	context: Context;
 	jobs: JobStore;
@@ -73,18 +70,39 @@
 	await applyKind(({kind}) => kind !== 'homes');
 };
 
-const endCancelled = async (jobs: JobStore, view: PlacementView): Promise<void> => {
-	const placed = new Set([...view.racks.values()].flatMap(({placements}) => placements.map(({job}) => job)));
-	const cancelled = view.jobs.filter((job) => job.cancelRequested && !placed.has(job.id));
-	await Promise.all(
-		cancelled.map(async (job) =>
-			jobs.end(job.id, {
-				kind: 'cancelled',
-				verdict: job.attempt === 1 ? 'not-run' : 'may-have-run',
-				reason: 'the caller cancelled the job before it was placed',
-			}),
+/** Writes changed quarantines and gives the view with them. */
+const reviewWorkers = async ({racks, context}: PlannerOptions, view: PlacementView): Promise<PlacementView> => {
+	const changes = planQuarantines(view);
+	const next = new Map(view.racks);
+	for (const {rack, quarantines, reason} of changes) {
+		await racks.write(rack, (record) => ({...record, quarantines}));
+		next.set(rack, {...(next.get(rack) ?? emptyRack(rack)), quarantines});
+		context.log.warn('quarantines-changed', {rack, reason});
+	}
+
+	return {...view, racks: next};
+};
+
+const observe = ({metrics}: Context, view: PlacementView): void => {
+	const violations = checkInvariant(view);
+	metrics.gauge('placement_violations', violations.length);
+	metrics.gauge('guarantee_shortfalls', planHomes(view).shortfalls.length);
+	metrics.gauge('queued_jobs', view.jobs.length);
+};
+
+const runPass = async (options: PlannerOptions, bundle: Bundle): Promise<void> => {
+	const {context, workersDown, onReasons} = options;
+	const view = await reviewWorkers(options, placementView(context, bundle, workersDown()));
+	const startedMs = performance.now();
+	const decisions = planPass(view);
+	context.metrics.observe('planner_pass_milliseconds', performance.now() - startedMs);
+	observe(context, view);
+	onReasons(
+		new Map(
+			decisions.filter((decision) => decision.kind === 'wait').map((decision) => [decision.job, decision.reason]),
 		),
 	);
+	await applyAll(options, decisions);
 };
 
 /**
@@ -96,25 +114,15 @@
 ```
 */
 export const runPlanner = async (options: PlannerOptions, signal: AbortSignal): Promise<void> => {
-	const {context, jobs, workersDown, waker, onReasons} = options;
+	const {context, waker} = options;
 	while (!signal.aborted) {
 		const bundle = bundleOf(context.replica);
 		if (bundle && context.state() === 'live' && isOwner(context, 'planner')) {
-			const view = placementView(context, bundle, workersDown());
-			const startedMs = performance.now();
-			const decisions = planPass({...view, jobs: view.jobs.filter((job) => !job.cancelRequested)});
-			context.metrics.observe('planner_pass_milliseconds', performance.now() - startedMs);
-			onReasons(
-				new Map(
-					decisions.filter((decision) => decision.kind === 'wait').map((decision) => [decision.job, decision.reason]),
-				),
-			);
 			try {
-				await endCancelled(jobs, view);
-				await applyAll(options, decisions);
+				await runPass(options, bundle);
 			} catch (error) {
 				const {code, message} = toServiceError(error, 'may-have-run');
-				context.log.warn('planner-write-failed', {code, error: message});
+				context.log.warn('planner-pass-failed', {code, error: message});
 			}
 		}
 
--- a/packages/instance/src/rack-record.ts
+++ b/packages/instance/src/rack-record.ts
@@ -33,7 +33,7 @@
 		? {
 				...record,
 				placements: record.placements.map((placement) =>
-					placement.job === job ? {...placement, phase: 'evicting', evictByMs} : placement,
+					placement.job === job ? {...placement, phase: 'evicting', evictByMs, expectedEndMs: evictByMs} : placement,
 				),
 			}
 		: undefined;
--- a/packages/instance/src/test/world.ts
+++ b/packages/instance/src/test/world.ts
@@ -130,9 +130,10 @@
 		labels: {},
 		quota: {accelerators: 64, queuedJobs: 5000, concurrentRequests: 10, queuedRequests: 10},
 	})),
-	guarantees: [],
+	guarantees: [{name: 'alpha-eight', customer: 'alpha', count: 1, accelerators: 8, workerSelector: {}}],
 	jobClasses: [
 		jobClassOf('batch', {}),
+		jobClassOf('urgent', {urgency: 'urgent', preemptible: false, checkpointSeconds: 0}),
 		jobClassOf('once', {retryRule: 'at-most-once', preemptible: false, checkpointSeconds: 0}),
 	],
 	pools: [
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -236,6 +236,13 @@
 	payload: unknown;
 }>;
 
+/** How one task of an attempt ended on a worker; the evidence against workers that fail everything. */
+export type TaskEnd = Readonly<{
+	worker: string;
+	isSuccess: boolean;
+	atMs: number;
+}>;
+
 export type JobState = 'queued' | 'ended';
 
 /** The one placement that may start the current attempt. */
@@ -253,6 +260,8 @@
 		attempt: number;
 		/** Workers on which earlier attempts failed. */
 		failedOn: readonly string[];
+		/** The newest ends of tasks, at most `MAX_TASK_ENDS`. */
+		taskEnds?: readonly TaskEnd[];
 		cancelRequested: boolean;
 		/** Attempt whose checkpoint the next one continues from. */
 		checkpointAttempt?: number;
