Keep long work without a checkpoint out of homes, and claims of urgent work short

Change: such work borrows a home only for up to 600 s; urgent claims come first and use the urgent grace under every claim.

--- a/packages/placement/src/claims.test.ts
+++ b/packages/placement/src/claims.test.ts
@@ -83,6 +83,25 @@
 	]);
 });
 
+// Guards against an urgent claim of an owner that waits for the checkpoints of its borrowers.
+await t.test('urgent work of an owner has the urgent grace too', async (t) => {
+	const view = placed(guaranteed, [testJob('x', ['b', 'batch', 8]), testJob('y', ['b', 'batch', 8])]);
+	t.match(planPass(arrive(view, 5000, testJob('u', ['a', 'urgent', 1]))), [
+		{kind: 'evict', graceMs: 0},
+		{kind: 'wait'},
+	]);
+});
+
+// Guards against long runs without a checkpoint that a claim of an owner would lose.
+await t.test('long work without a checkpoint does not borrow homes', async (t) => {
+	const jobClasses = testBundle({}).jobClasses.map((entry) => ({...entry, checkpointSeconds: 0}));
+	const bundle = testBundle({jobClasses, guarantees: [testGuarantee('a', 2, 8)]});
+	const jobs = [601, 600].map((declaredSeconds) =>
+		testJob(`j${declaredSeconds}`, ['b', 'batch', 8], {declaredSeconds}),
+	);
+	t.same(placedJobs(planPass(testView(bundle, jobs))), ['j600']);
+});
+
 // Guards against urgent work that waits for a checkpoint which another claim started, and against evicting twice for it.
 await t.test('urgent work does not wait for long checkpoints in progress', async (t) => {
 	const full = placed(testBundle({}), [testJob('x', ['b', 'batch', 8]), testJob('y', ['b', 'batch', 8])]);
--- a/packages/placement/src/claims.ts
+++ b/packages/placement/src/claims.ts
@@ -12,7 +12,6 @@
 /** A reason for which a waiting job may evict others. */
 export type Claim = Readonly<{
 	name: string;
-	isUrgent: boolean;
 	/** Whether the claim applies at all. */
 	applies: (state: PassState, demand: Demand) => boolean;
 	isVictim: (state: PassState, demand: Demand) => VictimRule;
@@ -37,7 +36,6 @@
 /** The owner takes its home back. A job much smaller than the home takes it only when it must. */
 export const GUARANTEE_CLAIM: Claim = {
 	name: 'guarantee',
-	isUrgent: false,
 	applies: (state, demand) =>
 		state.homesByCustomer.get(demand.customer.name)?.some(({size}) => size >= demand.job.accelerators) ?? false,
 	isVictim: (_state, demand) => (held) =>
@@ -56,7 +54,6 @@
 
 export const URGENT_CLAIM: Claim = {
 	name: 'urgency',
-	isUrgent: true,
 	applies: (_state, {jobClass}) => jobClass.urgency === 'urgent',
 	isVictim: () => (held) => held.isBorrowed,
 };
@@ -64,7 +61,6 @@
 /** A partner below its share of a pool takes back what a partner above its share holds. */
 export const SHARE_CLAIM: Claim = {
 	name: 'partner share',
-	isUrgent: false,
 	applies: (state, {customer, job}) =>
 		[...state.fleet.pools.values()].some(
 			({name}) =>
@@ -92,7 +88,6 @@
 /** Bounds how long wrong estimates delay a reservation. */
 export const DELAY_CLAIM: Claim = {
 	name: 'bounded delay',
-	isUrgent: false,
 	applies: (state, demand) => waitedSeconds(state, demand) >= MAX_RESERVATION_DELAY_SECONDS,
 	isVictim: (state, demand) => (held) =>
 		held.isBorrowed &&
@@ -106,7 +101,6 @@
 /** A short job goes before long ones that can checkpoint when that gains more time than it costs. */
 export const GAIN_CLAIM: Claim = {
 	name: 'gain',
-	isUrgent: false,
 	applies: (state, demand) => waitedSeconds(state, demand) >= GAIN_WAIT_RATIO * demand.estimate.expectedSeconds,
 	isVictim: (state, demand) => (held) =>
 		held.isBorrowed &&
@@ -116,7 +110,7 @@
 };
 
 /** In order of precedence. */
-export const CLAIMS: readonly Claim[] = [GUARANTEE_CLAIM, URGENT_CLAIM, SHARE_CLAIM, DELAY_CLAIM, GAIN_CLAIM];
+export const CLAIMS: readonly Claim[] = [URGENT_CLAIM, GUARANTEE_CLAIM, SHARE_CLAIM, DELAY_CLAIM, GAIN_CLAIM];
 
 export const evictionFor = (state: PassState, demand: Demand, claim: Claim): Eviction | undefined => {
 	if (!claim.applies(state, demand)) {
@@ -124,7 +118,7 @@
 	}
 
 	const eviction = cheapestEviction(state, demand, {
-		cost: evictionCost(state, claim.isVictim(state, demand), claim.isUrgent),
+		cost: evictionCost(state, claim.isVictim(state, demand), demand.jobClass.urgency === 'urgent'),
 		isRunConsidered: claim.isRunConsidered?.(state, demand),
 		isInOwnHome: claim === GUARANTEE_CLAIM,
 	});
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -46,3 +46,12 @@
 
 /** Largest share of a pool's workers in quarantine, so that a bad release doesn't remove the pool. */
 export const QUARANTINE_CAP = 0.1;
+
+/** Work that can't checkpoint borrows a home only when it is expected to end within this time, because an owner's claim loses all of it. */
+export const BORROWING_WITHOUT_CHECKPOINT_SECONDS = 600;
+
+/** Accelerators whose evictions for defragmentation may be in progress at the same time. */
+export const MAX_MOVING_ACCELERATORS = 16;
+
+/** A move must gain this many times what it costs; both are accelerator-seconds. */
+export const MOVE_GAIN_FACTOR = 20;
--- a/packages/placement/src/demand.ts
+++ b/packages/placement/src/demand.ts
@@ -1,3 +1,4 @@
+import {BORROWING_WITHOUT_CHECKPOINT_SECONDS} from './constants.js';
 import type {Customer, JobClass, JobRecord} from '@bergamotgauge/model';
 import type {Eligibility} from './fleet.js';
 import type {PassState, RackState} from './pass-state.js';
@@ -26,6 +27,10 @@
 export const isPreemptibleClass = (jobClass: JobClass): boolean =>
 	jobClass.preemptible && (jobClass.retryRule === 'idempotent' || jobClass.checkpointSeconds > 0);
 
+/** Whether the work may use homes of other customers: it can be evicted, and doing so doesn't lose a long run. */
+export const mayBorrow = ({isPreemptible, jobClass, estimate}: Demand): boolean =>
+	isPreemptible && (jobClass.checkpointSeconds > 0 || estimate.expectedSeconds <= BORROWING_WITHOUT_CHECKPOINT_SECONDS);
+
 /** Whether the partner's declared share of a pool admits work of this size that can't be evicted. */
 export const fitsShare = ({fleet, firmByPartner}: PassState, poolName: string, demand: Demand): boolean => {
 	const pool = fleet.pools.get(poolName);
--- a/packages/placement/src/plan-pass.ts
+++ b/packages/placement/src/plan-pass.ts
@@ -1,6 +1,6 @@
 import {CLAIMS, evictionFor, GUARANTEE_CLAIM, URGENT_CLAIM, type Claim} from './claims.js';
 import {EVICTION_SEARCH_LIMIT, RESERVATION_LIMIT} from './constants.js';
-import type {Demand} from './demand.js';
+import {mayBorrow, type Demand} from './demand.js';
 import {graceMs, type Eviction} from './eviction.js';
 import {bestFreeRun, holdEndMs} from './free-run.js';
 import type {Eligibility} from './fleet.js';
@@ -25,9 +25,10 @@
 };
 
 /** Demands with the same key and eligibility find the same free runs; only homes tell the customers of a partner apart. */
-const demandKey = ({homesByCustomer}: PassState, {job, jobClass, isPreemptible, customer}: Demand): string => {
+const demandKey = ({homesByCustomer}: PassState, demand: Demand): string => {
+	const {job, jobClass, isPreemptible, customer} = demand;
 	const owner = homesByCustomer.has(customer.name) ? `customer ${customer.name}` : customer.partner;
-	return `${job.accelerators}/${isPreemptible}/${jobClass.retryRule}/${jobClass.checkpointSeconds > 0}/${owner}`;
+	return `${job.accelerators}/${isPreemptible}/${jobClass.retryRule}/${mayBorrow(demand)}/${owner}`;
 };
 
 const placement = (pass: Pass, demand: Demand, {rack, start}: Run): PlaceDecision => {
@@ -81,7 +82,8 @@
 	return decision;
 };
 
-const evictions = (pass: Pass, demand: Demand, {name, isUrgent}: Claim, eviction: Eviction) => {
+const evictions = (pass: Pass, demand: Demand, {name}: Claim, eviction: Eviction) => {
+	const isUrgent = demand.jobClass.urgency === 'urgent';
 	const decisions: EvictDecision[] = [];
 	let readyMs = pass.state.view.nowMs;
 	for (const held of eviction.victims) {
--- a/packages/placement/src/wait-reason.ts
+++ b/packages/placement/src/wait-reason.ts
@@ -36,5 +36,5 @@
 
 	return isOutsideHomes
 		? `the share of partner ${demand.customer.partner} is in use by work that can't be evicted`
-		: "all matching accelerators are in homes of other customers, and the job can't be evicted";
+		: 'all matching accelerators are in homes of other customers, which the job may not borrow';
 };
--- a/packages/placement/src/windows.ts
+++ b/packages/placement/src/windows.ts
@@ -1,5 +1,5 @@
 import type {Block} from '@bergamotgauge/model';
-import {fitsShare, isAdmitted, type Demand} from './demand.js';
+import {fitsShare, isAdmitted, mayBorrow, type Demand} from './demand.js';
 import type {FleetRack} from './fleet.js';
 import {acceleratorsOf, type PassState, type RackState} from './pass-state.js';
 
@@ -35,6 +35,7 @@
 */
 export const homeUse = (state: PassState, {rack, start}: Run, demand: Demand): HomeUse | undefined => {
 	const end = start + demand.job.accelerators;
+	const isBorrower = mayBorrow(demand);
 	let ownCells = 0;
 	let borrowed = 0;
 	let ownHome = -1;
@@ -45,7 +46,7 @@
 		}
 
 		if (state.homes[index]!.customer !== demand.customer.name) {
-			if (!demand.isPreemptible) {
+			if (!isBorrower) {
 				return undefined;
 			}
 
