Move jobs by checkpoint to keep blocks of guaranteed shapes whole

Ruled out: placement alone, which already avoids whole blocks. Change: when no job waits, the pass moves the jobs of the block that gains most, if they fit into accelerators outside such blocks and the gain is 20 times the cost.

--- a/packages/placement/src/claims.test.ts
+++ b/packages/placement/src/claims.test.ts
@@ -186,6 +186,22 @@
 	t.equal(workers.size, 2);
 });
 
+// Guards against a fragmented pool that stays so, and against moves that cost more than they gain.
+await t.test('jobs move by checkpoint when that makes a block whole', async (t) => {
+	const bundle = testBundle({racks: testRacks(1, 4), guarantees: [testGuarantee('a', 1, 16)]});
+	const jobs = ['x', 'y'].map((id) => testJob(id, ['b', 'batch', 1], {declaredSeconds: 7200}));
+	const [homes, first, second] = planPass(testView(bundle, jobs));
+	const spread = applyAll(testView(bundle, jobs), [homes!, first!, second!]);
+	const record = spread.racks.get('r0')!;
+	const placements = record.placements.map((placement, index) => ({
+		...placement,
+		blocks: [{worker: `r0w${index * 2}`, first: 0, count: 1}],
+	}));
+	const at = (nowMs: number) => planPass({...spread, nowMs, racks: new Map([['r0', {...record, placements}]])});
+	t.equal(evictedJobs(at(600_000)).length, 1);
+	t.same(evictedJobs(at(7_180_000)), [], 'the jobs end soon, so the gain of 160 is below 20 times the cost of 10');
+});
+
 // Guards against a task whose cores or memory its worker does not have.
 await t.test('cores and memory of a worker are not exceeded', async (t) => {
 	const jobs = ['x', 'y', 'z'].map((id) => testJob(id, ['a', 'firm', 1], {coresPerAccelerator: 100}));
--- a/packages/placement/src/demand.ts
+++ b/packages/placement/src/demand.ts
@@ -1,5 +1,5 @@
-import {BORROWING_WITHOUT_CHECKPOINT_SECONDS} from './constants.js';
 import type {Customer, JobClass, JobRecord} from '@bergamotgauge/model';
+import {BORROWING_WITHOUT_CHECKPOINT_SECONDS} from './constants.js';
 import type {Eligibility} from './fleet.js';
 import type {PassState, RackState} from './pass-state.js';
 import type {Estimate} from './types.js';
--- a/packages/placement/src/plan-pass.ts
+++ b/packages/placement/src/plan-pass.ts
@@ -6,6 +6,7 @@
 import type {Eligibility} from './fleet.js';
 import {planHomes} from './homes.js';
 import {add, createPassState, occupy, type PassState} from './pass-state.js';
+import {planMoves} from './moves.js';
 import {createQueue} from './queue.js';
 import {earliestRun, reserve} from './reservation.js';
 import {SCORES} from './scores/index.js';
@@ -213,6 +214,11 @@
 		decisions.push(...decide(pass, demand));
 	}
 
+	// A job that waits would take the accelerators that a move frees, so the moves come when none does.
+	if (decisions.every(({kind}) => kind === 'homes')) {
+		decisions.push(...planMoves(state));
+	}
+
 	return decisions;
 };
 
