--- a/packages/placement/src/scores/index.ts
+++ b/packages/placement/src/scores/index.ts
@@ -2,5 +2,6 @@
 import {borrowingScore} from './borrowing.js';
 import {endDistanceScore} from './end-distance.js';
 import {fragmentationScore} from './fragmentation.js';
+import {pinnedScore} from './pinned.js';
 
-export const SCORES: readonly Score[] = [fragmentationScore, endDistanceScore, borrowingScore];
+export const SCORES: readonly Score[] = [fragmentationScore, endDistanceScore, borrowingScore, pinnedScore];
