Revert "Try keeping pinned work together and moving more often"

Change tried: a score that keeps such work together, moves while other evictions are in progress, and a gain of 10 instead of 20 times the cost.

--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -54,4 +54,4 @@
 export const MAX_MOVING_ACCELERATORS = 16;
 
 /** A move must gain this many times what it costs; both are accelerator-seconds. */
-export const MOVE_GAIN_FACTOR = 10;
+export const MOVE_GAIN_FACTOR = 20;
--- a/packages/placement/src/free-run.ts
+++ b/packages/placement/src/free-run.ts
@@ -57,13 +57,10 @@
 	const lastCell = firstCell + rack.fleetRack.workers[worker]!.accelerators;
 	let remainingOnWorker = 0;
 	let latestEndMs = 0;
-	let hasPinnedNeighbour = false;
 	for (let cell = firstCell; cell < lastCell; cell += 1) {
 		const occupant = rack.occupant[cell]!;
 		if (occupant !== -1) {
-			const held = state.held[occupant]!;
-			latestEndMs = Math.max(latestEndMs, held.endMs);
-			hasPinnedNeighbour ||= !held.placement.preemptible || held.jobClass?.checkpointSeconds === 0;
+			latestEndMs = Math.max(latestEndMs, state.held[occupant]!.endMs);
 		} else if (cell < start || cell >= start + accelerators) {
 			remainingOnWorker += 1;
 		}
@@ -79,8 +76,6 @@
 		endDistanceSeconds: latestEndMs === 0 ? 0 : Math.abs(endMs - latestEndMs) / 1000,
 		borrowedAccelerators: borrowed,
 		ownHomeShare: ownHome === -1 ? 0 : accelerators / acceleratorsOf(state.homes[ownHome]!.blocks),
-		isPinned: !demand.isPreemptible || demand.jobClass.checkpointSeconds === 0,
-		hasPinnedNeighbour,
 		isCostlyToEvict: demand.jobClass.checkpointSeconds === 0,
 		expectedSeconds: demand.estimate.expectedSeconds,
 	};
--- a/packages/placement/src/moves.ts
+++ b/packages/placement/src/moves.ts
@@ -105,14 +105,11 @@
 		: undefined;
 };
 
-const evictingAccelerators = ({held}: PassState): number =>
-	held.reduce((sum, {isEvicting, accelerators}) => sum + (isEvicting ? accelerators : 0), 0);
-
 /**
 Moves jobs by checkpoint out of the block of the largest guaranteed shape that gains the most by it, when they fit into accelerators outside such blocks. One block at a time, so that the moved jobs find their places before the next is chosen.
 */
 export const planMoves = (state: PassState): readonly EvictDecision[] => {
-	if (state.fleet.largestShape === 1 || evictingAccelerators(state) >= MAX_MOVING_ACCELERATORS) {
+	if (state.fleet.largestShape === 1 || state.held.some(({isEvicting}) => isEvicting)) {
 		return [];
 	}
 
--- a/packages/placement/src/scores/index.ts
+++ b/packages/placement/src/scores/index.ts
@@ -2,6 +2,5 @@
 import {borrowingScore} from './borrowing.js';
 import {endDistanceScore} from './end-distance.js';
 import {fragmentationScore} from './fragmentation.js';
-import {pinnedScore} from './pinned.js';
 
-export const SCORES: readonly Score[] = [fragmentationScore, endDistanceScore, borrowingScore, pinnedScore];
+export const SCORES: readonly Score[] = [fragmentationScore, endDistanceScore, borrowingScore];
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -120,10 +120,6 @@
 	borrowedAccelerators: number;
 	/** Share of a home of the job's own customer that the run takes; 0 outside such homes. */
 	ownHomeShare: number;
-	/** True for work that can't move by checkpoint. */
-	isPinned: boolean;
-	/** True when such work runs on the first worker of the run. */
-	hasPinnedNeighbour: boolean;
 	/** True when an eviction would lose the work. */
 	isCostlyToEvict: boolean;
 	expectedSeconds: number;
