--- a/packages/placement/src/claims.test.ts
+++ b/packages/placement/src/claims.test.ts
@@ -83,6 +83,25 @@
 	]);
 });
 
+// Guards against an urgent claim of an owner that waits for the checkpoints of its borrowers.
+await t.test('urgent work of an owner has the urgent grace too', async (t) => {
+	const view = placed(guaranteed, [testJob('x', ['b', 'batch', 8]), testJob('y', ['b', 'batch', 8])]);
+	t.match(planPass(arrive(view, 5000, testJob('u', ['a', 'urgent', 1]))), [
+		{kind: 'evict', graceMs: 0},
+		{kind: 'wait'},
+	]);
+});
+
+// Guards against long runs without a checkpoint that a claim of an owner would lose.
+await t.test('long work without a checkpoint does not borrow homes', async (t) => {
+	const jobClasses = testBundle({}).jobClasses.map((entry) => ({...entry, checkpointSeconds: 0}));
+	const bundle = testBundle({jobClasses, guarantees: [testGuarantee('a', 2, 8)]});
+	const jobs = [601, 600].map((declaredSeconds) =>
+		testJob(`j${declaredSeconds}`, ['b', 'batch', 8], {declaredSeconds}),
+	);
+	t.same(placedJobs(planPass(testView(bundle, jobs))), ['j600']);
+});
+
 // Guards against urgent work that waits for a checkpoint which another claim started, and against evicting twice for it.
 await t.test('urgent work does not wait for long checkpoints in progress', async (t) => {
 	const full = placed(testBundle({}), [testJob('x', ['b', 'batch', 8]), testJob('y', ['b', 'batch', 8])]);
@@ -167,6 +186,22 @@
 	t.equal(workers.size, 2);
 });
 
+// Guards against a fragmented pool that stays so, and against moves that cost more than they gain.
+await t.test('jobs move by checkpoint when that makes a block whole', async (t) => {
+	const bundle = testBundle({racks: testRacks(1, 4), guarantees: [testGuarantee('a', 1, 16)]});
+	const jobs = ['x', 'y'].map((id) => testJob(id, ['b', 'batch', 1], {declaredSeconds: 7200}));
+	const [homes, first, second] = planPass(testView(bundle, jobs));
+	const spread = applyAll(testView(bundle, jobs), [homes!, first!, second!]);
+	const record = spread.racks.get('r0')!;
+	const placements = record.placements.map((placement, index) => ({
+		...placement,
+		blocks: [{worker: `r0w${index * 2}`, first: 0, count: 1}],
+	}));
+	const at = (nowMs: number) => planPass({...spread, nowMs, racks: new Map([['r0', {...record, placements}]])});
+	t.equal(evictedJobs(at(600_000)).length, 1);
+	t.same(evictedJobs(at(7_180_000)), [], 'the jobs end soon, so the gain of 160 is below 20 times the cost of 10');
+});
+
 // Guards against a task whose cores or memory its worker does not have.
 await t.test('cores and memory of a worker are not exceeded', async (t) => {
 	const jobs = ['x', 'y', 'z'].map((id) => testJob(id, ['a', 'firm', 1], {coresPerAccelerator: 100}));
