Try a job again on few workers, and end it after twice its attempts

Cause: a job that had failed on each worker that fits it waited for good, because workers on which it failed were never used again. Ruled out: ending it at once, because one failure on its only worker may be the worker's. Change: failed workers are avoided only while the shape fits elsewhere; the job ends after twice its class's attempts.

--- a/packages/model/src/constants.ts
+++ b/packages/model/src/constants.ts
@@ -24,4 +24,4 @@
 export const MAX_GANG_ACCELERATORS = 64;
 
 /** Ends of tasks that a job's record keeps. */
-export const MAX_TASK_ENDS = 16;
+export const MAX_TASK_ENDS = 64;
--- a/packages/placement/src/demand.ts
+++ b/packages/placement/src/demand.ts
@@ -12,6 +12,8 @@
 	estimate: Estimate;
 	isPreemptible: boolean;
 	eligibility: Eligibility;
+	/** Workers on which the job failed and is not tried again. */
+	avoidedWorkers: readonly string[];
 	/** Position in the order of the queue; higher goes first. */
 	rank: number;
 }>;
@@ -61,7 +63,7 @@
 	return (
 		rack.isUsable[workerIndex]! &&
 		demand.eligibility[rack.fleetRack.index]![workerIndex]! &&
-		!demand.job.failedOn.includes(worker.name) &&
+		!demand.avoidedWorkers.includes(worker.name) &&
 		// Probation risks only work that may be repeated and that stays on the one worker.
 		(!rack.isOnProbation[workerIndex]! ||
 			(demand.jobClass.retryRule === 'idempotent' && demand.job.accelerators <= worker.accelerators))
--- a/packages/placement/src/ended-jobs.ts
+++ b/packages/placement/src/ended-jobs.ts
@@ -11,6 +11,10 @@
 	reason: outcome.reason,
 });
 
+/** Attempts that failed; the ends of one attempt share their time. A job that fits few workers fails on the same ones again. */
+const failedAttempts = (job: JobRecord): number =>
+	new Set((job.taskEnds ?? []).filter(({isSuccess}) => !isSuccess).map(({atMs}) => atMs)).size;
+
 /** Ends a job that must not or need not run again: cancelled, at-most-once after a failure, or failed on several workers. */
 export const endOfJob = (
 	job: JobRecord,
@@ -35,7 +39,8 @@
 
 	const ownFault = failedOn.filter((worker) => !quarantined.has(worker));
 	const isOwnFault = ownFault.length >= jobClass.maxAttempts;
-	return isOwnFault || failedOn.length >= jobClass.maxAttempts * QUARANTINED_FAILURE_FACTOR
+	const mostFailures = jobClass.maxAttempts * QUARANTINED_FAILURE_FACTOR;
+	return isOwnFault || failedOn.length >= mostFailures || failedAttempts(job) >= mostFailures
 		? end(job, {
 				kind: 'failed',
 				verdict: 'ran',
--- a/packages/placement/src/explain-job.ts
+++ b/packages/placement/src/explain-job.ts
@@ -1,3 +1,4 @@
+import {avoidedWorkers} from './avoided-workers.js';
 import {cheapestEviction, evictionCost} from './eviction.js';
 import {isPreemptibleClass, type Demand} from './demand.js';
 import {planHomes} from './homes.js';
@@ -33,6 +34,7 @@
 		estimate: (options.estimate ?? correctedEstimate(view.runTimes))(job),
 		isPreemptible: isPreemptibleClass(jobClass),
 		eligibility: state.fleet.eligibility(job),
+		avoidedWorkers: avoidedWorkers(view.bundle, job),
 		rank: 0,
 	};
 	const cost = evictionCost(state, () => true, false);
--- a/packages/placement/src/queue.ts
+++ b/packages/placement/src/queue.ts
@@ -1,4 +1,5 @@
 import type {JobRecord} from '@bergamotgauge/model';
+import {avoidedWorkers} from './avoided-workers.js';
 import {GUARANTEE_CLAIM} from './claims.js';
 import {isPreemptibleClass, type Demand} from './demand.js';
 import {endOfJob} from './ended-jobs.js';
@@ -64,6 +65,7 @@
 			estimate: estimated,
 			isPreemptible: isPreemptibleClass(jobClass),
 			eligibility: fleet.eligibility(job),
+			avoidedWorkers: avoidedWorkers(view.bundle, job),
 			rank: order({job, jobClass, customer, estimate: estimated, heldAccelerators}, view.nowMs),
 		};
 	};
