Resolve every store write to a verdict and bound retries

Cause: an answer lost together with a failing read-back, or with another write in between, ended as unknown; a write lost before its effect was never repeated; an outage cost every caller its full deadline; one oversized record refused its whole batch; a removed key returned to revision 0, so that a repeated creation could undo the removal; a compacted watch answer was mixed with the old copy and a failed watch relied on a restart delay that only grows.

Change: values carry their newest operations with the revision that each replaced. At most one operation succeeds on a revision, so the read-back proves applied or not applied even after later writes. While the key is unchanged the identical compare-and-swap is repeated. Reads have a retry budget with jitter and a circuit breaker; after an outage a read is the probe, never a write. remove stores an empty value. A group commit bisects a batch that is too large.

Ruled out: keeping only the last operation id (a follower hides it), and repeating with a new revision (a blind rewrite).

--- a/packages/platform/src/constants.ts
+++ b/packages/platform/src/constants.ts
@@ -19,3 +19,34 @@
 
 /** A list with less than this share of the entries known before removes nothing. */
 export const PLAUSIBLE_LIST_SHARE = 0.5;
+
+/** Operations that a value carries; a write is resolved as long as at most this many followed it. */
+export const OPERATION_HISTORY_LENGTH = 8;
+
+export const READ_ATTEMPTS = 3;
+
+export const RETRY_MIN_MS = 50;
+
+export const RETRY_MAX_MS = 1000;
+
+/** Retries that each call adds to the budget. */
+export const RETRY_BUDGET_SHARE = 0.1;
+
+export const RETRY_BUDGET_MAX = 10;
+
+/** Time for which a write with unknown effect is resolved. */
+export const RESOLVE_DEADLINE_MS = 4000;
+
+/** Failures in a row that open the circuit breaker. */
+export const BREAKER_FAILURES = 5;
+
+export const BREAKER_MIN_MS = 500;
+
+export const BREAKER_MAX_MS = 2000;
+
+/** Changes that go into one write. */
+export const GROUP_COMMIT_MAX_BATCH = 500;
+
+export const WATCH_RETRY_MIN_MS = 100;
+
+export const WATCH_RETRY_MAX_MS = 2000;
--- a/packages/platform/src/group-commit.ts
+++ b/packages/platform/src/group-commit.ts
@@ -1,6 +1,12 @@
 import {ServiceError} from '@bergamotgauge/model';
-import {GROUP_COMMIT_ATTEMPTS, GROUP_COMMIT_MAX_WAITING, STORE_RETRY_AFTER_MS} from './constants.js';
-import type {Entry, Store} from './types.js';
+import {
+	GROUP_COMMIT_ATTEMPTS,
+	GROUP_COMMIT_MAX_BATCH,
+	GROUP_COMMIT_MAX_WAITING,
+	STORE_RETRY_AFTER_MS,
+} from './constants.js';
+import type {Entry, Store, WriteResult} from './types.js';
+import {encodeValue} from './value-codec.js';
 
 /** A change of a value; may throw to refuse only itself. */
 export type Change<Value, Result> = (value: Value) => Readonly<{value: Value; result: Result}>;
@@ -49,6 +55,45 @@
 	return {value, settled};
 };
 
+const isTooLarge = (error: unknown): error is ServiceError =>
+	error instanceof ServiceError && error.code === 'too-large';
+
+const sizeFault = (value: unknown): ServiceError | undefined => {
+	try {
+		encodeValue([], value);
+		return undefined;
+	} catch (error) {
+		if (isTooLarge(error)) {
+			return error;
+		}
+
+		throw error;
+	}
+};
+
+/** Applies the changes whose result fits the store and refuses the others. A change that shrinks the value fits also when the value is full. */
+const applyFitting = <Value>(start: Value, batch: ReadonlyArray<Waiting<Value>>): Applied<Value> => {
+	const all = applyAll(start, batch);
+	const fault = all.value === start ? undefined : sizeFault(all.value);
+	if (!fault) {
+		return all;
+	}
+
+	if (batch.length === 1) {
+		return {
+			value: start,
+			settled: batch.map(({reject}) => () => {
+				reject(fault);
+			}),
+		};
+	}
+
+	const middle = Math.ceil(batch.length / 2);
+	const left = applyFitting(start, batch.slice(0, middle));
+	const right = applyFitting(left.value, batch.slice(middle));
+	return {value: right.value, settled: [...left.settled, ...right.settled]};
+};
+
 const contended = (key: string): ServiceError =>
 	new ServiceError(`${key} changed ${GROUP_COMMIT_ATTEMPTS} times during the write`, {
 		code: 'overloaded',
@@ -57,7 +102,7 @@
 	});
 
 /**
-Creates the writer of one key. Changes that arrive during a write go into the next one together.
+Creates the writer of one key. Changes that arrive during a write go into the next one together. A change that would make the value too large is refused alone.
 
 @example
 ```ts
@@ -72,16 +117,38 @@
 	let waiting: Array<Waiting<Value>> = [];
 	let isWriting = false;
 
+	const putFitting = async (
+		start: Value,
+		batch: ReadonlyArray<Waiting<Value>>,
+		revision: number,
+	): Promise<Readonly<{applied: Applied<Value>; result: WriteResult | undefined}>> => {
+		const applied = applyAll(start, batch);
+		if (applied.value === start) {
+			return {applied, result: undefined};
+		}
+
+		try {
+			return {applied, result: await store.put(key, applied.value, revision)};
+		} catch (error) {
+			if (!isTooLarge(error)) {
+				throw error;
+			}
+		}
+
+		const fitting = applyFitting(start, batch);
+		const result = fitting.value === start ? undefined : await store.put(key, fitting.value, revision);
+		return {applied: fitting, result};
+	};
+
 	const commit = async (batch: ReadonlyArray<Waiting<Value>>): Promise<Applied<Value>> => {
 		let current = known();
 		for (let attempt = 0; attempt < GROUP_COMMIT_ATTEMPTS; attempt += 1) {
 			const start = (current.value ?? empty) as Value;
-			const applied = applyAll(start, batch);
-			if (applied.value === start) {
+			const {applied, result} = await putFitting(start, batch, current.revision);
+			if (!result) {
 				return applied;
 			}
 
-			const result = await store.put(key, applied.value, current.revision);
 			if (result.outcome === 'applied') {
 				onWritten({key, revision: result.revision, value: applied.value});
 				return applied;
@@ -104,8 +171,8 @@
 	const drain = async () => {
 		isWriting = true;
 		while (waiting.length > 0) {
-			const batch = waiting;
-			waiting = [];
+			const batch = waiting.slice(0, GROUP_COMMIT_MAX_BATCH);
+			waiting = waiting.slice(GROUP_COMMIT_MAX_BATCH);
 			try {
 				const {settled} = await commit(batch);
 				for (const settle of settled) {
--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -1,50 +1,58 @@
 import {Buffer} from 'node:buffer';
-import {withDeadline} from '@bergamotgauge/lifecycle';
 import {ServiceError} from '@bergamotgauge/model';
 import type {Metrics} from '@bergamotgauge/telemetry';
-import {Agent, request} from 'undici';
 import {v7 as uuidv7} from 'uuid';
-import {STORE_DEADLINE_MS, STORE_RETRY_AFTER_MS, WATCH_GRACE_MS} from './constants.js';
-import type {Changes, Entry, Store, StoreCall, WriteResult} from './types.js';
-import {decodeValue, encodeValue, type Envelope} from './value-codec.js';
+import {RESOLVE_DEADLINE_MS, STORE_DEADLINE_MS, WATCH_GRACE_MS} from './constants.js';
+import {createOperationHistory, extendOperations, type OperationHistory} from './operation-history.js';
+import {createRetryDelays, createTransport, unavailable, type Reply} from './transport.js';
+import type {Changes, Entry, Operation, Store, WriteResult} from './types.js';
+import {decodeValue, encodeValue} from './value-codec.js';
 
 type WireEntry = Readonly<{key: string; revision: number; value: string | undefined}>;
 
 type WireChanges = Readonly<{revision: number; entries: readonly WireEntry[]; compacted?: boolean}>;
 
-type Reply = Readonly<{status: number; body: unknown}>;
-
 export type StoreClientOptions = Readonly<{
 	/** Base URL of the store. */
 	url: string;
 	metrics: Metrics;
 	deadlineMs?: number;
+	history?: OperationHistory;
 }>;
 
-type DecodedEntry = Readonly<{entry: Entry<unknown>; operation: string | undefined}>;
+type Write = Readonly<{
+	kind: 'put' | 'remove';
+	key: string;
+	operation: Operation;
+	operations: readonly Operation[];
+	body: Uint8Array;
+}>;
 
-const decodeEntry = (wire: WireEntry): DecodedEntry => {
-	const envelope: Envelope | undefined =
-		wire.value === undefined ? undefined : decodeValue(Buffer.from(wire.value, 'base64'));
-	return {
-		entry: {key: wire.key, revision: wire.revision, value: envelope?.data},
-		operation: envelope?.operation,
-	};
-};
+/** Result of one attempt; `undefined` when its effect is not known. */
+type Attempt = WriteResult | undefined;
 
-const decodeChanges = (wire: WireChanges): Changes => ({
-	revision: wire.revision,
-	entries: wire.entries.map((entry) => decodeEntry(entry).entry),
-	compacted: wire.compacted ?? false,
-});
+const asError = (thrown: unknown): Error => (thrown instanceof Error ? thrown : new Error(String(thrown)));
 
-const unavailable = (cause: Error): ServiceError =>
-	new ServiceError(`the store does not answer: ${cause.message}`, {
-		code: 'store-unavailable',
-		verdict: 'not-run',
-		retryAfterMs: STORE_RETRY_AFTER_MS,
-		cause,
-	});
+const isNeverSent = (error: unknown): boolean =>
+	error instanceof Error &&
+	'code' in error &&
+	(error.code === 'ECONNREFUSED' || error.code === 'UND_ERR_CONNECT_TIMEOUT');
+
+/**
+Tells the fate of a write from the entry found later. At most one operation succeeds on an expected revision, so another one on the same revision proves that this one was not applied.
+*/
+const judge = ({operation}: Write, found: Entry<unknown>): Attempt => {
+	const operations = found.operations ?? [];
+	const index = operations.findIndex(({expectedRevision}) => expectedRevision === operation.expectedRevision);
+	if (index === -1) {
+		return undefined;
+	}
+
+	// The next operation replaced the revision that this one made.
+	return operations[index]?.id === operation.id
+		? {outcome: 'applied', revision: operations[index - 1]?.expectedRevision ?? found.revision}
+		: {outcome: 'conflict', current: found};
+};
 
 /**
 Creates a client of the platform's key-value store.
@@ -55,126 +63,157 @@
 const result = await store.put('racks/r1', record, entry.revision);
 ```
 
-Reads throw `store-unavailable`. A write whose effect is not known is resolved by reading back its operation id; only when that fails too the outcome is `unknown`.
+Reads throw `store-unavailable`. A write whose effect is not known is resolved by reading back its operation id and, while the key is unchanged, by repeating the identical compare-and-swap; only when that fails too the outcome is `unknown`. `remove` stores an empty value, so that a key's revision never returns to 0 and a repeated creation cannot undo a removal.
 */
-export const createStoreClient = ({url, metrics, deadlineMs = STORE_DEADLINE_MS}: StoreClientOptions): Store => {
-	const agent = new Agent({connections: 16, pipelining: 1});
-
-	const call = async (
-		kind: StoreCall,
-		path: string,
-		options: Readonly<{
-			method?: 'GET' | 'PUT' | 'DELETE';
-			body?: Uint8Array;
-			limitMs?: number;
-			signal?: AbortSignal;
-		}> = {},
-	): Promise<Reply> => {
-		metrics.count('store_calls_total', {call: kind});
-		const startedMs = performance.now();
-		try {
-			return await withDeadline(
-				options.limitMs ?? deadlineMs,
-				async (signal) => {
-					const response = await request(`${url}${path}`, {
-						dispatcher: agent,
-						method: options.method ?? 'GET',
-						signal,
-						headersTimeout: 0,
-						bodyTimeout: 0,
-						...(options.body && {body: options.body, headers: {'content-type': 'application/octet-stream'}}),
-					});
-					const body = await response.body.json();
-					if (response.statusCode >= 500) {
-						throw new Error(`status ${response.statusCode}`);
-					}
-
-					return {status: response.statusCode, body};
-				},
-				options.signal,
-			);
-		} finally {
-			metrics.observe('store_call_milliseconds', performance.now() - startedMs, {call: kind});
+export const createStoreClient = (options: StoreClientOptions): Store => {
+	const {url, metrics, deadlineMs = STORE_DEADLINE_MS, history = createOperationHistory()} = options;
+	const transport = createTransport({url, metrics, deadlineMs});
+
+	const decodeEntry = (wire: WireEntry): Entry<unknown> => {
+		if (wire.value === undefined) {
+			return {key: wire.key, revision: wire.revision, value: undefined};
 		}
+
+		const envelope = decodeValue(Buffer.from(wire.value, 'base64'));
+		const entry = {
+			key: wire.key,
+			revision: wire.revision,
+			value: envelope.data,
+			operations: envelope.operations ?? [],
+		};
+		history.observe(entry);
+		return entry;
 	};
 
-	const read = async (key: string): Promise<DecodedEntry> => {
-		const {status, body} = await call('get', `/v1/values/${encodeURIComponent(key)}`);
-		return status === 404
-			? {entry: {key, revision: 0, value: undefined}, operation: undefined}
-			: decodeEntry(body as WireEntry);
+	const decodeChanges = ({status, body}: Reply): Changes => {
+		if (status !== 200) {
+			throw new Error(`status ${status}`);
+		}
+
+		const wire = body as WireChanges;
+		return {
+			revision: wire.revision,
+			entries: wire.entries.map((entry) => decodeEntry(entry)),
+			compacted: wire.compacted ?? false,
+		};
 	};
 
-	const resolveUnknown = async (key: string, operation: string): Promise<WriteResult> => {
-		try {
-			const {entry, operation: lastOperation} = await read(key);
-			return lastOperation === operation ? {outcome: 'applied', revision: entry.revision} : {outcome: 'unknown'};
-		} catch {
-			return {outcome: 'unknown'};
+	const decodeRead = (key: string, {status, body}: Reply): Entry<unknown> => {
+		if (status !== 200 && status !== 404) {
+			throw new Error(`status ${status}`);
+		}
+
+		return status === 404 ? {key, revision: 0, value: undefined} : decodeEntry(body as WireEntry);
+	};
+
+	const pathOf = (key: string): string => `/v1/values/${encodeURIComponent(key)}`;
+
+	const sendWrite = async (write: Write): Promise<Attempt> => {
+		const {kind, key, operation, body} = write;
+		const path = `${pathOf(key)}?expectedRevision=${operation.expectedRevision}`;
+		const reply = await transport.send(kind, path, {method: 'PUT', body});
+		if (reply.status === 200) {
+			return {outcome: 'applied', revision: (reply.body as Readonly<{revision: number}>).revision};
+		}
+
+		if (reply.status === 409) {
+			const current = decodeEntry(reply.body as WireEntry);
+			// An earlier attempt of the same write may be what changed the key.
+			return judge(write, current) ?? {outcome: 'conflict', current};
 		}
+
+		const code = reply.status === 413 ? 'too-large' : 'internal';
+		throw new ServiceError(`the store refused the write to ${key} with status ${reply.status}`, {
+			code,
+			verdict: 'not-run',
+		});
 	};
 
-	const write = async (
-		kind: 'put' | 'remove',
-		key: string,
-		expectedRevision: number,
-		operation: string,
-		body?: Uint8Array,
-	): Promise<WriteResult> => {
-		let reply: Reply;
+	const resolve = async (write: Write): Promise<WriteResult> => {
+		const {key, operation} = write;
+		const delays = createRetryDelays();
+		const deadline = Date.now() + RESOLVE_DEADLINE_MS;
+		while (Date.now() < deadline && (await transport.takeRetry(delays.next()))) {
+			try {
+				const found = decodeRead(key, await transport.send('get', pathOf(key)));
+				if (found.revision !== operation.expectedRevision) {
+					return judge(write, found) ?? {outcome: 'unknown'};
+				}
+
+				const attempt = await sendWrite(write);
+				// A conflict that names no operation on this revision leaves open whether an earlier attempt was applied.
+				return attempt?.outcome === 'conflict' && !judge(write, attempt.current) ? {outcome: 'unknown'} : attempt!;
+			} catch (error) {
+				metrics.count('store_resolve_failures_total', {key, error: asError(error).name});
+			}
+		}
+
+		return {outcome: 'unknown'};
+	};
+
+	const run = async (write: Write): Promise<WriteResult> => {
 		try {
-			reply = await call(kind, `/v1/values/${encodeURIComponent(key)}?expectedRevision=${expectedRevision}`, {
-				method: kind === 'put' ? 'PUT' : 'DELETE',
-				...(body && {body}),
-			});
+			transport.assertAvailable();
+			if (transport.needsProbe()) {
+				await transport.send('get', pathOf(write.key));
+			}
 		} catch (error) {
-			if (error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED') {
-				throw unavailable(error);
+			throw error instanceof ServiceError ? error : unavailable(asError(error));
+		}
+
+		try {
+			return (await sendWrite(write)) ?? (await resolve(write));
+		} catch (error) {
+			if (error instanceof ServiceError) {
+				throw error;
 			}
 
-			return resolveUnknown(key, operation);
+			if (isNeverSent(error)) {
+				throw unavailable(asError(error));
+			}
+
+			return resolve(write);
 		}
+	};
 
-		if (reply.status === 409) {
-			return {outcome: 'conflict', current: decodeEntry(reply.body as WireEntry).entry};
+	const write = async (kind: Write['kind'], key: string, value: unknown, expectedRevision: number) => {
+		const operation: Operation = {id: uuidv7(), expectedRevision};
+		const operations = extendOperations(history.upTo(key, expectedRevision), operation);
+		const result = await run({kind, key, operation, operations, body: encodeValue(operations, value)});
+		metrics.count('store_writes_total', {outcome: result.outcome});
+		if (result.outcome === 'applied') {
+			history.observe({key, revision: result.revision, value, operations});
 		}
 
-		return {outcome: 'applied', revision: (reply.body as Readonly<{revision: number}>).revision};
+		return result;
 	};
 
 	const orUnavailable = async <Result>(work: () => Promise<Result>): Promise<Result> => {
 		try {
 			return await work();
 		} catch (error) {
-			throw unavailable(error instanceof Error ? error : new Error(String(error)));
+			throw error instanceof ServiceError ? error : unavailable(asError(error));
 		}
 	};
 
 	return {
-		get: async (key) =>
-			orUnavailable(async () => {
-				const {entry} = await read(key);
-				return entry;
-			}),
+		get: async (key) => orUnavailable(async () => decodeRead(key, await transport.read('get', pathOf(key)))),
 		list: async (prefix) =>
-			orUnavailable(async () => {
-				const {body} = await call('list', `/v1/values?prefix=${encodeURIComponent(prefix)}`);
-				return decodeChanges(body as WireChanges);
-			}),
-		async put(key, value, expectedRevision) {
-			const operation = uuidv7();
-			return write('put', key, expectedRevision, operation, encodeValue(operation, value));
-		},
-		remove: async (key, expectedRevision) => write('remove', key, expectedRevision, uuidv7()),
+			orUnavailable(async () =>
+				decodeChanges(await transport.read('list', `/v1/values?prefix=${encodeURIComponent(prefix)}`)),
+			),
+		put: async (key, value, expectedRevision) => write('put', key, value, expectedRevision),
+		remove: async (key, expectedRevision) => write('remove', key, undefined, expectedRevision),
 		watch: async (prefixes, afterRevision, waitMs, signal) =>
 			orUnavailable(async () => {
+				transport.assertAvailable();
 				const query = new URLSearchParams({
 					prefixes: prefixes.join(','),
 					after: String(afterRevision),
 					waitMs: String(waitMs),
 				});
-				const {body} = await call('watch', `/v1/watch?${query.toString()}`, {limitMs: waitMs + WATCH_GRACE_MS, signal});
-				return decodeChanges(body as WireChanges);
+				const path = `/v1/watch?${query.toString()}`;
+				return decodeChanges(await transport.send('watch', path, {limitMs: waitMs + WATCH_GRACE_MS, signal}));
 			}),
 	};
 };
--- a/packages/platform/src/value-codec.ts
+++ b/packages/platform/src/value-codec.ts
@@ -1,11 +1,13 @@
 import {STORE_VALUE_LIMIT_BYTES, STORE_VALUE_MARGIN_BYTES, ServiceError} from '@bergamotgauge/model';
 import {decode, encode} from 'cbor-x';
 import {VALUE_SCHEMA_VERSION} from './constants.js';
+import type {Operation} from './types.js';
 
-/** A value with the id of the write that made it. */
+/** A value with the newest operations on its key. */
 export type Envelope = Readonly<{
 	schema: number;
-	operation: string;
+	/** Newest first. */
+	operations: readonly Operation[];
 	data: unknown;
 }>;
 
@@ -14,13 +16,13 @@
 
 @example
 ```ts
-const bytes = encodeValue('0198…', {jobs: {}});
+const bytes = encodeValue([{id: '0198…', expectedRevision: 0}], {jobs: {}});
 ```
 
 @throws {ServiceError} `too-large` when the value would not fit the store.
 */
-export const encodeValue = (operation: string, data: unknown): Uint8Array => {
-	const envelope: Envelope = {schema: VALUE_SCHEMA_VERSION, operation, data};
+export const encodeValue = (operations: readonly Operation[], data: unknown): Uint8Array => {
+	const envelope: Envelope = {schema: VALUE_SCHEMA_VERSION, operations, data};
 	const bytes = encode(envelope);
 	const limit = STORE_VALUE_LIMIT_BYTES - STORE_VALUE_MARGIN_BYTES;
 	if (bytes.byteLength > limit) {
--- /dev/null
+++ b/packages/platform/src/watcher.test.ts
@@ -0,0 +1,108 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import t, {type Test} from 'tap';
+import {createReplica, runWatcher, type Changes, type Store} from './index.js';
+
+type WatchReply = Changes | 'silent';
+
+const ignore = () => {};
+
+const none = async (): Promise<never> => {
+	throw new Error('not used');
+};
+
+/** A store whose watch answers come in turn; a silent one fails as the client does at its deadline. */
+const fakeStore = (replies: readonly WatchReply[], full: () => Changes) => {
+	const calls = {list: 0, after: [] as number[]};
+	const store: Store = {
+		get: none,
+		put: none,
+		remove: none,
+		async list() {
+			calls.list += 1;
+			return full();
+		},
+		async watch(_prefixes, after, waitMs, signal) {
+			const reply = replies[calls.after.length];
+			calls.after.push(after);
+			return new Promise((resolve, reject) => {
+				signal.addEventListener('abort', () => {
+					reject(new Error('aborted'));
+				});
+				if (reply === 'silent') {
+					setTimeout(() => {
+						reject(new Error('deadline'));
+					}, waitMs + 2000);
+				} else if (reply) {
+					resolve(reply);
+				}
+			});
+		},
+	};
+	return {store, calls};
+};
+
+const entry = (key: string, revision: number) => ({key, revision, value: revision});
+
+const run = async (t: Test, store: Store) => {
+	const clock = FakeTimers.install();
+	const controller = new AbortController();
+	const replica = createReplica();
+	const done = runWatcher({
+		store,
+		replica,
+		prefixes: ['a/'],
+		isWatching: () => true,
+		onChanges: ignore,
+		signal: controller.signal,
+	});
+	await clock.tickAsync(30_000);
+	clock.uninstall();
+	t.teardown(async () => {
+		controller.abort();
+		await done;
+	});
+	return replica;
+};
+
+// Guards against changes missed between two watches, and against a list read for each watch.
+await t.test('a watch resumes after the last revision', async (t) => {
+	const {store, calls} = fakeStore([{revision: 7, entries: [entry('a/1', 7)], compacted: false}], () => ({
+		revision: 5,
+		entries: [entry('a/1', 5)],
+		compacted: false,
+	}));
+	const replica = await run(t, store);
+	t.same(calls, {list: 1, after: [5, 7]});
+	t.match(replica.get('a/1'), {revision: 7});
+});
+
+for (const [name, gap] of [
+	['compaction', {revision: 9, entries: [], compacted: true}],
+	['gap', {revision: 3, entries: [], compacted: false}],
+] as const) {
+	// Guards against a copy that silently lacks changes which the store no longer has.
+	await t.test(`a ${name} costs one new read and drops what is gone`, async (t) => {
+		let reads = 0;
+		const {store, calls} = fakeStore([gap], () => {
+			reads += 1;
+			return reads === 1
+				? {revision: 5, entries: [entry('a/1', 4), entry('a/2', 5)], compacted: false}
+				: {revision: 9, entries: [entry('a/2', 9)], compacted: false};
+		});
+		const replica = await run(t, store);
+		t.same(calls, {list: 2, after: [5, 9]});
+		t.equal(replica.get('a/1').value, undefined);
+		t.match(replica.get('a/2'), {revision: 9});
+	});
+}
+
+// Guards against an instance that never hears of a change again, or stops its watch for good, after its watch went silent.
+await t.test('a silent watch is reopened from the same revision', async (t) => {
+	const {store, calls} = fakeStore(
+		['silent', 'silent', {revision: 6, entries: [entry('a/1', 6)], compacted: false}],
+		() => ({revision: 5, entries: [], compacted: false}),
+	);
+	const replica = await run(t, store);
+	t.same(calls.after, [5, 5, 5, 6]);
+	t.match(replica.get('a/1'), {revision: 6});
+});
--- a/packages/standins/src/store.ts
+++ b/packages/standins/src/store.ts
@@ -14,6 +14,10 @@
 	outage: boolean;
 	/** Writes take effect but their answers are lost. */
 	loseAnswers: boolean;
+	/** Writes are dropped before they take effect, and the connection closes. */
+	loseRequests: boolean;
+	/** Calls get no answer and their connections stay open. */
+	silent: boolean;
 	latencyMs: number;
 };
 
@@ -74,15 +78,24 @@
 */
 export const startStore = async (port = 0): Promise<StoreStandIn> => {
 	const state = createState();
-	const faults: StoreFaults = {outage: false, loseAnswers: false, latencyMs: 0};
+	const faults: StoreFaults = {outage: false, loseAnswers: false, loseRequests: false, silent: false, latencyMs: 0};
 	const calls: Record<string, number> = {};
 	const app = express();
 
-	app.use('/v1', async (_request, response, next) => {
+	app.use('/v1', async (request, response, next) => {
 		if (faults.latencyMs > 0) {
 			await sleep(faults.latencyMs);
 		}
 
+		if (faults.silent) {
+			return;
+		}
+
+		if (faults.loseRequests && request.method !== 'GET') {
+			response.destroy();
+			return;
+		}
+
 		if (faults.outage) {
 			response.status(503).json({error: 'outage'});
 			return;
@@ -164,6 +177,10 @@
 		wake();
 		await sleep(Number(request.query.waitMs), controller.signal);
 		state.waiting.delete(wake);
+		if (faults.silent) {
+			return;
+		}
+
 		response.json({
 			revision: state.revision(),
 			entries: state.changesAfter(after, prefixes),
