Replicate through relays and pages, bound heartbeats, and accept configuration by three-way difference

Cause: every push went from one instance to all, and no push advanced a copy, so anti-entropy sent all later values again; pushes were dropped where no connection was open; a store without a write was listed in a loop; a removed or older configuration entry reverted the configuration; a start needed the store; heartbeats grew with the square of the fleet; an instance not yet listed was unknown; two processes under one id both acted; a racing operator saw a two-way difference that hid the other's change.

Change: the first watcher relays values over a tree of four, the second only announces revisions, and an instance with a gap fetches pages. A value older than the complete copy is ignored, the configuration follows its generation alone. The first copy may come from a peer, and a start waits until no living peer has a later generation. Heartbeats go to three ring neighbours and one random instance; changes of members spread inside them with suspicion, beat and incarnation. A process that was stopped restarts its observation. Apply compares base, theirs and mine, repeats are recognised, and a generation known elsewhere blocks a write that would give it two contents.

Ruled out: heartbeats to all (1,080 a second at 24 instances), gossip of the full member list (grows with the fleet), a stored history of bundles (a second value to keep in step; instances keep eight generations instead).

--- a/packages/instance/src/configuration.ts
+++ b/packages/instance/src/configuration.ts
@@ -1,52 +1,139 @@
-import {BUNDLE_KEY, ServiceError, type AccessToken, type Bundle} from '@bergamotgauge/model';
-import {diffDeclarations, EMPTY_DECLARATIONS, type ApplyRequest} from '@bergamotgauge/operator';
+import {BUNDLE_KEY, ServiceError, type AccessToken, type Bundle, type Declarations} from '@bergamotgauge/model';
+import {diffDeclarations, EMPTY_DECLARATIONS, threeWayDiff, type ApplyRequest} from '@bergamotgauge/operator';
 import {checkGuarantees} from '@bergamotgauge/placement';
-import type {Context} from './context.js';
+import {BASE_PEERS, KEPT_GENERATIONS} from './constants.js';
+import {bundleOf, type Context} from './context.js';
 
-const conflict = (current: Bundle | undefined, request: ApplyRequest): ServiceError =>
-	new ServiceError(
-		`the change is based on generation ${request.basedOn}, but generation ${current?.generation ?? 0} is in force`,
-		{
+/** Accepts configuration changes. */
+export type Configuration = Readonly<{
+	/** Stores new declarations as the next generation. */
+	apply: (operator: AccessToken, request: ApplyRequest) => Promise<Bundle>;
+	/** A generation that this instance had in force, as long as it is kept. */
+	generation: (generation: number) => Bundle | undefined;
+}>;
+
+const declarationsOf = ({generation: _generation, ...declarations}: Bundle): Declarations => declarations;
+
+const later = (a: Bundle | undefined, b: Bundle | undefined): Bundle | undefined =>
+	(b?.generation ?? 0) > (a?.generation ?? 0) ? b : a;
+
+/**
+Creates the acceptance of configuration changes.
+
+@example
+```ts
+const configuration = createConfiguration(context);
+const bundle = await configuration.apply(operator, {basedOn: 7, declarations});
+```
+
+`apply` throws `conflict` with a three-way difference when another generation is in force than the change is based on, and `store-unavailable` with verdict `may-have-run` when the effect of the write stays unknown. Repeating an accepted change with the same `basedOn` gives its generation again.
+*/
+export const createConfiguration = (context: Context): Configuration => {
+	const kept = new Map<number, Bundle>();
+
+	const keep = () => {
+		const bundle = bundleOf(context.replica);
+		if (bundle && !kept.has(bundle.generation)) {
+			kept.set(bundle.generation, bundle);
+			for (const generation of [...kept.keys()].toSorted((a, b) => a - b).slice(0, -KEPT_GENERATIONS)) {
+				kept.delete(generation);
+			}
+		}
+	};
+
+	const findBase = async (generation: number): Promise<Declarations | undefined> => {
+		if (generation === 0) {
+			return EMPTY_DECLARATIONS;
+		}
+
+		const own = kept.get(generation);
+		if (own) {
+			return declarationsOf(own);
+		}
+
+		const alive = context.membership.members().filter(({health}) => health === 'alive');
+		for (const {id} of alive.slice(0, BASE_PEERS)) {
+			try {
+				const bundle = (await context.membership.link(id)?.call('config.generation', {generation})) as Bundle | null;
+				if (bundle) {
+					return declarationsOf(bundle);
+				}
+			} catch (error) {
+				context.log.debug('base-not-read', {peer: id, error: String(error)});
+			}
+		}
+
+		return undefined;
+	};
+
+	const conflict = async (current: Bundle | undefined, request: ApplyRequest): Promise<ServiceError> => {
+		const generation = current?.generation ?? 0;
+		const theirs = current ?? EMPTY_DECLARATIONS;
+		const base = await findBase(request.basedOn);
+		const message = `the change is based on generation ${request.basedOn}, but generation ${generation} is in force`;
+		return new ServiceError(message, {
 			code: 'conflict',
 			verdict: 'not-run',
 			details: {
-				generation: current?.generation ?? 0,
-				changes: diffDeclarations(current ?? EMPTY_DECLARATIONS, request.declarations),
+				generation,
+				basedOn: request.basedOn,
+				changes: diffDeclarations(theirs, request.declarations),
+				// The base is not kept for ever; without it only the two sides can be compared.
+				...(base && {differences: threeWayDiff(base, theirs, request.declarations)}),
 			},
-		},
-	);
+		});
+	};
 
-/**
-Stores new declarations as the next generation.
+	const assertNoLaterGeneration = (generation: number) => {
+		const known = Math.max(0, ...context.membership.members().map(({heartbeat}) => heartbeat?.generation ?? 0));
+		if (known > generation) {
+			// The store's entry was removed or is older; writing now would give one generation two contents.
+			throw new ServiceError(`generation ${known} is in force on other instances and has not arrived here`, {
+				code: 'store-unavailable',
+				verdict: 'not-run',
+				retryAfterMs: 1000,
+			});
+		}
+	};
 
-@throws {ServiceError} `conflict` when another generation is in force than the change is based on.
-*/
-export const applyDeclarations = async (
-	context: Context,
-	operator: AccessToken,
-	request: ApplyRequest,
-): Promise<Bundle> => {
-	checkGuarantees(request.declarations);
-	const entry = await context.store.get(BUNDLE_KEY);
-	const current = entry.value as Bundle | undefined;
-	if ((current?.generation ?? 0) !== request.basedOn) {
-		throw conflict(current, request);
-	}
-
-	const bundle: Bundle = {...request.declarations, generation: request.basedOn + 1};
-	const result = await context.store.put(BUNDLE_KEY, bundle, entry.revision);
-	if (result.outcome === 'conflict') {
-		throw conflict(result.current.value as Bundle | undefined, request);
-	}
-
-	if (result.outcome === 'unknown') {
-		throw new ServiceError('the effect of the write is not known; read the generation before repeating it', {
-			code: 'store-unavailable',
-			verdict: 'may-have-run',
-		});
-	}
+	const isRepeat = (current: Bundle, {basedOn, declarations}: ApplyRequest): boolean =>
+		current.generation === basedOn + 1 && diffDeclarations(current, declarations).length === 0;
+
+	const apply: Configuration['apply'] = async (operator, request) => {
+		checkGuarantees(request.declarations);
+		const entry = await context.store.get(BUNDLE_KEY);
+		const current = later(entry.value as Bundle | undefined, bundleOf(context.replica));
+		if (current && isRepeat(current, request)) {
+			return current;
+		}
+
+		if ((current?.generation ?? 0) !== request.basedOn) {
+			throw await conflict(current, request);
+		}
+
+		assertNoLaterGeneration(request.basedOn);
+		const bundle: Bundle = {...request.declarations, generation: request.basedOn + 1};
+		const result = await context.store.put(BUNDLE_KEY, bundle, entry.revision);
+		if (result.outcome === 'conflict') {
+			throw await conflict(later(result.current.value as Bundle | undefined, current), request);
+		}
+
+		if (result.outcome === 'unknown') {
+			throw new ServiceError(
+				`it is not known whether generation ${bundle.generation} was accepted; repeat the apply with the same base`,
+				{
+					code: 'store-unavailable',
+					verdict: 'may-have-run',
+					details: {generation: bundle.generation, basedOn: request.basedOn},
+				},
+			);
+		}
+
+		context.publish({key: BUNDLE_KEY, revision: result.revision, value: bundle});
+		context.log.info('configuration-applied', {generation: bundle.generation, operator: operator.name});
+		return bundle;
+	};
 
-	context.publish({key: BUNDLE_KEY, revision: result.revision, value: bundle});
-	context.log.info('configuration-applied', {generation: bundle.generation, operator: operator.name});
-	return bundle;
+	context.replica.events.on('changed', keep);
+	return {apply, generation: (generation) => kept.get(generation)};
 };
--- a/packages/instance/src/constants.ts
+++ b/packages/instance/src/constants.ts
@@ -23,3 +23,30 @@
 
 /** Clocks of instance and worker may run apart by this much during one lease. */
 export const LEASE_MARGIN_MS = 5000;
+
+/** Peers to which an instance passes a pushed change on; bounds what one instance sends. */
+export const PUSH_FAN_OUT = 4;
+
+/** Time that the pushed values get before an instance fetches what a revision announced. */
+export const PUSH_GRACE_MS = 150;
+
+/** Bytes of values in one answer to a peer, below the bound of a frame. */
+export const CHANGES_PAGE_BYTES = 4 * 1024 * 1024;
+
+/** Time for the first heartbeats of a start; after it, peers that do not answer are not waited for. */
+export const JOIN_WAIT_MS = 1500;
+
+/** Peers whose answer a start waits for. */
+export const JOIN_PEERS = 3;
+
+export const JOIN_POLL_MS = 50;
+
+export const FIRST_COPY_RETRY_MIN_MS = 100;
+
+export const FIRST_COPY_RETRY_MAX_MS = 2000;
+
+/** Generations of the configuration that an instance keeps as the base of a three-way difference. */
+export const KEPT_GENERATIONS = 8;
+
+/** Peers that are asked for a generation which this instance does not keep. */
+export const BASE_PEERS = 3;
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -3,10 +3,18 @@
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {BUNDLE_KEY, type ListedInstance} from '@bergamotgauge/model';
 import type {OperatorService, Status} from '@bergamotgauge/operator';
-import {createMembership, startPeerServer, type Heartbeat, type MemberState} from '@bergamotgauge/peer';
-import {createInstanceList, createReplica, createStoreClient, type Changes} from '@bergamotgauge/platform';
+import {
+	createMembership,
+	startPeerServer,
+	type Heartbeat,
+	type HeartbeatMessage,
+	type MemberState,
+	type OwnHeartbeat,
+} from '@bergamotgauge/peer';
+import {createInstanceList, createOperationHistory, createReplica, createStoreClient} from '@bergamotgauge/platform';
 import {createMetrics, type Log, type Metrics} from '@bergamotgauge/telemetry';
-import {applyDeclarations} from './configuration.js';
+import {mergeBundle} from './bundle-merge.js';
+import {createConfiguration} from './configuration.js';
 import {DRAIN_POLL_MS, READINESS_LEAD_MS} from './constants.js';
 import {allJobs, allRacks, bundleOf, type Context} from './context.js';
 import {authenticateOperator, startHttpServer} from './http-server.js';
@@ -14,12 +22,14 @@
 import {createJobViews, type JobViews} from './job-views.js';
 import {runPlanner} from './planner-loop.js';
 import {runRackLoop} from './rack-loop.js';
-import {spreadEntry, startReplication} from './replication.js';
+import {createReplication, type Replication} from './replication.js';
 import type {Instance, Settings} from './types.js';
 import {createWaker} from './waker.js';
 import {createWorkerLinks, type WorkerLinks} from './worker-links.js';
 
-type Mutable = {state: MemberState};
+type Mutable = {state: MemberState; peerAddress: string};
+
+const isWildcard = (host: string): boolean => host === '0.0.0.0' || host === '::';
 
 const endpointsOf = (list: readonly ListedInstance[]): readonly Endpoint[] =>
 	list
@@ -38,31 +48,33 @@
 	log: Log,
 	metrics: Metrics,
 	status: Mutable,
-	heartbeat: () => Heartbeat,
-): Context => {
-	const replica = createReplica();
+	heartbeat: () => OwnHeartbeat,
+): Readonly<{context: Context; replication: Replication}> => {
+	const history = createOperationHistory();
+	const replica = createReplica({mergeEntry: mergeBundle, onMerged: history.observe});
 	const context: Context = {
 		settings,
 		lifecycle,
 		log,
 		metrics,
-		store: createStoreClient({url: settings.storeUrl, metrics}),
+		store: createStoreClient({url: settings.storeUrl, metrics, history}),
 		replica,
 		list: createInstanceList({url: settings.instanceListUrl}),
 		membership: createMembership({self: heartbeat, lifecycle, log}),
 		state: () => status.state,
 		publish(entry) {
 			replica.applyOwnWrite(entry);
-			spreadEntry(context, entry);
+			replication.spread(entry);
 		},
 	};
-	return context;
+	const replication = createReplication(context, history);
+	return {context, replication};
 };
 
-const statusOf = (context: Context, heartbeat: () => Heartbeat): Status => {
+const statusOf = (context: Context, heartbeat: () => OwnHeartbeat): Status => {
 	const bundle = bundleOf(context.replica);
 	const racks = allRacks(context.replica);
-	const describe = (beat: Heartbeat | undefined, id: string, health: string) => ({
+	const describe = (beat: OwnHeartbeat | undefined, id: string, health: string) => ({
 		id,
 		health,
 		availabilityZone: beat?.availabilityZone ?? '',
@@ -120,9 +132,11 @@
 		wakePlanner.wake();
 	};
 
-	replica.events.on('changed', (data) => {
-		if (data.some(({key}) => key === BUNDLE_KEY)) {
-			const generation = bundleOf(replica)?.generation ?? 0;
+	let lastGeneration = 0;
+	replica.events.on('changed', () => {
+		const generation = bundleOf(replica)?.generation ?? 0;
+		if (generation > lastGeneration) {
+			lastGeneration = generation;
 			context.log.info('configuration-in-force', {generation});
 			links.refresh();
 		}
@@ -165,26 +179,28 @@
 process.once('SIGTERM', () => void instance.drain());
 ```
 
-@throws {ServiceError} `store-unavailable` when the store or the instance list cannot be read at the start.
+While neither the store nor a peer gives a first copy, the start waits.
 */
 export const startInstance = async (settings: Settings, log: Log): Promise<Instance> => {
 	const metrics = createMetrics();
 	const lifecycle = createLifecycle(settings.id, (task, error, restartMs) => {
 		log.warn('task-failed', {task, error: error.message, restartMs});
 	});
-	const status: Mutable = {state: 'starting'};
+	const status: Mutable = {state: 'starting', peerAddress: ''};
 	const incarnation = Date.now();
 	const wakeRacks = createWaker();
-	const heartbeat = (): Heartbeat => ({
+	const heartbeat = (): OwnHeartbeat => ({
 		id: settings.id,
 		incarnation,
+		address: isWildcard(settings.peerHost) ? '' : status.peerAddress,
 		state: status.state,
 		generation: bundleOf(context.replica)?.generation ?? 0,
 		revision: context.replica.revision(),
 		availabilityZone: settings.availabilityZone,
 		workersDown: links.down(),
 	});
-	const context = createContext(settings, lifecycle, log, metrics, status, heartbeat);
+	const {context, replication} = createContext(settings, lifecycle, log, metrics, status, heartbeat);
+	const configuration = createConfiguration(context);
 	const links = createWorkerLinks(context, wakeRacks.wake);
 	const jobs = createJobStore(context);
 	const views = createJobViews(context, jobs);
@@ -216,7 +232,7 @@
 	const operatorService: OperatorService = {
 		authenticate: (authorization) => authenticateOperator(callerService, settings.bootstrapTokenSha256, authorization),
 		bundle: () => bundleOf(context.replica),
-		apply: async (operator, request) => applyDeclarations(context, operator, request),
+		apply: configuration.apply,
 		status: () => statusOf(context, heartbeat),
 		explain: views.explain,
 		async drain(instance) {
@@ -230,33 +246,37 @@
 	};
 
 	try {
-		const peerAddress = await startPeerServer({
+		status.peerAddress = await startPeerServer({
 			host: settings.peerHost,
 			port: settings.peerPort,
 			handlers: {
 				requests: {
-					heartbeat: (body) => context.membership.receive(body as Heartbeat),
-					changes: (body) => context.replica.changesAfter((body as Readonly<{afterRevision: number}>).afterRevision),
+					...replication.handlers.requests,
+					heartbeat: (body) => context.membership.receive(body as HeartbeatMessage),
+					'config.generation': (body) =>
+						configuration.generation((body as Readonly<{generation: number}>).generation) ?? null,
 					drain() {
 						void drain();
 						return {};
 					},
 				},
-				events: {
-					changed(body) {
-						const changes = body as Changes;
-						for (const entry of changes.entries) {
-							context.replica.applyOwnWrite(entry);
-						}
-					},
-				},
+				events: replication.handlers.events,
 			},
 			lifecycle,
 			log,
 		});
-		await context.list.refresh();
-		await startReplication(context);
+		context.membership.events.on('superseded', () => {
+			void drain();
+		});
+		try {
+			await context.list.refresh();
+		} catch (error) {
+			log.warn('instance-list-failed', {error: String(error)});
+		}
+
 		followList(context, dispatcher);
+		await replication.start();
+		await replication.awaitGeneration(lifecycle.signal);
 		startLoops(context, jobs, views, links, wakeRacks);
 		const address = await startHttpServer({
 			host: settings.host,
@@ -270,6 +290,7 @@
 			lifecycle,
 		});
 		status.state = 'live';
+		const {peerAddress} = status;
 		log.info('instance-started', {address, peerAddress, availabilityZone: settings.availabilityZone});
 		return {address, peerAddress, drain, close: async () => lifecycle.close()};
 	} catch (error) {
--- a/packages/peer/src/constants.ts
+++ b/packages/peer/src/constants.ts
@@ -14,6 +14,29 @@
 /** A link whose heartbeat got no answer for this long is closed and reconnected. */
 export const LINK_SILENT_MS = 2000;
 
+/** The last answer is at most one interval older than the heartbeat that fails. */
+export const HEARTBEAT_DEADLINE_MS = LINK_SILENT_MS - HEARTBEAT_INTERVAL_MS;
+
+/** Next instances on the ring to which one instance sends heartbeats; one random other is added. */
+export const HEARTBEAT_TARGETS = 3;
+
+export const MEMBER_CHECK_MS = 250;
+
+/** A check that is late by more than this shows that the process was stopped. */
+export const PAUSE_MS = 1000;
+
+/** Changed members in one heartbeat; bounds its size. */
+export const MAX_UPDATES = 8;
+
+/** Members that an instance which starts gets with the first answer. */
+export const MAX_JOIN_UPDATES = 200;
+
+/** Time for which a dead member is remembered after the list has dropped it. */
+export const DEAD_MEMORY_MS = 60_000;
+
+/** A connection without traffic for this long is closed. */
+export const LINK_IDLE_MS = 10_000;
+
 export const CONNECT_DEADLINE_MS = 1000;
 
 export const CALL_DEADLINE_MS = 2000;
--- a/packages/peer/src/membership.ts
+++ b/packages/peer/src/membership.ts
@@ -1,63 +1,71 @@
 import {sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
-import type {ListedInstance} from '@bergamotgauge/model';
+import {hash48, type ListedInstance} from '@bergamotgauge/model';
 import type {Log} from '@bergamotgauge/telemetry';
 import Emittery from 'emittery';
-import {HEARTBEAT_INTERVAL_MS, LINK_SILENT_MS, REMOVE_AFTER_MS, SUSPECT_AFTER_MS} from './constants.js';
+import {
+	HEARTBEAT_DEADLINE_MS,
+	HEARTBEAT_INTERVAL_MS,
+	HEARTBEAT_TARGETS,
+	MAX_JOIN_UPDATES,
+	MEMBER_CHECK_MS,
+	PAUSE_MS,
+} from './constants.js';
+import {
+	canOwn,
+	isForgettable,
+	mergeDirect,
+	mergeSilence,
+	mergeUpdate,
+	newEntry,
+	type MemberEntry,
+	type Merged,
+} from './member-table.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
-import type {Health, Heartbeat, Member} from './types.js';
+import type {Heartbeat, HeartbeatMessage, Member, MemberUpdate} from './types.js';
+import {createUpdateQueue} from './update-queue.js';
 
 export type MembershipEvents = {
 	changed: readonly string[];
 	heartbeat: Heartbeat;
+	/** A later process runs under this instance's id. */
+	superseded: Heartbeat;
 };
 
-/** The instances that this one knows, by list and by heartbeat. */
+/** The instances that this one knows, by list, by heartbeat and through other instances. */
 export type Membership = Readonly<{
 	/** Ids of instances that may own work, this one included unless it leaves; sorted. */
 	owners: () => readonly string[];
 	members: () => readonly Member[];
 	link: (id: string) => PeerLink | undefined;
-	/** Takes the platform's list; removes what the list no longer has and is not heard. */
+	/** Takes the platform's list; forgets what the list no longer has and is not heard. */
 	applyList: (list: readonly ListedInstance[]) => void;
 	/** Takes a heartbeat that a peer sent and gives ours. */
-	receive: (heartbeat: Heartbeat) => Heartbeat;
+	receive: (message: HeartbeatMessage) => HeartbeatMessage;
 	events: Emittery<MembershipEvents>;
 }>;
 
+/** An instance's own part of its heartbeat. */
+export type OwnHeartbeat = Omit<Heartbeat, 'beat'>;
+
 export type MembershipOptions = Readonly<{
-	self: () => Heartbeat;
+	self: () => OwnHeartbeat;
 	lifecycle: Lifecycle;
 	log: Log;
+	random?: () => number;
 }>;
 
 type Peer = {
-	readonly id: string;
-	readonly link: PeerLink;
-	readonly lifecycle: Lifecycle;
-	heartbeat: Heartbeat | undefined;
-	lastHeardMs: number;
-};
-
-const healthOf = (peer: Peer, nowMs: number): Health => {
-	if (!peer.heartbeat) {
-		return 'unknown';
-	}
-
-	const silentMs = nowMs - peer.lastHeardMs;
-	if (silentMs >= REMOVE_AFTER_MS) {
-		return 'dead';
-	}
-
-	return silentMs >= SUSPECT_AFTER_MS ? 'suspect' : 'alive';
-};
-
-const canOwn = (peer: Peer, nowMs: number): boolean => {
-	const health = healthOf(peer, nowMs);
-	return (health === 'alive' || health === 'suspect') && peer.heartbeat?.state === 'live';
+	entry: MemberEntry;
+	link: PeerLink;
+	isListed: boolean;
+	/** Start of the heartbeats to this peer, while it is one of the fixed targets. */
+	watchedSinceMs: number | undefined;
 };
 
 /**
-Tracks the other instances by heartbeats. Its results are hints: no safety rests on them.
+Tracks the other instances. Its results are hints: no safety rests on them.
+
+Each instance sends heartbeats to the next instances on a ring of hashed ids and to one random other; what changes spreads in bounded lists inside the heartbeats. The traffic of one instance therefore does not grow with their number.
 
 @example
 ```ts
@@ -66,16 +74,26 @@
 ownerOf('planner', membership.owners());
 ```
 */
-export const createMembership = ({self, lifecycle, log}: MembershipOptions): Membership => {
+export const createMembership = ({self, lifecycle, log, random = Math.random}: MembershipOptions): Membership => {
 	const peers = new Map<string, Peer>();
 	const events = new Emittery<MembershipEvents>();
+	const queue = createUpdateQueue();
 	let lastOwners = '';
+	let beat = 0;
+	let incarnation = 0;
+	let isSuperseded = false;
+	let refreshIndex = 0;
+
+	const ownHeartbeat = (): Heartbeat => {
+		const own = self();
+		incarnation = Math.max(incarnation, own.incarnation);
+		return {...own, incarnation, beat};
+	};
 
 	const owners = (): readonly string[] => {
-		const nowMs = Date.now();
 		const own = self();
-		const others = [...peers.values()].filter((peer) => canOwn(peer, nowMs)).map(({id}) => id);
-		return (own.state === 'live' ? [...others, own.id] : others).toSorted();
+		const others = [...peers.values()].filter(({entry}) => canOwn(entry)).map(({entry}) => entry.id);
+		return (own.state === 'live' && !isSuperseded ? [...others, own.id] : others).toSorted();
 	};
 
 	const announceChange = () => {
@@ -88,92 +106,242 @@
 		}
 	};
 
-	const hear = (heartbeat: Heartbeat) => {
-		const peer = peers.get(heartbeat.id);
-		// A heartbeat of an earlier incarnation may still be under way after a restart.
-		if (!peer || heartbeat.incarnation < (peer.heartbeat?.incarnation ?? 0)) {
+	const addPeer = (id: string, address: string): Peer => {
+		const peer: Peer = {
+			entry: newEntry(id, address, Date.now()),
+			link: createPeerLink(address),
+			isListed: false,
+			watchedSinceMs: undefined,
+		};
+		peers.set(id, peer);
+		return peer;
+	};
+
+	const store = (peer: Peer, {entry, isNews}: Merged) => {
+		if (entry.health !== peer.entry.health) {
+			log.debug('member-health', {member: entry.id, health: entry.health, incarnation: entry.heartbeat?.incarnation});
+		}
+
+		if (entry.address !== '' && entry.address !== peer.link.address) {
+			peer.link.reset('the peer has another address');
+			peer.link = createPeerLink(entry.address);
+		}
+
+		peer.entry = entry;
+		if (isNews) {
+			queue.add(entry.id);
+		}
+	};
+
+	const hearOwnId = (heartbeat: Heartbeat) => {
+		const own = ownHeartbeat();
+		if (heartbeat.incarnation <= own.incarnation || isSuperseded) {
 			return;
 		}
 
-		peer.heartbeat = heartbeat;
-		peer.lastHeardMs = Date.now();
-		void events.emit('heartbeat', heartbeat);
+		if (own.state === 'starting') {
+			// The clock of the predecessor's machine was ahead; the process that starts now is the later one.
+			incarnation = heartbeat.incarnation + 1;
+			return;
+		}
+
+		isSuperseded = true;
+		log.error('superseded', {incarnation: own.incarnation, by: heartbeat.incarnation, address: heartbeat.address});
+		void events.emit('superseded', heartbeat);
+	};
+
+	const takeUpdate = (update: MemberUpdate) => {
+		const {heartbeat} = update;
+		const own = ownHeartbeat();
+		if (heartbeat.id === own.id) {
+			hearOwnId(heartbeat);
+			if (update.health !== 'alive' && heartbeat.incarnation === own.incarnation) {
+				beat = Math.max(beat, heartbeat.beat) + 1;
+				queue.add(own.id);
+			}
+
+			return;
+		}
+
+		const isAddable = update.health !== 'dead' && heartbeat.address !== '';
+		const peer = peers.get(heartbeat.id) ?? (isAddable ? addPeer(heartbeat.id, heartbeat.address) : undefined);
+		if (peer) {
+			store(peer, mergeUpdate(peer.entry, update, Date.now()));
+		}
+	};
+
+	const hear = ({updates, ...heartbeat}: HeartbeatMessage) => {
+		if (heartbeat.id === self().id) {
+			hearOwnId(heartbeat);
+		} else {
+			const peer =
+				peers.get(heartbeat.id) ?? (heartbeat.address === '' ? undefined : addPeer(heartbeat.id, heartbeat.address));
+			if (peer) {
+				store(peer, mergeDirect(peer.entry, heartbeat, Date.now()));
+				void events.emit('heartbeat', heartbeat);
+			}
+		}
+
+		for (const update of updates) {
+			takeUpdate(update);
+		}
+
 		announceChange();
 	};
 
-	const runHeartbeats = async (peer: Peer, signal: AbortSignal) => {
+	const updateOf = (id: string): MemberUpdate | undefined => {
+		if (id === self().id) {
+			return {heartbeat: ownHeartbeat(), health: 'alive', silentMs: 0};
+		}
+
+		const entry = peers.get(id)?.entry;
+		return entry?.heartbeat
+			? {heartbeat: entry.heartbeat, health: entry.health, silentMs: Date.now() - entry.silentSinceMs}
+			: undefined;
+	};
+
+	const updatesOf = (ids: Iterable<string>): readonly MemberUpdate[] =>
+		[...ids].map((id) => updateOf(id)).filter((update) => update !== undefined);
+
+	const ownMessage = (isForNewcomer = false): HeartbeatMessage => {
+		const ids = new Set(isForNewcomer ? [...peers.keys()].slice(0, MAX_JOIN_UPDATES) : queue.take(peers.size));
+		if (peers.size > HEARTBEAT_TARGETS) {
+			// One more member in turn repairs what the bounded spreading of changes missed.
+			refreshIndex = (refreshIndex + 1) % peers.size;
+			ids.add([...peers.keys()][refreshIndex]!);
+		}
+
+		ids.delete(self().id);
+		return {...ownHeartbeat(), updates: updatesOf(ids)};
+	};
+
+	const ringTargets = (): readonly Peer[] => {
+		const ownHash = hash48(self().id);
+		return [...peers.values()]
+			.filter(({entry}) => entry.health !== 'dead')
+			.map((peer) => ({peer, distance: (hash48(peer.entry.id) - ownHash + 2 ** 48) % 2 ** 48}))
+			.toSorted((a, b) => a.distance - b.distance)
+			.slice(0, HEARTBEAT_TARGETS)
+			.map(({peer}) => peer);
+	};
+
+	const randomTarget = (): Peer | undefined => {
+		const others = [...peers.values()].filter(({watchedSinceMs}) => watchedSinceMs === undefined);
+		return others[Math.floor(random() * others.length)];
+	};
+
+	const probe = async ({link, entry}: Peer) => {
+		try {
+			hear((await link.call('heartbeat', ownMessage(), HEARTBEAT_DEADLINE_MS)) as HeartbeatMessage);
+		} catch (error) {
+			link.reset('no heartbeat answer');
+			log.debug('heartbeat-failed', {peer: entry.id, error: String(error)});
+		}
+	};
+
+	const runProbes = async (target: () => Peer | undefined, signal: AbortSignal) => {
+		await sleep(0, signal);
 		while (!signal.aborted) {
-			try {
-				hear((await peer.link.call('heartbeat', self(), LINK_SILENT_MS)) as Heartbeat);
-			} catch (error) {
-				peer.link.reset('no heartbeat answer');
-				log.debug('heartbeat-failed', {peer: peer.id, error: String(error)});
+			const startedMs = Date.now();
+			const peer = target();
+			if (peer) {
+				await probe(peer);
 			}
 
-			announceChange();
-			await sleep(HEARTBEAT_INTERVAL_MS, signal);
+			// After a silent connection the next heartbeat follows at once on a new one.
+			await sleep(Math.max(0, HEARTBEAT_INTERVAL_MS - (Date.now() - startedMs)), signal);
 		}
 	};
 
-	const addPeer = (id: string, address: string) => {
-		const peerLifecycle = lifecycle.child(`peer-${id}`);
-		const peer: Peer = {
-			id,
-			link: createPeerLink(address),
-			lifecycle: peerLifecycle,
-			heartbeat: undefined,
-			lastHeardMs: 0,
-		};
-		peers.set(id, peer);
-		peerLifecycle.add('link', () => {
-			peer.link.reset('the peer was removed');
-		});
-		peerLifecycle.run('heartbeats', async (signal) => runHeartbeats(peer, signal));
+	const check = (nowMs: number) => {
+		const targets = new Set(ringTargets());
+		for (const peer of peers.values()) {
+			peer.watchedSinceMs = targets.has(peer) ? (peer.watchedSinceMs ?? nowMs) : undefined;
+			store(peer, mergeSilence(peer.entry, peer.watchedSinceMs, nowMs));
+			if (!peer.isListed && isForgettable(peer.entry, nowMs)) {
+				peers.delete(peer.entry.id);
+				peer.link.reset('the peer was removed');
+			}
+		}
+
+		announceChange();
 	};
 
-	const removePeer = (peer: Peer) => {
-		peers.delete(peer.id);
-		void peer.lifecycle.close();
+	const runChecks = async (signal: AbortSignal) => {
+		await sleep(0, signal);
+		let lastMs = Date.now();
+		let lastOwn = '';
+		while (!signal.aborted) {
+			const nowMs = Date.now();
+			const pausedMs = nowMs - lastMs - MEMBER_CHECK_MS;
+			if (pausedMs > PAUSE_MS) {
+				// This process was stopped, so the silence of the others says nothing.
+				log.warn('process-paused', {pausedMs});
+				for (const peer of peers.values()) {
+					peer.watchedSinceMs &&= nowMs;
+					peer.entry = {...peer.entry, silentSinceMs: peer.entry.silentSinceMs + pausedMs};
+				}
+			}
+
+			lastMs = nowMs;
+			beat += 1;
+			const {state, generation, workersDown} = self();
+			const own = `${state}/${generation}/${workersDown.join(',')}`;
+			if (own !== lastOwn) {
+				lastOwn = own;
+				queue.add(self().id);
+			}
+
+			check(nowMs);
+			await sleep(MEMBER_CHECK_MS, signal);
+		}
 	};
 
+	for (let index = 0; index < HEARTBEAT_TARGETS; index += 1) {
+		lifecycle.run(`heartbeats-${index}`, async (signal) => runProbes(() => ringTargets()[index], signal));
+	}
+
+	lifecycle.run('heartbeats-random', async (signal) => runProbes(randomTarget, signal));
+	lifecycle.run('member-checks', runChecks);
+	lifecycle.add('peer-links', () => {
+		for (const {link} of peers.values()) {
+			link.reset('this instance stops');
+		}
+	});
+
 	return {
 		events,
 		owners,
 		members: () =>
-			[...peers.values()].map((peer) => ({
-				id: peer.id,
-				address: peer.link.address,
-				health: healthOf(peer, Date.now()),
-				heartbeat: peer.heartbeat,
-				lastHeardMs: peer.lastHeardMs,
+			[...peers.values()].map(({entry}) => ({
+				id: entry.id,
+				address: entry.address,
+				health: entry.health,
+				heartbeat: entry.heartbeat,
+				lastHeardMs: entry.health === 'alive' ? Date.now() : entry.silentSinceMs,
 			})),
 		link: (id) => peers.get(id)?.link,
 		applyList(list) {
 			const listed = list.filter(({role, id}) => role === 'instance' && id !== self().id);
+			const ids = new Set(listed.map(({id}) => id));
 			for (const {id, address} of listed) {
-				const known = peers.get(id);
-				if (known && known.link.address !== address) {
-					removePeer(known);
-				}
-
-				if (!peers.has(id)) {
-					addPeer(id, address);
+				const peer = peers.get(id) ?? addPeer(id, address);
+				peer.isListed = true;
+				// The list lags, so an instance that is heard names its address itself.
+				if (peer.entry.health === 'unknown' || peer.entry.health === 'dead') {
+					store(peer, {entry: {...peer.entry, address}, isNews: false});
 				}
 			}
 
-			const ids = new Set(listed.map(({id}) => id));
 			for (const peer of peers.values()) {
-				const health = healthOf(peer, Date.now());
-				if (!ids.has(peer.id) && health !== 'alive' && health !== 'suspect') {
-					removePeer(peer);
-				}
+				peer.isListed = ids.has(peer.entry.id);
 			}
 
-			announceChange();
+			check(Date.now());
 		},
-		receive(heartbeat) {
-			hear(heartbeat);
-			return self();
+		receive(message) {
+			hear(message);
+			return ownMessage(message.state === 'starting');
 		},
 	};
 };
--- a/packages/peer/src/peer-link.ts
+++ b/packages/peer/src/peer-link.ts
@@ -1,7 +1,14 @@
 import {connect, type Socket} from 'node:net';
 import {withDeadline} from '@bergamotgauge/lifecycle';
 import {ServiceError, type ErrorCode, type Verdict} from '@bergamotgauge/model';
-import {CALL_DEADLINE_MS, CONNECT_DEADLINE_MS, MAX_PENDING_CALLS, PEER_RETRY_AFTER_MS} from './constants.js';
+import {
+	CALL_DEADLINE_MS,
+	CONNECT_DEADLINE_MS,
+	LINK_IDLE_MS,
+	MAX_FRAME_BYTES,
+	MAX_PENDING_CALLS,
+	PEER_RETRY_AFTER_MS,
+} from './constants.js';
 import {createFrameReader, encodeFrame} from './frame.js';
 import type {Frame} from './types.js';
 
@@ -12,7 +19,7 @@
 	address: string;
 	/** Sends a request and waits for its answer. */
 	call: (method: string, body: unknown, deadlineMs?: number) => Promise<unknown>;
-	/** Sends a message without an answer; dropped when there is no connection. */
+	/** Sends a message without an answer; dropped when no connection can be opened. */
 	notify: (method: string, body: unknown) => void;
 	/** Closes the connection; the next call opens a new one. */
 	reset: (reason: string) => void;
@@ -105,6 +112,11 @@
 				drop(socket, 'it sent a broken frame');
 			}
 		});
+		socket.setTimeout(LINK_IDLE_MS, () => {
+			if (pending.size === 0) {
+				drop(socket, 'the connection was idle');
+			}
+		});
 		socket.on('error', () => {
 			drop(socket, 'the connection failed');
 		});
@@ -165,7 +177,16 @@
 			return exchange(await connected(), method, body, deadlineMs);
 		},
 		notify(method, body) {
-			current?.write(encodeFrame({kind: 'event', method, body}));
+			const frame = encodeFrame({kind: 'event', method, body});
+			void (async () => {
+				try {
+					const socket = await connected();
+					// A receiver that does not read must not fill this instance's memory.
+					if (socket.writableLength <= MAX_FRAME_BYTES) {
+						socket.write(frame);
+					}
+				} catch {}
+			})();
 		},
 		reset(reason) {
 			if (current) {
--- a/packages/peer/src/types.ts
+++ b/packages/peer/src/types.ts
@@ -23,6 +23,10 @@
 	id: string;
 	/** Rises with each start of the instance, so that a restarted one is not its predecessor. */
 	incarnation: number;
+	/** Rises while the instance runs; orders the heartbeats of one incarnation. */
+	beat: number;
+	/** `host:port` of the peer listener; empty when it listens on all addresses, so that the list has to name it. */
+	address: string;
 	state: MemberState;
 	/** Generation of the configuration in force. */
 	generation: number;
@@ -33,6 +37,17 @@
 	workersDown: readonly string[];
 }>;
 
+/** A heartbeat with what its sender knows of other instances. */
+export type HeartbeatMessage = Heartbeat & Readonly<{updates: readonly MemberUpdate[]}>;
+
+/** What one instance says of another one. */
+export type MemberUpdate = Readonly<{
+	/** The last known heartbeat of the member. */
+	heartbeat: Heartbeat;
+	health: Health;
+	silentMs: number;
+}>;
+
 export type Health = 'unknown' | 'alive' | 'suspect' | 'dead';
 
 export type Member = Readonly<{
--- a/packages/platform/src/constants.ts
+++ b/packages/platform/src/constants.ts
@@ -3,7 +3,8 @@
 /** Added to the wait time of a watch; a watch that takes longer is treated as silent. */
 export const WATCH_GRACE_MS = 2000;
 
-export const WATCH_WAIT_MS = 10_000;
+/** Two watches of this length cost one call a second for the whole fleet; a longer wait delays the detection of a silent one. */
+export const WATCH_WAIT_MS = 2000;
 
 export const STORE_RETRY_AFTER_MS = 1000;
 
--- a/packages/platform/src/watcher.ts
+++ b/packages/platform/src/watcher.ts
@@ -30,9 +30,10 @@
 	return {revision: Math.min(...lists.map((list) => list.revision)), entries, compacted: true};
 };
 
-const readNext = async ({store, replica, prefixes, signal}: WatcherOptions): Promise<Changes> => {
+const readNext = async ({store, replica, prefixes, signal}: WatcherOptions, isListed: boolean): Promise<Changes> => {
 	const afterRevision = replica.revision();
-	if (afterRevision === 0) {
+	// The list of a store without a single write has revision 0 too.
+	if (afterRevision === 0 && !isListed) {
 		return listAll(store, prefixes);
 	}
 
@@ -53,6 +54,7 @@
 	const {replica, isWatching, onChanges, onFailure, signal} = options;
 	const newBackoff = () => createBackoff({minMs: WATCH_RETRY_MIN_MS, maxMs: WATCH_RETRY_MAX_MS});
 	let backoff = newBackoff();
+	let isListed = false;
 	while (!signal.aborted) {
 		if (!isWatching()) {
 			await sleep(STANDBY_CHECK_MS, signal);
@@ -61,7 +63,8 @@
 
 		try {
 			const afterRevision = replica.revision();
-			const changes = await readNext(options);
+			const changes = await readNext(options, isListed);
+			isListed = true;
 			backoff = newBackoff();
 			replica.apply(changes);
 			onChanges(changes, afterRevision);
