Test outages, lost answers, a slow and a silent store on a fleet

Pushes that arrive together share one fetch, and the signal of a lifecycle may have many listeners; eleven waiting fetches had raised a warning.

--- a/packages/instance/src/fleet.test.ts
+++ b/packages/instance/src/fleet.test.ts
@@ -201,3 +201,59 @@
 	t.equal(await fleet.client('q3').apply(1, declarations(['acme', 'bolt'])), 2);
 	await until('generation 2 everywhere', async () => isEverywhere(fleet, 2));
 });
+
+// Guards against a lost change when the store loses the answers of both racing operators.
+await t.test('of two racing operators whose answers are lost exactly one is accepted', async (t) => {
+	const fleet = await startThree(t);
+	fleet.store.faults.loseAnswers = true;
+	setTimeout(() => {
+		fleet.store.faults.loseAnswers = false;
+	}, 300);
+	const changes = [declarations(['acme', 'bolt']), declarations(['acme', 'cask'])];
+	const results = await Promise.allSettled(
+		changes.map(async (change, index) => fleet.client(`q${index + 1}`).apply(1, change)),
+	);
+	const accepted = results.findIndex(({status}) => status === 'fulfilled');
+	t.same(results.map(({status}) => status).toSorted(), ['fulfilled', 'rejected']);
+	t.match(results[1 - accepted], {reason: {code: 'conflict', verdict: 'not-run'}});
+	await until('generation 2 everywhere', async () => isEverywhere(fleet, 2));
+	const {bundle} = await fleet.client('q3').bundle();
+	t.same(bundle?.customers, changes[accepted]!.customers, 'the accepted change is the one in force');
+});
+
+// Guards against a fleet that stays behind, or refuses changes, after an outage during which an instance was lost.
+await t.test('after an outage with a lost instance the next apply is in force everywhere', async (t) => {
+	const fleet = await startThree(t);
+	fleet.store.faults.outage = true;
+	await fleet.stop('q2');
+	await sleep(4000);
+	await t.rejects(fleet.client('q1').apply(1, declarations(['bolt'])), {code: 'store-unavailable', verdict: 'not-run'});
+	t.ok(await isEverywhere(fleet, 1));
+	fleet.store.faults.outage = false;
+	await until('recovery', async () => {
+		const [result] = await Promise.allSettled([fleet.client('q1').apply(1, declarations(['bolt']))]);
+		return result.status === 'fulfilled';
+	});
+	await until('generation 2 everywhere', async () => isEverywhere(fleet, 2), 2000);
+});
+
+// Guards against changes that are refused, or applied twice, by a store that is slow but answers within the deadline.
+await t.test('a slow store delays an apply and nothing else', async (t) => {
+	const fleet = await startThree(t);
+	fleet.store.faults.latencyMs = 700;
+	t.equal(await fleet.client('q2').apply(1, declarations(['bolt'])), 2);
+	await until('generation 2 everywhere', async () => isEverywhere(fleet, 2), 2000);
+});
+
+// Guards against an instance that never hears of a change because both watches and its peers' pushes went silent.
+await t.test('a store that goes silent for a while leaves no instance behind', async (t) => {
+	const fleet = await startThree(t);
+	fleet.store.faults.silent = true;
+	await sleep(2500);
+	fleet.store.faults.silent = false;
+	await until('recovery', async () => {
+		const [result] = await Promise.allSettled([fleet.client('q3').apply(1, declarations(['bolt']))]);
+		return result.status === 'fulfilled';
+	});
+	await until('generation 2 everywhere', async () => isEverywhere(fleet, 2), 2000);
+});
--- a/packages/instance/src/replication.ts
+++ b/packages/instance/src/replication.ts
@@ -141,11 +141,23 @@
 		}
 	};
 
+	let wantedRevision = 0;
+	let isCatchingUp = false;
+
+	/** Fetches what a push left out; pushes that arrive meanwhile share the one call. */
 	const catchUp = async (origin: string, revision: number) => {
+		wantedRevision = Math.max(wantedRevision, revision);
+		if (isCatchingUp) {
+			return;
+		}
+
+		isCatchingUp = true;
 		await sleep(PUSH_GRACE_MS * (0.5 + Math.random()), lifecycle.signal);
-		if (replica.revision() < revision && !lifecycle.signal.aborted) {
+		if (replica.revision() < wantedRevision && !lifecycle.signal.aborted) {
 			await tryPull(origin);
 		}
+
+		isCatchingUp = false;
 	};
 
 	const watchRank = (): number => {
--- a/packages/lifecycle/src/lifecycle.ts
+++ b/packages/lifecycle/src/lifecycle.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {createBackoff} from './backoff.js';
 import {RESTART_MAX_MS, RESTART_MIN_MS} from './constants.js';
 import {sleep} from './sleep.js';
@@ -39,6 +40,8 @@
 */
 export const createLifecycle = (name: string, onFailure?: FailureListener): Lifecycle => {
 	const controller = new AbortController();
+	// Every task of the owner waits on this signal, so many listeners are no leak.
+	setMaxListeners(0, controller.signal);
 	const closers: Array<Readonly<{name: string; closer: Closer}>> = [];
 	const running = new Set<Promise<void>>();
 	let closing: Promise<void> | undefined;
--- /dev/null
+++ b/packages/platform/src/circuit-breaker.test.ts
@@ -0,0 +1,32 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import t from 'tap';
+import {createCircuitBreaker} from './circuit-breaker.js';
+import {BREAKER_FAILURES, BREAKER_MAX_MS} from './constants.js';
+
+// Guards against a store that is flooded by probes during a long outage, and against one that is left alone after it.
+await t.test('an hour of outage costs few probes and ends within the longest pause', async (t) => {
+	const clock = FakeTimers.install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const breaker = createCircuitBreaker(() => 0.5);
+	for (let index = 0; index < BREAKER_FAILURES; index += 1) {
+		t.equal(breaker.state(), 'closed');
+		breaker.failed();
+	}
+
+	let probes = 0;
+	for (let elapsedMs = 0; elapsedMs < 3_600_000; elapsedMs += 100) {
+		clock.tick(100);
+		if (breaker.state() === 'probe') {
+			probes += 1;
+			breaker.failed();
+		}
+	}
+
+	t.ok(probes <= 3_600_000 / (BREAKER_MAX_MS / 2), `${probes} probes`);
+	clock.tick(BREAKER_MAX_MS);
+	t.equal(breaker.state(), 'probe');
+	breaker.succeeded();
+	t.equal(breaker.state(), 'closed');
+});
