--- a/packages/bench/src/capacity/experiments.ts
+++ b/packages/bench/src/capacity/experiments.ts
@@ -21,9 +21,9 @@
 	fit: fitLine(points),
 });
 
-const writesOf = (calls: StoreCalls): number => (calls['put'] ?? 0) + (calls['remove'] ?? 0);
+const writesOf = (calls: StoreCalls): number => (calls.put ?? 0) + (calls.remove ?? 0);
 
-const readsOf = (calls: StoreCalls): number => (calls['get'] ?? 0) + (calls['list'] ?? 0) + (calls['watch'] ?? 0);
+const readsOf = (calls: StoreCalls): number => (calls.get ?? 0) + (calls.list ?? 0) + (calls.watch ?? 0);
 
 const measure = async (fleet: Fleet, size: number, windowMs: number): Promise<Measured> => {
 	const before = await fleet.storeCalls();
@@ -276,7 +276,10 @@
 const bundle: Experiment = async (_scale, progress) => {
 	const sizeOf = (customers: number, count: number): number => {
 		const {declarations} = generateDeclarations({customers, workers: count});
-		return encodeValue('0198c0de-0000-7000-8000-000000000000', {...declarations, generation: 1}).byteLength;
+		return encodeValue([{id: '0198c0de-0000-7000-8000-000000000000', expectedRevision: 1}], {
+			...declarations,
+			generation: 1,
+		}).byteLength;
 	};
 
 	const byCustomer = [15, 30, 60, 120].map((size) => ({size, value: sizeOf(size, 8)}));
--- a/packages/bench/src/capacity/usage.ts
+++ b/packages/bench/src/capacity/usage.ts
@@ -22,7 +22,7 @@
 	};
 };
 
-const numberText = (status: string): string => /VmRSS:\s+(?<kilobytes>\d+)/v.exec(status)?.groups?.['kilobytes'] ?? '0';
+const numberText = (status: string): string => /VmRSS:\s+(?<kilobytes>\d+)/v.exec(status)?.groups?.kilobytes ?? '0';
 
 /**
 Measures processes over a time.
--- a/packages/harness/src/instances.ts
+++ b/packages/harness/src/instances.ts
@@ -24,9 +24,18 @@
 export const startListedInstance = async (lifecycle: Lifecycle, options: InstanceOptions): Promise<StartedInstance> => {
 	const {id, availabilityZone, platform, operatorToken, extraArguments = []} = options;
 	const instance = await startInstanceProcess(lifecycle, id, [
-		...['--availability-zone', availabilityZone, '--port', '0', '--peer-port', '0'],
-		...['--store-url', platform.storeUrl, '--instance-list-url', platform.listUrl],
-		...['--bootstrap-token-sha256', sha256(operatorToken)],
+		'--availability-zone',
+		availabilityZone,
+		'--port',
+		'0',
+		'--peer-port',
+		'0',
+		'--store-url',
+		platform.storeUrl,
+		'--instance-list-url',
+		platform.listUrl,
+		'--bootstrap-token-sha256',
+		sha256(operatorToken),
 		...extraArguments,
 	]);
 	await register(platform.listUrl, {
--- a/packages/harness/src/platform.ts
+++ b/packages/harness/src/platform.ts
@@ -28,16 +28,23 @@
 		startStandIn(lifecycle, ['store']),
 		startStandIn(lifecycle, ['instance-list', '--lag-ms', String(listLagMs)]),
 	]);
-	const listUrl = `http://${list['address']}`;
+	const listUrl = `http://${list.address}`;
 	const names = racks.flatMap((rack) => rack.workers).map((worker) => worker.name);
 	const ids = Array.from({length: endpointCount}, (_, index) => `runner-${index + 1}`);
 	const zones = availabilityZones.join(',');
 	const [workers, endpoints] = await Promise.all([
 		startStandIn(lifecycle, ['workers', '--list', listUrl, '--names', names.join(','), '--availability-zones', zones]),
 		startStandIn(lifecycle, [
-			...['endpoints', '--list', listUrl, '--names', ids.join(',')],
-			...['--availability-zones', zones, '--label', `service=${service}`],
+			'endpoints',
+			'--list',
+			listUrl,
+			'--names',
+			ids.join(','),
+			'--availability-zones',
+			zones,
+			'--label',
+			`service=${service}`,
 		]),
 	]);
-	return {storeUrl: `http://${store['address']}`, listUrl, workers, endpoints};
+	return {storeUrl: `http://${store.address}`, listUrl, workers, endpoints};
 };
--- a/packages/harness/src/types.ts
+++ b/packages/harness/src/types.ts
@@ -1,5 +1,5 @@
 import type {ChildProcess} from 'node:child_process';
-import type {ListedInstance, Rack} from '@bergamotgauge/model';
+import type {Rack} from '@bergamotgauge/model';
 
 /** A process that the harness started. */
 export type StartedProcess = Readonly<{
@@ -28,4 +28,4 @@
 
 export type StartedInstance = Readonly<{process: StartedProcess; address: string; peerAddress: string}>;
 
-export type {ListedInstance};
+export {type ListedInstance} from '@bergamotgauge/model';
--- a/packages/instance/src/engine.ts
+++ b/packages/instance/src/engine.ts
@@ -1,4 +1,3 @@
-import {BUNDLE_KEY} from '@bergamotgauge/model';
 import {createWorkerClient, type WorkerClient} from '@bergamotgauge/worker';
 import {bundleOf, type Context} from './context.js';
 import {createJobStore, type JobStore} from './job-store.js';
@@ -65,9 +64,12 @@
 		racks,
 		start() {
 			const {lifecycle, replica, membership, list} = context;
-			replica.events.on('changed', (entries) => {
-				if (entries.some(({key}) => key === BUNDLE_KEY)) {
-					context.log.info('configuration-in-force', {generation: bundleOf(replica)?.generation ?? 0});
+			let lastGeneration = 0;
+			replica.events.on('changed', () => {
+				const generation = bundleOf(replica)?.generation ?? 0;
+				if (generation > lastGeneration) {
+					lastGeneration = generation;
+					context.log.info('configuration-in-force', {generation});
 					links.refresh();
 				}
 
--- a/packages/instance/src/test/crash.ts
+++ b/packages/instance/src/test/crash.ts
@@ -1,6 +1,5 @@
 import {sleep} from '@bergamotgauge/lifecycle';
-import type {RandomGenerator} from 'pure-rand';
-import {uniformIntDistribution} from 'pure-rand';
+import {type RandomGenerator, uniformIntDistribution} from 'pure-rand';
 import type {Gate} from './world.js';
 
 export type CrashMoment =
--- a/packages/instance/src/test/world.ts
+++ b/packages/instance/src/test/world.ts
@@ -87,8 +87,8 @@
 
 const createFakeList = (): InstanceList => ({
 	current: (): readonly ListedInstance[] => [],
-	refresh: async () => {},
-	run: async () => {},
+	async refresh() {},
+	async run() {},
 	events: new Emittery(),
 });
 
--- a/packages/standins/src/worker-model.ts
+++ b/packages/standins/src/worker-model.ts
@@ -136,7 +136,7 @@
 				return sequence;
 			}
 
-			const [holder] = [...tasks.values()].filter(
+			const holder = [...tasks.values()].find(
 				(task) => task !== known && holdsAccelerators(task) && overlaps(task.block, body.block),
 			);
 			if (holder) {
@@ -147,7 +147,7 @@
 				halt(known);
 			}
 
-			tasks.set(idOf(body), {...body, state: 'prepared', behaviour: (payload ?? {}) as TaskBehaviour});
+			tasks.set(idOf(body), {...body, state: 'prepared', behaviour: payload ?? {}});
 			return changed();
 		},
 		start(reference) {
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -7,7 +7,7 @@
 export type WorkerStandIn = StandIn & Pick<WorkerModel, 'name' | 'faults' | 'tasks' | 'starts' | 'restart'>;
 
 const taskOf = (request: Request, token: number): TaskName => {
-	const id = String(request.params['task']);
+	const id = String(request.params.task);
 	const separator = id.lastIndexOf('.');
 	return {job: id.slice(0, separator), attempt: Number(id.slice(separator + 1)), token};
 };
@@ -58,7 +58,7 @@
 		answer(response, () => model.throttle(taskOf(request, tokenOf(request)), cores));
 	});
 	app.delete('/v1/tasks/:task', (request, response) => {
-		answer(response, () => model.stop(taskOf(request, Number(request.query['token']))));
+		answer(response, () => model.stop(taskOf(request, Number(request.query.token))));
 	});
 	app.post('/v1/lease', (request, response) => {
 		model.renewLease((request.body as Readonly<{leaseMs: number}>).leaseMs);
