Claim idempotency keys before at-most-once requests are sent

Cause: an at-most-once request had no claim, so its repeat ran again.

Change: a request of an at-most-once class needs Idempotency-Key, a UUID version 7 from 30 s ahead to 14 min old. Its claim goes into claims/<shard> before the request is sent, group-committed by the owner of the shard (frames claim and finish), or written directly when the call to the owner fails with not-run. A claim carries customer, fingerprint and request id, so that a write with an unknown effect may be repeated. A repeat gets the kept answer (at most 1 KB), `ran`, or `may-have-run`. A request that did not run gives its key free. Claims expire with the next write.

Ruled out: expiry of keys at exactly 15 min. A claim may be stored one clock margin before the key's time and expire by another clock, so keys end two margins earlier.

Found by the tests: a finish that was written directly was dropped, because a change without effect on an outdated copy writes nothing. The copy is now read again.

--- a/packages/caller/src/constants.ts
+++ b/packages/caller/src/constants.ts
@@ -1,3 +1,5 @@
+import {CLAIM_LIFETIME_MS, STORE_VALUE_LIMIT_BYTES, STORE_VALUE_MARGIN_BYTES} from '@bergamotgauge/model';
+
 export const MAX_REQUEST_BODY_BYTES = 1024 * 1024;
 
 export const MAX_JOB_BODY_BYTES = 64 * 1024;
@@ -19,3 +21,33 @@
 
 /** Endpoint headers that go back to the caller. */
 export const RETURNED_HEADERS = ['content-type', 'cache-control', 'etag', 'location'] as const;
+
+export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+
+/** Set on an answer that was kept from the first request with the same idempotency key. */
+export const REPLAY_HEADER = 'idempotency-replayed';
+
+/** Clocks of callers and instances may differ by this much. */
+export const CLAIM_CLOCK_MARGIN_MS = 30_000;
+
+/**
+Oldest idempotency key that is taken. A claim may be stored as early as one margin before the key's time and expire by another instance's clock, so keys end two margins before claims do.
+*/
+export const MAX_KEY_AGE_MS = CLAIM_LIFETIME_MS - 2 * CLAIM_CLOCK_MARGIN_MS;
+
+/** A shard refuses claims above this estimate, which leaves room for the finish of those it holds. */
+export const MAX_CLAIM_SHARD_BYTES = STORE_VALUE_LIMIT_BYTES - 2 * STORE_VALUE_MARGIN_BYTES;
+
+/** Answers are kept only while the shard is below this estimate, so that answers do not displace claims. */
+export const MAX_CLAIM_SHARD_WITH_ANSWERS_BYTES = MAX_CLAIM_SHARD_BYTES / 2;
+
+/** Encoded field names and lengths of one claim. */
+export const CLAIM_OVERHEAD_BYTES = 160;
+
+export const CLAIM_SHARD_FULL_RETRY_AFTER_MS = 5000;
+
+/** Retry time for the repeat of a request that is still in progress. */
+export const CLAIM_IN_PROGRESS_RETRY_AFTER_MS = 1000;
+
+/** Time that an answer waits for the release of its claim, so that an immediate repeat finds it gone. */
+export const CLAIM_RELEASE_WAIT_MS = 1000;
--- a/packages/caller/src/service-router.ts
+++ b/packages/caller/src/service-router.ts
@@ -1,17 +1,21 @@
 import {Buffer} from 'node:buffer';
-import type {Dispatcher, EndpointAnswer, EndpointRequest} from '@bergamotgauge/endpoint';
+import type {Dispatcher, EndpointRequest} from '@bergamotgauge/endpoint';
 import {newRequestId, ServiceError, type Bundle, type JobClass, type Service} from '@bergamotgauge/model';
 import express, {Router, type Request, type Response} from 'express';
+import {sendAtMostOnce, type Answered} from './at-most-once.js';
 import {callerOf, requireAccepting} from './caller.js';
 import {
 	CLASS_HEADER,
 	DEADLINE_HEADER,
 	FORWARDED_HEADERS,
+	IDEMPOTENCY_KEY_HEADER,
 	MAX_DEADLINE_MS,
 	MAX_REQUEST_BODY_BYTES,
+	REPLAY_HEADER,
 	RETURNED_HEADERS,
 	VERDICT_HEADER,
 } from './constants.js';
+import {parseIdempotencyKey} from './idempotency-key.js';
 import type {Caller, CallerService} from './types.js';
 
 const badRequest = (message: string): ServiceError =>
@@ -57,8 +61,12 @@
 		FORWARDED_HEADERS.map((name) => [name, request.get(name)]).filter(([, value]) => value !== undefined),
 	) as Readonly<Record<string, string>>;
 
-const sendAnswer = (response: Response, requestId: string, answer: EndpointAnswer): void => {
+const sendAnswer = (response: Response, {requestId, answer, isReplay}: Answered): void => {
 	response.status(answer.status).set('request-id', requestId).set(VERDICT_HEADER, 'ran');
+	if (isReplay) {
+		response.set(REPLAY_HEADER, 'true');
+	}
+
 	for (const name of RETURNED_HEADERS) {
 		const value = answer.headers[name];
 		if (value !== undefined) {
@@ -100,6 +108,16 @@
 	const router = Router();
 	const raw = express.raw({limit: MAX_REQUEST_BODY_BYTES, type: () => true});
 
+	const send = async (request: Request, endpointRequest: EndpointRequest, signal: AbortSignal): Promise<Answered> => {
+		if (endpointRequest.retryRule === 'idempotent') {
+			const answer = await dispatcher.dispatch(endpointRequest, signal);
+			return {requestId: endpointRequest.id, answer, isReplay: false};
+		}
+
+		const key = parseIdempotencyKey(request.get(IDEMPOTENCY_KEY_HEADER), Date.now());
+		return sendAtMostOnce({claims: service.claims, dispatcher, key, request: endpointRequest, signal});
+	};
+
 	const handle = async (request: Request, response: Response) => {
 		const caller = callerOf(service, request);
 		requireAccepting(service);
@@ -108,7 +126,7 @@
 		response.on('close', () => {
 			controller.abort(new ServiceError('the caller went away', {code: 'cancelled', verdict: 'may-have-run'}));
 		});
-		sendAnswer(response, endpointRequest.id, await dispatcher.dispatch(endpointRequest, controller.signal));
+		sendAnswer(response, await send(request, endpointRequest, controller.signal));
 	};
 
 	router.all(['/:service', '/:service/{*path}'], raw, handle);
--- a/packages/caller/src/types.ts
+++ b/packages/caller/src/types.ts
@@ -1,4 +1,13 @@
-import type {AccessToken, Bundle, JobOutcome, JobRecord, JobSpecification} from '@bergamotgauge/model';
+import type {
+	AccessToken,
+	Bundle,
+	ClaimAnswer,
+	ClaimRecord,
+	JobOutcome,
+	JobRecord,
+	JobSpecification,
+	Verdict,
+} from '@bergamotgauge/model';
 
 /** What a caller sees of a job. */
 export type JobView = Readonly<{
@@ -10,6 +19,38 @@
 	outcome?: JobOutcome;
 }>;
 
+/** The right of one request to use an idempotency key. */
+export type Claim = Readonly<Pick<ClaimRecord, 'key' | 'customer' | 'fingerprint' | 'requestId'>>;
+
+export type ClaimResult =
+	/** The request may be sent. */
+	| Readonly<{kind: 'granted'}>
+	/** Another request holds the key. */
+	| Readonly<{kind: 'repeated'; claim: ClaimRecord}>
+	/** The key belongs to a request with other content. */
+	| Readonly<{kind: 'mismatched'}>;
+
+/** How the request of a claim ended. `not-run` gives the key free. */
+export type ClaimFinish = Readonly<{
+	key: string;
+	customer: string;
+	requestId: string;
+	verdict: Verdict;
+	answer?: ClaimAnswer;
+}>;
+
+/** Stores claims of idempotency keys. */
+export type Claims = Readonly<{
+	/**
+	Stores a claim before its request is sent.
+
+	@throws {ServiceError} With verdict `not-run` when the claim is not known to be stored.
+	*/
+	claim: (claim: Claim) => Promise<ClaimResult>;
+	/** Records the end of a claimed request; tries again on its own and never throws. */
+	finish: (finish: ClaimFinish) => Promise<void>;
+}>;
+
 /** What the caller interface needs of an instance. */
 export type CallerService = Readonly<{
 	bundle: () => Bundle | undefined;
@@ -18,6 +59,7 @@
 	submitJob: (customer: string, specification: JobSpecification) => Promise<JobRecord>;
 	findJob: (customer: string, job: string) => JobView | undefined;
 	listJobs: (customer: string) => readonly JobView[];
+	claims: Claims;
 	cancelJob: (customer: string, job: string) => Promise<JobView | undefined>;
 }>;
 
--- /dev/null
+++ b/packages/instance/src/claims-store.ts
@@ -0,0 +1,114 @@
+import {
+	applyClaim,
+	applyFinish,
+	EMPTY_CLAIM_SHARD,
+	findClaim,
+	judgeClaim,
+	type Claim,
+	type ClaimFinish,
+	type ClaimResult,
+} from '@bergamotgauge/caller';
+import {claimShardKey, ServiceError, toServiceError, type ClaimShardRecord} from '@bergamotgauge/model';
+import {createGroupCommit, type Entry, type GroupCommit, type Store} from '@bergamotgauge/platform';
+
+const MAX_CLAIM_WRITES = 3;
+
+/** No further write of a claim starts after this time, because its caller waits for the answer. */
+const CLAIM_WRITE_MS = 2000;
+
+type Shard = Readonly<{
+	commit: GroupCommit<ClaimShardRecord>;
+	/** Reads the value from the store. */
+	refresh: () => Promise<ClaimShardRecord>;
+}>;
+
+/** Writes claims by compare-and-swap. */
+export type ClaimStore = Readonly<{
+	claim: (claim: Claim) => Promise<ClaimResult>;
+	finish: (finish: ClaimFinish) => Promise<void>;
+}>;
+
+/**
+Creates the writer of claims. Claims of one shard that arrive during a write go into the next one together.
+
+@example
+```ts
+const result = await claimStore.claim({key, customer, fingerprint, requestId});
+```
+
+@throws {ServiceError} With verdict `not-run` when the claim is not known to be stored.
+*/
+export const createClaimStore = (store: Store): ClaimStore => {
+	const shards = new Map<string, Shard>();
+
+	const shardOf = (key: string): Shard => {
+		let shard = shards.get(key);
+		if (!shard) {
+			let known: Entry<unknown> = {key, revision: 0, value: undefined};
+			shard = {
+				async refresh() {
+					const entry = await store.get(key);
+					known = entry.revision > known.revision ? entry : known;
+					return (known.value ?? EMPTY_CLAIM_SHARD) as ClaimShardRecord;
+				},
+				commit: createGroupCommit<ClaimShardRecord>({
+					store,
+					key,
+					empty: EMPTY_CLAIM_SHARD,
+					known: () => known,
+					onWritten(entry) {
+						known = entry;
+					},
+				}),
+			};
+			shards.set(key, shard);
+		}
+
+		return shard;
+	};
+
+	const submitClaim = async (shard: Shard, claim: Claim): Promise<ClaimResult> => {
+		const startedMs = performance.now();
+		for (let attempt = 1; ; attempt += 1) {
+			try {
+				return await shard.commit.submit((value) => applyClaim(value, claim, Date.now()));
+			} catch (error) {
+				const failure = toServiceError(error, 'may-have-run');
+				// The claim carries its request id, so that a write with an unknown effect may be repeated.
+				const isOver = attempt >= MAX_CLAIM_WRITES || performance.now() - startedMs > CLAIM_WRITE_MS;
+				if (failure.verdict === 'not-run' || isOver) {
+					throw new ServiceError(`the claim is not stored: ${failure.message}`, {
+						code: failure.code,
+						verdict: 'not-run',
+						status: failure.status,
+						retryAfterMs: failure.retryAfterMs ?? 1000,
+						cause: failure,
+					});
+				}
+			}
+		}
+	};
+
+	/** The first request may have finished through another instance since this one last saw the shard. */
+	const readAgain = async (shard: Shard, claim: Claim, result: ClaimResult): Promise<ClaimResult> => {
+		const existing = findClaim(await shard.refresh(), claim);
+		return existing ? judgeClaim(existing, claim) : result;
+	};
+
+	return {
+		async claim(claim) {
+			const shard = shardOf(claimShardKey(claim.customer, claim.key));
+			const result = await submitClaim(shard, claim);
+			return result.kind === 'repeated' && result.claim.state === 'claimed' ? readAgain(shard, claim, result) : result;
+		},
+		async finish(finish) {
+			const shard = shardOf(claimShardKey(finish.customer, finish.key));
+			const submit = async () => shard.commit.submit((value) => applyFinish(value, finish));
+			// A change without effect writes nothing, so that a copy without the claim may be out of date.
+			if (!(await submit())) {
+				await shard.refresh();
+				await submit();
+			}
+		},
+	};
+};
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -6,6 +6,7 @@
 import {createMembership, startPeerServer, type Heartbeat, type MemberState} from '@bergamotgauge/peer';
 import {createInstanceList, createReplica, createStoreClient, type Changes} from '@bergamotgauge/platform';
 import {createMetrics, type Log, type Metrics} from '@bergamotgauge/telemetry';
+import {createClaimService, type ClaimService} from './claims-service.js';
 import {applyDeclarations} from './configuration.js';
 import {DRAIN_POLL_MS, READINESS_LEAD_MS} from './constants.js';
 import {allJobs, allRacks, bundleOf, type Context} from './context.js';
@@ -89,7 +90,13 @@
 	};
 };
 
-const createCallerService = (context: Context, jobs: JobStore, views: JobViews): CallerService => ({
+const createCallerService = (
+	context: Context,
+	jobs: JobStore,
+	views: JobViews,
+	claims: ClaimService,
+): CallerService => ({
+	claims,
 	bundle: () => bundleOf(context.replica),
 	isAccepting: () => context.state() === 'live',
 	submitJob: jobs.submit,
@@ -195,7 +202,8 @@
 		slotsOf: (_endpoint, service) => service.slots,
 		connectionsOf: (service) => service.connections,
 	});
-	const callerService = createCallerService(context, jobs, views);
+	const claims = createClaimService(context);
+	const callerService = createCallerService(context, jobs, views, claims);
 	const drain = async () => {
 		if (status.state === 'leaving') {
 			return;
@@ -205,7 +213,7 @@
 		status.state = 'leaving';
 		await sleep(READINESS_LEAD_MS);
 		const deadlineMs = Date.now() + settings.drainSeconds * 1000;
-		while (dispatcher.inProgress() > 0 && Date.now() < deadlineMs) {
+		while (dispatcher.inProgress() + claims.waitingFinishes() > 0 && Date.now() < deadlineMs) {
 			await sleep(DRAIN_POLL_MS);
 		}
 
@@ -235,6 +243,7 @@
 			port: settings.peerPort,
 			handlers: {
 				requests: {
+					...claims.handlers,
 					heartbeat: (body) => context.membership.receive(body as Heartbeat),
 					changes: (body) => context.replica.changesAfter((body as Readonly<{afterRevision: number}>).afterRevision),
 					drain() {
