Share the slots of endpoints between instances

Cause: every instance used all slots of an endpoint, so that together they exceeded them.

Change: slots/<shard> holds the shares by instance incarnation. An instance uses the share in the newest record seen, less what it agreed to release against that revision. The owner of the shard asks holders to release, then writes one record with the increases; a release is void once another revision is seen, because the owner's compare-and-swap then fails. Shares lapse after 8 s without confirmation by the instance list or the store. Shares of an instance that is unlisted and silent for 10 s are held out of use for another 10 s, so that a frozen holder has stopped by itself. Connections follow the share of the slots. Requests wait in the admission queue of the caller package until a slot is free.

Ruled out: granting reclaimed shares at once.

--- a/packages/caller/src/constants.ts
+++ b/packages/caller/src/constants.ts
@@ -51,3 +51,17 @@
 
 /** Time that an answer waits for the release of its claim, so that an immediate repeat finds it gone. */
 export const CLAIM_RELEASE_WAIT_MS = 1000;
+
+/** Requests that may wait for a slot on one instance, of all customers together. */
+export const MAX_QUEUED_REQUESTS = 4096;
+
+/** A request that waited this long is refused, so that its caller can try another instance. */
+export const MAX_QUEUE_AGE_MS = 10_000;
+
+/** Run time that is assumed before the first answer of a service. */
+export const DEFAULT_RUN_MS = 10;
+
+/** Weight of the newest run time in the running mean. */
+export const RUN_TIME_SMOOTHING = 0.05;
+
+export const MIN_RETRY_AFTER_MS = 1000;
--- a/packages/caller/src/job-router.ts
+++ b/packages/caller/src/job-router.ts
@@ -1,5 +1,5 @@
 import {ServiceError} from '@bergamotgauge/model';
-import express, {Router} from 'express';
+import express, {Router, type RequestHandler} from 'express';
 import {callerOf, requireAccepting} from './caller.js';
 import {MAX_JOB_BODY_BYTES} from './constants.js';
 import {parseJobBody} from './job-body.js';
@@ -25,9 +25,15 @@
 	const router = Router();
 	const json = express.json({limit: MAX_JOB_BODY_BYTES});
 
-	router.post('/', json, async (request, response) => {
-		const {customer} = callerOf(service, request);
+	// The token is checked before the body is read.
+	const authorize: RequestHandler = (request, _response, next) => {
+		callerOf(service, request);
 		requireAccepting(service);
+		next();
+	};
+
+	router.post('/', authorize, json, async (request, response) => {
+		const {customer} = callerOf(service, request);
 		const job = await service.submitJob(customer, parseJobBody(request.body));
 		response.status(202).json({id: job.id});
 	});
--- a/packages/caller/src/service-router.ts
+++ b/packages/caller/src/service-router.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
 import type {Dispatcher, EndpointRequest} from '@bergamotgauge/endpoint';
 import {newRequestId, ServiceError, type Bundle, type JobClass, type Service} from '@bergamotgauge/model';
-import express, {Router, type Request, type Response} from 'express';
+import express, {Router, type Request, type RequestHandler, type Response} from 'express';
 import {sendAtMostOnce, type Answered} from './at-most-once.js';
+import type {Candidate} from './admission.js';
 import {callerOf, requireAccepting} from './caller.js';
 import {
 	CLASS_HEADER,
@@ -18,6 +19,8 @@
 import {parseIdempotencyKey} from './idempotency-key.js';
 import type {Caller, CallerService} from './types.js';
 
+type Locals = {opened: Opened};
+
 const badRequest = (message: string): ServiceError =>
 	new ServiceError(message, {code: 'bad-request', verdict: 'not-run'});
 
@@ -77,10 +80,32 @@
 	response.end(answer.body);
 };
 
-const toEndpointRequest = (service: CallerService, request: Request, caller: Caller): EndpointRequest => {
+/** A request whose caller and target are known and whose body is not read yet. */
+type Opened = Readonly<{
+	arrivedMs: number;
+	caller: Caller;
+	target: Service;
+	requestClass: JobClass;
+	candidate: Candidate;
+}>;
+
+const openRequest = (service: CallerService, request: Request): Opened => {
+	const caller = callerOf(service, request);
+	requireAccepting(service);
 	const bundle = service.bundle();
 	const target = findService(bundle, String(request.params.service), caller);
 	const requestClass = classOf(bundle, target, request);
+	const customer = bundle?.customers.find(({name}) => name === caller.customer);
+	if (!customer) {
+		throw new ServiceError(`customer ${caller.customer} is not declared`, {code: 'forbidden', verdict: 'not-run'});
+	}
+
+	const deadlineMs = deadlineOf(request, requestClass);
+	const candidate = {service: target, customer, urgency: requestClass.urgency, deadlineMs};
+	return {arrivedMs: performance.now(), caller, target, requestClass, candidate};
+};
+
+const toEndpointRequest = (request: Request, {caller, target, requestClass, candidate}: Opened): EndpointRequest => {
 	const mark = request.originalUrl.indexOf('/', '/v1/services/'.length);
 	return {
 		id: newRequestId(),
@@ -92,7 +117,7 @@
 		path: mark === -1 ? '/' : request.originalUrl.slice(mark),
 		headers: forwardedHeaders(request),
 		body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
-		deadlineMs: deadlineOf(request, requestClass),
+		deadlineMs: candidate.deadlineMs,
 	};
 };
 
@@ -108,27 +133,46 @@
 	const router = Router();
 	const raw = express.raw({limit: MAX_REQUEST_BODY_BYTES, type: () => true});
 
-	const send = async (request: Request, endpointRequest: EndpointRequest, signal: AbortSignal): Promise<Answered> => {
+	/** Waits for a slot, then sends with what is left of the deadline. */
+	const dispatchOf =
+		({candidate, arrivedMs}: Opened): Dispatcher['dispatch'] =>
+		async (endpointRequest, signal) => {
+			const leftMs = () => candidate.deadlineMs - Math.ceil(performance.now() - arrivedMs);
+			const {reservation, done} = await service.admission.enter({...candidate, deadlineMs: leftMs()}, signal);
+			try {
+				return await dispatcher.dispatch({...endpointRequest, deadlineMs: leftMs()}, signal, reservation);
+			} finally {
+				done();
+			}
+		};
+
+	const send = async (request: Request, opened: Opened, signal: AbortSignal): Promise<Answered> => {
+		const endpointRequest = toEndpointRequest(request, opened);
+		const dispatch = dispatchOf(opened);
 		if (endpointRequest.retryRule === 'idempotent') {
-			const answer = await dispatcher.dispatch(endpointRequest, signal);
+			const answer = await dispatch(endpointRequest, signal);
 			return {requestId: endpointRequest.id, answer, isReplay: false};
 		}
 
 		const key = parseIdempotencyKey(request.get(IDEMPOTENCY_KEY_HEADER), Date.now());
-		return sendAtMostOnce({claims: service.claims, dispatcher, key, request: endpointRequest, signal});
+		// A claim costs store writes, so that a request that would be refused makes none.
+		service.admission.check(opened.candidate);
+		return sendAtMostOnce({claims: service.claims, dispatcher: {dispatch}, key, request: endpointRequest, signal});
+	};
+
+	const open: RequestHandler = (request, response, next) => {
+		(response.locals as Locals).opened = openRequest(service, request);
+		next();
 	};
 
 	const handle = async (request: Request, response: Response) => {
-		const caller = callerOf(service, request);
-		requireAccepting(service);
-		const endpointRequest = toEndpointRequest(service, request, caller);
 		const controller = new AbortController();
 		response.on('close', () => {
 			controller.abort(new ServiceError('the caller went away', {code: 'cancelled', verdict: 'may-have-run'}));
 		});
-		sendAnswer(response, await send(request, endpointRequest, controller.signal));
+		sendAnswer(response, await send(request, (response.locals as Locals).opened, controller.signal));
 	};
 
-	router.all(['/:service', '/:service/{*path}'], raw, handle);
+	router.all(['/:service', '/:service/{*path}'], open, raw, handle);
 	return router;
 };
--- a/packages/caller/src/types.ts
+++ b/packages/caller/src/types.ts
@@ -8,6 +8,7 @@
 	JobSpecification,
 	Verdict,
 } from '@bergamotgauge/model';
+import type {Admission} from './admission.js';
 
 /** What a caller sees of a job. */
 export type JobView = Readonly<{
@@ -60,6 +61,7 @@
 	findJob: (customer: string, job: string) => JobView | undefined;
 	listJobs: (customer: string) => readonly JobView[];
 	claims: Claims;
+	admission: Admission;
 	cancelJob: (customer: string, job: string) => Promise<JobView | undefined>;
 }>;
 
--- a/packages/endpoint/src/dispatcher.ts
+++ b/packages/endpoint/src/dispatcher.ts
@@ -1,10 +1,10 @@
 import type {Lifecycle} from '@bergamotgauge/lifecycle';
 import {matchesSelector, ServiceError, type Service} from '@bergamotgauge/model';
 import type {Metrics} from '@bergamotgauge/telemetry';
-import {Pool} from 'undici';
+import {createConnections, type Connections} from './connections.js';
 import {MAX_TRIES, NO_ENDPOINT_RETRY_AFTER_MS} from './constants.js';
 import {exchange} from './exchange.js';
-import type {Dispatcher, Endpoint, EndpointAnswer, EndpointRequest} from './types.js';
+import type {Dispatcher, Endpoint, EndpointAnswer, EndpointRequest, Reservation} from './types.js';
 
 export type DispatcherOptions = Readonly<{
 	availabilityZone: string;
@@ -12,12 +12,13 @@
 	metrics: Metrics;
 	/** Slots of an endpoint that this instance may use now. */
 	slotsOf: (endpoint: string, service: Service) => number;
-	connectionsOf: (service: Service) => number;
 }>;
 
 type Target = {
 	endpoint: Endpoint;
-	readonly pool: Pool;
+	readonly connections: Connections;
+	/** Last service that used the endpoint; its declared connections apply. */
+	service: Service | undefined;
 	used: number;
 };
 
@@ -31,90 +32,186 @@
 const mayRetry = (error: ServiceError, request: EndpointRequest): boolean =>
 	error.verdict === 'not-run' || (error.verdict === 'may-have-run' && request.retryRule === 'idempotent');
 
+/**
+Connections that go with a share of the slots. The parts of all instances add up to at most the declared connections.
+
+@example
+```ts
+connectionShare(2, {slots: 8, connections: 60}); // 15
+```
+*/
+export const connectionShare = (share: number, {slots, connections}: Pick<Service, 'slots' | 'connections'>): number =>
+	Math.max(share, Math.floor((share * connections) / slots));
+
 /**
 Creates the sender of requests to endpoints.
 
 @example
 ```ts
-const dispatcher = createDispatcher({availabilityZone: 'a', lifecycle, metrics, slotsOf, connectionsOf});
-const answer = await dispatcher.dispatch(request, signal);
+const dispatcher = createDispatcher({availabilityZone: 'a', lifecycle, metrics, slotsOf});
+const reservation = dispatcher.reserve(service);
+const answer = await dispatcher.dispatch(request, signal, reservation);
 ```
 */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
-	const {availabilityZone, lifecycle, metrics, slotsOf, connectionsOf} = options;
+	const {availabilityZone, lifecycle, metrics, slotsOf} = options;
 	const targets = new Map<string, Target>();
+	const freeListeners = new Set<() => void>();
+	let matching = new WeakMap<Service, readonly Target[]>();
 	let inProgress = 0;
 
-	lifecycle.add('endpoint-pools', async () => {
-		await Promise.all([...targets.values()].map(async ({pool}) => pool.destroy()));
+	lifecycle.add('endpoint-connections', () => {
+		for (const {connections} of targets.values()) {
+			connections.close();
+		}
 	});
 
-	const pick = (request: EndpointRequest, tried: ReadonlySet<string>): Target => {
-		const {service} = request;
-		const matching = [...targets.values()].filter(
-			({endpoint}) => !endpoint.isLeaving && matchesSelector(service.endpointSelector, endpoint.labels),
-		);
-		if (matching.length === 0) {
-			throw noEndpoint(service, 'no live endpoint matches its selector');
+	const announceFree = () => {
+		for (const listener of freeListeners) {
+			listener();
+		}
+	};
+
+	const matchingTargets = (service: Service): readonly Target[] => {
+		let found = matching.get(service);
+		if (!found) {
+			found = [...targets.values()].filter(({endpoint}) => matchesSelector(service.endpointSelector, endpoint.labels));
+			matching.set(service, found);
+		}
+
+		return found;
+	};
+
+	const isBetter = (a: Target, b: Target): boolean => {
+		const isNear = a.endpoint.availabilityZone === availabilityZone;
+		return isNear === (b.endpoint.availabilityZone === availabilityZone) ? a.used < b.used : isNear;
+	};
+
+	const reserve = (service: Service, tried?: ReadonlySet<string>): Reservation | undefined => {
+		let best: Target | undefined;
+		for (const target of matchingTargets(service)) {
+			const {endpoint, used} = target;
+			const isFree = !endpoint.isLeaving && !tried?.has(endpoint.id) && used < slotsOf(endpoint.id, service);
+			if (isFree && (!best || isBetter(target, best))) {
+				best = target;
+			}
 		}
 
-		const free = matching.filter(({endpoint, used}) => !tried.has(endpoint.id) && used < slotsOf(endpoint.id, service));
-		const [best] = free.toSorted(
-			(a, b) =>
-				Number(b.endpoint.availabilityZone === availabilityZone) -
-					Number(a.endpoint.availabilityZone === availabilityZone) || a.used - b.used,
-		);
 		if (!best) {
-			throw noEndpoint(service, 'all slots are in use');
+			return undefined;
 		}
 
-		return best;
+		const target = best;
+		target.used += 1;
+		target.service = service;
+		let isHeld = true;
+		return {
+			endpoint: target.endpoint.id,
+			release() {
+				if (isHeld) {
+					isHeld = false;
+					target.used -= 1;
+					announceFree();
+				}
+			},
+		};
 	};
 
-	const tryOnce = async (target: Target, request: EndpointRequest, startedMs: number, signal: AbortSignal) => {
+	const tryOnce = async (endpoint: string, request: EndpointRequest, startedMs: number, signal: AbortSignal) => {
 		const limitMs = request.deadlineMs - (performance.now() - startedMs);
 		if (limitMs <= 0) {
 			throw new ServiceError('the deadline has passed', {code: 'deadline-exceeded', verdict: 'not-run'});
 		}
 
-		target.used += 1;
+		const target = targets.get(endpoint);
+		const connection = target?.connections.take();
+		if (!target || !connection) {
+			throw noEndpoint(request.service, `no connection to ${endpoint} is free`);
+		}
+
 		try {
-			return await exchange(target.pool, target.endpoint.id, request, Math.round(limitMs), signal);
-		} finally {
-			target.used -= 1;
+			const answer = await exchange(connection.client, endpoint, request, Math.round(limitMs), signal);
+			target.connections.give(connection);
+			return answer;
+		} catch (error) {
+			if (error instanceof ServiceError && error.verdict === 'not-run' && error.status === 503) {
+				target.connections.give(connection);
+			} else {
+				target.connections.retire(connection);
+			}
+
+			throw error;
 		}
 	};
 
-	const dispatch = async (request: EndpointRequest, signal: AbortSignal): Promise<EndpointAnswer> => {
+	const dispatch = async (
+		request: EndpointRequest,
+		signal: AbortSignal,
+		first: Reservation | undefined,
+	): Promise<EndpointAnswer> => {
 		const startedMs = performance.now();
 		const tried = new Set<string>();
 		let last: ServiceError | undefined;
-		while (tried.size < MAX_TRIES) {
+		let reservation = first ?? reserve(request.service);
+		while (reservation) {
 			try {
-				const target = pick(request, tried);
-				tried.add(target.endpoint.id);
-				return await tryOnce(target, request, startedMs, signal);
+				tried.add(reservation.endpoint);
+				return await tryOnce(reservation.endpoint, request, startedMs, signal);
 			} catch (error) {
 				if (!(error instanceof ServiceError)) {
 					throw error;
 				}
 
 				// An earlier try that may have run decides the verdict of the whole request.
-				const worst = last?.verdict === 'may-have-run' && error.verdict === 'not-run' ? last : error;
-				if (signal.aborted || error.code === 'no-endpoint' || !mayRetry(error, request)) {
-					throw worst;
+				last = last?.verdict === 'may-have-run' && error.verdict === 'not-run' ? last : error;
+				if (signal.aborted || tried.size >= MAX_TRIES || !mayRetry(error, request)) {
+					throw last;
 				}
+			} finally {
+				reservation.release();
+			}
 
+			reservation = reserve(request.service, tried);
+			if (reservation) {
 				metrics.count('endpoint_retries_total', {service: request.service.name});
-				last = worst;
 			}
 		}
 
-		throw last ?? noEndpoint(request.service, 'no endpoint took the request');
+		throw last ?? noEndpoint(request.service, 'no endpoint has a free slot');
+	};
+
+	const open = (endpoint: Endpoint) => {
+		const target: Target = {
+			endpoint,
+			service: undefined,
+			used: 0,
+			connections: createConnections({
+				address: endpoint.address,
+				limit: () => (target.service ? connectionShare(slotsOf(endpoint.id, target.service), target.service) : 0),
+				onClosed() {
+					metrics.count('endpoint_connections_closed_total');
+				},
+			}),
+		};
+		targets.set(endpoint.id, target);
 	};
 
 	return {
 		inProgress: () => inProgress,
+		used: (endpoint) => targets.get(endpoint)?.used ?? 0,
+		usedBy: (service) => matchingTargets(service).reduce((sum, {used}) => sum + used, 0),
+		hasEndpoint: (service) => matchingTargets(service).some(({endpoint}) => !endpoint.isLeaving),
+		reserve,
+		onFree(listener) {
+			freeListeners.add(listener);
+		},
+		refresh() {
+			for (const {connections} of targets.values()) {
+				connections.closeIdle('excess');
+			}
+
+			announceFree();
+		},
 		setEndpoints(endpoints) {
 			const byId = new Map(endpoints.map((endpoint) => [endpoint.id, endpoint]));
 			for (const [id, target] of targets) {
@@ -123,22 +220,25 @@
 					target.endpoint = endpoint;
 				} else {
 					targets.delete(id);
-					void target.pool.close();
+					// Requests in progress end on their own connection.
+					target.connections.shut();
 				}
 			}
 
 			for (const endpoint of endpoints) {
 				if (!targets.has(endpoint.id)) {
-					const pool = new Pool(`http://${endpoint.address}`, {connections: 60, pipelining: 1});
-					targets.set(endpoint.id, {endpoint, pool, used: 0});
+					open(endpoint);
 				}
 			}
+
+			matching = new WeakMap();
+			announceFree();
 		},
-		async dispatch(request, signal) {
+		async dispatch(request, signal, reservation) {
 			const startedMs = performance.now();
 			inProgress += 1;
 			try {
-				return await dispatch(request, signal);
+				return await dispatch(request, signal, reservation);
 			} finally {
 				inProgress -= 1;
 				metrics.observe('endpoint_request_milliseconds', performance.now() - startedMs, {
--- a/packages/endpoint/src/exchange.ts
+++ b/packages/endpoint/src/exchange.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {withDeadline, DeadlineError} from '@bergamotgauge/lifecycle';
 import {ServiceError, type Verdict} from '@bergamotgauge/model';
-import type {Pool} from 'undici';
+import type {Client} from 'undici';
 import {MAX_ANSWER_BYTES, REQUEST_ID_HEADER} from './constants.js';
 import type {EndpointAnswer, EndpointRequest} from './types.js';
 
@@ -31,7 +31,7 @@
 @throws {ServiceError} `not-run` when nothing was sent or the endpoint refused the request; `may-have-run` when the answer is missing or cut.
 */
 export const exchange = async (
-	pool: Pool,
+	client: Client,
 	endpoint: string,
 	request: EndpointRequest,
 	limitMs: number,
@@ -41,13 +41,11 @@
 		return await withDeadline(
 			limitMs,
 			async (signal) => {
-				const response = await pool.request({
+				const response = await client.request({
 					method: request.method,
 					path: request.path,
 					headers: {...request.headers, [REQUEST_ID_HEADER]: request.id, 'request-deadline-ms': String(limitMs)},
 					...(request.body.length > 0 && {body: request.body}),
-					headersTimeout: 0,
-					bodyTimeout: 0,
 					signal,
 				});
 				const body = await readWhole(response.body);
--- a/packages/endpoint/src/index.ts
+++ b/packages/endpoint/src/index.ts
@@ -1,3 +1,3 @@
 export type * from './types.js';
 export * from './constants.js';
-export {createDispatcher, type DispatcherOptions} from './dispatcher.js';
+export {connectionShare, createDispatcher, type DispatcherOptions} from './dispatcher.js';
--- a/packages/endpoint/src/types.ts
+++ b/packages/endpoint/src/types.ts
@@ -34,12 +34,31 @@
 	body: Uint8Array;
 }>;
 
+/** A slot of one endpoint, held for one request. */
+export type Reservation = Readonly<{
+	endpoint: string;
+	/** Gives the slot back; safe to call twice. */
+	release: () => void;
+}>;
+
 /** Sends requests to endpoints. */
 export type Dispatcher = Readonly<{
 	/** Replaces the known endpoints. */
 	setEndpoints: (endpoints: readonly Endpoint[]) => void;
-	/** Gives the answer whole, or throws a ServiceError with its verdict. */
-	dispatch: (request: EndpointRequest, signal: AbortSignal) => Promise<EndpointAnswer>;
+	/** Holds a slot of the best endpoint of a service; undefined when none is free. */
+	reserve: (service: Service) => Reservation | undefined;
+	/** Gives the answer whole, or throws a ServiceError with its verdict. Gives the reservation back in any case. */
+	dispatch: (request: EndpointRequest, signal: AbortSignal, reservation?: Reservation) => Promise<EndpointAnswer>;
+	/** Calls the listener when a slot may have become free. */
+	onFree: (listener: () => void) => void;
+	/** Takes changed shares into account. */
+	refresh: () => void;
+	/** Slots of an endpoint in use. */
+	used: (endpoint: string) => number;
+	/** Slots of a service in use. */
+	usedBy: (service: Service) => number;
+	/** Whether a service has an endpoint that takes new work. */
+	hasEndpoint: (service: Service) => boolean;
 	/** Requests in progress. */
 	inProgress: () => number;
 }>;
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,10 +1,16 @@
-import type {CallerService} from '@bergamotgauge/caller';
+import {createAdmission, type Admission, type CallerService} from '@bergamotgauge/caller';
 import {createDispatcher, type Dispatcher, type Endpoint} from '@bergamotgauge/endpoint';
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {BUNDLE_KEY, type ListedInstance} from '@bergamotgauge/model';
 import type {OperatorService, Status} from '@bergamotgauge/operator';
 import {createMembership, startPeerServer, type Heartbeat, type MemberState} from '@bergamotgauge/peer';
-import {createInstanceList, createReplica, createStoreClient, type Changes} from '@bergamotgauge/platform';
+import {
+	createInstanceList,
+	createReplica,
+	createStoreClient,
+	INSTANCE_LIST_POLL_MS,
+	type Changes,
+} from '@bergamotgauge/platform';
 import {createMetrics, type Log, type Metrics} from '@bergamotgauge/telemetry';
 import {createClaimService, type ClaimService} from './claims-service.js';
 import {applyDeclarations} from './configuration.js';
@@ -16,6 +22,7 @@
 import {runPlanner} from './planner-loop.js';
 import {runRackLoop} from './rack-loop.js';
 import {spreadEntry, startReplication} from './replication.js';
+import {createSlotService, type SlotService} from './slots-service.js';
 import type {Instance, Settings} from './types.js';
 import {createWaker} from './waker.js';
 import {createWorkerLinks, type WorkerLinks} from './worker-links.js';
@@ -95,8 +102,10 @@
 	jobs: JobStore,
 	views: JobViews,
 	claims: ClaimService,
+	admission: Admission,
 ): CallerService => ({
 	claims,
+	admission,
 	bundle: () => bundleOf(context.replica),
 	isAccepting: () => context.state() === 'live',
 	submitJob: jobs.submit,
@@ -150,7 +159,18 @@
 	refresh();
 };
 
-const followList = (context: Context, dispatcher: Dispatcher): void => {
+const runList = async ({list, settings}: Context, slots: SlotService, signal: AbortSignal): Promise<void> => {
+	while (!signal.aborted) {
+		await list.refresh();
+		if (list.current().some(({role, id}) => role === 'instance' && id === settings.id)) {
+			slots.confirmByList();
+		}
+
+		await sleep(INSTANCE_LIST_POLL_MS, signal);
+	}
+};
+
+const followList = (context: Context, dispatcher: Dispatcher, slots: SlotService): void => {
 	const take = (list: readonly ListedInstance[]) => {
 		context.membership.applyList(list);
 		dispatcher.setEndpoints(endpointsOf(list));
@@ -160,7 +180,7 @@
 		take(data);
 	});
 	take(context.list.current());
-	context.lifecycle.run('instance-list', context.list.run);
+	context.lifecycle.run('instance-list', async (signal) => runList(context, slots, signal));
 };
 
 /**
@@ -199,11 +219,18 @@
 		availabilityZone: settings.availabilityZone,
 		lifecycle,
 		metrics,
-		slotsOf: (_endpoint, service) => service.slots,
-		connectionsOf: (service) => service.connections,
+		slotsOf: (endpoint) => slots.limitOf(endpoint),
+	});
+	const admission = createAdmission({dispatcher, metrics});
+	const slots = createSlotService({
+		context,
+		incarnation,
+		usedOf: dispatcher.used,
+		takeDemand: admission.takeDemand,
+		onChange: dispatcher.refresh,
 	});
 	const claims = createClaimService(context);
-	const callerService = createCallerService(context, jobs, views, claims);
+	const callerService = createCallerService(context, jobs, views, claims, admission);
 	const drain = async () => {
 		if (status.state === 'leaving') {
 			return;
@@ -218,6 +245,7 @@
 		}
 
 		log.info('drain-ended', {inProgress: dispatcher.inProgress()});
+		await slots.handOver();
 		await lifecycle.close();
 	};
 
@@ -244,6 +272,7 @@
 			handlers: {
 				requests: {
 					...claims.handlers,
+					...slots.handlers.requests,
 					heartbeat: (body) => context.membership.receive(body as Heartbeat),
 					changes: (body) => context.replica.changesAfter((body as Readonly<{afterRevision: number}>).afterRevision),
 					drain() {
@@ -252,6 +281,7 @@
 					},
 				},
 				events: {
+					...slots.handlers.events,
 					changed(body) {
 						const changes = body as Changes;
 						for (const entry of changes.entries) {
@@ -265,7 +295,8 @@
 		});
 		await context.list.refresh();
 		await startReplication(context);
-		followList(context, dispatcher);
+		followList(context, dispatcher, slots);
+		slots.start();
 		startLoops(context, jobs, views, links, wakeRacks);
 		const address = await startHttpServer({
 			host: settings.host,
--- /dev/null
+++ b/packages/instance/src/slots-plan.ts
@@ -0,0 +1,241 @@
+import type {EndpointShares, SlotShardRecord} from '@bergamotgauge/model';
+
+/** Prefix of the holder that keeps reclaimed slots out of use until the time in its name. */
+const RECLAIMED_PREFIX = 'reclaimed/';
+
+/** Smallest gain of a service's slots, as a fraction, for which slots move; it keeps noise in the demand from causing writes. */
+const MIN_GAIN = 0.05;
+
+/** Demand for the slots of one group of endpoints by holder. */
+export type Demand = ReadonlyMap<string, number>;
+
+export type SlotPlan = Readonly<{
+	/** Slots by endpoint. */
+	slots: ReadonlyMap<string, number>;
+	/** Wanted shares by holder over all endpoints of the plan. */
+	wanted: ReadonlyMap<string, number>;
+}>;
+
+export const reclaimedHolder = (untilMs: number): string => `${RECLAIMED_PREFIX}${untilMs}`;
+
+const isOver = (holder: string, nowMs: number): boolean =>
+	holder.startsWith(RECLAIMED_PREFIX) && Number(holder.slice(RECLAIMED_PREFIX.length)) <= nowMs;
+
+export const isReclaimed = (holder: string): boolean => holder.startsWith(RECLAIMED_PREFIX);
+
+const sum = (values: Iterable<number>): number => [...values].reduce((total, value) => total + value, 0);
+
+export const sumOfShares = ({shares}: EndpointShares): number => sum(Object.values(shares));
+
+/**
+Shares capacity by max-min fairness: nobody gets more than it demands while another gets less than an equal part. What is left over is split equally.
+
+@example
+```ts
+fairShares(new Map([['a', 1], ['b', 10]]), 8); // a: 1, b: 7
+```
+*/
+export const fairShares = (demand: Demand, capacity: number): ReadonlyMap<string, number> => {
+	const shares = new Map<string, number>();
+	let left = capacity;
+	let open = demand.size;
+	for (const [holder, wanted] of [...demand].toSorted((a, b) => a[1] - b[1])) {
+		const share = Math.min(wanted, left / open);
+		shares.set(holder, share);
+		left -= share;
+		open -= 1;
+	}
+
+	for (const [holder, share] of shares) {
+		shares.set(holder, share + left / demand.size);
+	}
+
+	return shares;
+};
+
+/** Whole numbers that add up to the capacity, by largest remainder. */
+export const roundShares = (shares: ReadonlyMap<string, number>, capacity: number): ReadonlyMap<string, number> => {
+	const rounded = new Map([...shares].map(([holder, share]) => [holder, Math.floor(share)]));
+	let left = Math.max(0, capacity - sum(rounded.values()));
+	const byRemainder = [...shares].toSorted(
+		([a, x], [b, y]) => y - Math.floor(y) - (x - Math.floor(x)) || a.localeCompare(b),
+	);
+	for (const [holder] of byRemainder.slice(0, left)) {
+		rounded.set(holder, rounded.get(holder)! + 1);
+		left -= 1;
+	}
+
+	return rounded;
+};
+
+/**
+Gives the shares to aim for, or the current ones where no holder lacks enough slots to justify a move.
+
+@example
+```ts
+wantedShares({current: new Map([['a', 4], ['b', 4]]), demand: new Map([['a', 9], ['b', 1]]), capacity: 8}); // a: 7, b: 1
+```
+*/
+export const wantedShares = ({
+	current,
+	demand,
+	capacity,
+}: Readonly<{current: ReadonlyMap<string, number>; demand: Demand; capacity: number}>): ReadonlyMap<string, number> => {
+	const atLeastOne = new Map([...demand].map(([holder, wanted]) => [holder, Math.max(1, wanted)]));
+	const target = roundShares(fairShares(atLeastOne, capacity), capacity);
+	const minGain = Math.max(1, capacity * MIN_GAIN);
+	const held = sum([...demand.keys()].map((holder) => current.get(holder) ?? 0));
+	const isJustified = [...target].some(([holder, share]) => {
+		const has = current.get(holder) ?? 0;
+		return has < atLeastOne.get(holder)! && (share - has >= minGain || has === 0);
+	});
+	return isJustified || held !== capacity ? target : current;
+};
+
+/** Drops reclaimed slots whose time is over. */
+export const withoutOverdue = (record: SlotShardRecord, nowMs: number): SlotShardRecord => ({
+	endpoints: Object.fromEntries(
+		Object.entries(record.endpoints).map(([endpoint, {slots, shares}]) => [
+			endpoint,
+			{slots, shares: Object.fromEntries(Object.entries(shares).filter(([holder]) => !isOver(holder, nowMs)))},
+		]),
+	),
+});
+
+type Shares = Map<string, Map<string, number>>;
+
+const add = (shares: Shares, endpoint: string, holder: string, by: number): void => {
+	const of = shares.get(endpoint)!;
+	const next = (of.get(holder) ?? 0) + by;
+	if (next === 0) {
+		of.delete(holder);
+	} else {
+		of.set(holder, next);
+	}
+};
+
+const totalsOf = (shares: Shares): Map<string, number> => {
+	const totals = new Map<string, number>();
+	for (const of of shares.values()) {
+		for (const [holder, share] of of) {
+			totals.set(holder, (totals.get(holder) ?? 0) + share);
+		}
+	}
+
+	return totals;
+};
+
+const takeExcess = (shares: Shares, slots: ReadonlyMap<string, number>, wanted: ReadonlyMap<string, number>): void => {
+	for (const [endpoint, of] of shares) {
+		while (sum(of.values()) > (slots.get(endpoint) ?? 0)) {
+			const [largest] = [...of].filter(([holder]) => wanted.has(holder)).toSorted((a, b) => b[1] - a[1]);
+			if (!largest) {
+				break;
+			}
+
+			add(shares, endpoint, largest[0], -1);
+		}
+	}
+};
+
+/** Finds the endpoint at which a holder should gain a slot, and from whom; an undefined donor means a free slot. */
+const findSlot = (
+	shares: Shares,
+	slots: ReadonlyMap<string, number>,
+	holder: string,
+	donors: ReadonlySet<string>,
+): Readonly<{endpoint: string; donor: string | undefined}> | undefined => {
+	let best: {endpoint: string; donor: string | undefined; rank: number} | undefined;
+	for (const [endpoint, of] of shares) {
+		const isFree = sum(of.values()) < slots.get(endpoint)!;
+		const [donor] = [...of].filter(([other]) => donors.has(other)).toSorted((a, b) => b[1] - a[1]);
+		if (!isFree && !donor) {
+			continue;
+		}
+
+		// A free slot before a taken one, then the endpoint at which the holder has least.
+		const rank = (isFree ? 0 : 1000) + (of.get(holder) ?? 0);
+		if (!best || rank < best.rank) {
+			best = {endpoint, donor: isFree ? undefined : donor![0], rank};
+		}
+	}
+
+	return best;
+};
+
+/**
+Plans the next shares of one record with few moves. Holders that are not in `wanted` keep what they have.
+
+@example
+```ts
+const next = planShares(record, {slots: new Map([['e1', 8]]), wanted: new Map([['q1/1', 4], ['q2/1', 4]])});
+```
+*/
+export const planShares = (record: SlotShardRecord, {slots, wanted}: SlotPlan): SlotShardRecord => {
+	const shares: Shares = new Map(
+		[...slots.keys()].map((endpoint) => [endpoint, new Map(Object.entries(record.endpoints[endpoint]?.shares ?? {}))]),
+	);
+	takeExcess(shares, slots, wanted);
+	for (;;) {
+		const totals = totalsOf(shares);
+		const lacking = [...wanted]
+			.map(([holder, share]) => ({holder, gap: share - (totals.get(holder) ?? 0)}))
+			.filter(({gap}) => gap > 0)
+			.toSorted((a, b) => b.gap - a.gap || a.holder.localeCompare(b.holder));
+		const donors = new Set(
+			[...wanted].filter(([holder, share]) => (totals.get(holder) ?? 0) > share).map(([id]) => id),
+		);
+		const [first] = lacking;
+		const found = first && findSlot(shares, slots, first.holder, donors);
+		if (!found) {
+			break;
+		}
+
+		add(shares, found.endpoint, first.holder, 1);
+		if (found.donor !== undefined) {
+			add(shares, found.endpoint, found.donor, -1);
+		}
+	}
+
+	const planned = Object.fromEntries(
+		[...shares].map(([endpoint, of]) => [endpoint, {slots: slots.get(endpoint)!, shares: Object.fromEntries(of)}]),
+	);
+	return {endpoints: {...record.endpoints, ...planned}};
+};
+
+/**
+Combines a plan with what the holders agreed to give up. An increase that the agreed shares leave no room for is dropped, so that the sum stays within the slots.
+
+@example
+```ts
+const written = settleShares(record, planned, (endpoint, holder) => agreed.get(`${endpoint} ${holder}`));
+```
+*/
+export const settleShares = (
+	record: SlotShardRecord,
+	planned: SlotShardRecord,
+	agreedLimit: (endpoint: string, holder: string) => number | undefined,
+): SlotShardRecord => ({
+	endpoints: Object.fromEntries(
+		Object.entries(planned.endpoints).map(([endpoint, {slots, shares}]) => {
+			const before = record.endpoints[endpoint]?.shares ?? {};
+			const holders = [...new Set([...Object.keys(before), ...Object.keys(shares)])];
+			const settled = new Map(
+				holders.map((holder) => {
+					const has = before[holder] ?? 0;
+					const isDecrease = (shares[holder] ?? 0) < has;
+					const limit = isReclaimed(holder) ? shares[holder] : agreedLimit(endpoint, holder);
+					return [holder, isDecrease ? Math.max(shares[holder] ?? 0, Math.min(has, limit ?? has)) : has];
+				}),
+			);
+			let free = slots - sum(settled.values());
+			for (const holder of holders) {
+				const gain = Math.max(0, Math.min(free, (shares[holder] ?? 0) - settled.get(holder)!));
+				settled.set(holder, settled.get(holder)! + gain);
+				free -= gain;
+			}
+
+			return [endpoint, {slots, shares: Object.fromEntries([...settled].filter(([, share]) => share > 0))}];
+		}),
+	),
+});
--- /dev/null
+++ b/packages/instance/src/test/slot-group.ts
@@ -0,0 +1,205 @@
+import {createLifecycle, type Lifecycle} from '@bergamotgauge/lifecycle';
+import {BUNDLE_KEY, ServiceError, type Bundle, type ListedInstance} from '@bergamotgauge/model';
+import type {Heartbeat, Member, Membership, MemberState, PeerLink} from '@bergamotgauge/peer';
+import {createReplica, type Entry, type InstanceList, type Replica} from '@bergamotgauge/platform';
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import Emittery from 'emittery';
+import type {Context} from '../context.js';
+import {createSlotService, type SlotService} from '../slots-service.js';
+import {createFakeStore, type FakeStore} from './fake-store.js';
+
+export const ENDPOINTS = Array.from({length: 6}, (_, index) => `e${index}`);
+export const SLOTS = 8;
+
+const BUNDLE = {
+	generation: 1,
+	services: [{name: 'listings', endpointSelector: {}, slots: SLOTS, connections: 60}],
+} as unknown as Bundle;
+
+/** One instance of the group with only its slot shares. */
+export type Node = {
+	readonly id: string;
+	readonly incarnation: number;
+	readonly slots: SlotService;
+	readonly replica: Replica;
+	readonly lifecycle: Lifecycle;
+	readonly used: Map<string, number>;
+	demand: number;
+	state: MemberState;
+	/** No message, store call or list reading passes. */
+	isCut: boolean;
+	isListed: boolean;
+	lastHeardMs: number;
+};
+
+export type SlotGroup = Readonly<{
+	store: FakeStore;
+	nodes: Map<string, Node>;
+	start: (id: string) => Node;
+	kill: (id: string) => Promise<void>;
+	/** Usable slots of an endpoint over all running instances. */
+	usable: (endpoint: string) => number;
+	/** When true, each instance takes itself for the owner of every shard. */
+	disagree: {value: boolean};
+}>;
+
+const unreachable = (): ServiceError =>
+	new ServiceError('cut', {code: 'store-unavailable', verdict: 'not-run', retryAfterMs: 1});
+
+/** Instances in one process that share a store, with switchable faults. */
+export const createSlotGroup = (): SlotGroup => {
+	const store = createFakeStore();
+	const nodes = new Map<string, Node>();
+	const disagree = {value: false};
+
+	const heartbeatOf = ({id, incarnation, state}: Node): Heartbeat => ({
+		id,
+		incarnation,
+		state,
+		generation: 1,
+		revision: 0,
+		availabilityZone: 'a',
+		workersDown: [],
+	});
+
+	const memberOf = (node: Node): Member => ({
+		id: node.id,
+		address: '',
+		health: Date.now() - node.lastHeardMs < 3000 ? 'alive' : 'dead',
+		heartbeat: heartbeatOf(node),
+		lastHeardMs: node.lastHeardMs,
+	});
+
+	const createMembership = (self: () => Node): Membership => {
+		const others = () => [...nodes.values()].filter(({id}) => id !== self().id);
+		return {
+			owners: () => (disagree.value ? [self().id] : [...nodes.values()].filter(({isCut}) => !isCut).map(({id}) => id)),
+			members: () => others().map((node) => memberOf(node)),
+			link(id) {
+				const link: Pick<PeerLink, 'call' | 'notify'> = {
+					async call(method, body) {
+						const peer = nodes.get(id);
+						if (!peer || peer.isCut || self().isCut) {
+							throw unreachable();
+						}
+
+						return peer.slots.handlers.requests[method]!(body, '');
+					},
+					notify(method, body) {
+						const peer = nodes.get(id);
+						if (peer && !peer.isCut && !self().isCut) {
+							peer.slots.handlers.events[method]!(body);
+						}
+					},
+				};
+				return link as PeerLink;
+			},
+			applyList: () => undefined,
+			receive: () => heartbeatOf(self()),
+			events: new Emittery(),
+		};
+	};
+
+	const listed = (): readonly ListedInstance[] => [
+		...ENDPOINTS.map(
+			(id) => ({id, role: 'endpoint', address: '', availabilityZone: 'a', state: 'live', labels: {}}) as const,
+		),
+		...[...nodes.values()]
+			.filter(({isListed}) => isListed)
+			.map(({id}) => ({id, role: 'instance', address: '', availabilityZone: 'a', state: 'live', labels: {}}) as const),
+	];
+
+	const start = (id: string): Node => {
+		const replica = createReplica();
+		const lifecycle = createLifecycle(id);
+		const used = new Map<string, number>();
+		const incarnation = Date.now();
+		const self = () => node;
+		const list: InstanceList = {current: listed, async refresh() {}, async run() {}, events: new Emittery()};
+		const guarded = async <Result>(work: () => Promise<Result>): Promise<Result> => {
+			if (node.isCut) {
+				throw unreachable();
+			}
+
+			return work();
+		};
+
+		const context = {
+			settings: {id},
+			lifecycle,
+			log: createSilentLog(),
+			metrics: createMetrics(),
+			store: {
+				...store,
+				put: async (key: string, value: unknown, revision: number) =>
+					guarded(async () => store.put(key, value, revision)),
+				list: async (prefix: string) => guarded(async () => store.list(prefix)),
+			},
+			replica,
+			list,
+			membership: createMembership(self),
+			state: () => node.state,
+			publish(entry: Entry<unknown>) {
+				for (const peer of nodes.values()) {
+					if (peer === node || (!peer.isCut && !node.isCut)) {
+						peer.replica.applyOwnWrite(entry);
+					}
+				}
+			},
+		} as unknown as Context;
+		const slots = createSlotService({
+			context,
+			incarnation,
+			usedOf: (endpoint) => used.get(endpoint) ?? 0,
+			takeDemand: () => new Map([['listings', node.demand]]),
+			onChange: () => undefined,
+		});
+		const node: Node = {
+			id,
+			incarnation,
+			slots,
+			replica,
+			lifecycle,
+			used,
+			demand: 0,
+			state: 'live',
+			isCut: false,
+			isListed: true,
+			lastHeardMs: Date.now(),
+		};
+		replica.applyOwnWrite({key: BUNDLE_KEY, revision: 1, value: BUNDLE});
+		nodes.set(id, node);
+		slots.start();
+		// Stands for the heartbeats and the list readings.
+		lifecycle.run('confirm', async (signal) => {
+			const timer = setInterval(() => {
+				if (!node.isCut) {
+					node.lastHeardMs = Date.now();
+					if (node.isListed) {
+						slots.confirmByList();
+					}
+				}
+			}, 500);
+			await new Promise<void>((resolve) => {
+				signal.addEventListener('abort', () => {
+					clearInterval(timer);
+					resolve();
+				});
+			});
+		});
+		return node;
+	};
+
+	return {
+		store,
+		nodes,
+		start,
+		async kill(id) {
+			const node = nodes.get(id)!;
+			nodes.delete(id);
+			await node.lifecycle.close();
+		},
+		usable: (endpoint) => [...nodes.values()].reduce((sum, {slots}) => sum + slots.limitOf(endpoint), 0),
+		disagree,
+	};
+};
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,5 @@
 export type * from './types.js';
+export {INSTANCE_LIST_POLL_MS} from './constants.js';
 export {createGroupCommit, type Change, type GroupCommit} from './group-commit.js';
 export {createInstanceList, mergeListing, type InstanceList} from './instance-list.js';
 export {createReplica, type Replica} from './replica.js';
