Admit requests by quota, weight and deadline

Cause: a request without a free slot failed at once, and a customer that flooded the service took all slots.

Change: per-customer limits on requests in progress and waiting, start-time fair queueing between customers by weight, the more urgent request of a customer first, the least urgent shed when a queue is full.

Found by the tests: fair queueing that recomputed the virtual start of a waiting customer gave all of 44 slots to the heavier of two customers of weights 3 and 1. A backlogged customer now keeps its virtual start; the heavier one gets three quarters.

--- a/packages/caller/src/admission.ts
+++ b/packages/caller/src/admission.ts
@@ -32,7 +32,7 @@
 	inProgress: number;
 	/** Waiting requests, the most urgent first, then by arrival. */
 	queue: Waiting[];
-	/** Virtual finish time of the last granted request. */
+	/** Virtual finish time of the last granted request, which is the start of the next one. */
 	finish: number;
 };
 
@@ -72,9 +72,12 @@
 export const createAdmission = ({
 	dispatcher,
 	metrics,
+	maxQueued = MAX_QUEUED_REQUESTS,
 }: Readonly<{
 	dispatcher: Pick<Dispatcher, 'reserve' | 'onFree' | 'usedBy' | 'hasEndpoint'>;
 	metrics: Metrics;
+	/** Requests that may wait together. */
+	maxQueued?: number;
 }>): Admission => {
 	const accounts = new Map<string, Account>();
 	const runMs = new Map<string, number>();
@@ -96,6 +99,11 @@
 		}
 
 		account.customer = customer;
+		if (account.queue.length === 0) {
+			// Time without waiting requests earns no claim to later slots.
+			account.finish = Math.max(account.finish, virtualTime);
+		}
+
 		return account;
 	};
 
@@ -143,9 +151,8 @@
 	};
 
 	const admit = (account: Account, candidate: Candidate, reservation: Reservation): Admitted => {
-		const start = Math.max(virtualTime, account.finish);
-		virtualTime = start;
-		account.finish = start + 1 / candidate.customer.weight;
+		virtualTime = Math.max(virtualTime, account.finish);
+		account.finish += 1 / candidate.customer.weight;
 		account.inProgress += 1;
 		notePeak(candidate.service);
 		const startedMs = performance.now();
@@ -170,16 +177,15 @@
 
 	/** Next request in fair order among the services that may still have a free slot. */
 	const nextWaiting = (full: ReadonlySet<string>): Readonly<{account: Account; entry: Waiting}> | undefined => {
-		let best: {account: Account; entry: Waiting; start: number} | undefined;
+		let best: {account: Account; entry: Waiting} | undefined;
 		for (const account of accounts.values()) {
 			if (account.queue.length === 0 || account.inProgress >= account.customer.quota.concurrentRequests) {
 				continue;
 			}
 
 			const entry = account.queue.find(({candidate}) => !full.has(candidate.service.name));
-			const start = Math.max(virtualTime, account.finish) + 1 / account.customer.weight;
-			if (entry && (!best || start < best.start)) {
-				best = {account, entry, start};
+			if (entry && (!best || account.finish < best.account.finish)) {
+				best = {account, entry};
 			}
 		}
 
@@ -203,6 +209,14 @@
 		}
 	};
 
+	/** Drops the newest of the least urgent waiting requests of a customer. */
+	const shed = (account: Account): void => {
+		const entry = account.queue.at(-1);
+		if (entry && remove(account, entry)) {
+			entry.refuse(refusal('overloaded', 'a more urgent request took the place in the queue', MIN_RETRY_AFTER_MS));
+		}
+	};
+
 	/** Makes room by dropping the least urgent request, the newest of the customer with the longest queue for its weight. */
 	const shedFor = (rank: number): boolean => {
 		let worst: {account: Account; entry: Waiting} | undefined;
@@ -223,8 +237,7 @@
 			return false;
 		}
 
-		remove(worst.account, worst.entry);
-		worst.entry.refuse(refusal('overloaded', 'a more urgent request took the place in the queue', MIN_RETRY_AFTER_MS));
+		shed(worst.account);
 		return true;
 	};
 
@@ -239,7 +252,8 @@
 		}
 
 		const waitMs = expectedWaitMs(account, candidate);
-		if (account.queue.length >= quota.queuedRequests && account.queue.length > 0) {
+		const last = account.queue.at(-1);
+		if (last && account.queue.length >= quota.queuedRequests && last.rank <= RANK[candidate.urgency]) {
 			throw refusal('over-quota', `customer ${name} has ${account.queue.length} waiting requests, its quota`, waitMs);
 		}
 
@@ -319,7 +333,10 @@
 				throw refusal('over-quota', `customer ${candidate.customer.name} may not queue requests`, MIN_RETRY_AFTER_MS);
 			}
 
-			if (queued >= MAX_QUEUED_REQUESTS && !shedFor(RANK[candidate.urgency])) {
+			const rank = RANK[candidate.urgency];
+			if (account.queue.length >= candidate.customer.quota.queuedRequests) {
+				shed(account);
+			} else if (queued >= maxQueued && !shedFor(rank)) {
 				throw refusal('overloaded', `${queued} requests wait already`, MIN_RETRY_AFTER_MS);
 			}
 
--- a/packages/caller/src/error-response.ts
+++ b/packages/caller/src/error-response.ts
@@ -25,6 +25,11 @@
 		response.set('retry-after', String(Math.ceil(error.retryAfterMs / 1000)));
 	}
 
+	if (!response.req.complete) {
+		// The rest of an unread body is not worth reading for the sake of the connection.
+		response.set('connection', 'close');
+	}
+
 	response
 		.status(error.status)
 		.set(VERDICT_HEADER, error.verdict)
