--- a/packages/endpoint/src/connections.ts
+++ b/packages/endpoint/src/connections.ts
@@ -2,7 +2,11 @@
 import {CONNECT_DEADLINE_MS, IDLE_CONNECTION_MS} from './constants.js';
 
 /** One connection that carries one request at a time. */
-export type Connection = Readonly<{client: Client}>;
+export type Connection = Readonly<{
+	client: Client;
+	/** False while nothing can have been sent. */
+	wasConnected: () => boolean;
+}>;
 
 /** The connections to one endpoint. */
 export type Connections = Readonly<{
@@ -57,7 +61,11 @@
 			headersTimeout: 0,
 			bodyTimeout: 0,
 		});
-		const connection = {client};
+		let isConnected = false;
+		const connection = {client, wasConnected: () => isConnected};
+		client.once('connect', () => {
+			isConnected = true;
+		});
 		client.on('disconnect', () => {
 			if (all.has(connection)) {
 				retire(connection);
--- a/packages/endpoint/src/exchange.ts
+++ b/packages/endpoint/src/exchange.ts
@@ -1,15 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {withDeadline, DeadlineError} from '@bergamotgauge/lifecycle';
 import {ServiceError, type Verdict} from '@bergamotgauge/model';
-import type {Client} from 'undici';
+import type {Dispatcher as Undici} from 'undici';
+import type {Connection} from './connections.js';
 import {MAX_ANSWER_BYTES, REQUEST_ID_HEADER} from './constants.js';
 import type {EndpointAnswer, EndpointRequest} from './types.js';
 
-const NEVER_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
-const verdictOf = (error: Error): Verdict =>
-	'code' in error && NEVER_SENT_CODES.has(String(error.code)) ? 'not-run' : 'may-have-run';
-
 const readWhole = async (body: AsyncIterable<Buffer>): Promise<Uint8Array> => {
 	const chunks: Buffer[] = [];
 	let size = 0;
@@ -22,63 +18,93 @@
 		chunks.push(chunk);
 	}
 
-	return Buffer.concat(chunks);
+	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+};
+
+const failed = (message: string): ServiceError =>
+	new ServiceError(message, {code: 'endpoint-failed', verdict: 'may-have-run'});
+
+/** An answer that ends with its connection cannot be told from one that was cut. */
+const hasKnownLength = ({headers, statusCode}: Undici.ResponseData, method: string): boolean =>
+	headers['content-length'] !== undefined ||
+	headers['transfer-encoding'] !== undefined ||
+	statusCode === 204 ||
+	statusCode === 304 ||
+	method === 'HEAD';
+
+const toFailure = (error: unknown, endpoint: string, connection: Connection): ServiceError => {
+	const verdict: Verdict = connection.wasConnected() ? 'may-have-run' : 'not-run';
+	if (error instanceof ServiceError) {
+		const wasStopped = error.code === 'cancelled' || error.details.timedOut === true;
+		return wasStopped && verdict === 'not-run'
+			? new ServiceError(error.message, {code: error.code, verdict, details: error.details})
+			: error;
+	}
+
+	const cause = error instanceof Error ? error : new Error(String(error));
+	const isTimeout = cause instanceof DeadlineError;
+	return new ServiceError(`endpoint ${endpoint}: ${cause.message}`, {
+		code: isTimeout ? 'deadline-exceeded' : 'endpoint-failed',
+		verdict,
+		cause,
+		details: {...(isTimeout && {timedOut: true})},
+	});
 };
 
 /**
-Sends one request to one endpoint and reads its answer whole.
+Sends one request on one connection and reads its answer whole. After any error but a refusal the connection must be retired.
 
-@throws {ServiceError} `not-run` when nothing was sent or the endpoint refused the request; `may-have-run` when the answer is missing or cut.
+@throws {ServiceError} `not-run` when nothing was sent or the endpoint refused the request; `may-have-run` when the answer is missing, cut or another request's.
 */
-export const exchange = async (
-	client: Client,
-	endpoint: string,
-	request: EndpointRequest,
-	limitMs: number,
-	outer: AbortSignal,
-): Promise<EndpointAnswer> => {
+export const exchange = async ({
+	connection,
+	endpoint,
+	request,
+	limitMs,
+	signal: outer,
+}: Readonly<{
+	connection: Connection;
+	endpoint: string;
+	request: EndpointRequest;
+	/** What is left of the caller's deadline. */
+	limitMs: number;
+	signal: AbortSignal;
+}>): Promise<EndpointAnswer> => {
 	try {
 		return await withDeadline(
 			limitMs,
 			async (signal) => {
-				const response = await client.request({
+				const response = await connection.client.request({
 					method: request.method,
 					path: request.path,
 					headers: {...request.headers, [REQUEST_ID_HEADER]: request.id, 'request-deadline-ms': String(limitMs)},
 					...(request.body.length > 0 && {body: request.body}),
 					signal,
 				});
-				const body = await readWhole(response.body);
-				if (response.headers[REQUEST_ID_HEADER] !== request.id) {
-					throw new ServiceError('the answer does not carry the id of the request', {
-						code: 'endpoint-failed',
-						verdict: 'may-have-run',
-					});
+				const {headers, statusCode} = response;
+				if (headers[REQUEST_ID_HEADER] !== request.id) {
+					throw failed(`the answer of endpoint ${endpoint} does not carry the id of the request`);
+				}
+
+				if (!hasKnownLength(response, request.method)) {
+					throw failed(`the answer of endpoint ${endpoint} has no length`);
 				}
 
-				if (response.statusCode === 503 && response.headers['request-verdict'] === 'not-run') {
+				const body = await readWhole(response.body);
+				if (statusCode === 503 && headers['request-verdict'] === 'not-run') {
 					throw new ServiceError(`endpoint ${endpoint} refused the request`, {
 						code: 'endpoint-failed',
 						verdict: 'not-run',
 						status: 503,
-						details: {draining: response.headers['endpoint-state'] === 'draining'},
+						details: {draining: headers['endpoint-state'] === 'draining'},
 					});
 				}
 
-				return {endpoint, status: response.statusCode, headers: response.headers, body};
+				return {endpoint, status: statusCode, headers, body};
 			},
 			outer,
 		);
 	} catch (error) {
-		if (error instanceof ServiceError) {
-			throw error;
-		}
-
-		const cause = error instanceof Error ? error : new Error(String(error));
-		throw new ServiceError(`endpoint ${endpoint}: ${cause.message}`, {
-			code: cause instanceof DeadlineError ? 'deadline-exceeded' : 'endpoint-failed',
-			verdict: verdictOf(cause),
-			cause,
-		});
+		throw toFailure(error, endpoint, connection);
 	}
 };
--- a/packages/endpoint/src/index.ts
+++ b/packages/endpoint/src/index.ts
@@ -1,3 +1,4 @@
 export type * from './types.js';
 export * from './constants.js';
-export {connectionShare, createDispatcher, type DispatcherOptions} from './dispatcher.js';
+export {createDispatcher, type DispatcherOptions} from './dispatcher.js';
+export {connectionShare} from './targets.js';
--- a/packages/endpoint/src/types.ts
+++ b/packages/endpoint/src/types.ts
@@ -34,6 +34,9 @@
 	body: Uint8Array;
 }>;
 
+/** Why an endpoint is taken to leave: it answered so, or it accepts no connections. */
+export type LeavingSign = 'draining' | 'closed';
+
 /** A slot of one endpoint, held for one request. */
 export type Reservation = Readonly<{
 	endpoint: string;
@@ -53,6 +56,8 @@
 	onFree: (listener: () => void) => void;
 	/** Takes changed shares into account. */
 	refresh: () => void;
+	/** Gives an endpoint no new work, on the word of another instance. */
+	markLeaving: (endpoint: string, sign: LeavingSign) => void;
 	/** Slots of an endpoint in use. */
 	used: (endpoint: string) => number;
 	/** Slots of a service in use. */
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,5 +1,5 @@
 import {createAdmission, type Admission, type CallerService} from '@bergamotgauge/caller';
-import {createDispatcher, type Dispatcher, type Endpoint} from '@bergamotgauge/endpoint';
+import {createDispatcher, type Dispatcher, type Endpoint, type LeavingSign} from '@bergamotgauge/endpoint';
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {BUNDLE_KEY, type ListedInstance} from '@bergamotgauge/model';
 import type {OperatorService, Status} from '@bergamotgauge/operator';
@@ -21,7 +21,7 @@
 import {createJobViews, type JobViews} from './job-views.js';
 import {runPlanner} from './planner-loop.js';
 import {runRackLoop} from './rack-loop.js';
-import {spreadEntry, startReplication} from './replication.js';
+import {notifyAll, spreadEntry, startReplication} from './replication.js';
 import {createSlotService, type SlotService} from './slots-service.js';
 import type {Instance, Settings} from './types.js';
 import {createWaker} from './waker.js';
@@ -218,7 +218,11 @@
 	const dispatcher = createDispatcher({
 		availabilityZone: settings.availabilityZone,
 		lifecycle,
+		log,
 		metrics,
+		onLeaving(endpoint, sign) {
+			notifyAll(context, 'endpoint.leaving', {endpoint, sign});
+		},
 		slotsOf: (endpoint) => slots.limitOf(endpoint),
 	});
 	const admission = createAdmission({dispatcher, metrics});
@@ -282,6 +286,10 @@
 				},
 				events: {
 					...slots.handlers.events,
+					'endpoint.leaving'(body) {
+						const {endpoint, sign} = body as Readonly<{endpoint: string; sign: LeavingSign}>;
+						dispatcher.markLeaving(endpoint, sign);
+					},
 					changed(body) {
 						const changes = body as Changes;
 						for (const entry of changes.entries) {
--- a/packages/instance/src/replication.ts
+++ b/packages/instance/src/replication.ts
@@ -4,7 +4,8 @@
 import {REPLICATED_PREFIXES, WATCHER_COUNT} from './constants.js';
 import type {Context} from './context.js';
 
-const notifyAll = (context: Context, method: string, body: unknown): void => {
+/** Sends a message to every known instance. */
+export const notifyAll = (context: Context, method: string, body: unknown): void => {
 	for (const {id} of context.membership.members()) {
 		context.membership.link(id)?.notify(method, body);
 	}
