--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -18,13 +18,17 @@
 	return {...token, customer: token.customer};
 };
 
+/** The refusal of an instance that starts or stops. */
+export const notAccepting = (): ServiceError =>
+	new ServiceError('this instance takes no new work', {
+		code: 'draining',
+		verdict: 'not-run',
+		retryAfterMs: NOT_ACCEPTING_RETRY_AFTER_MS,
+	});
+
 /** @throws {ServiceError} `draining` while the instance starts or stops. */
 export const requireAccepting = (service: CallerService): void => {
 	if (!service.isAccepting()) {
-		throw new ServiceError('this instance takes no new work', {
-			code: 'draining',
-			verdict: 'not-run',
-			retryAfterMs: NOT_ACCEPTING_RETRY_AFTER_MS,
-		});
+		throw notAccepting();
 	}
 };
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,8 +1,11 @@
 export type * from './types.js';
 export * from './constants.js';
+export {createActivity, type Activity} from './activity.js';
 export {createAdmission, type Admission, type Candidate} from './admission.js';
+export {sendAtMostOnce} from './at-most-once.js';
 export {authenticate, hashToken} from './authenticate.js';
 export {applyClaim, applyFinish, EMPTY_CLAIM_SHARD, findClaim, judgeClaim} from './claim-shard.js';
+export {notAccepting} from './caller.js';
 export {createErrorHandler} from './error-response.js';
 export {createJobRouter} from './job-router.js';
 export {createServiceRouter} from './service-router.js';
--- a/packages/caller/src/service-router.test.ts
+++ b/packages/caller/src/service-router.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import {connect, type AddressInfo} from 'node:net';
 import type {Dispatcher} from '@bergamotgauge/endpoint';
@@ -24,12 +25,12 @@
 	const service = {
 		bundle: () => BUNDLE,
 		isAccepting: () => true,
-		admission: {check: () => undefined},
+		admission: {check: () => undefined, enter: async () => ({done: () => undefined})},
 	} as unknown as CallerService;
 	const dispatcher = {
-		async dispatch() {
+		async dispatch({path}: Readonly<{path: string}>) {
 			dispatched += 1;
-			throw new Error('not expected');
+			return {status: 200, headers: {}, body: Buffer.from(path)};
 		},
 	} as unknown as Dispatcher;
 	const app = express();
@@ -96,3 +97,20 @@
 	t.match(await sendRaw(text), /^HTTP\/1.1 400 [\s\S]*idempotency-key/v);
 	t.equal(dispatched(), 0);
 });
+
+// Guards against a path or query that the endpoint sees changed.
+await t.test('an endpoint gets the path and query after the name of the service', async (t) => {
+	const {sendRaw} = await start(t);
+	const get = async (target: string): Promise<string> => {
+		const answer = await sendRaw(
+			`GET ${target} HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer ${TOKEN}\r\nRequest-Id: forged\r\n\r\n`,
+		);
+		t.notMatch(answer, /request-id: forged/iv);
+		return answer.slice(answer.indexOf('\r\n\r\n') + 4);
+	};
+
+	t.equal(await get('/v1/services/listings'), '/');
+	t.equal(await get('/v1/services/listings?role=a/b'), '/?role=a/b');
+	t.equal(await get('/v1/services/listings/x%2Fy?z=1'), '/x%2Fy?z=1');
+	t.match(await get('http://test/v1/services/listings/x'), /request target/v);
+});
--- a/packages/caller/src/service-router.ts
+++ b/packages/caller/src/service-router.ts
@@ -19,6 +19,8 @@
 import {parseIdempotencyKey} from './idempotency-key.js';
 import type {Caller, CallerService} from './types.js';
 
+const SERVICE_PATH = /^\/v1\/services\/[^\/?]+(?<rest>.*)$/iv;
+
 type Locals = {opened: Opened};
 
 const badRequest = (message: string): ServiceError =>
@@ -80,6 +82,16 @@
 	response.end(answer.body);
 };
 
+/** What follows the name of the service, query included. */
+const endpointPath = (url: string): string => {
+	const rest = SERVICE_PATH.exec(url)?.groups?.rest;
+	if (rest === undefined) {
+		throw badRequest('the request target must be a path');
+	}
+
+	return rest.startsWith('/') ? rest : `/${rest}`;
+};
+
 /** A request whose caller and target are known and whose body is not read yet. */
 type Opened = Readonly<{
 	arrivedMs: number;
@@ -106,7 +118,6 @@
 };
 
 const toEndpointRequest = (request: Request, {caller, target, requestClass, candidate}: Opened): EndpointRequest => {
-	const mark = request.originalUrl.indexOf('/', '/v1/services/'.length);
 	return {
 		id: newRequestId(),
 		service: target,
@@ -114,7 +125,7 @@
 		requestClass: requestClass.name,
 		retryRule: requestClass.retryRule,
 		method: request.method,
-		path: mark === -1 ? '/' : request.originalUrl.slice(mark),
+		path: endpointPath(request.originalUrl),
 		headers: forwardedHeaders(request),
 		body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
 		deadlineMs: candidate.deadlineMs,
--- /dev/null
+++ b/packages/instance/src/http-server.test.ts
@@ -0,0 +1,84 @@
+import {connect} from 'node:net';
+import {createActivity, hashToken, type CallerService} from '@bergamotgauge/caller';
+import type {Dispatcher} from '@bergamotgauge/endpoint';
+import {createLifecycle} from '@bergamotgauge/lifecycle';
+import type {Bundle} from '@bergamotgauge/model';
+import type {OperatorService} from '@bergamotgauge/operator';
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import t, {type Test} from 'tap';
+import {startHttpServer} from './http-server.js';
+
+const TOKEN = 'a-caller-token-of-some-length';
+const BUNDLE = {
+	tokens: [{name: 'acme', sha256: hashToken(TOKEN), role: 'caller', partner: 'p', customer: 'acme'}],
+} as unknown as Bundle;
+
+const start = async (t: Pick<Test, 'teardown'>) => {
+	const lifecycle = createLifecycle('test');
+	t.teardown(async () => lifecycle.close());
+	const address = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		callerService: {bundle: () => BUNDLE, isAccepting: () => true, listJobs: () => []} as unknown as CallerService,
+		operatorService: {} as unknown as OperatorService,
+		dispatcher: {} as unknown as Dispatcher,
+		isReady: () => true,
+		activity: createActivity(() => true),
+		metrics: createMetrics(),
+		log: createSilentLog(),
+		lifecycle,
+	});
+	/** Sends text, closes the sending side if asked, and gives all that comes back. */
+	return async (text: string, isHalfClosed = false): Promise<string> =>
+		new Promise((resolve, reject) => {
+			let answer = '';
+			const socket = connect(Number(address.split(':')[1]), '127.0.0.1', () => {
+				if (isHalfClosed) {
+					socket.end(text);
+				} else {
+					socket.write(text);
+				}
+			});
+			socket.on('data', (data) => {
+				answer += data.toString();
+			});
+			socket.on('close', () => {
+				resolve(answer);
+			});
+			socket.on('error', reject);
+		});
+};
+
+const post = (lines: readonly string[], body: string): string =>
+	['POST /v1/jobs HTTP/1.1', 'Host: test', `Authorization: Bearer ${TOKEN}`, ...lines, '', body].join('\r\n');
+
+// Guards against callers that hold a connection or memory, and against a refusal without its verdict.
+await t.test('bad callers get a clear refusal', async (t) => {
+	const send = await start(t);
+	t.jobs = 6;
+	const json = 'Content-Type: application/json';
+	for (const [name, text, status] of [
+		['oversized header', post([`X-Large: ${'x'.repeat(17_000)}`], ''), 431],
+		['broken head', 'NONSENSE\r\n\r\n', 400],
+		['oversized body', post([json, 'Connection: close', 'Content-Length: 70000'], 'x'.repeat(70_000)), 413],
+		['malformed JSON', post([json, 'Connection: close', 'Content-Length: 5'], '{"a":'), 400],
+		['slow body', post([json, 'Content-Length: 100'], '{"a"'), 408],
+		['slow head', 'POST /v1/jobs HTTP/1.1\r\nHost: test\r\n', 408],
+	] as const) {
+		void t.test(name, async (t) => {
+			const startedMs = performance.now();
+			const answer = await send(text);
+			t.match(answer, new RegExp(`^HTTP/1.1 ${status} `, 'v'));
+			t.match(answer, /request-verdict: not-run/iv);
+			t.ok(performance.now() - startedMs < 13_000, 'within the read time and one check');
+		});
+	}
+});
+
+// Guards against an answer lost because the caller has closed its sending side.
+await t.test('a half-closed connection gets its answer', async (t) => {
+	const send = await start(t);
+	const answer = await send(`GET /v1/jobs HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer ${TOKEN}\r\n\r\n`, true);
+	t.match(answer, /^HTTP\/1.1 200 /v);
+	t.match(answer, /\{"jobs":\[\]\}$/v);
+});
--- a/packages/instance/src/http-server.ts
+++ b/packages/instance/src/http-server.ts
@@ -1,10 +1,12 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {
 	authenticate,
 	createErrorHandler,
 	createJobRouter,
 	createServiceRouter,
+	type Activity,
 	type CallerService,
 } from '@bergamotgauge/caller';
 import type {Dispatcher} from '@bergamotgauge/endpoint';
@@ -21,6 +23,7 @@
 	operatorService: OperatorService;
 	dispatcher: Dispatcher;
 	isReady: () => boolean;
+	activity: Activity;
 	metrics: Metrics;
 	log: Log;
 	lifecycle: Lifecycle;
@@ -28,9 +31,29 @@
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const REQUEST_READ_MS = 10_000;
+/** Node looks for slow requests this often. */
+const TIMEOUT_CHECK_MS = 1000;
+
 const KEEP_ALIVE_MS = 30_000;
 const MAX_CONNECTIONS = 10_000;
 
+const STATUS_BY_PARSE_ERROR: Readonly<Record<string, string>> = {
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/** Answers a request that cannot be read; none of it has run. */
+const refuseUnreadable = (error: Error, socket: Duplex): void => {
+	if (!socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const code = 'code' in error ? String(error.code) : '';
+	const status = STATUS_BY_PARSE_ERROR[code] ?? '400 Bad Request';
+	socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\nrequest-verdict: not-run\r\ncontent-length: 0\r\n\r\n`);
+};
+
 const listen = async (server: Server, host: string, port: number): Promise<string> => {
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
@@ -46,7 +69,7 @@
 @returns The bound `host:port`.
 */
 export const startHttpServer = async (options: HttpServerOptions): Promise<string> => {
-	const {host, port, callerService, operatorService, dispatcher, isReady, metrics, log, lifecycle} = options;
+	const {host, port, callerService, operatorService, dispatcher, isReady, activity, metrics, log, lifecycle} = options;
 	const app = express();
 	app.disable('x-powered-by');
 	app.disable('etag');
@@ -60,6 +83,7 @@
 	app.get('/metrics', (_request, response) => {
 		response.type('text/plain').send(metrics.render());
 	});
+	app.use('/v1', activity.handler);
 	app.use('/v1/jobs', createJobRouter(callerService));
 	app.use('/v1/services', createServiceRouter(callerService, dispatcher));
 	app.use('/v1/operator', createOperatorRouter(operatorService));
@@ -72,11 +96,17 @@
 		}),
 	);
 	const server = createServer(
-		{maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_READ_MS, headersTimeout: REQUEST_READ_MS},
+		{
+			maxHeaderSize: MAX_HEADER_BYTES,
+			requestTimeout: REQUEST_READ_MS,
+			headersTimeout: REQUEST_READ_MS,
+			connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+		},
 		(request, response) => {
 			app(request, response);
 		},
 	);
+	server.on('clientError', refuseUnreadable);
 	server.keepAliveTimeout = KEEP_ALIVE_MS;
 	server.maxConnections = MAX_CONNECTIONS;
 	lifecycle.add('http-server', async () => {
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,4 +1,4 @@
-import {createAdmission, type Admission, type CallerService} from '@bergamotgauge/caller';
+import {createActivity, createAdmission, notAccepting, type Admission, type CallerService} from '@bergamotgauge/caller';
 import {createDispatcher, type Dispatcher, type Endpoint, type LeavingSign} from '@bergamotgauge/endpoint';
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {BUNDLE_KEY, type ListedInstance} from '@bergamotgauge/model';
@@ -14,8 +14,8 @@
 import {createMetrics, type Log, type Metrics} from '@bergamotgauge/telemetry';
 import {createClaimService, type ClaimService} from './claims-service.js';
 import {applyDeclarations} from './configuration.js';
-import {DRAIN_POLL_MS, READINESS_LEAD_MS} from './constants.js';
 import {allJobs, allRacks, bundleOf, type Context} from './context.js';
+import {createDrain} from './drain.js';
 import {authenticateOperator, startHttpServer} from './http-server.js';
 import {createJobStore, type JobStore} from './job-store.js';
 import {createJobViews, type JobViews} from './job-views.js';
@@ -27,7 +27,7 @@
 import {createWaker} from './waker.js';
 import {createWorkerLinks, type WorkerLinks} from './worker-links.js';
 
-type Mutable = {state: MemberState};
+type Mutable = {state: MemberState; isReady: boolean};
 
 const endpointsOf = (list: readonly ListedInstance[]): readonly Endpoint[] =>
 	list
@@ -199,7 +199,7 @@
 	const lifecycle = createLifecycle(settings.id, (task, error, restartMs) => {
 		log.warn('task-failed', {task, error: error.message, restartMs});
 	});
-	const status: Mutable = {state: 'starting'};
+	const status: Mutable = {state: 'starting', isReady: false};
 	const incarnation = Date.now();
 	const wakeRacks = createWaker();
 	const heartbeat = (): Heartbeat => ({
@@ -235,23 +235,21 @@
 	});
 	const claims = createClaimService(context);
 	const callerService = createCallerService(context, jobs, views, claims, admission);
-	const drain = async () => {
-		if (status.state === 'leaving') {
-			return;
-		}
-
-		log.info('drain-started', {inProgress: dispatcher.inProgress()});
-		status.state = 'leaving';
-		await sleep(READINESS_LEAD_MS);
-		const deadlineMs = Date.now() + settings.drainSeconds * 1000;
-		while (dispatcher.inProgress() + claims.waitingFinishes() > 0 && Date.now() < deadlineMs) {
-			await sleep(DRAIN_POLL_MS);
-		}
-
-		log.info('drain-ended', {inProgress: dispatcher.inProgress()});
-		await slots.handOver();
-		await lifecycle.close();
-	};
+	const activity = createActivity(() => status.isReady);
+	const drain = createDrain({
+		log,
+		drainMs: settings.drainSeconds * 1000,
+		stopReadiness() {
+			status.isReady = false;
+		},
+		stopAccepting() {
+			status.state = 'leaving';
+			admission.refuseAll(notAccepting());
+		},
+		inProgress: () => activity.count() + claims.waitingFinishes(),
+		handOver: slots.handOver,
+		close: async () => lifecycle.close(),
+	});
 
 	const operatorService: OperatorService = {
 		authenticate: (authorization) => authenticateOperator(callerService, settings.bootstrapTokenSha256, authorization),
@@ -312,12 +310,14 @@
 			callerService,
 			operatorService,
 			dispatcher,
-			isReady: () => status.state === 'live',
+			isReady: () => status.isReady,
+			activity,
 			metrics,
 			log,
 			lifecycle,
 		});
 		status.state = 'live';
+		status.isReady = true;
 		log.info('instance-started', {address, peerAddress, availabilityZone: settings.availabilityZone});
 		return {address, peerAddress, drain, close: async () => lifecycle.close()};
 	} catch (error) {
