Measure the request path against its goals

Change: npm run bench:edge measures one instance against a bare express-to-undici pass-through in alternating rounds, then three instances with six endpoints: saturation, 2x overload, fairness, leaving endpoints, and kill, freeze and silent connections with runs counted at the endpoints.

--- /dev/null
+++ b/packages/bench/src/edge/baseline-process.ts
@@ -0,0 +1,26 @@
+import {Buffer} from 'node:buffer';
+import type {AddressInfo} from 'node:net';
+import process from 'node:process';
+import express from 'express';
+import {Pool} from 'undici';
+import {CONNECTIONS} from './constants.js';
+
+/** A bare pass-through: express reads the body, undici sends it to the endpoints in turn. */
+const pools = process.argv.slice(2).map((address) => new Pool(`http://${address}`, {connections: CONNECTIONS}));
+let turn = 0;
+const app = express();
+app.use(express.raw({type: () => true}), async (request, response) => {
+	turn = (turn + 1) % pools.length;
+	const answer = await pools[turn]!.request({
+		method: 'POST',
+		path: request.originalUrl,
+		headers: {'request-id': 'baseline', 'content-type': 'text/plain'},
+		body: Buffer.isBuffer(request.body) ? request.body : null,
+	});
+	const body = await answer.body.arrayBuffer();
+	response.status(answer.statusCode).end(Buffer.from(body));
+});
+const server = app.listen(0, '127.0.0.1', () => {
+	const {port} = server.address() as AddressInfo;
+	process.send!({ready: {address: `127.0.0.1:${port}`}});
+});
--- /dev/null
+++ b/packages/bench/src/edge/constants.ts
@@ -0,0 +1,19 @@
+export const SLOTS = 8;
+
+export const CONNECTIONS = 60;
+
+export const SERVICE_NAME = 'listings';
+
+/** Goals of section 2.7 of the design page. */
+export const GOAL_THROUGHPUT_RATIO = 0.7;
+
+export const GOAL_GOODPUT_RATIO = 0.95;
+
+export const GOAL_FAIR_SHARE = 0.99;
+
+export const GOAL_UTILISATION = 0.9;
+
+/** Bound of requirement R6. */
+export const GOAL_LEAVING_MS = 3000;
+
+export const START_DEADLINE_MS = 20_000;
--- /dev/null
+++ b/packages/bench/src/edge/instance-process.ts
@@ -0,0 +1,7 @@
+import process from 'node:process';
+import {checkSettings, startInstance} from '@bergamotgauge/instance';
+import {createSilentLog} from '@bergamotgauge/telemetry';
+
+const settings = checkSettings(JSON.parse(process.argv[2]!) as Readonly<Record<string, unknown>>);
+const {address, peerAddress} = await startInstance(settings, createSilentLog());
+process.send!({ready: {address, peerAddress}});
--- /dev/null
+++ b/packages/bench/src/edge/scenarios.ts
@@ -0,0 +1,180 @@
+import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
+import {
+	GOAL_FAIR_SHARE,
+	GOAL_GOODPUT_RATIO,
+	GOAL_LEAVING_MS,
+	GOAL_THROUGHPUT_RATIO,
+	GOAL_UTILISATION,
+	SLOTS,
+} from './constants.js';
+import {runFaults} from './faults.js';
+import {createCaller, runClosed, runOpen, type Caller, type LoadResult} from './load.js';
+import {startBaseline, startEdge, startPlatform, type Edge, type Platform} from './processes.js';
+import type {Figure} from './types.js';
+
+const RUN_MS = 50;
+
+const SMALL_ENDPOINTS = 6;
+
+const DEADLINE_MS = 1000;
+
+export type BenchOptions = Readonly<{quick: boolean}>;
+
+const atLeast = (name: string, value: number, goal: number, unit = ''): Figure => ({
+	name,
+	goal: `≥ ${goal}${unit}`,
+	figure: `${value.toFixed(3)}${unit}`,
+	value,
+	isMet: value >= goal,
+});
+
+const atMost = (name: string, value: number, goal: number, unit = ''): Figure => ({
+	name,
+	goal: `≤ ${goal}${unit}`,
+	figure: `${value.toFixed(value < 10 && unit === '' ? 3 : 0)}${unit}`,
+	value,
+	isMet: value <= goal,
+});
+
+const fact = (name: string, value: number, unit: string): Figure => ({
+	name,
+	goal: '–',
+	figure: `${value.toFixed(1)}${unit}`,
+	value,
+	isMet: true,
+});
+
+const median = (values: readonly number[]): number => values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)]!;
+
+const p99 = (result: LoadResult): number => result.histogram.getValueAtPercentile(99) / 1000;
+
+const withLifecycle = async (
+	work: (lifecycle: Lifecycle) => Promise<readonly Figure[]>,
+): Promise<readonly Figure[]> => {
+	const lifecycle = createLifecycle('bench-edge');
+	try {
+		return await work(lifecycle);
+	} finally {
+		await lifecycle.close();
+	}
+};
+
+const callersOf = (edge: Edge, customer: string, connections: number, lifecycle: Lifecycle): readonly Caller[] =>
+	edge.instances.map(({ready}) => {
+		const caller = createCaller(ready.address, edge.tokens[customer]!, connections);
+		lifecycle.add('caller', caller.close);
+		return caller;
+	});
+
+/** One instance against the bare pass-through in alternating rounds, 30 endpoints that answer at once. */
+export const measureThroughput = async ({quick}: BenchOptions): Promise<readonly Figure[]> =>
+	withLifecycle(async (lifecycle) => {
+		const platform = await startPlatform(lifecycle, 30);
+		const [baselineAddress, edge] = await Promise.all([
+			startBaseline(lifecycle, platform),
+			startEdge(lifecycle, platform, 1),
+		]);
+		const baseline = [createCaller(baselineAddress, '', 64)];
+		lifecycle.add('caller', baseline[0]!.close);
+		const ours = callersOf(edge, 'calm', 64, lifecycle);
+		const load = {concurrency: 64, ms: quick ? 2000 : 5000};
+		await runClosed(baseline, {...load, ms: 1500});
+		await runClosed(ours, {...load, ms: 1500});
+		const bare: number[] = [];
+		const through: number[] = [];
+		for (let round = 0; round < (quick ? 3 : 7); round += 1) {
+			const bareRound = await runClosed(baseline, load);
+			bare.push(bareRound.goodPerSecond);
+			const throughRound = await runClosed(ours, load);
+			through.push(throughRound.goodPerSecond);
+		}
+
+		return [
+			fact('throughput of the bare pass-through, median', median(bare), ' /s'),
+			fact('throughput of one instance, median', median(through), ' /s'),
+			atLeast('throughput ratio', median(through) / median(bare), GOAL_THROUGHPUT_RATIO),
+		];
+	});
+
+const measureOverload = async (platform: Platform, callers: readonly Caller[], quick: boolean) => {
+	const ms = quick ? 5000 : 15_000;
+	await platform.tell({kind: 'configure', runMs: RUN_MS});
+	// The shares follow the load before the figures count.
+	await runClosed(callers, {concurrency: SMALL_ENDPOINTS * SLOTS * 2, ms: 3000});
+	await platform.tell({kind: 'reset'});
+	const peak = await runClosed(callers, {concurrency: SMALL_ENDPOINTS * SLOTS * 2, ms});
+	const stats = await platform.tell({kind: 'stats'});
+	const busyMs = Object.values(stats.busyMs).reduce((sum, value) => sum + value, 0);
+	const utilisation = busyMs / (stats.elapsedMs * SMALL_ENDPOINTS * SLOTS);
+	const perSecond = Math.round(peak.goodPerSecond * 2);
+	const overload = await runOpen(callers, {perSecond, ms, deadlineMs: DEADLINE_MS});
+	return {
+		peak: peak.goodPerSecond,
+		figures: [
+			fact('peak goodput of 3 instances, 6 endpoints of 8 slots, 50 ms', peak.goodPerSecond, ' /s'),
+			atLeast('slot utilisation at saturation', utilisation, GOAL_UTILISATION),
+			atMost('most slots of one endpoint in use', Math.max(...Object.values(stats.peak)), SLOTS),
+			fact('requests that an endpoint refused for lack of a slot', stats.refused, ''),
+			atLeast('goodput at 2x overload over the peak', overload.goodPerSecond / peak.goodPerSecond, GOAL_GOODPUT_RATIO),
+			atMost('p99 of admitted requests at 2x overload', p99(overload), DEADLINE_MS, ' ms'),
+			fact('admitted requests that were late or ended without an answer', overload.late, ''),
+			fact('requests refused at 2x overload', overload.refused, ''),
+			atMost('requests that failed without a verdict at 2x overload', overload.failed, 0),
+		],
+	};
+};
+
+const measureFairness = async (edge: Edge, peak: number, lifecycle: Lifecycle, quick: boolean): Promise<Figure> => {
+	const ms = quick ? 5000 : 15_000;
+	const [calm] = await Promise.all([
+		runOpen(callersOf(edge, 'calm', 200, lifecycle), {perSecond: Math.round(peak * 0.2), ms, deadlineMs: DEADLINE_MS}),
+		runOpen(callersOf(edge, 'flood', 400, lifecycle), {perSecond: Math.round(peak * 2), ms, deadlineMs: DEADLINE_MS}),
+	]);
+	return atLeast(
+		'share of a calm customer within its deadline while another floods',
+		calm.good / calm.sent,
+		GOAL_FAIR_SHARE,
+	);
+};
+
+const measureLeaving = async (platform: Platform, callers: readonly Caller[]): Promise<readonly Figure[]> => {
+	const figures: Figure[] = [];
+	for (const [kind, endpoint] of [
+		['drain', 'runner-6'],
+		['list-leaving', 'runner-5'],
+	] as const) {
+		const load = runClosed(callers, {concurrency: 48, ms: 5000});
+		await sleep(1000);
+		await platform.tell({kind, endpoint});
+		await load;
+		const {lastAfterLeavingMs} = await platform.tell({kind: 'stats'});
+		const name = kind === 'drain' ? 'its draining answer' : 'the instance list';
+		figures.push(
+			atMost(`last request to a leaving endpoint after ${name}`, lastAfterLeavingMs[endpoint]!, GOAL_LEAVING_MS, ' ms'),
+		);
+	}
+
+	return figures;
+};
+
+/** Three instances and six endpoints: saturation, overload, fairness, leaving endpoints and faults. */
+export const measureGroup = async ({quick}: BenchOptions): Promise<readonly Figure[]> =>
+	withLifecycle(async (lifecycle) => {
+		const platform = await startPlatform(lifecycle, SMALL_ENDPOINTS);
+		const edge = await startEdge(lifecycle, platform, 3);
+		const callers = callersOf(edge, 'calm', 400, lifecycle);
+		const {peak, figures} = await measureOverload(platform, callers, quick);
+		const fairness = await measureFairness(edge, peak, lifecycle, quick);
+		const leaving = await measureLeaving(platform, callers);
+		const faults = await runFaults(platform, edge, callers, quick ? 8000 : 20_000);
+		return [
+			...figures,
+			fairness,
+			...leaving,
+			fact('requests under kill, freeze and silent connections', faults.requests, ''),
+			atMost('at-most-once requests that ran twice', faults.duplicates, 0),
+			atMost('requests lost or with a false verdict', faults.losses, 0),
+			atMost("answers of another caller's request", faults.mismatched, 0),
+			fact('at-most-once requests without their answer', faults.uncertain, ''),
+		];
+	});
