--- a/packages/endpoint/src/dispatcher.ts
+++ b/packages/endpoint/src/dispatcher.ts
@@ -1,25 +1,24 @@
-import type {Lifecycle} from '@bergamotgauge/lifecycle';
-import {matchesSelector, ServiceError, type Service} from '@bergamotgauge/model';
-import type {Metrics} from '@bergamotgauge/telemetry';
-import {Pool} from 'undici';
-import {MAX_TRIES, NO_ENDPOINT_RETRY_AFTER_MS} from './constants.js';
+import {ServiceError, toServiceError, type Service} from '@bergamotgauge/model';
+import type {Connection} from './connections.js';
+import {
+	ATTEMPT_RUN_TIMES,
+	MAX_TRIES,
+	MIN_ATTEMPT_MS,
+	MIN_EVIDENCE_MS,
+	NO_ENDPOINT_RETRY_AFTER_MS,
+	RUN_TIME_SMOOTHING,
+} from './constants.js';
 import {exchange} from './exchange.js';
-import type {Dispatcher, Endpoint, EndpointAnswer, EndpointRequest} from './types.js';
-
-export type DispatcherOptions = Readonly<{
-	availabilityZone: string;
-	lifecycle: Lifecycle;
-	metrics: Metrics;
-	/** Slots of an endpoint that this instance may use now. */
-	slotsOf: (endpoint: string, service: Service) => number;
-	connectionsOf: (service: Service) => number;
-}>;
-
-type Target = {
-	endpoint: Endpoint;
-	readonly pool: Pool;
-	used: number;
-};
+import {createRetryBudget} from './retry-budget.js';
+import {createTargets, type Target, type TargetOptions, type TryOutcome} from './targets.js';
+import type {Dispatcher, EndpointAnswer, EndpointRequest, Reservation} from './types.js';
+
+export type DispatcherOptions = TargetOptions;
+
+type Try =
+	| Readonly<{answer: EndpointAnswer}>
+	/** A failed try with the slot for the next one, if one is held already. */
+	| Readonly<{error: ServiceError; next: Reservation | undefined}>;
 
 const noEndpoint = (service: Service, reason: string): ServiceError =>
 	new ServiceError(`service ${service.name}: ${reason}`, {
@@ -31,114 +30,225 @@
 const mayRetry = (error: ServiceError, request: EndpointRequest): boolean =>
 	error.verdict === 'not-run' || (error.verdict === 'may-have-run' && request.retryRule === 'idempotent');
 
+const noAnswer = (endpoint: string, code: 'endpoint-failed' | 'deadline-exceeded'): ServiceError =>
+	new ServiceError(`endpoint ${endpoint} gave no answer in time`, {
+		code,
+		verdict: 'may-have-run',
+		details: {timedOut: true},
+	});
+
+const notSent = (service: Service, endpoint: string, leftMs: number, signal: AbortSignal): ServiceError => {
+	if (signal.aborted) {
+		return new ServiceError('the caller went away', {code: 'cancelled', verdict: 'not-run'});
+	}
+
+	return leftMs > 0
+		? noEndpoint(service, `no connection to ${endpoint} is free`)
+		: new ServiceError('the deadline has passed', {code: 'deadline-exceeded', verdict: 'not-run'});
+};
+
+type Failed = Readonly<{error: ServiceError; tookMs: number}>;
+
+const isRefusal = (error: ServiceError): boolean => error.verdict === 'not-run' && error.status === 503;
+
+const outcomeOf = (error: ServiceError, tookMs: number): TryOutcome => {
+	if (isRefusal(error)) {
+		return error.details.draining === true ? 'draining' : 'full';
+	}
+
+	const isCut = error.code === 'endpoint-failed' && error.details.timedOut !== true;
+	return error.code !== 'cancelled' && (isCut || tookMs >= MIN_EVIDENCE_MS) ? 'failed' : 'no-evidence';
+};
+
 /**
 Creates the sender of requests to endpoints.
 
 @example
 ```ts
-const dispatcher = createDispatcher({availabilityZone: 'a', lifecycle, metrics, slotsOf, connectionsOf});
-const answer = await dispatcher.dispatch(request, signal);
+const dispatcher = createDispatcher({availabilityZone: 'a', lifecycle, log, metrics, slotsOf});
+const reservation = dispatcher.reserve(service);
+const answer = await dispatcher.dispatch(request, signal, reservation);
 ```
 */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
-	const {availabilityZone, lifecycle, metrics, slotsOf, connectionsOf} = options;
-	const targets = new Map<string, Target>();
+	const {metrics, log} = options;
+	const targets = createTargets(options);
+	const budget = createRetryBudget();
+	const meanRunMs = new Map<string, number>();
 	let inProgress = 0;
 
-	lifecycle.add('endpoint-pools', async () => {
-		await Promise.all([...targets.values()].map(async ({pool}) => pool.destroy()));
-	});
+	const noteRun = (request: EndpointRequest, tookMs: number) => {
+		const name = `${request.service.name}/${request.requestClass}`;
+		const mean = meanRunMs.get(name) ?? tookMs;
+		meanRunMs.set(name, mean + (tookMs - mean) * RUN_TIME_SMOOTHING);
+	};
 
-	const pick = (request: EndpointRequest, tried: ReadonlySet<string>): Target => {
-		const {service} = request;
-		const matching = [...targets.values()].filter(
-			({endpoint}) => !endpoint.isLeaving && matchesSelector(service.endpointSelector, endpoint.labels),
+	/** Time after which the answer to an idempotent request is looked for elsewhere. */
+	const softLimitMs = (request: EndpointRequest): number =>
+		Math.max(
+			MIN_ATTEMPT_MS,
+			(meanRunMs.get(`${request.service.name}/${request.requestClass}`) ?? 0) * ATTEMPT_RUN_TIMES,
 		);
-		if (matching.length === 0) {
-			throw noEndpoint(service, 'no live endpoint matches its selector');
+
+	/** Holds a slot for a retry within the budget. */
+	const reserveRetry = (request: EndpointRequest, tried: ReadonlySet<string>): Reservation | undefined => {
+		const reservation = tried.size < MAX_TRIES ? targets.reserve(request.service, tried) : undefined;
+		if (!reservation) {
+			return undefined;
 		}
 
-		const free = matching.filter(({endpoint, used}) => !tried.has(endpoint.id) && used < slotsOf(endpoint.id, service));
-		const [best] = free.toSorted(
-			(a, b) =>
-				Number(b.endpoint.availabilityZone === availabilityZone) -
-					Number(a.endpoint.availabilityZone === availabilityZone) || a.used - b.used,
-		);
-		if (!best) {
-			throw noEndpoint(service, 'all slots are in use');
+		if (!budget.take()) {
+			reservation.release();
+			metrics.count('endpoint_retries_refused_total', {service: request.service.name});
+			return undefined;
 		}
 
-		return best;
+		metrics.count('endpoint_retries_total', {service: request.service.name});
+		return reservation;
 	};
 
-	const tryOnce = async (target: Target, request: EndpointRequest, startedMs: number, signal: AbortSignal) => {
-		const limitMs = request.deadlineMs - (performance.now() - startedMs);
-		if (limitMs <= 0) {
-			throw new ServiceError('the deadline has passed', {code: 'deadline-exceeded', verdict: 'not-run'});
+	const fail = (target: Target, connection: Connection, request: EndpointRequest, error: ServiceError) => {
+		if (isRefusal(error)) {
+			target.connections.give(connection);
+			return;
 		}
 
-		target.used += 1;
+		target.connections.retire(connection);
+		metrics.count('endpoint_connections_retired_total', {service: request.service.name});
+		if (error.details.timedOut === true) {
+			// Connections of the same age may be silent as well.
+			target.connections.closeIdle('all');
+			log.warn('connection-silent', {endpoint: target.endpoint.id, request: request.id});
+		}
+
+		if (error.code !== 'cancelled') {
+			targets.probe(target);
+		}
+	};
+
+	const settleAnswer = (target: Target, connection: Connection, request: EndpointRequest, answer: EndpointAnswer) => {
+		targets.record(target, request.service, 'answered');
+		target.connections.give(connection);
+		if (answer.headers.connection === 'close') {
+			targets.probe(target);
+		}
+	};
+
+	const settleError = (target: Target, connection: Connection, request: EndpointRequest, result: Failed) => {
+		const {error, tookMs} = result;
+		if (error.details.timedOut === true) {
+			noteRun(request, tookMs);
+		}
+
+		fail(target, connection, request, error);
+		targets.record(target, request.service, outcomeOf(error, tookMs));
+	};
+
+	/** Makes one try. When its answer takes too long, a slot for the next one is held first; the try goes on while no other endpoint can take the request. */
+	const tryOnce = async (
+		reservation: Reservation,
+		request: EndpointRequest,
+		{leftMs, tried}: Readonly<{leftMs: number; tried: ReadonlySet<string>}>,
+		signal: AbortSignal,
+	): Promise<Try> => {
+		const {endpoint} = reservation;
+		const target = targets.get(endpoint);
+		const connection = leftMs > 0 && !signal.aborted ? target?.connections.take() : undefined;
+		if (!target || !connection) {
+			reservation.release();
+			return {error: notSent(request.service, endpoint, leftMs, signal), next: undefined};
+		}
+
+		const startedMs = performance.now();
+		const {answer, cancel} = exchange({connection, endpoint, request, limitMs: Math.round(leftMs)});
+		const abort = () => {
+			cancel(toServiceError(signal.reason, 'may-have-run'));
+		};
+
+		let next: Reservation | undefined;
+		const softMs = softLimitMs(request);
+		const isLookedForElsewhere = request.retryRule === 'idempotent' && leftMs - softMs > MIN_ATTEMPT_MS / 2;
+		const endLate = () => {
+			cancel(noAnswer(endpoint, 'deadline-exceeded'));
+		};
+
+		const lookElsewhere = () => {
+			next = reserveRetry(request, tried);
+			if (next) {
+				cancel(noAnswer(endpoint, 'endpoint-failed'));
+			} else {
+				timer = setTimeout(endLate, leftMs - softMs);
+			}
+		};
+
+		let timer = isLookedForElsewhere ? setTimeout(lookElsewhere, softMs) : setTimeout(endLate, leftMs);
+		signal.addEventListener('abort', abort, {once: true});
 		try {
-			return await exchange(target.pool, target.endpoint.id, request, Math.round(limitMs), signal);
+			const received = await answer;
+			noteRun(request, performance.now() - startedMs);
+			settleAnswer(target, connection, request, received);
+			next?.release();
+			return {answer: received};
+		} catch (error) {
+			const failure = toServiceError(error, 'may-have-run');
+			settleError(target, connection, request, {error: failure, tookMs: performance.now() - startedMs});
+			return {error: failure, next};
 		} finally {
-			target.used -= 1;
+			clearTimeout(timer);
+			signal.removeEventListener('abort', abort);
+			reservation.release();
 		}
 	};
 
-	const dispatch = async (request: EndpointRequest, signal: AbortSignal): Promise<EndpointAnswer> => {
+	const dispatch = async (
+		request: EndpointRequest,
+		signal: AbortSignal,
+		first: Reservation | undefined,
+	): Promise<EndpointAnswer> => {
 		const startedMs = performance.now();
 		const tried = new Set<string>();
 		let last: ServiceError | undefined;
-		while (tried.size < MAX_TRIES) {
-			try {
-				const target = pick(request, tried);
-				tried.add(target.endpoint.id);
-				return await tryOnce(target, request, startedMs, signal);
-			} catch (error) {
-				if (!(error instanceof ServiceError)) {
-					throw error;
-				}
-
-				// An earlier try that may have run decides the verdict of the whole request.
-				const worst = last?.verdict === 'may-have-run' && error.verdict === 'not-run' ? last : error;
-				if (signal.aborted || error.code === 'no-endpoint' || !mayRetry(error, request)) {
-					throw worst;
-				}
-
-				metrics.count('endpoint_retries_total', {service: request.service.name});
-				last = worst;
+		let next = first ?? targets.reserve(request.service);
+		budget.earn();
+		while (next) {
+			tried.add(next.endpoint);
+			const leftMs = request.deadlineMs - (performance.now() - startedMs);
+			const result: Try = await tryOnce(next, request, {leftMs, tried}, signal);
+			if ('answer' in result) {
+				return result.answer;
+			}
+
+			const {error} = result;
+			// An earlier try that may have run decides the verdict of the whole request.
+			last = last?.verdict === 'may-have-run' && error.verdict === 'not-run' ? last : error;
+			if (signal.aborted || !mayRetry(error, request)) {
+				result.next?.release();
+				throw last;
 			}
+
+			next = result.next ?? reserveRetry(request, tried);
 		}
 
-		throw last ?? noEndpoint(request.service, 'no endpoint took the request');
+		throw last ?? noEndpoint(request.service, 'no endpoint has a free slot');
 	};
 
 	return {
 		inProgress: () => inProgress,
-		setEndpoints(endpoints) {
-			const byId = new Map(endpoints.map((endpoint) => [endpoint.id, endpoint]));
-			for (const [id, target] of targets) {
-				const endpoint = byId.get(id);
-				if (endpoint?.address === target.endpoint.address) {
-					target.endpoint = endpoint;
-				} else {
-					targets.delete(id);
-					void target.pool.close();
-				}
-			}
-
-			for (const endpoint of endpoints) {
-				if (!targets.has(endpoint.id)) {
-					const pool = new Pool(`http://${endpoint.address}`, {connections: 60, pipelining: 1});
-					targets.set(endpoint.id, {endpoint, pool, used: 0});
-				}
-			}
+		used: (endpoint) => targets.get(endpoint)?.used ?? 0,
+		usedBy: (service) => targets.matching(service).reduce((sum, {used}) => sum + used, 0),
+		hasEndpoint: (service) => targets.matching(service).some((target) => targets.isUsable(target)),
+		reserve: (service) => targets.reserve(service),
+		onFree: targets.onFree,
+		refresh: targets.refresh,
+		setEndpoints: targets.set,
+		markLeaving(endpoint, sign) {
+			targets.markLeaving(endpoint, sign, false);
 		},
-		async dispatch(request, signal) {
+		async dispatch(request, signal, reservation) {
 			const startedMs = performance.now();
 			inProgress += 1;
 			try {
-				return await dispatch(request, signal);
+				return await dispatch(request, signal, reservation);
 			} finally {
 				inProgress -= 1;
 				metrics.observe('endpoint_request_milliseconds', performance.now() - startedMs, {
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,28 +1,38 @@
-import type {CallerService} from '@bergamotgauge/caller';
-import {createDispatcher, type Dispatcher, type Endpoint} from '@bergamotgauge/endpoint';
+import {createActivity, createAdmission, notAccepting} from '@bergamotgauge/caller';
+import {createDispatcher, type Dispatcher, type Endpoint, type LeavingSign} from '@bergamotgauge/endpoint';
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
 import type {ListedInstance} from '@bergamotgauge/model';
-import type {OperatorService, Status} from '@bergamotgauge/operator';
+import type {OperatorService} from '@bergamotgauge/operator';
 import {
 	createMembership,
 	startPeerServer,
-	type Heartbeat,
 	type HeartbeatMessage,
 	type MemberState,
 	type OwnHeartbeat,
 } from '@bergamotgauge/peer';
-import {createInstanceList, createOperationHistory, createReplica, createStoreClient} from '@bergamotgauge/platform';
+import {
+	createInstanceList,
+	createOperationHistory,
+	createReplica,
+	createStoreClient,
+	INSTANCE_LIST_POLL_MS,
+} from '@bergamotgauge/platform';
 import {createMetrics, type Log, type Metrics} from '@bergamotgauge/telemetry';
 import {mergeBundle} from './bundle-merge.js';
+import {createCallerService} from './caller-service.js';
+import {createClaimService} from './claims-service.js';
 import {createConfiguration} from './configuration.js';
-import {DRAIN_POLL_MS, READINESS_LEAD_MS} from './constants.js';
-import {allJobs, allRacks, bundleOf, type Context} from './context.js';
-import {createEngine, type Engine} from './engine.js';
+import {bundleOf, type Context} from './context.js';
+import {createDrain} from './drain.js';
+import {createEngine} from './engine.js';
 import {authenticateOperator, startHttpServer} from './http-server.js';
+import {notifyAll} from './notify.js';
 import {createReplication, type Replication} from './replication.js';
+import {createSlotService, type SlotService} from './slots-service.js';
+import {statusOf} from './status.js';
 import type {Instance, Settings} from './types.js';
 
-type Mutable = {state: MemberState; peerAddress: string};
+type Mutable = {state: MemberState; isReady: boolean; peerAddress: string};
 
 const isWildcard = (host: string): boolean => host === '0.0.0.0' || host === '::';
 
@@ -66,53 +76,18 @@
 	return {context, replication};
 };
 
-const statusOf = (context: Context, heartbeat: () => OwnHeartbeat): Status => {
-	const bundle = bundleOf(context.replica);
-	const racks = allRacks(context.replica);
-	const describe = (beat: OwnHeartbeat | undefined, id: string, health: string) => ({
-		id,
-		health,
-		availabilityZone: beat?.availabilityZone ?? '',
-		state: beat?.state ?? 'unknown',
-		generation: beat?.generation ?? 0,
-		revision: beat?.revision ?? 0,
-	});
-	return {
-		generation: bundle?.generation ?? 0,
-		instances: [
-			describe(heartbeat(), context.settings.id, 'alive'),
-			...context.membership.members().map((member) => describe(member.heartbeat, member.id, member.health)),
-		].toSorted((a, b) => a.id.localeCompare(b.id)),
-		racks: (bundle?.racks ?? []).map(({name, workers}) => {
-			const placements = racks.get(name)?.placements ?? [];
-			return {
-				rack: name,
-				accelerators: workers.reduce((sum, worker) => sum + worker.accelerators, 0),
-				used: placements.flatMap(({blocks}) => blocks).reduce((sum, block) => sum + block.count, 0),
-				placements: placements.length,
-			};
-		}),
-		queuedJobs: allJobs(context.replica).filter((job) => job.state === 'queued').length,
-	};
-};
-
-const createCallerService = (context: Context, {jobs, views}: Engine): CallerService => ({
-	bundle: () => bundleOf(context.replica),
-	isAccepting: () => context.state() === 'live',
-	submitJob: jobs.submit,
-	findJob: views.get,
-	listJobs: views.list,
-	async cancelJob(customer, job) {
-		if (!views.get(customer, job)) {
-			return undefined;
+const runList = async ({list, settings}: Context, slots: SlotService, signal: AbortSignal): Promise<void> => {
+	while (!signal.aborted) {
+		await list.refresh();
+		if (list.current().some(({role, id}) => role === 'instance' && id === settings.id)) {
+			slots.confirmByList();
 		}
 
-		await jobs.update(job, (record) => ({...record, cancelRequested: true}));
-		return views.get(customer, job);
-	},
-});
+		await sleep(INSTANCE_LIST_POLL_MS, signal);
+	}
+};
 
-const followList = (context: Context, dispatcher: Dispatcher): void => {
+const followList = (context: Context, dispatcher: Dispatcher, slots: SlotService): void => {
 	const take = (list: readonly ListedInstance[]) => {
 		context.membership.applyList(list);
 		dispatcher.setEndpoints(endpointsOf(list));
@@ -122,7 +97,7 @@
 		take(data);
 	});
 	take(context.list.current());
-	context.lifecycle.run('instance-list', context.list.run);
+	context.lifecycle.run('instance-list', async (signal) => runList(context, slots, signal));
 };
 
 /**
@@ -141,7 +116,7 @@
 	const lifecycle = createLifecycle(settings.id, (task, error, restartMs) => {
 		log.warn('task-failed', {task, error: error.message, restartMs});
 	});
-	const status: Mutable = {state: 'starting', peerAddress: ''};
+	const status: Mutable = {state: 'starting', isReady: false, peerAddress: ''};
 	const incarnation = Date.now();
 	const heartbeat = (): OwnHeartbeat => ({
 		id: settings.id,
@@ -159,33 +134,44 @@
 	const dispatcher = createDispatcher({
 		availabilityZone: settings.availabilityZone,
 		lifecycle,
+		log,
 		metrics,
-		slotsOf: (_endpoint, service) => service.slots,
-		connectionsOf: (service) => service.connections,
+		onLeaving(endpoint, sign) {
+			notifyAll(context, 'endpoint.leaving', {endpoint, sign});
+		},
+		slotsOf: (endpoint) => slots.limitOf(endpoint),
+	});
+	const admission = createAdmission({dispatcher, metrics});
+	const slots = createSlotService({
+		context,
+		incarnation,
+		usedOf: dispatcher.used,
+		takeDemand: admission.takeDemand,
+		onChange: dispatcher.refresh,
+	});
+	const claims = createClaimService(context);
+	const callerService = createCallerService({context, engine, claims, admission});
+	const activity = createActivity(() => status.isReady);
+	const drain = createDrain({
+		log,
+		drainMs: settings.drainSeconds * 1000,
+		stopReadiness() {
+			status.isReady = false;
+		},
+		stopAccepting() {
+			status.state = 'leaving';
+			admission.refuseAll(notAccepting());
+		},
+		inProgress: () => activity.count() + claims.waitingFinishes(),
+		handOver: slots.handOver,
+		close: async () => lifecycle.close(),
 	});
-	const callerService = createCallerService(context, engine);
-	const drain = async () => {
-		if (status.state === 'leaving') {
-			return;
-		}
-
-		log.info('drain-started', {inProgress: dispatcher.inProgress()});
-		status.state = 'leaving';
-		await sleep(READINESS_LEAD_MS);
-		const deadlineMs = Date.now() + settings.drainSeconds * 1000;
-		while (dispatcher.inProgress() > 0 && Date.now() < deadlineMs) {
-			await sleep(DRAIN_POLL_MS);
-		}
-
-		log.info('drain-ended', {inProgress: dispatcher.inProgress()});
-		await lifecycle.close();
-	};
 
 	const operatorService: OperatorService = {
 		authenticate: (authorization) => authenticateOperator(callerService, settings.bootstrapTokenSha256, authorization),
 		bundle: () => bundleOf(context.replica),
 		apply: configuration.apply,
-		status: () => statusOf(context, heartbeat),
+		status: () => statusOf(context, heartbeat()),
 		explain: engine.views.explain,
 		async drain(instance) {
 			if (instance === settings.id) {
@@ -204,6 +190,8 @@
 			handlers: {
 				requests: {
 					...replication.handlers.requests,
+					...claims.handlers,
+					...slots.handlers.requests,
 					heartbeat: (body) => context.membership.receive(body as HeartbeatMessage),
 					'config.generation': (body) =>
 						configuration.generation((body as Readonly<{generation: number}>).generation) ?? null,
@@ -212,7 +200,14 @@
 						return {};
 					},
 				},
-				events: replication.handlers.events,
+				events: {
+					...replication.handlers.events,
+					...slots.handlers.events,
+					'endpoint.leaving'(body) {
+						const {endpoint, sign} = body as Readonly<{endpoint: string; sign: LeavingSign}>;
+						dispatcher.markLeaving(endpoint, sign);
+					},
+				},
 			},
 			lifecycle,
 			log,
@@ -226,9 +221,10 @@
 			log.warn('instance-list-failed', {error: String(error)});
 		}
 
-		followList(context, dispatcher);
+		followList(context, dispatcher, slots);
 		await replication.start();
 		await replication.awaitGeneration(lifecycle.signal);
+		slots.start();
 		engine.start();
 		const address = await startHttpServer({
 			host: settings.host,
@@ -236,12 +232,14 @@
 			callerService,
 			operatorService,
 			dispatcher,
-			isReady: () => status.state === 'live',
+			isReady: () => status.isReady,
+			activity,
 			metrics,
 			log,
 			lifecycle,
 		});
 		status.state = 'live';
+		status.isReady = true;
 		const {peerAddress} = status;
 		log.info('instance-started', {address, peerAddress, availabilityZone: settings.availabilityZone});
 		return {address, peerAddress, drain, close: async () => lifecycle.close()};
