Read the store for a new job before saying that it does not exist

Cause: since replicas follow the watchers instead of each write, the demo failed: a job submitted through one instance was answered with 404 by another one milliseconds later. Ruled out: pushing every job write to all instances, because its traffic grows with jobs times instances. Change: for an unknown job id of the last 30 s (ids carry their time) the instance reads the shard before it answers. Conclusion: a caller behind the load balancer finds its job on any instance.

--- a/packages/caller/src/job-router.ts
+++ b/packages/caller/src/job-router.ts
@@ -41,9 +41,9 @@
 		const {customer} = callerOf(service, request);
 		response.json({jobs: service.listJobs(customer)});
 	});
-	router.get('/:job', (request, response) => {
+	router.get('/:job', async (request, response) => {
 		const {customer} = callerOf(service, request);
-		response.json(found(service.findJob(customer, request.params.job)));
+		response.json(found(await service.findJob(customer, request.params.job)));
 	});
 	router.delete('/:job', async (request, response) => {
 		const {customer} = callerOf(service, request);
--- a/packages/caller/src/types.ts
+++ b/packages/caller/src/types.ts
@@ -58,7 +58,7 @@
 	/** False while the instance starts or drains; new work is then refused. */
 	isAccepting: () => boolean;
 	submitJob: (customer: string, specification: JobSpecification) => Promise<JobRecord>;
-	findJob: (customer: string, job: string) => JobView | undefined;
+	findJob: (customer: string, job: string) => Promise<JobView | undefined>;
 	listJobs: (customer: string) => readonly JobView[];
 	claims: Claims;
 	admission: Admission;
--- a/packages/instance/src/caller-service.ts
+++ b/packages/instance/src/caller-service.ts
@@ -19,9 +19,13 @@
 		bundle: () => bundleOf(context.replica),
 		isAccepting: () => context.state() === 'live',
 		submitJob: jobs.submit,
-		findJob: views.get,
+		async findJob(customer, job) {
+			await jobs.refresh(job);
+			return views.get(customer, job);
+		},
 		listJobs: views.list,
 		async cancelJob(customer, job) {
+			await jobs.refresh(job);
 			if (!views.get(customer, job)) {
 				return undefined;
 			}
--- a/packages/instance/src/constants.ts
+++ b/packages/instance/src/constants.ts
@@ -61,3 +61,6 @@
 
 /** Peers that are asked for a generation which this instance does not keep. */
 export const BASE_PEERS = 3;
+
+/** A job submitted within this time may be missing in a replica that follows the store. */
+export const RECENT_JOB_MS = 30_000;
--- a/packages/instance/src/job-store.ts
+++ b/packages/instance/src/job-store.ts
@@ -5,13 +5,16 @@
 	MAX_JOB_ANSWER_BYTES,
 	newJobId,
 	ServiceError,
+	toServiceError,
 	type JobOutcome,
 	type JobRecord,
 	type JobShardRecord,
 	type JobSpecification,
 } from '@bergamotgauge/model';
 import {checkSubmission} from '@bergamotgauge/placement';
-import {createGroupCommit, type GroupCommit} from '@bergamotgauge/platform';
+import {createGroupCommit, STORE_RETRY_AFTER_MS, type GroupCommit} from '@bergamotgauge/platform';
+import {validate, version} from 'uuid';
+import {RECENT_JOB_MS} from './constants.js';
 import {allJobs, bundleOf, type Context} from './context.js';
 
 const EMPTY_SHARD: JobShardRecord = {jobs: {}};
@@ -28,6 +31,8 @@
 		change?: (record: JobRecord) => JobRecord,
 	) => Promise<JobRecord | undefined>;
 	get: (job: string) => JobRecord | undefined;
+	/** Reads the store for a job that is too new for every replica to have it. */
+	refresh: (job: string) => Promise<void>;
 }>;
 
 const withJob = (shard: JobShardRecord, job: JobRecord): JobShardRecord => ({jobs: {...shard.jobs, [job.id]: job}});
@@ -40,6 +45,16 @@
 	),
 });
 
+/** Job ids carry the time of their submission. Older ids are in every replica, so unknown ones cost no read. */
+const isRecentJob = (job: string, nowMs: number): boolean => {
+	if (!validate(job) || version(job) !== 7) {
+		return false;
+	}
+
+	const submittedMs = Number.parseInt(job.replaceAll('-', '').slice(0, 12), 16);
+	return Math.abs(nowMs - submittedMs) < RECENT_JOB_MS;
+};
+
 const boundedAnswer = (answer: unknown): unknown => {
 	const size = Buffer.byteLength(JSON.stringify(answer) ?? '');
 	return size <= MAX_JOB_ANSWER_BYTES
@@ -94,6 +109,23 @@
 		return shard && Object.hasOwn(shard.jobs, job) ? shard.jobs[job] : undefined;
 	};
 
+	const refresh = async (job: string): Promise<void> => {
+		if (get(job) || !isRecentJob(job, Date.now())) {
+			return;
+		}
+
+		try {
+			context.replica.applyOwnWrite(await context.store.get(jobShardKey(job)));
+		} catch (error) {
+			throw new ServiceError('the job is not known here yet and the store does not answer', {
+				code: 'store-unavailable',
+				verdict: 'may-have-run',
+				retryAfterMs: STORE_RETRY_AFTER_MS,
+				cause: toServiceError(error, 'not-run'),
+			});
+		}
+	};
+
 	const update: JobStore['update'] = async (job, change) =>
 		shardOf(job).submit((shard) => {
 			const record = shard.jobs[job];
@@ -107,6 +139,7 @@
 
 	return {
 		get,
+		refresh,
 		update,
 		async submit(customer, specification) {
 			const bundle = bundleOf(context.replica);
--- a/packages/instance/src/test/memory-store.ts
+++ b/packages/instance/src/test/memory-store.ts
@@ -10,6 +10,7 @@
 		writes: ReadonlyMap<string, number>;
 		events: Emittery<{changed: Changes}>;
 		faults: {outage: boolean};
+		reads: () => number;
 	}>;
 
 export const createMemoryStore = (): MemoryStore => {
@@ -18,6 +19,7 @@
 	const events = new Emittery<{changed: Changes}>();
 	const faults = {outage: false};
 	let revision = 0;
+	let reads = 0;
 
 	const requireStore = () => {
 		if (faults.outage) {
@@ -31,9 +33,11 @@
 		events,
 		writes,
 		faults,
+		reads: () => reads,
 		entries: () => [...values.values()],
 		async get(key) {
 			requireStore();
+			reads += 1;
 			return current(key);
 		},
 		async list(prefix) {
--- a/packages/instance/src/test/world.ts
+++ b/packages/instance/src/test/world.ts
@@ -30,6 +30,8 @@
 	id: string;
 	gate?: Gate;
 	owners?: readonly string[];
+	/** The replica gets no changes. */
+	isBehind?: boolean;
 	/** A dead worker answers nothing and keeps no lease. */
 	isWorkerDead?: (worker: string) => boolean;
 }>;
@@ -170,7 +172,13 @@
 		bundle.racks.flatMap((rack) => rack.workers).map(({name}) => [name, createWorkerModel(name)]),
 	);
 
-	const startEngine: World['startEngine'] = ({id, gate = passGate, owners = [id], isWorkerDead = () => false}) => {
+	const startEngine: World['startEngine'] = ({
+		id,
+		gate = passGate,
+		owners = [id],
+		isWorkerDead = () => false,
+		isBehind = false,
+	}) => {
 		const lifecycle = createLifecycle(id);
 		const replica = createReplica();
 		const context: Context = {
@@ -203,7 +211,9 @@
 		});
 		replica.apply({revision: 1, entries: store.entries(), compacted: true});
 		const unsubscribe = store.events.on('changed', (changes) => {
-			replica.apply(changes);
+			if (!isBehind) {
+				replica.apply(changes);
+			}
 		});
 		lifecycle.add('subscription', unsubscribe);
 		engine.start();
