Check declarations as a whole and keep the partners apart

The schema checked documents only, so a request made by hand could store what validate refuses, and any operator could replace the declarations of the other partner. Faults gave the line of the document, an alias bomb or a key __proto__ ended the program or was dropped silently, and a token written in clear was echoed.

- Documents and apply requests pass the same item schemas and the same checks of names, references, selectors, workers and fit.
A fault names file, line and value; values that may be a token are not shown.
- An apply replaces the items of the operator's partner alone.
A request that changes another partner's item gets forbidden and its name.
- Both partners declare a shared pool.
Its terms change when every partner concerned declares the same; until then the new terms are a proposal.
- The bootstrap token is refused as soon as the store holds a bundle, and a partner cannot remove its last operator token.
- Operators see the jobs and tokens of their own partner only.
- Selectors no longer match keys of Object.prototype, and a declared label has precedence over a derived one.

--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,7 +1,7 @@
 import type {CallerService} from '@bergamotgauge/caller';
 import {createDispatcher, type Dispatcher, type Endpoint} from '@bergamotgauge/endpoint';
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
-import {BUNDLE_KEY, type ListedInstance} from '@bergamotgauge/model';
+import {BUNDLE_KEY, ServiceError, type AccessToken, type ListedInstance} from '@bergamotgauge/model';
 import type {OperatorService, Status} from '@bergamotgauge/operator';
 import {createMembership, startPeerServer, type Heartbeat, type MemberState} from '@bergamotgauge/peer';
 import {createInstanceList, createReplica, createStoreClient, type Changes} from '@bergamotgauge/platform';
@@ -11,7 +11,7 @@
 import {allJobs, allRacks, bundleOf, type Context} from './context.js';
 import {authenticateOperator, startHttpServer} from './http-server.js';
 import {createJobStore, type JobStore} from './job-store.js';
-import {createJobViews, type JobViews} from './job-views.js';
+import {createJobViews, isJobVisible, type JobViews} from './job-views.js';
 import {runPlanner} from './planner-loop.js';
 import {runRackLoop} from './rack-loop.js';
 import {spreadEntry, startReplication} from './replication.js';
@@ -59,7 +59,7 @@
 	return context;
 };
 
-const statusOf = (context: Context, heartbeat: () => Heartbeat): Status => {
+const statusOf = (context: Context, heartbeat: () => Heartbeat, operator: AccessToken): Status => {
 	const bundle = bundleOf(context.replica);
 	const racks = allRacks(context.replica);
 	const describe = (beat: Heartbeat | undefined, id: string, health: string) => ({
@@ -85,7 +85,9 @@
 				placements: placements.length,
 			};
 		}),
-		queuedJobs: allJobs(context.replica).filter((job) => job.state === 'queued').length,
+		queuedJobs: allJobs(context.replica).filter(
+			(job) => job.state === 'queued' && isJobVisible(bundle, operator, job.customer),
+		).length,
 	};
 };
 
@@ -217,7 +219,7 @@
 		authenticate: (authorization) => authenticateOperator(callerService, settings.bootstrapTokenSha256, authorization),
 		bundle: () => bundleOf(context.replica),
 		apply: async (operator, request) => applyDeclarations(context, operator, request),
-		status: () => statusOf(context, heartbeat),
+		status: (operator) => statusOf(context, heartbeat, operator),
 		explain: views.explain,
 		async drain(instance) {
 			if (instance === settings.id) {
@@ -225,7 +227,12 @@
 				return;
 			}
 
-			await context.membership.link(instance)?.call('drain', {});
+			const link = context.membership.link(instance);
+			if (!link) {
+				throw new ServiceError(`no instance "${instance}" is a member`, {code: 'not-found', verdict: 'not-run'});
+			}
+
+			await link.call('drain', {});
 		},
 	};
 
--- a/packages/instance/src/job-views.ts
+++ b/packages/instance/src/job-views.ts
@@ -1,17 +1,21 @@
 import type {JobView} from '@bergamotgauge/caller';
-import type {JobRecord, Placement} from '@bergamotgauge/model';
-import {allJobs, allRacks, type Context} from './context.js';
+import type {AccessToken, Bundle, JobRecord, Placement} from '@bergamotgauge/model';
+import {allJobs, allRacks, bundleOf, type Context} from './context.js';
 import type {JobStore} from './job-store.js';
 
 export type JobViews = Readonly<{
 	get: (customer: string, job: string) => JobView | undefined;
 	list: (customer: string) => readonly JobView[];
-	explain: (job: string) => unknown;
+	explain: (operator: AccessToken, job: string) => unknown;
 	setReasons: (reasons: ReadonlyMap<string, string>) => void;
 }>;
 
 type Located = Readonly<{rack: string; placement: Placement}>;
 
+/** An operator sees the jobs of its partner's customers. */
+export const isJobVisible = (bundle: Bundle | undefined, operator: AccessToken, customer: string): boolean =>
+	bundle?.customers.find(({name}) => name === customer)?.partner === operator.partner;
+
 /** What callers and operators see of jobs. */
 export const createJobViews = (context: Context, jobs: JobStore): JobViews => {
 	let reasons: ReadonlyMap<string, string> = new Map();
@@ -49,9 +53,13 @@
 			allJobs(context.replica)
 				.filter((job) => job.customer === customer)
 				.map((job) => view(job)),
-		explain(id) {
+		explain(operator, id) {
 			const job = jobs.get(id);
-			return job && {...view(job), customer: job.customer, jobClass: job.jobClass, location: locate(job)};
+			if (!job || !isJobVisible(bundleOf(context.replica), operator, job.customer)) {
+				return undefined;
+			}
+
+			return {...view(job), customer: job.customer, jobClass: job.jobClass, location: locate(job)};
 		},
 		setReasons(next) {
 			reasons = next;
--- a/packages/model/src/constants.ts
+++ b/packages/model/src/constants.ts
@@ -22,3 +22,6 @@
 
 /** A rack holds at most eight workers of eight accelerators, so no gang is larger. */
 export const MAX_GANG_ACCELERATORS = 64;
+
+/** Deepest nesting of decoded request bodies and declarations. */
+export const MAX_DATA_DEPTH = 32;
--- a/packages/model/src/selector.test.ts
+++ b/packages/model/src/selector.test.ts
@@ -22,6 +22,11 @@
 			expected: true,
 		},
 		{name: 'Exists', selector: {matchExpressions: [{key: 'gpu', operator: 'Exists'}]}, expected: true},
+		{
+			name: 'Exists, key of the prototype',
+			selector: {matchExpressions: [{key: 'constructor', operator: 'Exists'}]},
+			expected: false,
+		},
 		{name: 'DoesNotExist', selector: {matchExpressions: [{key: 'gpu', operator: 'DoesNotExist'}]}, expected: false},
 	] as const;
 	for (const {name, selector, expected} of cases) {
--- a/packages/model/src/selector.ts
+++ b/packages/model/src/selector.ts
@@ -1,7 +1,8 @@
 import type {Labels, Selector, SelectorExpression} from './types.js';
 
 const matchesExpression = (expression: SelectorExpression, labels: Labels): boolean => {
-	const value = labels[expression.key];
+	// A key such as `constructor` must not be found on the prototype.
+	const value = Object.hasOwn(labels, expression.key) ? labels[expression.key] : undefined;
 	switch (expression.operator) {
 		case 'Exists': {
 			return value !== undefined;
@@ -31,7 +32,7 @@
 */
 export const matchesSelector = (selector: Selector, labels: Labels): boolean => {
 	for (const [key, value] of Object.entries(selector.matchLabels ?? {})) {
-		if (labels[key] !== value) {
+		if (!Object.hasOwn(labels, key) || labels[key] !== value) {
 			return false;
 		}
 	}
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -54,6 +54,8 @@
 
 export type JobClass = Readonly<{
 	name: string;
+	/** Partner that may change the class. Applied declarations always have it. */
+	partner?: string;
 	urgency: Urgency;
 	preemptible: boolean;
 	/** Time that a checkpoint takes; 0 when the work cannot checkpoint. */
@@ -81,6 +83,8 @@
 
 export type Rack = Readonly<{
 	name: string;
+	/** Partner that may change the rack. Applied declarations always have it. */
+	partner?: string;
 	pool: string;
 	availabilityZone: string;
 	workers: readonly Worker[];
@@ -98,12 +102,21 @@
 	share: number;
 }>;
 
-export type Pool = Readonly<{
-	name: string;
+export type PoolTerms = Readonly<{
 	weights: Weights;
 	shares: readonly PoolShare[];
 }>;
 
+/** A pool with the terms in force. */
+export type Pool = PoolTerms &
+	Readonly<{
+		name: string;
+		/** Partners that declare the terms in force or declared them before they proposed others. */
+		agreedBy?: readonly string[];
+		/** Terms that a partner declares and to which the other partners have not agreed. */
+		proposals?: ReadonlyArray<PoolTerms & Readonly<{partner: string}>>;
+	}>;
+
 /** Work whose labels match `workSelector` runs only on workers that match `workerSelector`. */
 export type PlacementRule = Readonly<{
 	name: string;
--- a/packages/operator/src/diff.ts
+++ b/packages/operator/src/diff.ts
@@ -1,6 +1,6 @@
 import {isDeepStrictEqual} from 'node:util';
 import type {Declarations} from '@bergamotgauge/model';
-import type {DeclarationChange} from './types.js';
+import type {DeclarationChange, FieldChange} from './types.js';
 
 export const EMPTY_DECLARATIONS: Declarations = {
 	customers: [],
@@ -13,32 +13,66 @@
 	tokens: [],
 };
 
-const COLLECTIONS = Object.keys(EMPTY_DECLARATIONS) as ReadonlyArray<keyof Declarations>;
+/** Names of the collections of declarations. */
+export const COLLECTIONS = Object.keys(EMPTY_DECLARATIONS) as ReadonlyArray<keyof Declarations>;
 
 type Named = Readonly<{name: string}>;
 
+type Fields = Readonly<Record<string, unknown>>;
+
+const isFields = (value: unknown): value is Fields => typeof value === 'object' && value !== null;
+
+const isNamedList = (value: unknown): value is readonly Named[] =>
+	Array.isArray(value) && value.length > 0 && value.every((item) => isFields(item) && typeof item.name === 'string');
+
+/** Workers of a rack are compared by name, so that one more worker does not change the path of the others. */
+const fieldsOf = (value: Fields): Fields =>
+	isNamedList(value) ? Object.fromEntries(value.map((item) => [item.name, item])) : value;
+
+const diffFields = (before: Fields, after: Fields, prefix: string): readonly FieldChange[] => {
+	const [old, current] = [fieldsOf(before), fieldsOf(after)];
+	return [...new Set([...Object.keys(old), ...Object.keys(current)])].flatMap((key) => {
+		const [oldValue, value] = [old[key], current[key]];
+		if (isDeepStrictEqual(oldValue, value)) {
+			return [];
+		}
+
+		const path = `${prefix}${key}`;
+		return isFields(oldValue) && isFields(value)
+			? diffFields(oldValue, value, `${path}.`)
+			: [{path, before: oldValue, after: value}];
+	});
+};
+
 const diffCollection = (
 	collection: keyof Declarations,
 	before: readonly Named[],
 	after: readonly Named[],
 ): readonly DeclarationChange[] => {
 	const old = new Map(before.map((item) => [item.name, item]));
-	const current = new Map(after.map((item) => [item.name, item]));
+	const current = new Set(after.map(({name}) => name));
 	const removed = before.filter(({name}) => !current.has(name));
 	return [
 		...removed.map(({name}) => ({kind: 'removed', collection, name}) as const),
-		...after
-			.filter((item) => !isDeepStrictEqual(old.get(item.name), item))
-			.map(({name}) => ({kind: old.has(name) ? 'changed' : 'added', collection, name}) as const),
+		...after.flatMap((item): readonly DeclarationChange[] => {
+			const previous = old.get(item.name);
+			if (!previous) {
+				return [{kind: 'added', collection, name: item.name}];
+			}
+
+			const fields = diffFields(previous, item, '');
+			return fields.length > 0 ? [{kind: 'changed', collection, name: item.name, fields}] : [];
+		}),
 	];
 };
 
 /**
-Lists what differs between two sets of declarations.
+Lists what differs between two sets of declarations, with the fields of changed items.
 
 @example
 ```ts
-diffDeclarations(before, after); // [{kind: 'changed', collection: 'customers', name: 'acme'}]
+diffDeclarations(before, after);
+// [{kind: 'changed', collection: 'customers', name: 'acme', fields: [{path: 'weight', before: 1, after: 2}]}]
 ```
 */
 export const diffDeclarations = (before: Declarations, after: Declarations): readonly DeclarationChange[] =>
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,5 +1,10 @@
 export type * from './types.js';
-export {diffDeclarations, EMPTY_DECLARATIONS} from './diff.js';
+export {parseDeclarations, requireValid} from './check-declarations.js';
+export {EVERY_PARTNER} from './constants.js';
+export {COLLECTIONS, diffDeclarations, EMPTY_DECLARATIONS} from './diff.js';
 export {loadDirectory, loadTexts} from './load.js';
+export {mergePartner} from './merge-partner.js';
 export {createOperatorClient, type OperatorClient} from './operator-client.js';
+export {namedPartners, ownDeclarations} from './partners.js';
+export {prepareDeclarations, requireCurrentToken} from './prepare-declarations.js';
 export {createOperatorRouter, type OperatorService} from './router.js';
--- a/packages/operator/src/load.ts
+++ b/packages/operator/src/load.ts
@@ -1,125 +1,72 @@
 import {readdir, readFile, stat} from 'node:fs/promises';
 import path from 'node:path';
-import {ServiceError, type Declarations, type Rack} from '@bergamotgauge/model';
-import {checkGuarantees} from '@bergamotgauge/placement';
-import {isAlias, isMap, isSeq, LineCounter, parseAllDocuments, type Document, type Node} from 'yaml';
-import {checkReferences} from './references.js';
-import {DOCUMENT_KINDS, type DocumentKind, type RackDocument} from './schema.js';
-import type {DeclarationFault, LoadResult} from './types.js';
-
-/** A checked document and where it stands. */
-export type LocatedDocument = Readonly<{
-	kind: DocumentKind;
-	value: Readonly<{name: string}>;
-	file: string;
-	line: number;
-}>;
-
-type FileResult = Readonly<{documents: readonly LocatedDocument[]; faults: readonly DeclarationFault[]}>;
-
-const lineOf = (document: Document, counter: LineCounter, keys: readonly PropertyKey[]): number => {
-	let node: unknown = document.contents;
-	let offset = (node as Node | undefined)?.range?.[0] ?? document.range?.[0] ?? 0;
-	for (const key of keys) {
-		if (isAlias(node)) {
-			node = node.resolve(document);
-		}
-
-		if (!isMap(node) && !isSeq(node)) {
-			break;
-		}
-
-		node = node.get(key, true);
-		offset = (node as Node | undefined)?.range?.[0] ?? offset;
-	}
-
-	return counter.linePos(offset).line;
-};
-
-const describe = (value: unknown): string => {
-	const text = JSON.stringify(value) ?? 'nothing';
-	return text.length > 80 ? `${text.slice(0, 77)}...` : text;
-};
-
-const valueAt = (value: unknown, keys: readonly PropertyKey[]): unknown => {
-	let current = value;
-	for (const key of keys) {
-		current = (current as Record<PropertyKey, unknown> | undefined)?.[key];
+import {isDeepStrictEqual} from 'node:util';
+import {ServiceError, type Declarations, type Pool, type Rack} from '@bergamotgauge/model';
+import {LineCounter, parseAllDocuments, type Document} from 'yaml';
+import {findItemFaults} from './check-declarations.js';
+import {MAX_APPLY_BYTES} from './constants.js';
+import {checkDocument, type FileResult, type LocatedDocument} from './document.js';
+import {mergePartner} from './merge-partner.js';
+import {namedPartners, withPartner} from './partners.js';
+import {DOCUMENT_KINDS, type DocumentKind, type PoolDocument, type RackDocument} from './schema.js';
+import type {DeclarationFault, LoadOptions, LoadResult} from './types.js';
+
+type SourceFile = Readonly<{file: string; text: string}>;
+
+const checkText = ({file, text}: SourceFile): FileResult => {
+	if (text.length > MAX_APPLY_BYTES) {
+		const message = `the file has ${text.length} characters, more than ${MAX_APPLY_BYTES}`;
+		return {documents: [], faults: [{file, line: 1, message}]};
 	}
 
-	return current;
+	const lines = new LineCounter();
+	const documents = parseAllDocuments(text, {lineCounter: lines, merge: true});
+	const results = [...documents].map((document) => checkDocument({document, file, lines}, text));
+	return {
+		documents: results.flatMap((result) => result.documents),
+		faults: results.flatMap((result) => result.faults),
+	};
 };
 
-const isDocumentKind = (kind: unknown): kind is DocumentKind =>
-	typeof kind === 'string' && Object.hasOwn(DOCUMENT_KINDS, kind);
-
-const checkDocument = (document: Document.Parsed, file: string, counter: LineCounter): FileResult => {
-	const faultAt = (line: number, message: string): FileResult => ({documents: [], faults: [{file, line, message}]});
-	if (document.errors.length > 0) {
-		const faults = document.errors.map((error) => ({
-			file,
-			line: counter.linePos(error.pos[0]).line,
-			message: error.message.split('\n', 1)[0] ?? error.code,
-		}));
-		return {documents: [], faults};
-	}
-
-	const content: unknown = document.toJS();
-	if (content === null) {
-		return {documents: [], faults: []};
-	}
+const termsOf = ({weights, shares}: PoolDocument) => ({
+	weights,
+	shares: shares.toSorted((a, b) => a.partner.localeCompare(b.partner)),
+});
 
-	const {kind, ...rest} = content as Readonly<Record<string, unknown>>;
-	const line = lineOf(document, counter, []);
-	if (!isDocumentKind(kind)) {
-		return faultAt(line, `kind is ${describe(kind)}; allowed: ${Object.keys(DOCUMENT_KINDS).join(', ')}`);
+/** Two partners of a pool may each declare it, with the same terms. Anything else is declared once. */
+const compareWithFirst = (document: LocatedDocument, first: LocatedDocument): string | undefined => {
+	const label = `${document.kind} "${document.value.name}"`;
+	const place = `${first.file}:${first.line}`;
+	if (document.kind !== 'Pool') {
+		return `${label} is declared already at ${place}`;
 	}
 
-	const result = DOCUMENT_KINDS[kind].schema.safeParse(rest);
-	if (!result.success) {
-		const faults = result.error.issues.map((issue) => ({
-			file,
-			line: lineOf(document, counter, issue.path),
-			message: `${kind} ${describe(rest.name)}: ${issue.path.join('.') || 'document'} is ${describe(valueAt(rest, issue.path))}: ${issue.message}`,
-		}));
-		return {documents: [], faults};
+	const [pool, firstPool] = [document.value as PoolDocument, first.value as PoolDocument];
+	if (pool.partner === firstPool.partner) {
+		return `${label} is declared already at ${place}`;
 	}
 
-	return {documents: [{kind, value: result.data, file, line}], faults: []};
-};
-
-const checkText = (text: string, file: string): FileResult => {
-	const counter = new LineCounter();
-	const documents = parseAllDocuments(text, {lineCounter: counter, merge: true});
-	const results = [...documents].map((document) => checkDocument(document as Document.Parsed, file, counter));
-	return {
-		documents: results.flatMap((result) => result.documents),
-		faults: results.flatMap((result) => result.faults),
-	};
+	return isDeepStrictEqual(termsOf(pool), termsOf(firstPool))
+		? undefined
+		: `${label}: weights or shares differ from those of partner "${firstPool.partner}" at ${place}`;
 };
 
 const findDuplicates = (documents: readonly LocatedDocument[]): readonly DeclarationFault[] => {
 	const seen = new Map<string, LocatedDocument>();
-	const faults: DeclarationFault[] = [];
-	for (const document of documents) {
+	return documents.flatMap((document) => {
 		const id = `${document.kind}/${document.value.name}`;
 		const first = seen.get(id);
-		if (first) {
-			const message = `${document.kind} "${document.value.name}" is declared already at ${first.file}:${first.line}`;
-			faults.push({file: document.file, line: document.line, message});
-		}
-
 		seen.set(id, first ?? document);
-	}
-
-	return faults;
+		const message = first && compareWithFirst(document, first);
+		return message === undefined ? [] : [{file: document.file, line: document.lineOf(['name']), message}];
+	});
 };
 
 const toRack = ({workers, workerDefaults, ...rest}: RackDocument): Rack => ({
-	...rest,
+	...(rest as Omit<Rack, 'workers'>),
 	workers: workers.map((worker, index) => ({
 		...workerDefaults,
-		...worker,
+		...(worker as Readonly<{name: string; address?: string}>),
 		position: worker.position ?? index,
 		labels: {...workerDefaults.labels, ...worker.labels},
 		rack: rest.name,
@@ -130,6 +77,11 @@
 const byName = <Item extends Readonly<{name: string}>>(items: readonly Item[]): readonly Item[] =>
 	items.toSorted((a, b) => a.name.localeCompare(b.name));
 
+const toPools = (documents: readonly PoolDocument[]): readonly Pool[] => {
+	const pools = new Map(documents.map(({name, weights, shares}) => [name, {name, weights, shares}]));
+	return [...pools.values()];
+};
+
 const assemble = (documents: readonly LocatedDocument[]): Declarations => {
 	const collect = (kind: DocumentKind): never[] =>
 		byName(documents.filter((document) => document.kind === kind).map((document) => document.value)) as never[];
@@ -137,7 +89,7 @@
 		customers: collect('Customer'),
 		guarantees: collect('Guarantee'),
 		jobClasses: collect('JobClass'),
-		pools: collect('Pool'),
+		pools: toPools(collect('Pool')),
 		placementRules: collect('PlacementRule'),
 		racks: (collect('Rack') as RackDocument[]).map((rack) => toRack(rack)),
 		services: collect('Service'),
@@ -145,68 +97,107 @@
 	};
 };
 
-const checkFit = (documents: readonly LocatedDocument[], declarations: Declarations): readonly DeclarationFault[] => {
-	try {
-		checkGuarantees(declarations);
-		return [];
-	} catch (error) {
-		if (!(error instanceof ServiceError)) {
-			throw error;
-		}
+const findWithoutPartner = (
+	documents: readonly LocatedDocument[],
+	partners: readonly string[],
+): readonly DeclarationFault[] =>
+	documents
+		.filter(
+			({kind, value}) =>
+				(kind === 'Rack' || kind === 'JobClass') && (value as Readonly<{partner?: string}>).partner === undefined,
+		)
+		.map(({kind, value, file, line}) => ({
+			file,
+			line,
+			message: `${kind} "${value.name}": partner is not set; set it to one of ${partners.join(', ')}`,
+		}));
 
-		const {message} = error;
-		const culprit = documents.find(({kind, value}) => kind === 'Guarantee' && message.includes(` ${value.name} `));
-		return [{file: culprit?.file ?? '', line: culprit?.line ?? 0, message}];
-	}
-};
+const locate = (documents: readonly LocatedDocument[], declarations: Declarations): readonly DeclarationFault[] =>
+	findItemFaults(declarations).map(({collection, name, message, path: itemPath}) => {
+		const document = documents.find(
+			({kind, value}) => DOCUMENT_KINDS[kind].collection === collection && value.name === name,
+		);
+		return {
+			file: document?.file ?? 'configuration in force',
+			line: document?.lineOf(itemPath ?? []) ?? 0,
+			message: `${document?.kind ?? collection} "${name}": ${message}`,
+		};
+	});
 
 /**
-Checks the text of declaration files.
+Checks the text of declaration files. With the configuration in force and a partner, references are checked against what would be in force after the partner applies the files.
 
 @example
 ```ts
 const result = loadTexts([{file: 'customers.yaml', text}]);
 ```
 */
-export const loadTexts = (files: ReadonlyArray<Readonly<{file: string; text: string}>>): LoadResult => {
-	const results = files.map(({file, text}) => checkText(text, file));
+export const loadTexts = (files: readonly SourceFile[], {inForce, partner}: LoadOptions = {}): LoadResult => {
+	const results = files.map((file) => checkText(file));
 	const documents = results.flatMap((result) => result.documents);
 	const faults = [...results.flatMap((result) => result.faults), ...findDuplicates(documents)];
 	if (faults.length > 0) {
 		return {ok: false, faults};
 	}
 
-	const declarations = assemble(documents);
-	const later = [...checkReferences(documents, declarations)];
-	const allFaults = later.length > 0 ? later : checkFit(documents, declarations);
-	return allFaults.length > 0 ? {ok: false, faults: allFaults} : {ok: true, declarations};
+	const declared = assemble(documents);
+	const partners = namedPartners(declared);
+	const owner = partner ?? (partners.length === 1 ? partners[0] : undefined);
+	const withoutPartner = owner === undefined && partners.length > 1 ? findWithoutPartner(documents, partners) : [];
+	if (withoutPartner.length > 0) {
+		return {ok: false, faults: withoutPartner};
+	}
+
+	const declarations = owner === undefined ? declared : withPartner(declared, owner);
+	const after = inForce && partner !== undefined ? mergePartner(inForce, declarations, partner) : declarations;
+	const located = locate(documents, after);
+	return located.length > 0 ? {ok: false, faults: located} : {ok: true, declarations};
+};
+
+const listFiles = async (directory: string): Promise<readonly string[]> => {
+	try {
+		const status = await stat(directory);
+		if (status.isFile()) {
+			return [directory];
+		}
+
+		const names = await readdir(directory, {recursive: true});
+		return names
+			.filter((name) => /\.ya?ml$/v.test(name))
+			.map((name) => path.join(directory, name))
+			.toSorted((a, b) => a.localeCompare(b));
+	} catch (error) {
+		throw new ServiceError(`cannot read ${directory}: ${String(error)}`, {code: 'bad-request', verdict: 'not-run'});
+	}
+};
+
+const readSource = async (file: string): Promise<SourceFile> => {
+	const {size} = await stat(file);
+	if (size > MAX_APPLY_BYTES) {
+		throw new ServiceError(`${file} has ${size} bytes, more than ${MAX_APPLY_BYTES}`, {
+			code: 'too-large',
+			verdict: 'not-run',
+		});
+	}
+
+	return {file, text: await readFile(file, 'utf8')};
 };
 
 /**
-Reads and checks the `.yaml` files of a directory, or one file.
+Reads and checks the `.yaml` files of a directory and the directories below it, or one file.
 
 @example
 ```ts
 const result = await loadDirectory('examples/quebec');
 ```
 
-@throws {ServiceError} `bad-request` when there is no file to read.
+@throws {ServiceError} `bad-request` when there is no file to read, `too-large` for a file above the bound.
 */
-export const loadDirectory = async (directory: string): Promise<LoadResult> => {
-	let names: string[];
-	try {
-		const status = await stat(directory);
-		const listed = status.isFile() ? [''] : await readdir(directory);
-		names = listed.map((file) => path.join(directory, file));
-	} catch (error) {
-		throw new ServiceError(`cannot read ${directory}: ${String(error)}`, {code: 'bad-request', verdict: 'not-run'});
-	}
-
-	const files = names.filter((file) => /\.ya?ml$/v.test(file)).toSorted((a, b) => a.localeCompare(b));
+export const loadDirectory = async (directory: string, options: LoadOptions = {}): Promise<LoadResult> => {
+	const files = await listFiles(directory);
 	if (files.length === 0) {
 		throw new ServiceError(`${directory} has no .yaml file`, {code: 'bad-request', verdict: 'not-run'});
 	}
 
-	const texts = await Promise.all(files.map(async (file) => ({file, text: await readFile(file, 'utf8')})));
-	return loadTexts(texts);
+	return loadTexts(await Promise.all(files.map(async (file) => readSource(file))), options);
 };
--- a/packages/placement/src/check-guarantees.ts
+++ b/packages/placement/src/check-guarantees.ts
@@ -1,5 +1,6 @@
 import {matchesSelector, ServiceError, type Block, type Declarations} from '@bergamotgauge/model';
 import {adjacentRuns} from './candidates.js';
+import {workerLabels} from './eligibility.js';
 
 const overlaps = (a: Block, b: Block): boolean =>
 	a.worker === b.worker && a.first < b.first + b.count && b.first < a.first + a.count;
@@ -22,14 +23,14 @@
 			const home = declarations.racks
 				.flatMap((rack) =>
 					adjacentRuns(rack, guarantee.accelerators, (worker) =>
-						matchesSelector(guarantee.workerSelector, worker.labels),
+						matchesSelector(guarantee.workerSelector, workerLabels(worker)),
 					),
 				)
 				.find((blocks) => blocks.every((block) => taken.every((other) => !overlaps(block, other))));
 			if (!home) {
 				throw new ServiceError(
 					`guarantee ${guarantee.name} does not fit: shape ${index + 1} of ${guarantee.count} with ${guarantee.accelerators} adjacent accelerators has no place on the declared racks`,
-					{code: 'impossible', verdict: 'not-run'},
+					{code: 'impossible', verdict: 'not-run', details: {guarantee: guarantee.name}},
 				);
 			}
 
--- a/packages/placement/src/eligibility.ts
+++ b/packages/placement/src/eligibility.ts
@@ -1,10 +1,18 @@
 import {matchesSelector, type Bundle, type JobSpecification, type Labels, type Worker} from '@bergamotgauge/model';
 
-const workerLabels = (worker: Worker): Labels => ({
-	...worker.labels,
+/**
+Labels that selectors of workers match. A label that an operator declared has precedence over the derived one of the same key.
+
+@example
+```ts
+matchesSelector(guarantee.workerSelector, workerLabels(worker));
+```
+*/
+export const workerLabels = (worker: Worker): Labels => ({
 	worker: worker.name,
 	rack: worker.rack,
 	availabilityZone: worker.availabilityZone,
+	...worker.labels,
 });
 
 /**
