Finish the program, the access rules and the labels of operators

- Every flag has its environment variable and is checked at the start; the error names flag, value and what is allowed.
- An unknown sender is refused before its body is read.
Failed authentications of one remote address get 429 after 20 in a minute, in a bounded LRU map; a valid token still passes, because callers behind one load balancer share an address.
- Tests send bad input through HTTP and the program and compare the contents of the store before and after.

--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -1,5 +1,5 @@
 import {ServiceError} from '@bergamotgauge/model';
-import type {Request} from 'express';
+import type {Request, RequestHandler} from 'express';
 import {authenticate} from './authenticate.js';
 import {NOT_ACCEPTING_RETRY_AFTER_MS} from './constants.js';
 import type {Caller, CallerService} from './types.js';
@@ -18,6 +18,14 @@
 	return {...token, customer: token.customer};
 };
 
+/** Refuses an unknown sender before its body is read. */
+export const requireCaller =
+	(service: CallerService): RequestHandler =>
+	(request, _response, next) => {
+		callerOf(service, request);
+		next();
+	};
+
 /** @throws {ServiceError} `draining` while the instance starts or stops. */
 export const requireAccepting = (service: CallerService): void => {
 	if (!service.isAccepting()) {
--- a/packages/caller/src/constants.ts
+++ b/packages/caller/src/constants.ts
@@ -5,6 +5,14 @@
 /** Longest deadline that a caller may ask for. */
 export const MAX_DEADLINE_MS = 10 * 60 * 1000;
 
+/** Failed authentications of one remote address within the window, after which further ones get 429. */
+export const MAX_AUTHENTICATION_FAILURES = 20;
+
+export const AUTHENTICATION_FAILURE_WINDOW_MS = 60_000;
+
+/** Remote addresses whose failures are counted; the least recent one is forgotten first. */
+export const MAX_COUNTED_ADDRESSES = 10_000;
+
 export const VERDICT_HEADER = 'request-verdict';
 
 export const DEADLINE_HEADER = 'request-deadline-ms';
--- a/packages/caller/src/error-response.ts
+++ b/packages/caller/src/error-response.ts
@@ -1,13 +1,20 @@
 import {ServiceError, toServiceError} from '@bergamotgauge/model';
 import type {ErrorRequestHandler, Response} from 'express';
 import {VERDICT_HEADER} from './constants.js';
+import {createFailureLimit} from './failure-limit.js';
 
-type BodyParserError = Error & Readonly<{status: number; type: string}>;
+type ClientError = Error & Readonly<{status: number}>;
 
-const isBodyParserError = (error: unknown): error is BodyParserError =>
-	error instanceof Error && 'type' in error && 'status' in error && typeof error.status === 'number';
+/** Errors of express and its body parsers for requests that they cannot read. */
+const isClientError = (error: unknown): error is ClientError =>
+	error instanceof Error &&
+	!(error instanceof ServiceError) &&
+	'status' in error &&
+	typeof error.status === 'number' &&
+	error.status >= 400 &&
+	error.status < 500;
 
-const fromBodyParser = (error: BodyParserError): ServiceError =>
+const fromClientError = (error: ClientError): ServiceError =>
 	new ServiceError(error.message, {
 		code: error.status === 413 ? 'too-large' : 'bad-request',
 		verdict: 'not-run',
@@ -45,13 +52,15 @@
 app.use(createErrorHandler((error) => log.error('request-failed', {error: error.message})));
 ```
 */
-export const createErrorHandler =
-	(onInternal: (error: ServiceError) => void): ErrorRequestHandler =>
-	(thrown: unknown, _request, response, _next) => {
-		const error = isBodyParserError(thrown) ? fromBodyParser(thrown) : toServiceError(thrown, 'may-have-run');
+export const createErrorHandler = (onInternal: (error: ServiceError) => void): ErrorRequestHandler => {
+	const limitFailures = createFailureLimit();
+	return (thrown: unknown, request, response, _next) => {
+		const error = isClientError(thrown) ? fromClientError(thrown) : toServiceError(thrown, 'may-have-run');
 		if (error.code === 'internal') {
 			onInternal(error);
 		}
 
-		sendError(response, error);
+		const isFailure = error.code === 'unauthenticated';
+		sendError(response, isFailure ? limitFailures(error, request.socket.remoteAddress) : error);
 	};
+};
--- a/packages/caller/src/job-body.ts
+++ b/packages/caller/src/job-body.ts
@@ -1,4 +1,4 @@
-import {ServiceError, type JobSpecification} from '@bergamotgauge/model';
+import {findDataFault, ServiceError, type JobSpecification} from '@bergamotgauge/model';
 import {z} from 'zod';
 
 const labels = z.record(z.string().min(1).max(63), z.string().max(255));
@@ -37,6 +37,14 @@
 @throws {ServiceError} `bad-request`, naming each field with its fault.
 */
 export const parseJobBody = (body: unknown): JobSpecification => {
+	const dataFault = findDataFault(body);
+	if (dataFault) {
+		throw new ServiceError(`${dataFault.path.join('.')}: ${dataFault.message}`, {
+			code: 'bad-request',
+			verdict: 'not-run',
+		});
+	}
+
 	const result = jobBody.safeParse(body);
 	if (!result.success) {
 		const faults = result.error.issues.map((issue) => `${issue.path.join('.') || 'body'}: ${issue.message}`);
--- a/packages/caller/src/job-router.ts
+++ b/packages/caller/src/job-router.ts
@@ -1,6 +1,6 @@
 import {ServiceError} from '@bergamotgauge/model';
 import express, {Router} from 'express';
-import {callerOf, requireAccepting} from './caller.js';
+import {callerOf, requireAccepting, requireCaller} from './caller.js';
 import {MAX_JOB_BODY_BYTES} from './constants.js';
 import {parseJobBody} from './job-body.js';
 import type {CallerService, JobView} from './types.js';
@@ -25,7 +25,7 @@
 	const router = Router();
 	const json = express.json({limit: MAX_JOB_BODY_BYTES});
 
-	router.post('/', json, async (request, response) => {
+	router.post('/', requireCaller(service), json, async (request, response) => {
 		const {customer} = callerOf(service, request);
 		requireAccepting(service);
 		const job = await service.submitJob(customer, parseJobBody(request.body));
--- a/packages/caller/src/service-router.ts
+++ b/packages/caller/src/service-router.ts
@@ -2,7 +2,7 @@
 import type {Dispatcher, EndpointAnswer, EndpointRequest} from '@bergamotgauge/endpoint';
 import {newRequestId, ServiceError, type Bundle, type JobClass, type Service} from '@bergamotgauge/model';
 import express, {Router, type Request, type Response} from 'express';
-import {callerOf, requireAccepting} from './caller.js';
+import {callerOf, requireAccepting, requireCaller} from './caller.js';
 import {
 	CLASS_HEADER,
 	DEADLINE_HEADER,
@@ -111,6 +111,6 @@
 		sendAnswer(response, endpointRequest.id, await dispatcher.dispatch(endpointRequest, controller.signal));
 	};
 
-	router.all(['/:service', '/:service/{*path}'], raw, handle);
+	router.all(['/:service', '/:service/{*path}'], requireCaller(service), raw, handle);
 	return router;
 };
--- a/packages/cli/src/declaration-commands.ts
+++ b/packages/cli/src/declaration-commands.ts
@@ -1,39 +1,56 @@
 import process from 'node:process';
-import {sleep} from '@bergamotgauge/lifecycle';
-import type {Declarations} from '@bergamotgauge/model';
+import {ServiceError, type Declarations} from '@bergamotgauge/model';
 import {
-	createOperatorClient,
 	diffDeclarations,
 	EMPTY_DECLARATIONS,
+	EVERY_PARTNER,
 	loadDirectory,
+	mergePartner,
+	type BundleReply,
 	type DeclarationChange,
+	type LoadOptions,
 	type OperatorClient,
 } from '@bergamotgauge/operator';
 import {Command} from 'commander';
-import {EXIT_CODES, IN_FORCE_POLL_MS} from './constants.js';
-import {connectionOptions} from './options.js';
+import {connect, pollUntil} from './connect.js';
+import {EXIT_CODES} from './constants.js';
+import {checkInteger, connectionOptions, environmentOption, jsonOption, waitOptions, withOptions} from './options.js';
 import {printError, printJson, printLine} from './output.js';
-import type {ConnectionOptions} from './types.js';
+import type {ConnectionOptions, WaitOptions} from './types.js';
 
-const load = async (directory: string): Promise<Declarations | undefined> => {
-	const result = await loadDirectory(directory);
+type JsonOptions = Readonly<{json?: boolean}>;
+
+const load = async (
+	directory: string,
+	{json}: JsonOptions,
+	options: LoadOptions = {},
+): Promise<Declarations | undefined> => {
+	const result = await loadDirectory(directory, options);
 	if (result.ok) {
 		return result.declarations;
 	}
 
+	process.exitCode = EXIT_CODES.usage;
+	if (json) {
+		printJson({valid: false, faults: result.faults});
+		return undefined;
+	}
+
 	for (const {file, line, message} of result.faults) {
 		printError(`${file}:${line}: ${message}`);
 	}
 
-	process.exitCode = EXIT_CODES.usage;
 	return undefined;
 };
 
-const printChanges = (changes: readonly DeclarationChange[]): void => {
+const text = (value: unknown): string => JSON.stringify(value) ?? 'not set';
+
+const describeChanges = (changes: readonly DeclarationChange[]): readonly string[] => {
 	const signs = {added: '+', changed: '~', removed: '-'} as const;
-	for (const {kind, collection, name} of changes) {
-		printLine(`${signs[kind]} ${collection}/${name}`);
-	}
+	return changes.flatMap(({kind, collection, name, fields = []}) => [
+		`${signs[kind]} ${collection}/${name}`,
+		...fields.map(({path, before, after}) => `    ${path}: ${text(before)} -> ${text(after)}`),
+	]);
 };
 
 /** `validate`: checks declarations without an instance. */
@@ -41,91 +58,180 @@
 	new Command('validate')
 		.description('Check declarations; names file, line and value of each fault')
 		.argument('<directory>', 'directory of .yaml files, or one file')
+		.addOption(jsonOption())
 		.addHelpText('after', '\nExample:\n  bergamotgauge validate examples/quebec')
-		.action(async (directory: string) => {
-			const declarations = await load(directory);
-			if (declarations) {
-				const counts = Object.entries(declarations).map(([collection, items]) => `${items.length} ${collection}`);
-				printLine(`valid: ${counts.join(', ')}`);
+		.action(async (directory: string, options: JsonOptions) => {
+			const declarations = await load(directory, options);
+			if (!declarations) {
+				return;
+			}
+
+			const counts = Object.entries(declarations).map(([collection, items]) => [collection, items.length] as const);
+			if (options.json) {
+				printJson({valid: true, counts: Object.fromEntries(counts)});
+			} else {
+				printLine(`valid: ${counts.map(([collection, count]) => `${count} ${collection}`).join(', ')}`);
 			}
 		});
 
+/** Reads the files against the configuration in force, so that references to the other partner's items resolve. */
+const loadFor = async (
+	directory: string,
+	options: JsonOptions,
+	{bundle, partner}: BundleReply,
+): Promise<Declarations | undefined> =>
+	load(directory, options, partner === EVERY_PARTNER ? {} : {inForce: bundle ?? EMPTY_DECLARATIONS, partner});
+
+const changesOf = ({bundle, partner}: BundleReply, declarations: Declarations): readonly DeclarationChange[] => {
+	const before = bundle ?? EMPTY_DECLARATIONS;
+	return diffDeclarations(before, mergePartner(before, declarations, partner));
+};
+
 /** `diff`: compares declarations with the configuration in force. */
-export const diffCommand = (): Command => {
-	const command = new Command('diff')
-		.description('Show what an apply would change')
-		.argument('<directory>', 'directory of .yaml files, or one file')
-		.addHelpText('after', '\nExample:\n  bergamotgauge diff examples/quebec');
-	for (const option of connectionOptions()) {
-		command.addOption(option);
-	}
+export const diffCommand = (): Command =>
+	withOptions(
+		new Command('diff')
+			.description('Show what an apply would change, field by field')
+			.argument('<directory>', 'directory of .yaml files, or one file'),
+		connectionOptions(),
+	)
+		.addHelpText('after', '\nExample:\n  bergamotgauge diff examples/quebec')
+		.action(async (directory: string, options: ConnectionOptions) => {
+			const reply = await connect(options).bundle();
+			const declarations = await loadFor(directory, options, reply);
+			if (!declarations) {
+				return;
+			}
 
-	return command.action(async (directory: string, options: ConnectionOptions) => {
-		const declarations = await load(directory);
-		if (!declarations) {
-			return;
-		}
+			const generation = reply.bundle?.generation ?? 0;
+			const changes = changesOf(reply, declarations);
+			if (options.json) {
+				printJson({generation, changes});
+				return;
+			}
 
-		const {bundle} = await createOperatorClient(options).bundle();
-		const changes = diffDeclarations(bundle ?? EMPTY_DECLARATIONS, declarations);
-		if (options.json) {
-			printJson({generation: bundle?.generation ?? 0, changes});
-		} else {
-			printChanges(changes);
-			printLine(`${changes.length} changes to generation ${bundle?.generation ?? 0}`);
+			for (const line of [...describeChanges(changes), `${changes.length} changes to generation ${generation}`]) {
+				printLine(line);
+			}
+		});
+
+const findBehind = async (client: OperatorClient, generation: number): Promise<readonly string[]> => {
+	const {instances} = await client.status();
+	return instances
+		.filter((instance) => instance.health !== 'dead' && instance.generation < generation)
+		.map(({id}) => id);
+};
+
+const applyOrExplain = async (client: OperatorClient, basedOn: number, declarations: Declarations): Promise<number> => {
+	try {
+		return await client.apply(basedOn, declarations);
+	} catch (error) {
+		if (error instanceof ServiceError && error.code === 'conflict') {
+			const changes = (error.details.changes ?? []) as readonly DeclarationChange[];
+			printError(`in force now and different in the files (generation ${text(error.details.generation)}):`);
+			for (const line of describeChanges(changes)) {
+				printError(line);
+			}
 		}
-	});
+
+		throw error;
+	}
 };
 
-const waitUntilInForce = async (client: OperatorClient, generation: number, seconds: number): Promise<string[]> => {
-	const deadlineMs = Date.now() + seconds * 1000;
-	for (;;) {
-		const {instances} = await client.status();
-		const behind = instances
-			.filter((instance) => instance.health !== 'dead' && instance.generation < generation)
-			.map(({id}) => id);
-		if (behind.length === 0 || Date.now() > deadlineMs) {
-			return behind;
+type Proposal = Readonly<{pool: string; waitsFor: readonly string[]}>;
+
+/** Pools whose terms in the files wait for the agreement of other partners. */
+const findProposals = async (client: OperatorClient): Promise<readonly Proposal[]> => {
+	const {bundle, partner} = await client.bundle();
+	return (bundle?.pools ?? [])
+		.filter(({proposals = []}) => proposals.some((proposal) => proposal.partner === partner))
+		.map(({name, agreedBy = [], shares}) => ({
+			pool: name,
+			waitsFor: [...new Set([...agreedBy, ...shares.map((share) => share.partner)])].filter(
+				(other) => other !== partner,
+			),
+		}));
+};
+
+/** After the first generation the bootstrap token is refused, unless the declarations hold its hash. */
+const canRead = async (client: OperatorClient, {partner}: BundleReply): Promise<boolean> => {
+	if (partner !== EVERY_PARTNER) {
+		return true;
+	}
+
+	try {
+		await client.status();
+		return true;
+	} catch (error) {
+		if (error instanceof ServiceError && error.code === 'unauthenticated') {
+			return false;
 		}
 
-		await sleep(IN_FORCE_POLL_MS);
+		throw error;
 	}
 };
 
-type ApplyOptions = ConnectionOptions & Readonly<{basedOn?: string; wait?: boolean; waitSeconds: string}>;
+type ApplyOptions = ConnectionOptions & WaitOptions & Readonly<{basedOn?: number}>;
 
-/** `apply`: makes declarations the next generation. */
-export const applyCommand = (): Command => {
-	const command = new Command('apply')
-		.description('Make declarations the configuration in force')
-		.argument('<directory>', 'directory of .yaml files, or one file')
-		.option('--based-on <generation>', 'generation that the change starts from; default: the one in force now')
-		.option('--wait', 'wait until every live instance reports the new generation')
-		.option('--wait-seconds <seconds>', 'bound for --wait', '15')
-		.addHelpText('after', '\nExample:\n  bergamotgauge apply examples/quebec --based-on 7 --wait');
-	for (const option of connectionOptions()) {
-		command.addOption(option);
+const runApply = async (directory: string, options: ApplyOptions): Promise<void> => {
+	const client = connect(options);
+	const reply = await client.bundle();
+	const declarations = await loadFor(directory, options, reply);
+	if (!declarations) {
+		return;
 	}
 
-	return command.action(async (directory: string, options: ApplyOptions) => {
-		const declarations = await load(directory);
-		if (!declarations) {
-			return;
+	const generation = await applyOrExplain(client, options.basedOn ?? reply.bundle?.generation ?? 0, declarations);
+	const print = (line: string) => {
+		if (!options.json) {
+			printLine(line);
 		}
+	};
 
-		const client = createOperatorClient(options);
-		const {bundle} = await client.bundle();
-		const basedOn = options.basedOn === undefined ? (bundle?.generation ?? 0) : Number(options.basedOn);
-		const generation = await client.apply(basedOn, declarations);
-		printLine(`generation ${generation} accepted`);
-		if (options.wait) {
-			const behind = await waitUntilInForce(client, generation, Number(options.waitSeconds));
-			if (behind.length > 0) {
-				printError(`not in force on: ${behind.join(', ')}`);
-				process.exitCode = EXIT_CODES.notInForce;
-			} else {
-				printLine(`generation ${generation} is in force on every live instance`);
-			}
+	print(`generation ${generation} accepted`);
+	const isReadable = await canRead(client, reply);
+	const proposals = isReadable ? await findProposals(client) : [];
+	for (const {pool, waitsFor} of proposals) {
+		print(`pool ${pool}: the terms are a proposal until ${waitsFor.join(' and ')} declares the same`);
+	}
+
+	let notInForce: readonly string[] | undefined;
+	if (options.wait && isReadable) {
+		notInForce = await pollUntil(
+			options.waitSeconds,
+			async () => findBehind(client, generation),
+			(behind) => behind.length === 0,
+		);
+		if (notInForce.length > 0) {
+			process.exitCode = EXIT_CODES.notInForce;
+			printError(`generation ${generation} is not in force on: ${notInForce.join(', ')}`);
+		} else {
+			print(`generation ${generation} is in force on every live instance`);
 		}
-	});
+	} else if (options.wait) {
+		printError('the bootstrap token is not valid any more; run status with an operator token to see the instances');
+	}
+
+	if (options.json) {
+		printJson({generation, proposals, ...(notInForce && {notInForce})});
+	}
 };
+
+/** `apply`: makes declarations the next generation. */
+export const applyCommand = (): Command =>
+	withOptions(
+		new Command('apply')
+			.description("Make declarations the configuration in force; replaces the operator's own partner only")
+			.argument('<directory>', 'directory of .yaml files, or one file'),
+		[
+			environmentOption(
+				'--based-on <generation>',
+				'generation that the change starts from; default: the one in force now',
+				checkInteger(0, Number.MAX_SAFE_INTEGER),
+			),
+			...waitOptions('wait until every live instance reports the new generation'),
+			...connectionOptions(),
+		],
+	)
+		.addHelpText('after', '\nExample:\n  bergamotgauge apply examples/quebec --based-on 7 --wait')
+		.action(runApply);
--- /dev/null
+++ b/packages/cli/src/explain-command.ts
@@ -0,0 +1,95 @@
+import type {Block, JobOutcome, Placement} from '@bergamotgauge/model';
+import {Command} from 'commander';
+import {connect} from './connect.js';
+import {connectionOptions, withOptions} from './options.js';
+import {printJson, printLine} from './output.js';
+import type {ConnectionOptions} from './types.js';
+
+type Explanation = Readonly<{
+	id: string;
+	state: string;
+	customer: string;
+	jobClass: string;
+	attempt: number;
+	submittedAtMs: number;
+	reason?: string;
+	outcome?: JobOutcome;
+	location?: Readonly<{rack: string; placement: Placement}>;
+}>;
+
+const describeBlock = ({worker, first, count}: Block): string =>
+	`${worker} accelerators ${first} to ${first + count - 1}`;
+
+const time = (ms: number): string => new Date(ms).toISOString();
+
+const describeState = ({state, reason, outcome, location}: Explanation): readonly string[] => {
+	if (outcome) {
+		return [
+			`It ended at ${time(outcome.endedAtMs)}: ${outcome.kind}, verdict ${outcome.verdict}.`,
+			`Reason: ${outcome.reason}`,
+		];
+	}
+
+	if (location) {
+		const {rack, placement} = location;
+		return [
+			`It is ${state} in rack ${rack} since ${time(placement.placedAtMs)}${placement.phase === 'evicting' ? ' and is being evicted' : ''}.`,
+			...placement.blocks.map((block) => `  ${describeBlock(block)}`),
+			...(placement.guarantee === undefined ? [] : [`It uses guarantee ${placement.guarantee}.`]),
+			placement.preemptible ? 'It gives way to a guarantee that needs its place.' : 'It cannot be preempted.',
+			`Expected end: ${time(placement.expectedEndMs)}`,
+		];
+	}
+
+	return [`It is ${state}.`, `Reason: ${reason ?? 'no placement pass has looked at it yet on this instance'}`];
+};
+
+const REST_OMITTED = new Set([
+	'id',
+	'state',
+	'customer',
+	'jobClass',
+	'attempt',
+	'submittedAtMs',
+	'reason',
+	'outcome',
+	'location',
+]);
+
+/** Further facts that a newer instance may give. */
+const describeRest = (explanation: Explanation): readonly string[] =>
+	Object.entries(explanation)
+		.filter(([key]) => !REST_OMITTED.has(key))
+		.map(([key, value]) => `${key}: ${typeof value === 'string' ? value : JSON.stringify(value)}`);
+
+/** An explanation as lines of text. */
+export const describeExplanation = (explanation: Explanation): readonly string[] => {
+	const {id, customer, jobClass, attempt, submittedAtMs} = explanation;
+	return [
+		`Job ${id} of customer ${customer}, class ${jobClass}, attempt ${attempt}, submitted at ${time(submittedAtMs)}.`,
+		...describeState(explanation),
+		...describeRest(explanation),
+	];
+};
+
+/** `explain`: why a job waits or where it runs. */
+export const explainCommand = (): Command =>
+	withOptions(
+		new Command('explain')
+			.description('Say why a job waits, where it runs or how it ended')
+			.argument('<job>', 'job id'),
+		connectionOptions(),
+	)
+		.addHelpText('after', '\nExample:\n  bergamotgauge explain 0198c0de-…')
+		.action(async (job: string, options: ConnectionOptions) => {
+			const path = `/v1/operator/jobs/${encodeURIComponent(job)}/explanation`;
+			const explanation = (await connect(options).call('GET', path)) as Explanation;
+			if (options.json) {
+				printJson(explanation);
+				return;
+			}
+
+			for (const line of describeExplanation(explanation)) {
+				printLine(line);
+			}
+		});
--- a/packages/cli/src/options.ts
+++ b/packages/cli/src/options.ts
@@ -1,22 +1,108 @@
-import {Option} from 'commander';
-import {ENVIRONMENT_PREFIX} from './constants.js';
+import process from 'node:process';
+import {ServiceError} from '@bergamotgauge/model';
+import {InvalidArgumentError, Option, type Command} from 'commander';
+import {ENVIRONMENT_PREFIX, MAX_WAIT_SECONDS} from './constants.js';
+
+const usageError = (message: string): ServiceError =>
+	new ServiceError(message, {code: 'bad-request', verdict: 'not-run'});
+
+/** Name of the environment variable of a flag. */
+export const variableOf = (flag: string): string =>
+	`${ENVIRONMENT_PREFIX}${flag.replace(/^--/v, '').replaceAll('-', '_').toUpperCase()}`;
 
 /**
-An option whose value may also come from its environment variable.
+An option whose value may also come from its environment variable. `check` throws `InvalidArgumentError` for a value that is not allowed.
 
 @example
 ```ts
 environmentOption('--store-url <url>', 'base URL of the store'); // also BERGAMOTGAUGE_STORE_URL
 ```
 */
-export const environmentOption = (flags: string, description: string): Option => {
+export const environmentOption = (
+	flags: string,
+	description: string,
+	check?: (text: string) => string | number,
+): Option => {
 	const option = new Option(flags, description);
-	return option.env(`${ENVIRONMENT_PREFIX}${option.name().replaceAll('-', '_').toUpperCase()}`);
+	option.env(variableOf(option.name()));
+	return check ? option.argParser(check) : option;
 };
 
+/**
+A flag without a value. Its variable is `true` or `false`.
+
+@throws {ServiceError} `bad-request` when the variable has another value.
+*/
+export const environmentFlag = (flag: string, description: string): Option => {
+	const variable = variableOf(flag);
+	const value = process.env[variable];
+	if (value !== undefined && value !== 'true' && value !== 'false') {
+		throw usageError(`${variable} is "${value}"; allowed: true or false`);
+	}
+
+	// Commander takes a set variable as true whatever its value is.
+	return new Option(flag, `${description} (env: ${variable})`).default(value === 'true' ? true : undefined);
+};
+
+/** Accepts the base URL of an instance. */
+export const checkUrl = (text: string): string => {
+	const url = URL.canParse(text) ? new URL(text) : undefined;
+	if (url?.protocol !== 'http:' && url?.protocol !== 'https:') {
+		throw new InvalidArgumentError('Allowed: an http:// or https:// URL.');
+	}
+
+	return text.replace(/\/+$/v, '');
+};
+
+/** Accepts a whole number in a range. */
+export const checkInteger =
+	(minimum: number, maximum: number) =>
+	(text: string): number => {
+		const value = /^\d+$/v.test(text) ? Number(text) : Number.NaN;
+		if (!(value >= minimum && value <= maximum)) {
+			throw new InvalidArgumentError(`Allowed: a whole number from ${minimum} to ${maximum}.`);
+		}
+
+		return value;
+	};
+
+/** Options of a command that may wait for an effect. */
+export const waitOptions = (description: string): readonly Option[] => [
+	environmentFlag('--wait', description),
+	environmentOption('--wait-seconds <seconds>', 'bound for --wait', checkInteger(1, MAX_WAIT_SECONDS)).default(15),
+];
+
+/** Option for output that a script reads. */
+export const jsonOption = (): Option => environmentFlag('--json', 'print JSON');
+
 /** Options of commands that talk to an instance. */
 export const connectionOptions = (): readonly Option[] => [
-	environmentOption('--url <url>', 'base URL of an instance').default('http://127.0.0.1:8080'),
-	environmentOption('--token <token>', 'access token; prefer the environment variable').makeOptionMandatory(),
-	new Option('--json', 'print JSON'),
+	environmentOption('--url <url>', 'base URL of an instance', checkUrl).default('http://127.0.0.1:8080'),
+	environmentOption('--token <token>', 'access token; prefer the variable, because others can read a command line'),
+	jsonOption(),
 ];
+
+/**
+Checks the token. The message does not repeat it.
+
+@throws {ServiceError} `bad-request`.
+*/
+export const requireToken = (token: string | undefined): string => {
+	if (token === undefined) {
+		throw usageError(`--token is not set; set ${variableOf('token')} or --token`);
+	}
+
+	if (!/^[\w\-.~+\/]{16,512}=*$/v.test(token)) {
+		throw usageError('--token is not an access token; allowed: 16 to 512 letters, digits and "-._~+/"');
+	}
+
+	return token;
+};
+
+export const withOptions = (command: Command, options: readonly Option[]): Command => {
+	for (const option of options) {
+		command.addOption(option);
+	}
+
+	return command;
+};
--- a/packages/cli/src/serve-command.ts
+++ b/packages/cli/src/serve-command.ts
@@ -1,5 +1,4 @@
 import process from 'node:process';
-import {checkSettings, startInstance} from '@bergamotgauge/instance';
 import {createLog} from '@bergamotgauge/telemetry';
 import {Command} from 'commander';
 import {environmentOption} from './options.js';
@@ -29,6 +28,8 @@
 			'\nExample:\n  bergamotgauge serve --id q1 --availability-zone a --store-url http://10.0.0.5:7000 --instance-list-url http://10.0.0.6:7001 --bootstrap-token-sha256 <hex>',
 		)
 		.action(async (options: Readonly<Record<string, unknown>>) => {
+			// The other commands start faster without the instance's modules.
+			const {checkSettings, startInstance} = await import('@bergamotgauge/instance');
 			const settings = checkSettings(options);
 			const log = createLog({level: settings.logLevel, output: process.stdout}).with({instance: settings.id});
 			const instance = await startInstance(settings, log);
--- a/packages/cli/src/service-commands.ts
+++ b/packages/cli/src/service-commands.ts
@@ -1,25 +1,23 @@
 import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import {text as readAll} from 'node:stream/consumers';
 import {ServiceError} from '@bergamotgauge/model';
-import {createOperatorClient} from '@bergamotgauge/operator';
+import type {Status} from '@bergamotgauge/operator';
 import {Command} from 'commander';
-import {connectionOptions} from './options.js';
-import {printJson, printLine, printTable} from './output.js';
-import type {ConnectionOptions} from './types.js';
+import {connect, pollUntil} from './connect.js';
+import {EXIT_CODES} from './constants.js';
+import {connectionOptions, waitOptions, withOptions} from './options.js';
+import {printError, printJson, printLine, printTable} from './output.js';
+import type {ConnectionOptions, WaitOptions} from './types.js';
 
-const withConnection = (command: Command): Command => {
-	for (const option of connectionOptions()) {
-		command.addOption(option);
-	}
-
-	return command;
-};
+const withConnection = (command: Command): Command => withOptions(command, connectionOptions());
 
 /** `status`: instances, racks and the configuration in force. */
 export const statusCommand = (): Command =>
 	withConnection(new Command('status').description('Show instances, racks and the configuration in force'))
 		.addHelpText('after', '\nExample:\n  bergamotgauge status --json')
 		.action(async (options: ConnectionOptions) => {
-			const status = await createOperatorClient(options).status();
+			const status = await connect(options).status();
 			if (options.json) {
 				printJson(status);
 				return;
@@ -48,11 +46,9 @@
 /** `jobs`: the caller's jobs. */
 export const jobsCommand = (): Command =>
 	withConnection(new Command('jobs').description("List the jobs of the token's customer"))
-		.addHelpText('after', '\nExample:\n  bergamotgauge jobs --token "$TOKEN"')
+		.addHelpText('after', '\nExample:\n  BERGAMOTGAUGE_TOKEN=$CALLER_TOKEN bergamotgauge jobs --json')
 		.action(async (options: ConnectionOptions) => {
-			const {jobs} = (await createOperatorClient(options).call('GET', '/v1/jobs')) as Readonly<{
-				jobs: readonly JobRow[];
-			}>;
+			const {jobs} = (await connect(options).call('GET', '/v1/jobs')) as Readonly<{jobs: readonly JobRow[]}>;
 			if (options.json) {
 				printJson(jobs);
 				return;
@@ -64,49 +60,93 @@
 			);
 		});
 
+const usageError = (message: string): ServiceError =>
+	new ServiceError(message, {code: 'bad-request', verdict: 'not-run'});
+
+const readInput = async (file: string): Promise<string> => {
+	try {
+		return await (file === '-' ? readAll(process.stdin) : readFile(file, 'utf8'));
+	} catch (error) {
+		throw usageError(`cannot read ${file}: ${error instanceof Error ? error.message : String(error)}`);
+	}
+};
+
 const parseJson = (text: string, file: string): unknown => {
 	try {
 		return JSON.parse(text) as unknown;
 	} catch (error) {
-		throw new ServiceError(`${file} is not JSON: ${String(error)}`, {code: 'bad-request', verdict: 'not-run'});
+		throw usageError(`${file} is not JSON: ${error instanceof Error ? error.message : String(error)}`);
 	}
 };
 
 /** `submit`: submits a job from a JSON file. */
 export const submitCommand = (): Command =>
-	withConnection(new Command('submit').description('Submit a job').argument('<file>', 'JSON file of the job'))
-		.addHelpText('after', '\nExample:\n  bergamotgauge submit job.json --token "$TOKEN"')
+	withConnection(
+		new Command('submit').description('Submit a job').argument('<file>', 'JSON file of the job, or - for stdin'),
+	)
+		.addHelpText('after', '\nExample:\n  BERGAMOTGAUGE_TOKEN=$CALLER_TOKEN bergamotgauge submit job.json')
 		.action(async (file: string, options: ConnectionOptions) => {
-			const body = parseJson(await readFile(file, 'utf8'), file);
-			const {id} = (await createOperatorClient(options).call('POST', '/v1/jobs', body)) as Readonly<{id: string}>;
-			printLine(id);
+			const body = parseJson(await readInput(file), file);
+			const {id} = (await connect(options).call('POST', '/v1/jobs', body)) as Readonly<{id: string}>;
+			if (options.json) {
+				printJson({id});
+			} else {
+				printLine(id);
+			}
 		});
 
-/** `explain`: why a job waits or where it runs. */
-export const explainCommand = (): Command =>
-	withConnection(
-		new Command('explain')
-			.description('Say why a job waits, where it runs, and what would have to give way')
-			.argument('<job>', 'job id'),
-	)
-		.addHelpText('after', '\nExample:\n  bergamotgauge explain 0198c0de-…')
+/** `cancel`: cancels one of the caller's jobs. */
+export const cancelCommand = (): Command =>
+	withConnection(new Command('cancel').description('Cancel a job').argument('<job>', 'job id'))
+		.addHelpText('after', '\nExample:\n  BERGAMOTGAUGE_TOKEN=$CALLER_TOKEN bergamotgauge cancel 0198c0de-…')
 		.action(async (job: string, options: ConnectionOptions) => {
-			printJson(
-				await createOperatorClient(options).call('GET', `/v1/operator/jobs/${encodeURIComponent(job)}/explanation`),
-			);
+			const view = (await connect(options).call('DELETE', `/v1/jobs/${encodeURIComponent(job)}`)) as JobRow;
+			if (options.json) {
+				printJson(view);
+			} else {
+				printLine(`cancellation of ${job} accepted; the job is ${view.state}`);
+			}
 		});
 
+const waitUntilGone = async (options: ConnectionOptions & WaitOptions, id: string, first: Status): Promise<boolean> => {
+	const client = connect(options);
+	const isListed = async (): Promise<boolean> => {
+		try {
+			const {instances} = await client.status();
+			return instances.some((instance) => instance.id === id && instance.health !== 'dead');
+		} catch (error) {
+			// The instance that answers stops listening when it is the one that drains.
+			if (first.answeredBy === id && error instanceof ServiceError && error.code === 'peer-unavailable') {
+				return false;
+			}
+
+			throw error;
+		}
+	};
+
+	return !(await pollUntil(options.waitSeconds, isListed, (listed) => !listed));
+};
+
 /** `drain`: stops an instance gracefully. */
 export const drainCommand = (): Command =>
-	withConnection(
+	withOptions(
 		new Command('drain').description('Stop an instance gracefully').argument('<instance>', 'id of the instance'),
+		[...waitOptions('wait until the instance has stopped'), ...connectionOptions()],
 	)
-		.addHelpText('after', '\nExample:\n  bergamotgauge drain q3')
-		.action(async (instance: string, options: ConnectionOptions) => {
-			await createOperatorClient(options).call(
-				'POST',
-				`/v1/operator/instances/${encodeURIComponent(instance)}/drain`,
-				{},
-			);
-			printLine(`${instance} drains`);
+		.addHelpText('after', '\nExample:\n  bergamotgauge drain q3 --wait --wait-seconds 60')
+		.action(async (instance: string, options: ConnectionOptions & WaitOptions) => {
+			const client = connect(options);
+			const before = await client.status();
+			await client.call('POST', `/v1/operator/instances/${encodeURIComponent(instance)}/drain`, {});
+			const isStopped = options.wait ? await waitUntilGone(options, instance, before) : undefined;
+			if (options.json) {
+				printJson({instance, ...(isStopped !== undefined && {stopped: isStopped})});
+			} else {
+				printLine(isStopped ? `${instance} has stopped` : `${instance} drains`);
+			}
+
+			if (isStopped === false) {
+				process.exitCode = EXIT_CODES.notInForce;
+				printError(`${instance} has not stopped within ${options.waitSeconds} s`);
+			}
 		});
--- a/packages/cli/src/types.ts
+++ b/packages/cli/src/types.ts
@@ -1,6 +1,9 @@
 /** Options of commands that talk to an instance. */
 export type ConnectionOptions = Readonly<{
 	url: string;
-	token: string;
+	token?: string;
 	json?: boolean;
 }>;
+
+/** Options of commands that may wait for an effect. */
+export type WaitOptions = Readonly<{wait?: boolean; waitSeconds: number}>;
--- /dev/null
+++ b/packages/demo/src/service.ts
@@ -0,0 +1,108 @@
+import {createHash, randomBytes} from 'node:crypto';
+import {fileURLToPath} from 'node:url';
+import {sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
+import type {AccessToken, Declarations} from '@bergamotgauge/model';
+import {createOperatorClient, loadDirectory} from '@bergamotgauge/operator';
+import {request} from 'undici';
+import {POLL_MS, STEP_DEADLINE_MS} from './constants.js';
+import {startInstanceProcess, startStandIn} from './processes.js';
+
+const EXAMPLE = fileURLToPath(new URL('../../../examples/shared', import.meta.url));
+
+/** Tokens of the two partners of `examples/shared`. */
+const ROLES = {
+	quebecOperator: {role: 'operator', partner: 'quebec'},
+	limaOperator: {role: 'operator', partner: 'lima'},
+	producers: {role: 'caller', partner: 'quebec', customer: 'producers'},
+	agents: {role: 'caller', partner: 'quebec', customer: 'agents'},
+	universities: {role: 'caller', partner: 'lima', customer: 'universities'},
+} as const;
+
+export type TokenName = keyof typeof ROLES;
+
+/** One instance with a store and an instance list, each a process of its own. */
+export type Service = Readonly<{
+	url: string;
+	storeUrl: string;
+	listUrl: string;
+	bootstrapToken: string;
+	tokens: Readonly<Record<TokenName, string>>;
+	/** The declarations of both partners in the first generation. */
+	declarations: Declarations;
+	/** All that the store holds. */
+	contents: () => Promise<unknown>;
+}>;
+
+const newToken = (): string => randomBytes(32).toString('base64url');
+
+const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex');
+
+const declare = async (tokens: Service['tokens']): Promise<Declarations> => {
+	const result = await loadDirectory(EXAMPLE);
+	if (!result.ok) {
+		throw new Error(JSON.stringify(result.faults));
+	}
+
+	const accessTokens = Object.entries(ROLES).map(([name, role]): AccessToken => ({
+		name: name.toLowerCase(),
+		sha256: sha256(tokens[name as TokenName]),
+		...role,
+	}));
+	return {...result.declarations, tokens: accessTokens};
+};
+
+/**
+Starts an instance and applies `examples/shared` for both partners.
+
+@example
+```ts
+const service = await startService(lifecycle);
+```
+*/
+export const startService = async (lifecycle: Lifecycle): Promise<Service> => {
+	const [store, list] = await Promise.all([
+		startStandIn(lifecycle, ['store']),
+		startStandIn(lifecycle, ['instance-list']),
+	]);
+	const storeUrl = `http://${store.address}`;
+	const listUrl = `http://${list.address}`;
+	const bootstrapToken = newToken();
+	const settings = {
+		'availability-zone': 'a',
+		port: '0',
+		'peer-port': '0',
+		'store-url': storeUrl,
+		'instance-list-url': listUrl,
+		'bootstrap-token-sha256': sha256(bootstrapToken),
+	};
+	const flags = Object.entries(settings).flatMap(([name, value]) => [`--${name}`, value]);
+	const {address} = await startInstanceProcess(lifecycle, 'q1', flags);
+	const url = `http://${address}`;
+	const tokens = Object.fromEntries(Object.keys(ROLES).map((name) => [name, newToken()])) as Service['tokens'];
+	const declarations = await declare(tokens);
+	await createOperatorClient({url, token: bootstrapToken}).apply(0, declarations);
+	return {
+		url,
+		storeUrl,
+		listUrl,
+		bootstrapToken,
+		tokens,
+		declarations,
+		async contents() {
+			const response = await request(`${storeUrl}/v1/values?prefix=`);
+			return response.body.json();
+		},
+	};
+};
+
+/** Waits until a probe gives true. */
+export const waitUntil = async (what: string, probe: () => Promise<boolean>): Promise<void> => {
+	const deadlineMs = Date.now() + STEP_DEADLINE_MS;
+	while (!(await probe())) {
+		if (Date.now() > deadlineMs) {
+			throw new Error(`${what} did not happen within ${STEP_DEADLINE_MS} ms`);
+		}
+
+		await sleep(POLL_MS);
+	}
+};
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -71,6 +71,7 @@
 		revision: beat?.revision ?? 0,
 	});
 	return {
+		answeredBy: context.settings.id,
 		generation: bundle?.generation ?? 0,
 		instances: [
 			describe(heartbeat(), context.settings.id, 'alive'),
--- a/packages/operator/src/load.test.ts
+++ b/packages/operator/src/load.test.ts
@@ -23,123 +23,60 @@
 quota: {accelerators: 8}
 `;
 
-type Case = Readonly<{name: string; text: string; line: number; says: readonly string[]}>;
+/** Name, text, line in the text, and what the message says. */
+type Case = readonly [string, string, number, ...string[]];
 
-const RACK = 'kind: Rack\nname: r2\npool: p\navailabilityZone: a\n';
-const SIZE = 'workerDefaults: {cores: 8, memoryGigabytes: 8, accelerators: 8}\n';
+const RACK = `kind: Rack\nname: r2\npool: p\navailabilityZone: a\nworkerDefaults: {cores: 8, memoryGigabytes: 8, accelerators: 8}`;
+const CUSTOMER = 'kind: Customer\nname: x\npartner: q\nquota: {accelerators: 1}';
+const GUARANTEE = 'kind: Guarantee\nname: g\ncustomer: c\naccelerators: 8';
+const POOL = 'kind: Pool\nname: x\nweights: {completionTime: 1, fragmentation: 0}';
+const RULE = 'kind: PlacementRule\nname: g\npartner: q\nworkSelector: {}';
+const TOKEN = `kind: Token\nname: x\nsha256: ${'a'.repeat(64)}\nrole: caller`;
+const TOO_LONG = 'x'.repeat(256);
+const BOMB = [...'bcdefghi'].map((key, index) => `${key}: &${key} [${`*${'abcdefgh'[index]}, `.repeat(9)}]`).join('\n');
 
-// Lines count from the first line of the text that stands after VALID and a separator.
+// A line counts from the first line of its text, which stands after VALID and a separator.
 const CASES: readonly Case[] = [
-	{
-		name: 'unknown key',
-		text: 'kind: Customer\nname: x\npartner: q\nquota:\n  accelerators: 1\n  gpus: 7\n',
-		line: 6,
-		says: ['quota.gpus', '7'],
-	},
-	{
-		name: 'wrong type',
-		text: 'kind: Customer\nname: x\npartner: q\nquota:\n  accelerators: many\n',
-		line: 5,
-		says: ['quota.accelerators', '"many"'],
-	},
-	{name: 'malformed YAML', text: 'kind: Customer\nname: [x\npartner: q\n', line: 3, says: ['partner: q']},
-	{name: 'repeated key', text: 'kind: Customer\nname: x\nname: y\n', line: 3, says: ['name: y']},
-	{name: 'unknown kind', text: 'kind: Costumer\nname: x\n', line: 1, says: ['"Costumer"', 'Customer']},
-	{name: 'kind of the prototype', text: 'kind: constructor\nname: x\n', line: 1, says: ['"constructor"']},
-	{name: 'not a map', text: '- 1\n', line: 1, says: ['[1]']},
-	{
-		name: 'duplicate name',
-		text: '\nkind: Customer\nname: c\npartner: q\nquota: {accelerators: 1}\n',
-		line: 3,
-		says: ['"c"', 'f.yaml:17'],
-	},
-	{
-		name: 'missing reference',
-		text: 'kind: Guarantee\nname: g\ncustomer: nobody\ncount: 1\naccelerators: 1\n',
-		line: 3,
-		says: ['customer "nobody"'],
-	},
-	{
-		name: 'selector without match',
-		text: 'kind: Guarantee\nname: g\ncustomer: c\ncount: 1\naccelerators: 1\nworkerSelector:\n  matchLabels: {gpu: z}\n',
-		line: 6,
-		says: ['"gpu":"z"', 'matches no declared worker'],
-	},
-	{
-		name: 'rule without match',
-		text: 'kind: PlacementRule\nname: g\npartner: q\nworkSelector: {}\nworkerSelector:\n  matchExpressions: [{key: constructor, operator: Exists}]\n',
-		line: 5,
-		says: ['constructor', 'matches no declared worker'],
-	},
-	{
-		name: 'guarantee that does not fit',
-		text: 'kind: Guarantee\nname: g\ncustomer: c\ncount: 3\naccelerators: 8\n',
-		line: 1,
-		says: ['guarantee g does not fit'],
-	},
-	{
-		name: 'shares above 1',
-		text: 'kind: Pool\nname: x\nweights: {completionTime: 1, fragmentation: 0}\nshares:\n  - {partner: q, share: 0.6}\n  - {partner: s, share: 0.6}\n',
-		line: 4,
-		says: ['0.6', 'more than 1'],
-	},
-	{
-		name: 'weight out of range',
-		text: 'kind: Customer\nname: x\npartner: q\nweight: -2\nquota: {accelerators: 1}\n',
-		line: 4,
-		says: ['weight is -2'],
-	},
-	{
-		name: 'label key out of range',
-		text: 'kind: Customer\nname: x\npartner: q\nquota: {accelerators: 1}\nlabels:\n  "a b": c\n',
-		line: 6,
-		says: ['a b', 'label key'],
-	},
-	{
-		name: 'label value out of range',
-		text: `kind: Customer\nname: x\npartner: q\nquota: {accelerators: 1}\nlabels:\n  a: ${'x'.repeat(256)}\n`,
-		line: 6,
-		says: ['labels.a', 'xxx'],
-	},
-	{
-		name: 'key __proto__',
-		text: 'kind: Customer\nname: x\npartner: q\nquota: {accelerators: 1}\nlabels:\n  __proto__: c\n',
-		line: 6,
-		says: ['__proto__'],
-	},
-	{
-		name: 'worker in two racks',
-		text: `${RACK}${SIZE}workers:\n  - name: w9\n  - name: w1\n`,
-		line: 8,
-		says: ['worker "w1"', 'rack "r1"'],
-	},
-	{
-		name: 'positions that collide',
-		text: `${RACK}${SIZE}workers:\n  - {name: w8, position: 1}\n  - name: w9\n`,
-		line: 8,
-		says: ['"w9"', 'position 1'],
-	},
-	{
-		name: 'alias that expands without bound',
-		text: `kind: Customer\nname: x\na: &a [1, 1]\n${['b', 'c', 'd', 'e', 'f', 'g', 'h', 'i']
-			.map((key, index) => `${key}: &${key} [${Array.from({length: 9}).fill(`*${'abcdefgh'[index]}`).join(', ')}]`)
-			.join('\n')}\n`,
-		line: 11,
-		says: ['alias "*h"'],
-	},
-	{
-		name: 'alias that contains itself',
-		text: 'kind: Customer\nname: x\nlabels: &a\n  b: *a\n',
-		line: 4,
-		says: ['nested'],
-	},
-	{name: 'alias without anchor', text: 'kind: Customer\nname: x\npartner: *nowhere\n', line: 3, says: ['nowhere']},
-	{
-		name: "caller token of another partner's customer",
-		text: `kind: Token\nname: x\nsha256: ${'a'.repeat(64)}\nrole: caller\npartner: other\ncustomer: c\n`,
-		line: 6,
-		says: ['customer "c" does not belong'],
-	},
+	['unknown key', `${CUSTOMER}\ngpus: 7`, 5, 'gpus', '7'],
+	[
+		'wrong type',
+		'kind: Customer\nname: x\npartner: q\nquota:\n  accelerators: many',
+		5,
+		'quota.accelerators',
+		'"many"',
+	],
+	['malformed YAML', 'kind: Customer\nname: [x\npartner: q', 3, 'partner: q'],
+	['repeated key', 'kind: Customer\nname: x\nname: y', 3, 'name: y'],
+	['unknown kind', 'kind: Costumer\nname: x', 1, '"Costumer"', 'Customer'],
+	['kind of the prototype', 'kind: constructor\nname: x', 1, '"constructor"'],
+	['not a map', '- 1', 1, '[1]'],
+	['duplicate name', CUSTOMER.replace('x', 'c'), 2, '"c"', 'f.yaml:17'],
+	['missing reference', `${GUARANTEE.replace('customer: c', 'customer: nobody')}\ncount: 1`, 3, 'customer "nobody"'],
+	[
+		'selector without match',
+		`${GUARANTEE}\ncount: 1\nworkerSelector:\n  matchLabels: {gpu: z}`,
+		6,
+		'"gpu":"z"',
+		'matches no',
+	],
+	[
+		'rule without match',
+		`${RULE}\nworkerSelector: {matchExpressions: [{key: constructor, operator: Exists}]}`,
+		5,
+		'matches no',
+	],
+	['guarantee that does not fit', `${GUARANTEE}\ncount: 3`, 1, 'guarantee g does not fit'],
+	['shares above 1', `${POOL}\nshares: [{partner: q, share: 0.6}, {partner: s, share: 0.6}]`, 4, '0.6', 'more than 1'],
+	['weight out of range', `${CUSTOMER}\nweight: -2`, 5, 'weight is -2'],
+	['label key out of range', `${CUSTOMER}\nlabels:\n  "a b": c`, 6, 'a b', 'label key'],
+	['label value out of range', `${CUSTOMER}\nlabels:\n  a: ${TOO_LONG}`, 6, 'labels.a', 'xxx'],
+	['key __proto__', `${CUSTOMER}\nlabels:\n  __proto__: c`, 6, '__proto__'],
+	['worker in two racks', `${RACK}\nworkers:\n  - name: w9\n  - name: w1`, 8, 'worker "w1"', 'rack "r1"'],
+	['positions that collide', `${RACK}\nworkers:\n  - {name: w8, position: 1}\n  - name: w9`, 8, '"w9"', 'position 1'],
+	['alias without bound', `kind: Customer\nname: x\na: &a [1, 1]\n${BOMB}`, 11, 'alias "*h"'],
+	['alias that contains itself', 'kind: Customer\nname: x\nlabels: &a\n  b: *a', 4, 'nested'],
+	['alias without anchor', 'kind: Customer\nname: x\npartner: *nowhere', 3, 'nowhere'],
+	["other's customer in a token", `${TOKEN}\npartner: other\ncustomer: c`, 6, 'customer "c" does not belong'],
 ];
 
 // Guards against an operator who cannot find the fault: each must name the file, the line and the value.
@@ -147,8 +84,8 @@
 	const valid = loadTexts([{file: 'f.yaml', text: VALID}]);
 	t.ok(valid.ok, JSON.stringify(valid));
 	const offset = VALID.split('\n').length;
-	for (const {name, text, line, says} of CASES) {
-		const result = loadTexts([{file: 'f.yaml', text: `${VALID}---\n${text}`}]);
+	for (const [name, text, line, ...says] of CASES) {
+		const result = loadTexts([{file: 'f.yaml', text: `${VALID}---\n${text}\n`}]);
 		const faults = result.ok ? [] : result.faults;
 		const fault = faults.find((item) => says.every((part) => item.message.includes(part)));
 		t.equal(fault?.file, 'f.yaml', `${name}: ${JSON.stringify(faults)}`);
--- a/packages/operator/src/operator-client.ts
+++ b/packages/operator/src/operator-client.ts
@@ -1,4 +1,4 @@
-import {withDeadline} from '@bergamotgauge/lifecycle';
+import {DeadlineError, withDeadline} from '@bergamotgauge/lifecycle';
 import {ServiceError, type Declarations, type ErrorCode, type Verdict} from '@bergamotgauge/model';
 import {request} from 'undici';
 import {OPERATOR_CALL_DEADLINE_MS} from './constants.js';
@@ -12,8 +12,52 @@
 	status: () => Promise<Status>;
 }>;
 
+type Method = Parameters<OperatorClient['call']>[0];
+
+type Answer = Readonly<{status: number; text: string}>;
+
 type ErrorBody = Readonly<{error?: string; code?: string; verdict?: string; details?: Record<string, unknown>}>;
 
+const toUnavailable = (url: string, thrown: unknown): ServiceError => {
+	const cause = thrown instanceof Error ? thrown : new Error(String(thrown));
+	if (cause instanceof DeadlineError) {
+		return new ServiceError(`${url} gave no answer within ${OPERATOR_CALL_DEADLINE_MS} ms`, {
+			code: 'deadline-exceeded',
+			verdict: 'may-have-run',
+		});
+	}
+
+	const isRefused = 'code' in cause && cause.code === 'ECONNREFUSED';
+	return new ServiceError(`${url} does not answer`, {
+		code: 'peer-unavailable',
+		verdict: isRefused ? 'not-run' : 'may-have-run',
+		cause,
+	});
+};
+
+const readAnswer = (url: string, {status, text}: Answer): unknown => {
+	let body: ErrorBody;
+	try {
+		body = JSON.parse(text) as ErrorBody;
+	} catch {
+		throw new ServiceError(`${url} answered ${status} without JSON; is it an instance?`, {
+			code: 'internal',
+			verdict: 'may-have-run',
+		});
+	}
+
+	if (status >= 400) {
+		throw new ServiceError(body.error ?? `status ${status}`, {
+			code: (body.code ?? 'internal') as ErrorCode,
+			verdict: (body.verdict ?? 'may-have-run') as Verdict,
+			status,
+			...(body.details && {details: body.details}),
+		});
+	}
+
+	return body;
+};
+
 /**
 Creates a client of an instance's HTTP interface.
 
@@ -23,29 +67,29 @@
 const status = await client.status();
 ```
 
-@throws {ServiceError} with the code and verdict that the instance gave.
+@throws {ServiceError} with the code and verdict that the instance gave, or `peer-unavailable` or `deadline-exceeded`.
 */
 export const createOperatorClient = ({url, token}: Readonly<{url: string; token: string}>): OperatorClient => {
-	const call: OperatorClient['call'] = async (method, path, body) =>
-		withDeadline(OPERATOR_CALL_DEADLINE_MS, async (signal) => {
-			const response = await request(`${url}${path}`, {
-				method,
-				signal,
-				headers: {authorization: `Bearer ${token}`, 'content-type': 'application/json'},
-				...(body !== undefined && {body: JSON.stringify(body)}),
-			});
-			const answer = (await response.body.json()) as ErrorBody;
-			if (response.statusCode >= 400) {
-				throw new ServiceError(answer.error ?? `status ${response.statusCode}`, {
-					code: (answer.code ?? 'internal') as ErrorCode,
-					verdict: (answer.verdict ?? 'may-have-run') as Verdict,
-					status: response.statusCode,
-					...(answer.details && {details: answer.details}),
-				});
-			}
-
-			return answer;
+	const send = async (method: Method, path: string, body: unknown, signal: AbortSignal): Promise<Answer> => {
+		const response = await request(`${url}${path}`, {
+			method,
+			signal,
+			headers: {authorization: `Bearer ${token}`, 'content-type': 'application/json'},
+			...(body !== undefined && {body: JSON.stringify(body)}),
 		});
+		return {status: response.statusCode, text: await response.body.text()};
+	};
+
+	const call: OperatorClient['call'] = async (method, path, body) => {
+		let answer: Answer;
+		try {
+			answer = await withDeadline(OPERATOR_CALL_DEADLINE_MS, async (signal) => send(method, path, body, signal));
+		} catch (error) {
+			throw toUnavailable(url, error);
+		}
+
+		return readAnswer(url, answer);
+	};
 
 	return {
 		call,
--- a/packages/operator/src/types.ts
+++ b/packages/operator/src/types.ts
@@ -48,6 +48,8 @@
 }>;
 
 export type Status = Readonly<{
+	/** Instance that gave the status. */
+	answeredBy: string;
 	generation: number;
 	instances: readonly InstanceStatus[];
 	racks: ReadonlyArray<Readonly<{rack: string; accelerators: number; used: number; placements: number}>>;
