--- a/packages/operator/src/document.ts
+++ b/packages/operator/src/document.ts
@@ -113,8 +113,10 @@
 /** Checks one YAML document by itself. */
 export const checkDocument = (source: Source, text: string): FileResult => {
 	const {document, file, lines} = source;
-	if (document.errors.length > 0) {
-		const faults = document.errors.map((error) => {
+	// A warning is a tag that nothing resolves; the value would not be what its author meant.
+	const problems = [...document.errors, ...document.warnings];
+	if (problems.length > 0) {
+		const faults = problems.map((error) => {
 			const {line} = lines.linePos(error.pos[0]);
 			const near = describeLine(text.split('\n', line)[line - 1]?.trim() ?? '');
 			return {file, line, message: `${error.message.split('\n', 1)[0]?.replace(/ at line .*$/v, '')} near ${near}`};
--- a/packages/operator/src/load.test.ts
+++ b/packages/operator/src/load.test.ts
@@ -75,6 +75,7 @@
 	['positions that collide', `${RACK}\nworkers:\n  - {name: w8, position: 1}\n  - name: w9`, 8, '"w9"', 'position 1'],
 	['alias without bound', `kind: Customer\nname: x\na: &a [1, 1]\n${BOMB}`, 11, 'alias "*h"'],
 	['alias that contains itself', 'kind: Customer\nname: x\nlabels: &a\n  b: *a', 4, 'nested'],
+	['unknown tag', 'kind: Customer\nname: !!secret x', 2, '(not shown)'],
 	['alias without anchor', 'kind: Customer\nname: x\npartner: *nowhere', 3, 'nowhere'],
 	["other's customer in a token", `${TOKEN}\npartner: other\ncustomer: c`, 6, 'customer "c" does not belong'],
 ];
--- a/packages/operator/src/load.ts
+++ b/packages/operator/src/load.ts
@@ -20,7 +20,7 @@
 	}
 
 	const lines = new LineCounter();
-	const documents = parseAllDocuments(text, {lineCounter: lines, merge: true});
+	const documents = parseAllDocuments(text, {lineCounter: lines, merge: true, logLevel: 'error'});
 	const results = [...documents].map((document) => checkDocument({document, file, lines}, text));
 	return {
 		documents: results.flatMap((result) => result.documents),
