Keep placement rules and guarantees within a partner

A placement rule with an empty work selector moved the other partner's jobs too, and one partner could guarantee the whole of a shared pool to its customers. Rules now concern the work of their own partner's customers, and guarantees beyond the shares of the pools they can use are refused by name.

--- a/packages/demo/src/bad-input.test.ts
+++ b/packages/demo/src/bad-input.test.ts
@@ -47,6 +47,7 @@
 
 const HTTP_CASES: readonly HttpCase[] = [
 	['no token', undefined, 'GET /v1/jobs', undefined, 401, /bearer token/v],
+	['10 MB without a token', undefined, BUNDLE, TEN_MEGABYTES, 401, /bearer token/v],
 	['caller as operator', 'producers', 'GET /v1/operator/bundle', undefined, 403, /not an operator token/v],
 	['operator as caller', 'quebecOperator', 'GET /v1/jobs', undefined, 403, /not a caller token/v],
 	['malformed JSON', 'quebecOperator', BUNDLE, '{"basedOn": ', 400, /JSON/v],
--- a/packages/demo/src/program.test.ts
+++ b/packages/demo/src/program.test.ts
@@ -1,7 +1,10 @@
 import {spawn} from 'node:child_process';
 import {createHash} from 'node:crypto';
+import {once} from 'node:events';
 import {mkdtemp, readFile, rm, writeFile} from 'node:fs/promises';
+import {createServer} from 'node:http';
 import {createRequire} from 'node:module';
+import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -141,3 +144,26 @@
 	t.equal(sha256, sha256Of(fresh));
 	t.match(await run(['drain', 'q1', '--wait'], asOperator), {code: 0, output: 'q1 has stopped'});
 });
+
+// Guards against `apply --wait` that ends well, or without a name, while an instance has an older generation.
+await t.test('apply names the instances that are behind', async (t) => {
+	const member = (id: string, health: string, generation: number) => ({id, health, generation});
+	const instances = [member('q1', 'alive', 5), member('q2', 'alive', 4), member('q3', 'dead', 1)];
+	const answers: Readonly<Record<string, unknown>> = {
+		'GET /v1/operator/bundle': {partner: 'quebec'},
+		'PUT /v1/operator/bundle': {generation: 5},
+		'GET /v1/operator/status': {generation: 5, instances},
+	};
+	const server = createServer((request, response) => {
+		request.resume();
+		response.end(JSON.stringify(answers[`${request.method} ${request.url}`]));
+	});
+	await once(server.listen(0, '127.0.0.1'), 'listening');
+	t.teardown(() => server.close());
+	const {port} = server.address() as AddressInfo;
+	const file = await write('customer.yaml', 'kind: Customer\nname: x\npartner: quebec\nquota: {accelerators: 1}\n');
+	const result = await run(['apply', file, '--wait', '--wait-seconds', '1', '--url', `http://127.0.0.1:${port}`], {
+		BERGAMOTGAUGE_TOKEN: tokens.quebecOperator,
+	});
+	t.match(result, {code: 5, output: /generation 5 is not in force on: q2\n/v});
+});
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -117,7 +117,7 @@
 		proposals?: ReadonlyArray<PoolTerms & Readonly<{partner: string}>>;
 	}>;
 
-/** Work whose labels match `workSelector` runs only on workers that match `workerSelector`. */
+/** Work of the partner's customers whose labels match `workSelector` runs only on workers that match `workerSelector`. */
 export type PlacementRule = Readonly<{
 	name: string;
 	partner: string;
--- a/packages/operator/src/check-declarations.ts
+++ b/packages/operator/src/check-declarations.ts
@@ -7,6 +7,7 @@
 	type Selector,
 } from '@bergamotgauge/model';
 import {checkGuarantees, workerLabels} from '@bergamotgauge/placement';
+import {findShareFaults} from './check-shares.js';
 import {MAX_REPORTED_FAULTS} from './constants.js';
 import {describeField, describeValue, valueAt} from './describe-value.js';
 import {COLLECTIONS} from './diff.js';
@@ -142,7 +143,7 @@
 const checkFit = (declarations: Declarations): readonly ItemFault[] => {
 	try {
 		checkGuarantees(declarations);
-		return [];
+		return findShareFaults(declarations).map((fault) => ({...fault, collection: 'guarantees'}));
 	} catch (error) {
 		if (error instanceof ServiceError && typeof error.details.guarantee === 'string') {
 			return [{collection: 'guarantees', name: error.details.guarantee, message: error.message}];
@@ -206,4 +207,8 @@
 	}
 
 	checkGuarantees(declarations);
+	const shareFaults = findShareFaults(declarations);
+	if (shareFaults.length > 0) {
+		throw refuse(shareFaults.map((fault) => describeFault({...fault, collection: 'guarantees'})));
+	}
 };
--- a/packages/operator/src/merge-partner.test.ts
+++ b/packages/operator/src/merge-partner.test.ts
@@ -171,3 +171,18 @@
 		t.throws(() => prepareDeclarations(current, operatorOf('quebec'), requested), {message: says}, name);
 	}
 });
+
+// Guards against a partner that guarantees more of a shared pool to its customers than its share.
+await t.test('guarantees stay within the share', async (t) => {
+	const current = await both();
+	const own = await load(`${EXAMPLE}/quebec`, 'quebec');
+	const withCount = (count: number): Declarations => ({
+		...own,
+		guarantees: [{...own.guarantees[0]!, accelerators: 8, count}],
+	});
+	t.ok(prepareDeclarations(current, operatorOf('quebec'), withCount(16)), 'half of 256 accelerators');
+	t.throws(() => prepareDeclarations(current, operatorOf('quebec'), withCount(17)), {
+		code: 'bad-request',
+		message: /guarantees\/agents-reels: .* on pool shared hold 136 accelerators; its share is 128/v,
+	});
+});
--- a/packages/placement/src/check-submission.ts
+++ b/packages/placement/src/check-submission.ts
@@ -36,7 +36,7 @@
 		);
 	}
 
-	const isEligible = eligibleWorker(bundle, job);
+	const isEligible = eligibleWorker(bundle, {...job, customer: customerName});
 	if (!bundle.racks.some((rack) => rack.workers.some((worker) => isEligible(worker)))) {
 		return refuse('no declared worker matches its selector, the placement rules and its size');
 	}
--- a/packages/placement/src/eligibility.test.ts
+++ b/packages/placement/src/eligibility.test.ts
@@ -16,8 +16,9 @@
 		labels: {rack: 'row-7', gpu: 'a100'},
 	};
 	t.strictSame(workerLabels(worker), {worker: 'w1', availabilityZone: 'a', rack: 'row-7', gpu: 'a100'});
-	const bundle = {placementRules: []} as unknown as Bundle;
-	const jobOn = (rack: string): JobSpecification => ({
+	const bundle = {placementRules: [], customers: []} as unknown as Bundle;
+	const jobOn = (rack: string): JobSpecification & Readonly<{customer: string}> => ({
+		customer: 'c',
 		jobClass: 'render',
 		labels: {},
 		accelerators: 1,
@@ -29,4 +30,11 @@
 	});
 	t.equal(eligibleWorker(bundle, jobOn('row-7'))(worker), true);
 	t.equal(eligibleWorker(bundle, jobOn('r1'))(worker), false);
+
+	// A rule of one partner must not move the work of the other partner's customers.
+	const rule = {name: 'r', workSelector: {}, workerSelector: {matchLabels: {gpu: 'h100'}}};
+	const withRule = (partner: string): Bundle =>
+		({placementRules: [{...rule, partner}], customers: [{name: 'c', partner: 'quebec'}]}) as unknown as Bundle;
+	t.equal(eligibleWorker(withRule('lima'), jobOn('row-7'))(worker), true);
+	t.equal(eligibleWorker(withRule('quebec'), jobOn('row-7'))(worker), false);
 });
--- a/packages/placement/src/eligibility.ts
+++ b/packages/placement/src/eligibility.ts
@@ -16,15 +16,21 @@
 });
 
 /**
-Gives a predicate for the workers on which a job may run by its own selector, the placement rules and its declared size.
+Gives a predicate for the workers on which a job may run by its own selector, the placement rules of its partner and its declared size.
 
 @example
 ```ts
 const workers = rack.workers.filter(eligibleWorker(bundle, job));
 ```
 */
-export const eligibleWorker = (bundle: Bundle, job: JobSpecification): ((worker: Worker) => boolean) => {
-	const rules = bundle.placementRules.filter((rule) => matchesSelector(rule.workSelector, job.labels));
+export const eligibleWorker = (
+	bundle: Bundle,
+	job: JobSpecification & Readonly<{customer: string}>,
+): ((worker: Worker) => boolean) => {
+	const partner = bundle.customers.find(({name}) => name === job.customer)?.partner;
+	const rules = bundle.placementRules.filter(
+		(rule) => rule.partner === partner && matchesSelector(rule.workSelector, job.labels),
+	);
 	return (worker) => {
 		const labels = workerLabels(worker);
 		const count = Math.min(job.accelerators, worker.accelerators);
