--- /dev/null
+++ b/packages/demo/src/daily-commands.test.ts
@@ -0,0 +1,72 @@
+import {createHash} from 'node:crypto';
+import {once} from 'node:events';
+import {readFile} from 'node:fs/promises';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {createLifecycle} from '@bergamotgauge/lifecycle';
+import t from 'tap';
+import {createProgramRun} from './program-run.js';
+import {startService} from './service.js';
+
+const lifecycle = createLifecycle('program');
+t.teardown(async () => lifecycle.close());
+const service = await startService(lifecycle);
+const {tokens} = service;
+const {run, write} = await createProgramRun(lifecycle, service.url);
+
+const sha256Of = (token: string): string => createHash('sha256').update(token).digest('hex');
+
+// Guards against commands of the daily path that print something else than the docs say.
+await t.test('a job from submission to cancellation', async (t) => {
+	const asCaller = {BERGAMOTGAUGE_TOKEN: tokens.producers};
+	const asOperator = {BERGAMOTGAUGE_TOKEN: tokens.quebecOperator};
+	const file = await write('good.json', '{"jobClass": "render", "accelerators": 1, "declaredSeconds": 1}');
+	const submitted = await run(['submit', file, '--json'], asCaller);
+	const {id} = JSON.parse(submitted.output) as Readonly<{id: string}>;
+	const explained = await run(['explain', id], asOperator);
+	t.match(explained, {code: 0, output: new RegExp(`^Job ${id} of customer producers, class render, attempt 1`, 'v')});
+	t.match(await run(['jobs'], asCaller), {code: 0, output: id});
+	t.match(await run(['cancel', id], asCaller), {code: 0, output: /accepted/v});
+
+	const example = fileURLToPath(new URL('../../../examples/shared/quebec', import.meta.url));
+	const token = `kind: Token\nname: op\nrole: operator\npartner: quebec\nsha256: ${sha256Of(tokens.quebecOperator)}\n`;
+	const shared = await Promise.all(
+		['capacity', 'customers', 'work'].map(async (name) => readFile(path.join(example, `${name}.yaml`), 'utf8')),
+	);
+	const changed = shared.join('---\n').replace('weight: 4', 'weight: 5').replaceAll('share: 0.5', 'share: 0.4');
+	const own = await write('own.yaml', `${changed}---\n${token}`);
+	t.match(await run(['diff', own], asOperator), {code: 0, output: /~ customers\/producers\n {4}weight: 4 -> 5\n/v});
+	const applied = await run(['apply', own, '--based-on', '1', '--wait'], asOperator);
+	t.match(applied, {code: 0, output: /generation 2 accepted\n.*shared: the terms are a proposal until lima/v});
+	t.match(applied.output, /generation 2 is in force on every live instance/v);
+	const made = await run(['hash-token']);
+	const {token: fresh = '', sha256 = ''} =
+		/token: (?<token>\S+)\nsha256: (?<sha256>\S+)/v.exec(made.output)?.groups ?? {};
+	t.equal(sha256, sha256Of(fresh));
+	t.match(await run(['drain', 'q1', '--wait'], asOperator), {code: 0, output: 'q1 has stopped'});
+});
+
+// Guards against `apply --wait` that ends well, or without a name, while an instance has an older generation.
+await t.test('apply names the instances that are behind', async (t) => {
+	const member = (id: string, health: string, generation: number) => ({id, health, generation});
+	const instances = [member('q1', 'alive', 5), member('q2', 'alive', 4), member('q3', 'dead', 1)];
+	const answers: Readonly<Record<string, unknown>> = {
+		'GET /v1/operator/bundle': {partner: 'quebec'},
+		'PUT /v1/operator/bundle': {generation: 5},
+		'GET /v1/operator/status': {generation: 5, instances},
+	};
+	const server = createServer((request, response) => {
+		request.resume();
+		response.end(JSON.stringify(answers[`${request.method} ${request.url}`]));
+	});
+	await once(server.listen(0, '127.0.0.1'), 'listening');
+	t.teardown(() => server.close());
+	const {port} = server.address() as AddressInfo;
+	const file = await write('customer.yaml', 'kind: Customer\nname: x\npartner: quebec\nquota: {accelerators: 1}\n');
+	const result = await run(['apply', file, '--wait', '--wait-seconds', '1', '--url', `http://127.0.0.1:${port}`], {
+		BERGAMOTGAUGE_TOKEN: tokens.quebecOperator,
+	});
+	t.match(result, {code: 5, output: /generation 5 is not in force on: q2\n/v});
+});
--- a/packages/demo/src/processes.ts
+++ b/packages/demo/src/processes.ts
@@ -10,7 +10,9 @@
 
 const require = createRequire(import.meta.url);
 
-const programOf = (packageName: string): string => path.join(path.dirname(require.resolve(packageName)), 'main.js');
+/** Path of a package's program. */
+export const programOf = (packageName: string): string =>
+	path.join(path.dirname(require.resolve(packageName)), 'main.js');
 
 const READY = /^ready (?<json>.*)$/v;
 const STARTED = /event=instance-started.*address=(?<address>\S+) peerAddress=(?<peerAddress>\S+)/v;
