--- a/packages/caller/src/error-response.ts
+++ b/packages/caller/src/error-response.ts
@@ -1,19 +1,52 @@
+import {Buffer} from 'node:buffer';
 import {ServiceError, toServiceError} from '@bergamotgauge/model';
 import type {ErrorRequestHandler, Response} from 'express';
-import {VERDICT_HEADER} from './constants.js';
+import {LINGER_MS, MAX_DISCARDED_BYTES, VERDICT_HEADER} from './constants.js';
+import {createFailureLimit} from './failure-limit.js';
 
-type BodyParserError = Error & Readonly<{status: number; type: string}>;
+type ClientError = Error & Readonly<{status: number}>;
 
-const isBodyParserError = (error: unknown): error is BodyParserError =>
-	error instanceof Error && 'type' in error && 'status' in error && typeof error.status === 'number';
+/** Errors of express and its body parsers for requests that they cannot read. */
+const isClientError = (error: unknown): error is ClientError =>
+	error instanceof Error &&
+	!(error instanceof ServiceError) &&
+	'status' in error &&
+	typeof error.status === 'number' &&
+	error.status >= 400 &&
+	error.status < 500;
 
-const fromBodyParser = (error: BodyParserError): ServiceError =>
+const fromClientError = (error: ClientError): ServiceError =>
 	new ServiceError(error.message, {
 		code: error.status === 413 ? 'too-large' : 'bad-request',
 		verdict: 'not-run',
 		status: error.status,
 	});
 
+/**
+Sends an answer whole, then reads and drops the rest of the request before the connection closes. A sender whose connection is reset while it writes does not read the answer.
+*/
+const sendAndLinger = (response: Response, payload: string): void => {
+	const request = response.req;
+	let discarded = 0;
+	const finish = () => {
+		clearTimeout(timer);
+		response.end();
+	};
+
+	const timer = setTimeout(finish, LINGER_MS);
+	request.on('data', (chunk: Uint8Array) => {
+		discarded += chunk.length;
+		if (discarded > MAX_DISCARDED_BYTES) {
+			finish();
+		}
+	});
+	request.once('end', finish);
+	request.once('close', finish);
+	response.set('connection', 'close').set('content-length', String(Buffer.byteLength(payload)));
+	response.write(payload);
+	request.resume();
+};
+
 /** Writes an error with its verdict and the time after which to retry. */
 export const sendError = (response: Response, error: ServiceError): void => {
 	if (response.headersSent) {
@@ -25,21 +58,19 @@
 		response.set('retry-after', String(Math.ceil(error.retryAfterMs / 1000)));
 	}
 
-	if (!response.req.complete) {
-		// The rest of an unread body is not worth reading for the sake of the connection.
-		response.set('connection', 'close');
+	response.status(error.status).set(VERDICT_HEADER, error.verdict).type('json');
+	const payload = JSON.stringify({
+		error: error.message,
+		code: error.code,
+		verdict: error.verdict,
+		...(error.retryAfterMs !== undefined && {retryAfterMs: error.retryAfterMs}),
+		...(Object.keys(error.details).length > 0 && {details: error.details}),
+	});
+	if (response.req.complete) {
+		response.send(payload);
+	} else {
+		sendAndLinger(response, payload);
 	}
-
-	response
-		.status(error.status)
-		.set(VERDICT_HEADER, error.verdict)
-		.json({
-			error: error.message,
-			code: error.code,
-			verdict: error.verdict,
-			...(error.retryAfterMs !== undefined && {retryAfterMs: error.retryAfterMs}),
-			...(Object.keys(error.details).length > 0 && {details: error.details}),
-		});
 };
 
 /**
@@ -50,13 +81,15 @@
 app.use(createErrorHandler((error) => log.error('request-failed', {error: error.message})));
 ```
 */
-export const createErrorHandler =
-	(onInternal: (error: ServiceError) => void): ErrorRequestHandler =>
-	(thrown: unknown, _request, response, _next) => {
-		const error = isBodyParserError(thrown) ? fromBodyParser(thrown) : toServiceError(thrown, 'may-have-run');
+export const createErrorHandler = (onInternal: (error: ServiceError) => void): ErrorRequestHandler => {
+	const limitFailures = createFailureLimit();
+	return (thrown: unknown, request, response, _next) => {
+		const error = isClientError(thrown) ? fromClientError(thrown) : toServiceError(thrown, 'may-have-run');
 		if (error.code === 'internal') {
 			onInternal(error);
 		}
 
-		sendError(response, error);
+		const isFailure = error.code === 'unauthenticated';
+		sendError(response, isFailure ? limitFailures(error, request.socket.remoteAddress) : error);
 	};
+};
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -7,5 +7,6 @@
 export {applyClaim, applyFinish, EMPTY_CLAIM_SHARD, findClaim, judgeClaim} from './claim-shard.js';
 export {notAccepting} from './caller.js';
 export {createErrorHandler} from './error-response.js';
+export {createFailureLimit, type FailureLimit} from './failure-limit.js';
 export {createJobRouter} from './job-router.js';
 export {createServiceRouter} from './service-router.js';
--- a/packages/harness/src/processes.ts
+++ b/packages/harness/src/processes.ts
@@ -10,6 +10,8 @@
 
 const require = createRequire(import.meta.url);
 
+/** Path of a package's program. */
+export /** Path of a package's program. */
 const programOf = (packageName: string): string => path.join(path.dirname(require.resolve(packageName)), 'main.js');
 
 const READY = /^ready (?<json>.*)$/v;
--- a/packages/instance/src/configuration.ts
+++ b/packages/instance/src/configuration.ts
@@ -1,6 +1,13 @@
 import {BUNDLE_KEY, ServiceError, type AccessToken, type Bundle, type Declarations} from '@bergamotgauge/model';
-import {diffDeclarations, EMPTY_DECLARATIONS, threeWayDiff, type ApplyRequest} from '@bergamotgauge/operator';
-import {checkGuarantees} from '@bergamotgauge/placement';
+import {
+	diffDeclarations,
+	EMPTY_DECLARATIONS,
+	ownDeclarations,
+	prepareDeclarations,
+	requireCurrentToken,
+	threeWayDiff,
+	type ApplyRequest,
+} from '@bergamotgauge/operator';
 import {BASE_PEERS, KEPT_GENERATIONS} from './constants.js';
 import {bundleOf, type Context} from './context.js';
 
@@ -66,9 +73,15 @@
 		return undefined;
 	};
 
-	const conflict = async (current: Bundle | undefined, request: ApplyRequest): Promise<ServiceError> => {
+	/** An operator sees only the differences in its own partner's declarations. */
+	const conflict = async (
+		current: Bundle | undefined,
+		{partner}: AccessToken,
+		request: ApplyRequest,
+	): Promise<ServiceError> => {
 		const generation = current?.generation ?? 0;
-		const theirs = current ?? EMPTY_DECLARATIONS;
+		const theirs = ownDeclarations(current ?? EMPTY_DECLARATIONS, partner);
+		const mine = ownDeclarations(request.declarations, partner);
 		const base = await findBase(request.basedOn);
 		const message = `the change is based on generation ${request.basedOn}, but generation ${generation} is in force`;
 		return new ServiceError(message, {
@@ -77,9 +90,9 @@
 			details: {
 				generation,
 				basedOn: request.basedOn,
-				changes: diffDeclarations(theirs, request.declarations),
+				changes: diffDeclarations(theirs, mine),
 				// The base is not kept for ever; without it only the two sides can be compared.
-				...(base && {differences: threeWayDiff(base, theirs, request.declarations)}),
+				...(base && {differences: threeWayDiff(ownDeclarations(base, partner), theirs, mine)}),
 			},
 		});
 	};
@@ -96,26 +109,38 @@
 		}
 	};
 
-	const isRepeat = (current: Bundle, {basedOn, declarations}: ApplyRequest): boolean =>
-		current.generation === basedOn + 1 && diffDeclarations(current, declarations).length === 0;
+	/** The request that made the generation in force, sent again because its answer was lost. */
+	const isRepeat = (current: Bundle, operator: AccessToken, {basedOn, declarations}: ApplyRequest): boolean => {
+		if (current.generation !== basedOn + 1) {
+			return false;
+		}
+
+		try {
+			const prepared = prepareDeclarations(basedOn === 0 ? undefined : current, operator, declarations);
+			return diffDeclarations(current, prepared).length === 0;
+		} catch {
+			return false;
+		}
+	};
 
 	const apply: Configuration['apply'] = async (operator, request) => {
-		checkGuarantees(request.declarations);
 		const entry = await context.store.get(BUNDLE_KEY);
 		const current = later(entry.value as Bundle | undefined, bundleOf(context.replica));
-		if (current && isRepeat(current, request)) {
+		if (current && isRepeat(current, operator, request)) {
 			return current;
 		}
 
+		requireCurrentToken(current, operator);
 		if ((current?.generation ?? 0) !== request.basedOn) {
-			throw await conflict(current, request);
+			throw await conflict(current, operator, request);
 		}
 
 		assertNoLaterGeneration(request.basedOn);
-		const bundle: Bundle = {...request.declarations, generation: request.basedOn + 1};
+		const declarations = prepareDeclarations(current, operator, request.declarations);
+		const bundle: Bundle = {...declarations, generation: request.basedOn + 1};
 		const result = await context.store.put(BUNDLE_KEY, bundle, entry.revision);
 		if (result.outcome === 'conflict') {
-			throw await conflict(later(result.current.value as Bundle | undefined, current), request);
+			throw await conflict(later(result.current.value as Bundle | undefined, current), operator, request);
 		}
 
 		if (result.outcome === 'unknown') {
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,7 +1,7 @@
 import {createActivity, createAdmission, notAccepting} from '@bergamotgauge/caller';
 import {createDispatcher, type Dispatcher, type Endpoint, type LeavingSign} from '@bergamotgauge/endpoint';
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
-import type {ListedInstance} from '@bergamotgauge/model';
+import {ServiceError, type ListedInstance} from '@bergamotgauge/model';
 import type {OperatorService} from '@bergamotgauge/operator';
 import {
 	createMembership,
@@ -171,7 +171,7 @@
 		authenticate: (authorization) => authenticateOperator(callerService, settings.bootstrapTokenSha256, authorization),
 		bundle: () => bundleOf(context.replica),
 		apply: configuration.apply,
-		status: () => statusOf(context, heartbeat()),
+		status: (operator) => statusOf(context, heartbeat(), operator),
 		explain: engine.views.explain,
 		async drain(instance) {
 			if (instance === settings.id) {
@@ -179,7 +179,12 @@
 				return;
 			}
 
-			await context.membership.link(instance)?.call('drain', {});
+			const link = context.membership.link(instance);
+			if (!link) {
+				throw new ServiceError(`no instance "${instance}" is a member`, {code: 'not-found', verdict: 'not-run'});
+			}
+
+			await link.call('drain', {});
 		},
 	};
 
--- a/packages/instance/src/job-views.ts
+++ b/packages/instance/src/job-views.ts
@@ -1,5 +1,5 @@
 import type {JobView} from '@bergamotgauge/caller';
-import type {JobRecord, Placement} from '@bergamotgauge/model';
+import type {AccessToken, Bundle, JobRecord, Placement} from '@bergamotgauge/model';
 import {explainJob} from '@bergamotgauge/placement';
 import {allJobs, allRacks, bundleOf, type Context} from './context.js';
 import type {JobStore} from './job-store.js';
@@ -8,7 +8,7 @@
 export type JobViews = Readonly<{
 	get: (customer: string, job: string) => JobView | undefined;
 	list: (customer: string) => readonly JobView[];
-	explain: (job: string) => unknown;
+	explain: (operator: AccessToken, job: string) => unknown;
 	setReasons: (reasons: ReadonlyMap<string, string>) => void;
 }>;
 
@@ -20,6 +20,10 @@
 
 type Located = Readonly<{rack: string; placement: Placement}>;
 
+/** An operator sees the jobs of its partner's customers. */
+export const isJobVisible = (bundle: Bundle | undefined, operator: AccessToken, customer: string): boolean =>
+	bundle?.customers.find(({name}) => name === customer)?.partner === operator.partner;
+
 /** What callers and operators see of jobs. */
 export const createJobViews = ({context, jobs, workersDown}: JobViewOptions): JobViews => {
 	let reasons: ReadonlyMap<string, string> = new Map();
@@ -57,15 +61,22 @@
 			allJobs(context.replica)
 				.filter((job) => job.customer === customer)
 				.map((job) => view(job)),
-		explain(id) {
+		explain(operator, id) {
 			const job = jobs.get(id);
 			const bundle = bundleOf(context.replica);
-			if (!job || !bundle) {
+			if (!job || !bundle || !isJobVisible(bundle, operator, job.customer)) {
 				return undefined;
 			}
 
-			const view = placementView(context, bundle, workersDown());
-			return {customer: job.customer, jobClass: job.jobClass, attempt: job.attempt, ...explainJob(view, id)};
+			const {reason, obstacles} = explainJob(placementView(context, bundle, workersDown()), id);
+			return {
+				...view(job),
+				customer: job.customer,
+				jobClass: job.jobClass,
+				location: locate(job),
+				reason,
+				obstacles,
+			};
 		},
 		setReasons(next) {
 			reasons = next;
--- a/packages/instance/src/status.ts
+++ b/packages/instance/src/status.ts
@@ -1,9 +1,11 @@
+import type {AccessToken} from '@bergamotgauge/model';
 import type {Status} from '@bergamotgauge/operator';
 import type {OwnHeartbeat} from '@bergamotgauge/peer';
 import {allJobs, allRacks, bundleOf, type Context} from './context.js';
+import {isJobVisible} from './job-views.js';
 
 /** What `status` shows: instances, racks and the configuration in force, as this instance sees them. */
-export const statusOf = (context: Context, own: OwnHeartbeat): Status => {
+export const statusOf = (context: Context, own: OwnHeartbeat, operator: AccessToken): Status => {
 	const bundle = bundleOf(context.replica);
 	const racks = allRacks(context.replica);
 	const describe = (beat: OwnHeartbeat | undefined, id: string, health: string) => ({
@@ -15,6 +17,7 @@
 		revision: beat?.revision ?? 0,
 	});
 	return {
+		answeredBy: context.settings.id,
 		generation: bundle?.generation ?? 0,
 		instances: [
 			describe(own, context.settings.id, 'alive'),
@@ -29,6 +32,8 @@
 				placements: placements.length,
 			};
 		}),
-		queuedJobs: allJobs(context.replica).filter((job) => job.state === 'queued').length,
+		queuedJobs: allJobs(context.replica).filter(
+			(job) => job.state === 'queued' && isJobVisible(bundle, operator, job.customer),
+		).length,
 	};
 };
--- a/packages/model/src/constants.ts
+++ b/packages/model/src/constants.ts
@@ -25,3 +25,5 @@
 
 /** Ends of tasks that a job's record keeps. */
 export const MAX_TASK_ENDS = 64;
+/** Deepest nesting of decoded request bodies and declarations. */
+export const MAX_DATA_DEPTH = 32;
--- a/packages/placement/src/check-guarantees.ts
+++ b/packages/placement/src/check-guarantees.ts
@@ -23,7 +23,7 @@
 		const {count} = declarations.guarantees.find(({name}) => name === shortfall.guarantee)!;
 		throw new ServiceError(
 			`guarantee ${shortfall.guarantee} does not fit: shape ${shortfall.index + 1} of ${count} with ${shortfall.accelerators} adjacent accelerators has no place on the declared racks`,
-			{code: 'impossible', verdict: 'not-run'},
+			{code: 'impossible', verdict: 'not-run', details: {guarantee: shortfall.guarantee}},
 		);
 	}
 };
--- a/packages/placement/src/submission-checks/shape.ts
+++ b/packages/placement/src/submission-checks/shape.ts
@@ -4,8 +4,8 @@
 
 export const shapeCheck: SubmissionCheck = {
 	name: 'shape',
-	check(bundle, _customer, job) {
-		const isEligible = eligibleWorker(bundle, job);
+	check(bundle, customer, job) {
+		const isEligible = eligibleWorker(bundle, {...job, customer});
 		if (!bundle.racks.some((rack) => rack.workers.some((worker) => isEligible(worker)))) {
 			return 'no declared worker matches its selector, the placement rules and its size';
 		}
