--- a/packages/placement/src/moves.ts
+++ b/packages/placement/src/moves.ts
@@ -106,10 +106,10 @@
 };
 
 /**
-Moves jobs by checkpoint out of the block of the largest guaranteed shape that gains the most by it, when they fit into accelerators outside such blocks. One block at a time, so that the moved jobs find their places before the next is chosen.
+Moves jobs by checkpoint out of the block of the largest guaranteed shape that gains the most by it, when they fit into accelerators outside such blocks. One block at a time and none beside other evictions, so that the moved jobs find their places before the next is chosen.
 */
-export const planMoves = (state: PassState): readonly EvictDecision[] => {
-	if (state.fleet.largestShape === 1 || state.held.some(({isEvicting}) => isEvicting)) {
+export const planMoves = (state: PassState, evicted: ReadonlySet<string>): readonly EvictDecision[] => {
+	if (state.fleet.largestShape === 1 || evicted.size > 0 || state.held.some(({isEvicting}) => isEvicting)) {
 		return [];
 	}
 
--- a/packages/placement/src/plan-pass.ts
+++ b/packages/placement/src/plan-pass.ts
@@ -214,11 +214,7 @@
 		decisions.push(...decide(pass, demand));
 	}
 
-	// A job that waits would take the accelerators that a move frees, so the moves come when none does.
-	if (decisions.every(({kind}) => kind === 'homes')) {
-		decisions.push(...planMoves(state));
-	}
-
+	decisions.push(...planMoves(state, pass.evicted));
 	return decisions;
 };
 
