--- a/packages/bench/src/placement/replay-pool.ts
+++ b/packages/bench/src/placement/replay-pool.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {Worker} from 'node:worker_threads';
 import type {ReplayResult} from './types.js';
 
@@ -11,11 +12,8 @@
 	try {
 		for (let task = tasks.shift(); task; task = tasks.shift()) {
 			thread.postMessage(task);
-			const result = await new Promise<ReplayResult>((resolve, reject) => {
-				thread.once('message', resolve);
-				thread.once('error', reject);
-			});
-			thread.removeAllListeners();
+			// Rejects when the thread fails.
+			const [result] = (await once(thread, 'message')) as [ReplayResult];
 			results.push(result);
 		}
 	} finally {
