--- a/packages/bench/src/placement/main.ts
+++ b/packages/bench/src/placement/main.ts
@@ -27,7 +27,7 @@
 	.parse(process.argv);
 
 const {quick = false, json, seeds = quick ? 2 : 10} = command.opts<Options>();
-const hours = quick ? 2 : 24;
+const hours = quick ? 4 : 24;
 const tasks: ReplayTask[] = TRACES.flatMap(({name, excludedPolicies = []}) =>
 	POLICIES.filter((policy) => !excludedPolicies.includes(policy.name)).flatMap((policy) =>
 		Array.from({length: seeds}, (_, index) => ({trace: name, policy: policy.name, seed: index + 1, hours})),
