Parse the target of a service request once

Cause: by self time in a profile under load, matching the target against route patterns took 6.8% and reading headers through express most of the 6.4% of the caller package.

Change: one regular expression splits the target, headers are read as Node gives them.

Ruled out: a cache of token hashes (2%), which would keep tokens in memory.

--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -10,7 +10,7 @@
 @throws {ServiceError} `unauthenticated`, or `forbidden` for a token that is not a caller's.
 */
 export const callerOf = (service: CallerService, request: Request): Caller => {
-	const token = authenticate(service.bundle()?.tokens ?? [], request.get('authorization'));
+	const token = authenticate(service.bundle()?.tokens ?? [], request.headers.authorization);
 	if (token.role !== 'caller' || token.customer === undefined) {
 		throw new ServiceError('the token is not a caller token', {code: 'forbidden', verdict: 'not-run'});
 	}
--- a/packages/caller/src/service-router.ts
+++ b/packages/caller/src/service-router.ts
@@ -19,13 +19,18 @@
 import {parseIdempotencyKey} from './idempotency-key.js';
 import type {Caller, CallerService} from './types.js';
 
-const SERVICE_PATH = /^\/v1\/services\/[^\/?]+(?<rest>.*)$/iv;
+const SERVICE_PATH = /^\/v1\/services\/(?<name>[^\/?]+)(?<rest>.*)$/iv;
 
 type Locals = {opened: Opened};
 
 const badRequest = (message: string): ServiceError =>
 	new ServiceError(message, {code: 'bad-request', verdict: 'not-run'});
 
+const headerOf = ({headers}: Request, name: string): string | undefined => {
+	const value = headers[name];
+	return typeof value === 'string' ? value : undefined;
+};
+
 const findService = (bundle: Bundle | undefined, name: string, caller: Caller): Service => {
 	const service = bundle?.services.find((candidate) => candidate.name === name);
 	// Another partner's service is reported like one that does not exist.
@@ -37,7 +42,7 @@
 };
 
 const classOf = (bundle: Bundle | undefined, service: Service, request: Request): JobClass => {
-	const name = request.get(CLASS_HEADER) ?? service.defaultClass;
+	const name = headerOf(request, CLASS_HEADER) ?? service.defaultClass;
 	const isAllowed = name === service.defaultClass || service.classes.includes(name);
 	const found = bundle?.jobClasses.find((candidate) => candidate.name === name);
 	if (!isAllowed || !found) {
@@ -48,7 +53,7 @@
 };
 
 const deadlineOf = (request: Request, requestClass: JobClass): number => {
-	const text = request.get(DEADLINE_HEADER);
+	const text = headerOf(request, DEADLINE_HEADER);
 	if (text === undefined) {
 		return requestClass.defaultDeadlineSeconds * 1000;
 	}
@@ -61,10 +66,17 @@
 	return deadlineMs;
 };
 
-const forwardedHeaders = (request: Request): Readonly<Record<string, string>> =>
-	Object.fromEntries(
-		FORWARDED_HEADERS.map((name) => [name, request.get(name)]).filter(([, value]) => value !== undefined),
-	) as Readonly<Record<string, string>>;
+const forwardedHeaders = ({headers}: Request): Readonly<Record<string, string>> => {
+	const forwarded: Record<string, string> = {};
+	for (const name of FORWARDED_HEADERS) {
+		const value = headers[name];
+		if (typeof value === 'string') {
+			forwarded[name] = value;
+		}
+	}
+
+	return forwarded;
+};
 
 const sendAnswer = (response: Response, {requestId, answer, isReplay}: Answered): void => {
 	const headers: Record<string, string | string[] | number> = {
@@ -91,14 +103,16 @@
 	response.end(answer.body);
 };
 
-/** What follows the name of the service, query included. */
-const endpointPath = (url: string): string => {
-	const rest = SERVICE_PATH.exec(url)?.groups?.rest;
-	if (rest === undefined) {
-		throw badRequest('the request target must be a path');
+type Target = Readonly<{service: string; path: string}>;
+
+/** Splits the request target into the name of the service and what follows it, query included. */
+const parseTarget = (url: string): Target => {
+	const {name, rest} = SERVICE_PATH.exec(url)?.groups ?? {};
+	if (name === undefined || rest === undefined) {
+		throw badRequest('the request target must be /v1/services/<service>/<path>');
 	}
 
-	return rest.startsWith('/') ? rest : `/${rest}`;
+	return {service: name, path: rest.startsWith('/') ? rest : `/${rest}`};
 };
 
 /** A request whose caller and target are known and whose body is not read yet. */
@@ -106,6 +120,7 @@
 	arrivedMs: number;
 	caller: Caller;
 	target: Service;
+	path: string;
 	requestClass: JobClass;
 	candidate: Candidate;
 }>;
@@ -114,19 +129,23 @@
 	const caller = callerOf(service, request);
 	requireAccepting(service);
 	const bundle = service.bundle();
-	const target = findService(bundle, String(request.params.service), caller);
+	const {service: name, path} = parseTarget(request.originalUrl);
+	const target = findService(bundle, name, caller);
 	const requestClass = classOf(bundle, target, request);
-	const customer = bundle?.customers.find(({name}) => name === caller.customer);
+	const customer = bundle?.customers.find((candidate) => candidate.name === caller.customer);
 	if (!customer) {
 		throw new ServiceError(`customer ${caller.customer} is not declared`, {code: 'forbidden', verdict: 'not-run'});
 	}
 
 	const deadlineMs = deadlineOf(request, requestClass);
 	const candidate = {service: target, customer, urgency: requestClass.urgency, deadlineMs};
-	return {arrivedMs: performance.now(), caller, target, requestClass, candidate};
+	return {arrivedMs: performance.now(), caller, target, path, requestClass, candidate};
 };
 
-const toEndpointRequest = (request: Request, {caller, target, requestClass, candidate}: Opened): EndpointRequest => {
+const toEndpointRequest = (
+	request: Request,
+	{caller, target, path, requestClass, candidate}: Opened,
+): EndpointRequest => {
 	return {
 		id: newRequestId(),
 		service: target,
@@ -134,7 +153,7 @@
 		requestClass: requestClass.name,
 		retryRule: requestClass.retryRule,
 		method: request.method,
-		path: endpointPath(request.originalUrl),
+		path,
 		headers: forwardedHeaders(request),
 		body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
 		deadlineMs: candidate.deadlineMs,
@@ -174,7 +193,7 @@
 			return {requestId: endpointRequest.id, answer, isReplay: false};
 		}
 
-		const key = parseIdempotencyKey(request.get(IDEMPOTENCY_KEY_HEADER), Date.now());
+		const key = parseIdempotencyKey(headerOf(request, IDEMPOTENCY_KEY_HEADER), Date.now());
 		// A claim costs store writes, so that a request that would be refused makes none.
 		service.admission.check(opened.candidate);
 		return sendAtMostOnce({claims: service.claims, dispatcher: {dispatch}, key, request: endpointRequest, signal});
@@ -195,6 +214,7 @@
 		sendAnswer(response, await send(request, (response.locals as Locals).opened, controller.signal));
 	};
 
-	router.all(['/:service', '/:service/{*path}'], open, raw, handle);
+	// The target is parsed once here; matching it against route patterns costs more than the rest of the head.
+	router.use(open, raw, handle);
 	return router;
 };
