--- a/packages/caller/src/authenticate.ts
+++ b/packages/caller/src/authenticate.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {createHash, hash, timingSafeEqual} from 'node:crypto';
+import {createHash, timingSafeEqual} from 'node:crypto';
 import {ServiceError, type AccessToken} from '@bergamotgauge/model';
 
 const BEARER = /^Bearer (?<token>[\w\-.~+\/]{16,512}=*)$/v;
@@ -26,7 +26,7 @@
 		throw refuse('the Authorization header needs a bearer token');
 	}
 
-	const digest = hash('sha256', token, 'buffer');
+	const digest = createHash('sha256').update(token).digest();
 	let found: AccessToken | undefined;
 	for (const candidate of tokens) {
 		if (timingSafeEqual(digest, Buffer.from(candidate.sha256, 'hex'))) {
