--- a/packages/bench/src/edge/platform-process.ts
+++ b/packages/bench/src/edge/platform-process.ts
@@ -11,6 +11,7 @@
 	address: string;
 	running: number;
 	peak: number;
+	peakConnections: number;
 	busyMs: number;
 	isDraining: boolean;
 	leavingSinceMs: number | undefined;
@@ -79,6 +80,7 @@
 		address: '',
 		running: 0,
 		peak: 0,
+		peakConnections: 0,
 		busyMs: 0,
 		isDraining: false,
 		leavingSinceMs: undefined,
@@ -91,6 +93,7 @@
 	});
 	server.on('connection', (socket: Socket) => {
 		endpoint.sockets.add(socket);
+		endpoint.peakConnections = Math.max(endpoint.peakConnections, endpoint.sockets.size);
 		socket.on('close', () => {
 			endpoint.sockets.delete(socket);
 		});
@@ -139,6 +142,7 @@
 			busyMs: byEndpoint(endpoints, ({busyMs}) => busyMs),
 			elapsedMs: performance.now() - startedMs,
 			peak: byEndpoint(endpoints, ({peak}) => peak),
+			peakConnections: byEndpoint(endpoints, ({peakConnections}) => peakConnections),
 			lastAfterLeavingMs: byEndpoint(endpoints, ({lastAfterLeavingMs}) => lastAfterLeavingMs),
 			refused,
 		}),
--- a/packages/bench/src/edge/scenarios.ts
+++ b/packages/bench/src/edge/scenarios.ts
@@ -1,5 +1,6 @@
 import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {
+	CONNECTIONS,
 	GOAL_FAIR_SHARE,
 	GOAL_GOODPUT_RATIO,
 	GOAL_LEAVING_MS,
@@ -168,6 +169,7 @@
 		const fairness = await measureFairness(edge, peak, lifecycle, quick);
 		const leaving = await measureLeaving(platform, callers);
 		const faults = await runFaults(platform, edge, callers, quick ? 7000 : 20_000);
+		const {peakConnections} = await platform.tell({kind: 'stats'});
 		return [
 			...figures,
 			fairness,
@@ -176,6 +178,7 @@
 			atMost('at-most-once requests that ran twice', faults.duplicates, 0),
 			atMost('requests lost or with a false verdict', faults.losses, 0),
 			atMost("answers of another caller's request", faults.mismatched, 0),
+			atMost('most connections to one endpoint', Math.max(...Object.values(peakConnections)), CONNECTIONS),
 			fact('at-most-once requests without their answer', faults.uncertain, ''),
 		];
 	});
--- a/packages/bench/src/edge/types.ts
+++ b/packages/bench/src/edge/types.ts
@@ -27,6 +27,8 @@
 	elapsedMs: number;
 	/** Most requests that ran at the same time, by endpoint. */
 	peak: Readonly<Record<string, number>>;
+	/** Most connections that were open at the same time, by endpoint. */
+	peakConnections: Readonly<Record<string, number>>;
 	/** Time of the last request taken after the first sign of leaving, by endpoint. */
 	lastAfterLeavingMs: Readonly<Record<string, number>>;
 	refused: number;
