--- a/packages/caller/src/admission.ts
+++ b/packages/caller/src/admission.ts
@@ -1,15 +1,8 @@
 import type {Dispatcher, Reservation} from '@bergamotgauge/endpoint';
 import {ServiceError, type Customer, type Service, type Urgency} from '@bergamotgauge/model';
 import type {Metrics} from '@bergamotgauge/telemetry';
-import {
-	DEADLINE_RESERVE,
-	DEFAULT_RUN_MS,
-	MAX_QUEUE_AGE_MS,
-	MAX_QUEUED_REQUESTS,
-	MIN_RETRY_AFTER_MS,
-	RUN_TIME_DEVIATIONS,
-	RUN_TIME_SMOOTHING,
-} from './constants.js';
+import {MAX_QUEUE_AGE_MS, MAX_QUEUED_REQUESTS, MIN_RETRY_AFTER_MS} from './constants.js';
+import {createRunTimes} from './run-times.js';
 
 const RANK: Readonly<Record<Urgency, number>> = {urgent: 0, normal: 1, batch: 2};
 
@@ -29,8 +22,6 @@
 	refuse: (error: ServiceError) => void;
 }>;
 
-type RunTime = Readonly<{meanMs: number; deviationMs: number}>;
-
 type Account = {
 	customer: Customer;
 	inProgress: number;
@@ -84,7 +75,7 @@
 	maxQueued?: number;
 }>): Admission => {
 	const accounts = new Map<string, Account>();
-	const runTimes = new Map<string, RunTime>();
+	const {meanRunMs, reserveMs, noteRun} = createRunTimes();
 	const peaks = new Map<string, number>();
 	const waiting = new Map<string, number>();
 	let virtualTime = 0;
@@ -116,25 +107,6 @@
 		peaks.set(service.name, Math.max(peaks.get(service.name) ?? 0, demand));
 	};
 
-	const meanRunMs = (service: Service): number => runTimes.get(service.name)?.meanMs ?? DEFAULT_RUN_MS;
-
-	/** Time that nearly all runs keep to. */
-	const longRunMs = (service: Service): number =>
-		meanRunMs(service) + RUN_TIME_DEVIATIONS * (runTimes.get(service.name)?.deviationMs ?? 0);
-
-	/** Time before its deadline at which a waiting request is given up. It is at most half of the deadline, so that a high estimate cannot refuse every request and so never be corrected. */
-	const reserveMs = ({service, deadlineMs}: Candidate): number =>
-		Math.min(deadlineMs / 2, longRunMs(service) + deadlineMs * DEADLINE_RESERVE);
-
-	const noteRun = (service: Service, tookMs: number) => {
-		const last = runTimes.get(service.name) ?? {meanMs: tookMs, deviationMs: 0};
-		const error = tookMs - last.meanMs;
-		runTimes.set(service.name, {
-			meanMs: last.meanMs + error * RUN_TIME_SMOOTHING,
-			deviationMs: last.deviationMs + (Math.abs(error) - last.deviationMs) * RUN_TIME_SMOOTHING,
-		});
-	};
-
 	/** Time until a request that arrives now would start, by the customer's part of the slots in use. */
 	const expectedWaitMs = (account: Account, candidate: Candidate): number => {
 		const ahead = account.queue.filter(
