--- a/packages/bench/src/edge/baseline-process.ts
+++ b/packages/bench/src/edge/baseline-process.ts
@@ -7,6 +7,10 @@
 
 /** A bare pass-through: express reads the body, undici sends it to the endpoints in turn. */
 const pools = process.argv.slice(2).map((address) => new Pool(`http://${address}`, {connections: CONNECTIONS}));
+// A bench that fails must not leave this process behind.
+process.once('disconnect', () => {
+	process.exit();
+});
 let turn = 0;
 const app = express();
 app.use(express.raw({type: () => true}), async (request, response) => {
--- a/packages/bench/src/edge/instance-process.ts
+++ b/packages/bench/src/edge/instance-process.ts
@@ -4,4 +4,8 @@
 
 const settings = checkSettings(JSON.parse(process.argv[2]!) as Readonly<Record<string, unknown>>);
 const {address, peerAddress} = await startInstance(settings, createSilentLog());
+// A bench that fails must not leave this process behind.
+process.once('disconnect', () => {
+	process.exit();
+});
 process.send!({ready: {address, peerAddress}});
--- a/packages/bench/src/edge/platform-process.ts
+++ b/packages/bench/src/edge/platform-process.ts
@@ -180,4 +180,8 @@
 	process.send!({ready});
 };
 
+// A bench that fails must not leave this process behind.
+process.once('disconnect', () => {
+	process.exit();
+});
 await run(Number(process.argv[2]));
