--- a/packages/caller/src/admission.ts
+++ b/packages/caller/src/admission.ts
@@ -1,13 +1,8 @@
 import type {Dispatcher, Reservation} from '@bergamotgauge/endpoint';
 import {ServiceError, type Customer, type Service, type Urgency} from '@bergamotgauge/model';
 import type {Metrics} from '@bergamotgauge/telemetry';
-import {
-	DEFAULT_RUN_MS,
-	MAX_QUEUE_AGE_MS,
-	MAX_QUEUED_REQUESTS,
-	MIN_RETRY_AFTER_MS,
-	RUN_TIME_SMOOTHING,
-} from './constants.js';
+import {MAX_QUEUE_AGE_MS, MAX_QUEUED_REQUESTS, MIN_RETRY_AFTER_MS} from './constants.js';
+import {createRunTimes} from './run-times.js';
 
 const RANK: Readonly<Record<Urgency, number>> = {urgent: 0, normal: 1, batch: 2};
 
@@ -80,7 +75,7 @@
 	maxQueued?: number;
 }>): Admission => {
 	const accounts = new Map<string, Account>();
-	const runMs = new Map<string, number>();
+	const {meanRunMs, reserveMs, noteRun} = createRunTimes();
 	const peaks = new Map<string, number>();
 	const waiting = new Map<string, number>();
 	let virtualTime = 0;
@@ -112,8 +107,6 @@
 		peaks.set(service.name, Math.max(peaks.get(service.name) ?? 0, demand));
 	};
 
-	const runTimeOf = (service: Service): number => runMs.get(service.name) ?? DEFAULT_RUN_MS;
-
 	/** Time until a request that arrives now would start, by the customer's part of the slots in use. */
 	const expectedWaitMs = (account: Account, candidate: Candidate): number => {
 		const ahead = account.queue.filter(
@@ -123,7 +116,7 @@
 		const weights = busy.reduce((sum, {customer}) => sum + customer.weight, 0) || account.customer.weight;
 		const slots = Math.max(1, dispatcher.usedBy(candidate.service));
 		const part = Math.min(account.customer.quota.concurrentRequests, (slots * account.customer.weight) / weights);
-		return ahead === 0 ? 0 : (ahead / Math.max(part, 0.1)) * runTimeOf(candidate.service);
+		return ahead === 0 ? 0 : (ahead / Math.max(part, 0.1)) * meanRunMs(candidate.service);
 	};
 
 	const refusal = (
@@ -166,9 +159,7 @@
 
 				isDone = true;
 				account.inProgress -= 1;
-				const {name} = candidate.service;
-				const last = runMs.get(name) ?? performance.now() - startedMs;
-				runMs.set(name, last + (performance.now() - startedMs - last) * RUN_TIME_SMOOTHING);
+				noteRun(candidate.service, performance.now() - startedMs);
 				reservation.release();
 				pump();
 			},
@@ -257,7 +248,7 @@
 			throw refusal('over-quota', `customer ${name} has ${account.queue.length} waiting requests, its quota`, waitMs);
 		}
 
-		if (waitMs + runTimeOf(candidate.service) > candidate.deadlineMs || waitMs > MAX_QUEUE_AGE_MS) {
+		if (waitMs + reserveMs(candidate) > candidate.deadlineMs || waitMs > MAX_QUEUE_AGE_MS) {
 			throw refusal('overloaded', `no slot is expected within the deadline of ${candidate.deadlineMs} ms`, waitMs);
 		}
 	};
@@ -265,7 +256,7 @@
 	const enqueue = async (account: Account, candidate: Candidate, signal: AbortSignal): Promise<Admitted> =>
 		new Promise((resolve, reject) => {
 			const rank = RANK[candidate.urgency];
-			const limitMs = Math.min(MAX_QUEUE_AGE_MS, candidate.deadlineMs - runTimeOf(candidate.service));
+			const limitMs = Math.min(MAX_QUEUE_AGE_MS, candidate.deadlineMs - reserveMs(candidate));
 			const leave = (error: ServiceError) => {
 				if (remove(account, entry)) {
 					entry.refuse(error);
