--- a/packages/instance/src/job-store.ts
+++ b/packages/instance/src/job-store.ts
@@ -110,7 +110,8 @@
 	};
 
 	const refresh = async (job: string): Promise<void> => {
-		if (get(job) || !isRecentJob(job, Date.now())) {
+		const isKnown = get(job) !== undefined;
+		if (isKnown || !isRecentJob(job, Date.now())) {
 			return;
 		}
 
