--- a/packages/instance/src/constants.ts
+++ b/packages/instance/src/constants.ts
@@ -50,3 +50,9 @@
 
 /** Peers that are asked for a generation which this instance does not keep. */
 export const BASE_PEERS = 3;
+
+/** Pause of the first watcher after changes. Without it each write costs one call of each watcher. */
+export const WATCH_PAUSE_MS = 20;
+
+/** Pause of the second watcher, which only makes up for a failed first one. */
+export const STANDBY_WATCH_PAUSE_MS = 250;
--- a/packages/instance/src/replication.ts
+++ b/packages/instance/src/replication.ts
@@ -14,6 +14,8 @@
 	PUSH_FAN_OUT,
 	PUSH_GRACE_MS,
 	REPLICATED_PREFIXES,
+	STANDBY_WATCH_PAUSE_MS,
+	WATCH_PAUSE_MS,
 	WATCHER_COUNT,
 } from './constants.js';
 import type {Context} from './context.js';
@@ -235,6 +237,7 @@
 					prefixes: REPLICATED_PREFIXES,
 					isWatching,
 					onChanges: pushChanges,
+					pauseMs: () => (watchRank() === 0 ? WATCH_PAUSE_MS : STANDBY_WATCH_PAUSE_MS),
 					onFailure(error) {
 						metrics.count('watch_failures_total');
 						log.warn('watch-failed', {error: error.message});
--- a/packages/peer/src/constants.ts
+++ b/packages/peer/src/constants.ts
@@ -47,3 +47,6 @@
 export const MAX_PENDING_CALLS = 10_000;
 
 export const ANTI_ENTROPY_INTERVAL_MS = 2000;
+
+/** Scores kept for rendezvous hashing; racks and shards times members. */
+export const MAX_CACHED_SCORES = 100_000;
--- a/packages/peer/src/membership.ts
+++ b/packages/peer/src/membership.ts
@@ -57,6 +57,7 @@
 type Peer = {
 	entry: MemberEntry;
 	link: PeerLink;
+	readonly ringDistance: number;
 	isListed: boolean;
 	/** Start of the heartbeats to this peer, while it is one of the fixed targets. */
 	watchedSinceMs: number | undefined;
@@ -79,6 +80,9 @@
 	const events = new Emittery<MembershipEvents>();
 	const queue = createUpdateQueue();
 	let lastOwners = '';
+	let targets: readonly Peer[] = [];
+	/** Other instances that may own work; undefined after a change of the members. */
+	let otherOwners: readonly string[] | undefined;
 	let beat = 0;
 	let incarnation = 0;
 	let isSuperseded = false;
@@ -92,8 +96,11 @@
 
 	const owners = (): readonly string[] => {
 		const own = self();
-		const others = [...peers.values()].filter(({entry}) => canOwn(entry)).map(({entry}) => entry.id);
-		return (own.state === 'live' && !isSuperseded ? [...others, own.id] : others).toSorted();
+		otherOwners ??= [...peers.values()]
+			.filter(({entry}) => canOwn(entry))
+			.map(({entry}) => entry.id)
+			.toSorted();
+		return own.state === 'live' && !isSuperseded ? [...otherOwners, own.id].toSorted() : otherOwners;
 	};
 
 	const announceChange = () => {
@@ -110,6 +117,7 @@
 		const peer: Peer = {
 			entry: newEntry(id, address, Date.now()),
 			link: createPeerLink(address),
+			ringDistance: (hash48(id) - hash48(self().id) + 2 ** 48) % 2 ** 48,
 			isListed: false,
 			watchedSinceMs: undefined,
 		};
@@ -127,6 +135,10 @@
 			peer.link = createPeerLink(entry.address);
 		}
 
+		if (canOwn(entry) !== canOwn(peer.entry)) {
+			otherOwners = undefined;
+		}
+
 		peer.entry = entry;
 		if (isNews) {
 			queue.add(entry.id);
@@ -215,15 +227,13 @@
 		return {...ownHeartbeat(), updates: updatesOf(ids)};
 	};
 
-	const ringTargets = (): readonly Peer[] => {
-		const ownHash = hash48(self().id);
-		return [...peers.values()]
+	const ringTargets = (): readonly Peer[] =>
+		[...peers.values()]
 			.filter(({entry}) => entry.health !== 'dead')
-			.map((peer) => ({peer, distance: (hash48(peer.entry.id) - ownHash + 2 ** 48) % 2 ** 48}))
-			.toSorted((a, b) => a.distance - b.distance)
-			.slice(0, HEARTBEAT_TARGETS)
-			.map(({peer}) => peer);
-	};
+			.toSorted((a, b) => a.ringDistance - b.ringDistance)
+			.slice(0, HEARTBEAT_TARGETS);
+
+	const ringTarget = (index: number) => (): Peer | undefined => targets[index];
 
 	const randomTarget = (): Peer | undefined => {
 		const others = [...peers.values()].filter(({watchedSinceMs}) => watchedSinceMs === undefined);
@@ -254,12 +264,14 @@
 	};
 
 	const check = (nowMs: number) => {
-		const targets = new Set(ringTargets());
+		targets = ringTargets();
+		const watched = new Set(targets);
 		for (const peer of peers.values()) {
-			peer.watchedSinceMs = targets.has(peer) ? (peer.watchedSinceMs ?? nowMs) : undefined;
+			peer.watchedSinceMs = watched.has(peer) ? (peer.watchedSinceMs ?? nowMs) : undefined;
 			store(peer, mergeSilence(peer.entry, peer.watchedSinceMs, nowMs));
 			if (!peer.isListed && isForgettable(peer.entry, nowMs)) {
 				peers.delete(peer.entry.id);
+				otherOwners = undefined;
 				peer.link.reset('the peer was removed');
 			}
 		}
@@ -298,7 +310,7 @@
 	};
 
 	for (let index = 0; index < HEARTBEAT_TARGETS; index += 1) {
-		lifecycle.run(`heartbeats-${index}`, async (signal) => runProbes(() => ringTargets()[index], signal));
+		lifecycle.run(`heartbeats-${index}`, async (signal) => runProbes(ringTarget(index), signal));
 	}
 
 	lifecycle.run('heartbeats-random', async (signal) => runProbes(randomTarget, signal));
--- a/packages/peer/src/ownership.ts
+++ b/packages/peer/src/ownership.ts
@@ -1,4 +1,23 @@
 import {hash48} from '@bergamotgauge/model';
+import {MAX_CACHED_SCORES} from './constants.js';
+
+/** Scores by key and member: every loop of an instance asks for the same ones again. */
+const scores = new Map<string, number>();
+
+const scoreOf = (key: string, member: string): number => {
+	const text = `${key}/${member}`;
+	let score = scores.get(text);
+	if (score === undefined) {
+		score = hash48(text);
+		if (scores.size >= MAX_CACHED_SCORES) {
+			scores.clear();
+		}
+
+		scores.set(text, score);
+	}
+
+	return score;
+};
 
 /**
 Orders members by rendezvous hashing for a key; the first one owns the key.
@@ -10,9 +29,21 @@
 */
 export const rankMembers = (key: string, members: readonly string[]): readonly string[] =>
 	members
-		.map((member) => ({member, score: hash48(`${key}/${member}`)}))
+		.map((member) => ({member, score: scoreOf(key, member)}))
 		.toSorted((a, b) => b.score - a.score || a.member.localeCompare(b.member))
 		.map(({member}) => member);
 
 /** The member that owns a key, or undefined without members. */
-export const ownerOf = (key: string, members: readonly string[]): string | undefined => rankMembers(key, members)[0];
+export const ownerOf = (key: string, members: readonly string[]): string | undefined => {
+	let owner: string | undefined;
+	let best = -1;
+	for (const member of members) {
+		const score = scoreOf(key, member);
+		if (score > best || (score === best && owner !== undefined && member.localeCompare(owner) < 0)) {
+			owner = member;
+			best = score;
+		}
+	}
+
+	return owner;
+};
--- a/packages/platform/src/circuit-breaker.test.ts
+++ b/packages/platform/src/circuit-breaker.test.ts
@@ -11,14 +11,14 @@
 	});
 	const breaker = createCircuitBreaker(() => 0.5);
 	for (let index = 0; index < BREAKER_FAILURES; index += 1) {
-		t.equal(breaker.state(), 'closed');
+		t.equal(breaker.admit(), 'closed');
 		breaker.failed();
 	}
 
 	let probes = 0;
 	for (let elapsedMs = 0; elapsedMs < 3_600_000; elapsedMs += 100) {
 		clock.tick(100);
-		if (breaker.state() === 'probe') {
+		if (breaker.admit() === 'probe') {
 			probes += 1;
 			breaker.failed();
 		}
@@ -26,7 +26,8 @@
 
 	t.ok(probes <= 3_600_000 / (BREAKER_MAX_MS / 2), `${probes} probes`);
 	clock.tick(BREAKER_MAX_MS);
-	t.equal(breaker.state(), 'probe');
+	t.equal(breaker.admit(), 'probe');
+	t.equal(breaker.admit(), 'open', 'one probe at a time');
 	breaker.succeeded();
-	t.equal(breaker.state(), 'closed');
+	t.equal(breaker.admit(), 'closed');
 });
--- a/packages/platform/src/circuit-breaker.ts
+++ b/packages/platform/src/circuit-breaker.ts
@@ -1,10 +1,10 @@
 import {createBackoff} from '@bergamotgauge/lifecycle';
-import {BREAKER_FAILURES, BREAKER_MAX_MS, BREAKER_MIN_MS} from './constants.js';
+import {BREAKER_FAILURES, BREAKER_MAX_MS, BREAKER_MIN_MS, STORE_DEADLINE_MS} from './constants.js';
 
 /** Refuses calls while the store fails, and lets one probe through at a time. */
 export type CircuitBreaker = Readonly<{
-	/** `probe` admits a read only; a write waits until a read has succeeded. */
-	state: () => 'closed' | 'open' | 'probe';
+	/** Asks to make a call. `probe` admits one read only; a write waits until that read has succeeded. */
+	admit: () => 'closed' | 'open' | 'probe';
 	succeeded: () => void;
 	failed: () => void;
 }>;
@@ -15,7 +15,7 @@
 @example
 ```ts
 const breaker = createCircuitBreaker();
-if (breaker.state() === 'open') throw unavailable();
+if (breaker.admit() === 'open') throw unavailable();
 ```
 */
 export const createCircuitBreaker = (random?: () => number): CircuitBreaker => {
@@ -23,20 +23,29 @@
 	let backoff = createBackoff(options);
 	let failures = 0;
 	let openUntilMs = 0;
+	let probeUntilMs = 0;
 	return {
-		state() {
+		admit() {
 			if (failures < BREAKER_FAILURES) {
 				return 'closed';
 			}
 
-			return Date.now() < openUntilMs ? 'open' : 'probe';
+			const nowMs = Date.now();
+			if (nowMs < openUntilMs || nowMs < probeUntilMs) {
+				return 'open';
+			}
+
+			probeUntilMs = nowMs + STORE_DEADLINE_MS;
+			return 'probe';
 		},
 		succeeded() {
 			failures = 0;
+			probeUntilMs = 0;
 			backoff = createBackoff(options);
 		},
 		failed() {
 			failures += 1;
+			probeUntilMs = 0;
 			if (failures >= BREAKER_FAILURES && Date.now() >= openUntilMs) {
 				openUntilMs = Date.now() + backoff.next();
 			}
--- a/packages/platform/src/constants.ts
+++ b/packages/platform/src/constants.ts
@@ -12,7 +12,11 @@
 export const VALUE_SCHEMA_VERSION = 1;
 
 /** Writes of one key that a group commit tries before it gives up on conflicts. */
-export const GROUP_COMMIT_ATTEMPTS = 10;
+export const GROUP_COMMIT_ATTEMPTS = 20;
+
+export const CONFLICT_PAUSE_MIN_MS = 4;
+
+export const CONFLICT_PAUSE_MAX_MS = 250;
 
 export const GROUP_COMMIT_MAX_WAITING = 20_000;
 
--- a/packages/platform/src/group-commit.ts
+++ b/packages/platform/src/group-commit.ts
@@ -1,5 +1,8 @@
+import {sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError} from '@bergamotgauge/model';
 import {
+	CONFLICT_PAUSE_MAX_MS,
+	CONFLICT_PAUSE_MIN_MS,
 	GROUP_COMMIT_ATTEMPTS,
 	GROUP_COMMIT_MAX_BATCH,
 	GROUP_COMMIT_MAX_WAITING,
@@ -163,6 +166,8 @@
 			}
 
 			current = result.current;
+			// Without a random pause the writers of one key meet again at the next attempt.
+			await sleep(Math.random() * Math.min(CONFLICT_PAUSE_MAX_MS, CONFLICT_PAUSE_MIN_MS * 2 ** attempt));
 		}
 
 		throw contended(key);
--- a/packages/platform/src/store-client.test.ts
+++ b/packages/platform/src/store-client.test.ts
@@ -1,7 +1,8 @@
+import {sleep} from '@bergamotgauge/lifecycle';
 import {startStore, type StoreStandIn} from '@bergamotgauge/standins';
 import {createMetrics} from '@bergamotgauge/telemetry';
 import t, {type Test} from 'tap';
-import {createGroupCommit, createOperationHistory, createStoreClient, type Store} from './index.js';
+import {createGroupCommit, createOperationHistory, createStoreClient, type Entry, type Store} from './index.js';
 
 const start = async (t: Test): Promise<Readonly<{standIn: StoreStandIn; store: Store; other: Store}>> => {
 	const standIn = await startStore();
@@ -58,9 +59,7 @@
 	standIn.faults.loseAnswers = true;
 	const lost = store.put('k', 'first', 0);
 	while ((standIn.calls.put ?? 0) === 0) {
-		await new Promise((resolve) => {
-			setTimeout(resolve, 1);
-		});
+		await sleep(1);
 	}
 
 	standIn.faults.loseAnswers = false;
@@ -101,9 +100,7 @@
 	t.ok(Date.now() - startedMs < 100, 'the refusal is immediate');
 	t.equal(standIn.calls.put ?? 0, putsBefore);
 	standIn.faults.outage = false;
-	await new Promise((resolve) => {
-		setTimeout(resolve, 600);
-	});
+	await sleep(600);
 	t.match(await store.put('k', 1, 0), {outcome: 'applied'});
 });
 
@@ -162,3 +159,31 @@
 	t.equal(await increment(), 2);
 	t.equal(await valueOf(store, 'k'), 2);
 });
+
+// Guards against submissions refused as contended when all instances submit jobs of one shard at the same time.
+await t.test('nine writers of one key all get their changes stored', async (t) => {
+	const {standIn} = await start(t);
+	standIn.faults.latencyMs = 5;
+	const writers = Array.from({length: 9}, () => {
+		const client = createStoreClient({url: `http://${standIn.address}`, metrics: createMetrics()});
+		let known: Entry<unknown> = {key: 'k', revision: 0, value: undefined};
+		return createGroupCommit<number>({
+			store: client,
+			key: 'k',
+			empty: 0,
+			known: () => known,
+			onWritten(entry) {
+				known = entry;
+			},
+		});
+	});
+	const changes = writers.flatMap((writer) =>
+		Array.from({length: 5}, async (_, index) => {
+			await sleep(index * 10);
+			return writer.submit((value) => ({value: value + 1, result: value + 1}));
+		}),
+	);
+	const results = await Promise.all(changes);
+	t.equal(new Set(results).size, 45);
+	t.equal(Math.max(...results), 45);
+});
--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -153,8 +153,7 @@
 
 	const run = async (write: Write): Promise<WriteResult> => {
 		try {
-			transport.assertAvailable();
-			if (transport.needsProbe()) {
+			if (transport.admit()) {
 				await transport.send('get', pathOf(write.key));
 			}
 		} catch (error) {
@@ -206,14 +205,15 @@
 		remove: async (key, expectedRevision) => write('remove', key, undefined, expectedRevision),
 		watch: async (prefixes, afterRevision, waitMs, signal) =>
 			orUnavailable(async () => {
-				transport.assertAvailable();
+				// A probe must answer at once; the next watch waits again.
+				const limitedMs = transport.admit() ? 0 : waitMs;
 				const query = new URLSearchParams({
 					prefixes: prefixes.join(','),
 					after: String(afterRevision),
-					waitMs: String(waitMs),
+					waitMs: String(limitedMs),
 				});
 				const path = `/v1/watch?${query.toString()}`;
-				return decodeChanges(await transport.send('watch', path, {limitMs: waitMs + WATCH_GRACE_MS, signal}));
+				return decodeChanges(await transport.send('watch', path, {limitMs: limitedMs + WATCH_GRACE_MS, signal}));
 			}),
 	};
 };
--- a/packages/platform/src/transport.ts
+++ b/packages/platform/src/transport.ts
@@ -22,10 +22,8 @@
 	send: (kind: StoreCall, path: string, options?: CallOptions) => Promise<Reply>;
 	/** A read, repeated within the retry budget. */
 	read: (kind: StoreCall, path: string, options?: CallOptions) => Promise<Reply>;
-	/** Throws `store-unavailable` while the circuit breaker is open. */
-	assertAvailable: () => void;
-	/** Whether a read has to succeed before a write is sent. */
-	needsProbe: () => boolean;
+	/** Throws `store-unavailable` while the circuit breaker is open. Tells whether this call is its probe, which must be a read. */
+	admit: () => boolean;
 	/** Takes one retry from the budget and waits for its delay. */
 	takeRetry: (delayMs: number) => Promise<boolean>;
 }>;
@@ -101,10 +99,13 @@
 		}
 	};
 
-	const assertAvailable = () => {
-		if (breaker.state() === 'open') {
+	const admit = (): boolean => {
+		const admission = breaker.admit();
+		if (admission === 'open') {
 			throw unavailable(new Error('the circuit breaker is open'));
 		}
+
+		return admission === 'probe';
 	};
 
 	const takeRetry = async (delayMs: number): Promise<boolean> => {
@@ -119,14 +120,13 @@
 
 	return {
 		send,
-		assertAvailable,
-		needsProbe: () => breaker.state() === 'probe',
+		admit,
 		takeRetry,
 		async read(kind, path, options) {
 			budget.deposit();
 			const delays = createRetryDelays();
 			for (let attempt = 1; ; attempt += 1) {
-				assertAvailable();
+				admit();
 				try {
 					return await send(kind, path, options);
 				} catch (error) {
--- a/packages/platform/src/watcher.ts
+++ b/packages/platform/src/watcher.ts
@@ -14,6 +14,8 @@
 	/** Called with each set of changes that the watch delivers and the revision after which they start. */
 	onChanges: (changes: Changes, afterRevision: number) => void;
 	onFailure?: (error: Error) => void;
+	/** Pause after changes; those that arrive meanwhile come with one call. */
+	pauseMs?: () => number;
 	signal: AbortSignal;
 }>;
 
@@ -51,7 +53,7 @@
 ```
 */
 export const runWatcher = async (options: WatcherOptions): Promise<void> => {
-	const {replica, isWatching, onChanges, onFailure, signal} = options;
+	const {replica, isWatching, onChanges, onFailure, pauseMs, signal} = options;
 	const newBackoff = () => createBackoff({minMs: WATCH_RETRY_MIN_MS, maxMs: WATCH_RETRY_MAX_MS});
 	let backoff = newBackoff();
 	let isListed = false;
@@ -68,6 +70,9 @@
 			backoff = newBackoff();
 			replica.apply(changes);
 			onChanges(changes, afterRevision);
+			if (pauseMs && changes.entries.length > 0) {
+				await sleep(pauseMs(), signal);
+			}
 		} catch (error) {
 			if (signal.aborted) {
 				return;
