Halve the idle traffic of membership and merge the list by role

Changes of 64 generations filled every heartbeat with eight updates of about 170 bytes; one takeover after SIGKILL took 4.8 s, because the death waited behind them. An answer of the list without any endpoint was taken as plausible as long as half of all entries remained.

Change: two ring targets instead of three, six updates as arrays without field names, and changes of health or state first. The list is judged by role, and a failed reading is followed by the next after the usual interval.

--- a/packages/bench/src/control/main.ts
+++ b/packages/bench/src/control/main.ts
@@ -118,7 +118,9 @@
 		return points;
 	});
 
-const run = async (isQuick: boolean, file: string | undefined): Promise<void> => {
+type Options = Readonly<{quick?: boolean; json?: string; sizes?: string}>;
+
+const run = async ({quick: isQuick = false, json: file, sizes}: Options): Promise<void> => {
 	const plan = isQuick ? QUICK : FULL;
 	const points: Point[] = [];
 	const save = (): Report => {
@@ -130,16 +132,19 @@
 		return report;
 	};
 
-	for (const size of isQuick ? QUICK_SIZES : FULL_SIZES) {
+	const chosen = sizes?.split(',').map(Number);
+	for (const size of chosen ?? (isQuick ? QUICK_SIZES : FULL_SIZES)) {
 		note(`${size} instances`);
 		points.push(...(await measureSize(size, plan)));
 		save();
 	}
 
-	note('racks and jobs');
-	points.push(
-		...(await measureRacksAndJobs(isQuick ? QUICK_RACKS : FULL_RACKS, isQuick ? QUICK_JOBS : FULL_JOBS, plan)),
-	);
+	if (!chosen) {
+		note('racks and jobs');
+		const [racks, jobs] = isQuick ? [QUICK_RACKS, QUICK_JOBS] : [FULL_RACKS, FULL_JOBS];
+		points.push(...(await measureRacksAndJobs(racks, jobs, plan)));
+	}
+
 	const {slopes, goals} = save();
 	printReport(points, slopes, goals);
 };
@@ -147,7 +152,8 @@
 const program = new Command('bench:control')
 	.description('Measure the control traffic between instances and the store')
 	.option('--quick', 'small sizes, within a minute')
+	.option('--sizes <counts>', 'comma-separated fleet sizes; leaves out the slopes over racks and jobs')
 	.option('--json <file>', 'write the raw points, slopes and goals as JSON')
-	.action(async ({quick, json}: Readonly<{quick?: boolean; json?: string}>) => run(quick ?? false, json));
+	.action(run);
 
 await program.parseAsync();
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -59,7 +59,12 @@
 		metrics,
 		store: createStoreClient({url: settings.storeUrl, metrics, history}),
 		replica,
-		list: createInstanceList({url: settings.instanceListUrl}),
+		list: createInstanceList({
+			url: settings.instanceListUrl,
+			onFailure(error) {
+				log.warn('instance-list-failed', {error: error.message});
+			},
+		}),
 		membership: createMembership({self: heartbeat, lifecycle, log}),
 		state: () => status.state,
 		publish(entry) {
--- a/packages/peer/src/constants.ts
+++ b/packages/peer/src/constants.ts
@@ -17,8 +17,8 @@
 /** The last answer is at most one interval older than the heartbeat that fails. */
 export const HEARTBEAT_DEADLINE_MS = LINK_SILENT_MS - HEARTBEAT_INTERVAL_MS;
 
-/** Next instances on the ring to which one instance sends heartbeats; one random other is added. */
-export const HEARTBEAT_TARGETS = 3;
+/** Next instances on the ring to which one instance sends heartbeats; one random other is added. With two, a member that fails together with one of its observers is still observed. */
+export const HEARTBEAT_TARGETS = 2;
 
 export const MEMBER_CHECK_MS = 250;
 
@@ -26,7 +26,7 @@
 export const PAUSE_MS = 1000;
 
 /** Changed members in one heartbeat; bounds its size. */
-export const MAX_UPDATES = 8;
+export const MAX_UPDATES = 6;
 
 /** Members that an instance which starts gets with the first answer. */
 export const MAX_JOIN_UPDATES = 200;
--- a/packages/peer/src/membership.ts
+++ b/packages/peer/src/membership.ts
@@ -22,6 +22,7 @@
 } from './member-table.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import type {Heartbeat, HeartbeatMessage, Member, MemberUpdate} from './types.js';
+import {packUpdate, unpackUpdate} from './update-codec.js';
 import {createUpdateQueue} from './update-queue.js';
 
 export type MembershipEvents = {
@@ -135,13 +136,14 @@
 			peer.link = createPeerLink(entry.address);
 		}
 
+		const isUrgent = entry.health !== peer.entry.health || entry.heartbeat?.state !== peer.entry.heartbeat?.state;
 		if (canOwn(entry) !== canOwn(peer.entry)) {
 			otherOwners = undefined;
 		}
 
 		peer.entry = entry;
 		if (isNews) {
-			queue.add(entry.id);
+			queue.add(entry.id, isUrgent);
 		}
 	};
 
@@ -169,7 +171,7 @@
 			hearOwnId(heartbeat);
 			if (update.health !== 'alive' && heartbeat.incarnation === own.incarnation) {
 				beat = Math.max(beat, heartbeat.beat) + 1;
-				queue.add(own.id);
+				queue.add(own.id, true);
 			}
 
 			return;
@@ -195,7 +197,7 @@
 		}
 
 		for (const update of updates) {
-			takeUpdate(update);
+			takeUpdate(unpackUpdate(update));
 		}
 
 		announceChange();
@@ -223,8 +225,9 @@
 			ids.add([...peers.keys()][refreshIndex]!);
 		}
 
+		// The message carries the sender's own heartbeat anyway.
 		ids.delete(self().id);
-		return {...ownHeartbeat(), updates: updatesOf(ids)};
+		return {...ownHeartbeat(), updates: updatesOf(ids).map((update) => packUpdate(update))};
 	};
 
 	const ringTargets = (): readonly Peer[] =>
@@ -283,6 +286,7 @@
 		await sleep(0, signal);
 		let lastMs = Date.now();
 		let lastOwn = '';
+		let lastState = '';
 		while (!signal.aborted) {
 			const nowMs = Date.now();
 			const pausedMs = nowMs - lastMs - MEMBER_CHECK_MS;
@@ -298,10 +302,11 @@
 			lastMs = nowMs;
 			beat += 1;
 			const {state, generation, workersDown} = self();
-			const own = `${state}/${generation}/${workersDown.join(',')}`;
-			if (own !== lastOwn) {
+			const own = `${generation}/${workersDown.join(',')}`;
+			if (own !== lastOwn || state !== lastState) {
+				queue.add(self().id, state !== lastState);
 				lastOwn = own;
-				queue.add(self().id);
+				lastState = state;
 			}
 
 			check(nowMs);
--- a/packages/peer/src/types.ts
+++ b/packages/peer/src/types.ts
@@ -1,3 +1,5 @@
+import type {WireUpdate} from './update-codec.js';
+
 /** One message on a connection between instances. */
 export type Frame =
 	| Readonly<{kind: 'request'; id: number; method: string; body: unknown}>
@@ -38,7 +40,7 @@
 }>;
 
 /** A heartbeat with what its sender knows of other instances. */
-export type HeartbeatMessage = Heartbeat & Readonly<{updates: readonly MemberUpdate[]}>;
+export type HeartbeatMessage = Heartbeat & Readonly<{updates: readonly WireUpdate[]}>;
 
 /** What one instance says of another one. */
 export type MemberUpdate = Readonly<{
--- a/packages/peer/src/update-queue.ts
+++ b/packages/peer/src/update-queue.ts
@@ -2,8 +2,9 @@
 
 /** Ids of members whose state the other instances should learn. */
 export type UpdateQueue = Readonly<{
-	add: (id: string) => void;
-	/** Ids for one message, the least often sent first. */
+	/** A change of health or state is urgent: it goes before changes of the other fields. */
+	add: (id: string, isUrgent: boolean) => void;
+	/** Ids for one message, urgent ones and then the least often sent first. */
 	take: (memberCount: number) => readonly string[];
 }>;
 
@@ -12,32 +13,30 @@
 
 @example
 ```ts
-queue.add('q3');
+queue.add('q3', true);
 const ids = queue.take(9);
 ```
 */
 export const createUpdateQueue = (): UpdateQueue => {
-	const sends = new Map<string, number>();
+	const waiting = new Map<string, Readonly<{sends: number; isUrgent: boolean}>>();
 	return {
-		add(id) {
-			sends.set(id, 0);
+		add(id, isUrgent) {
+			waiting.set(id, {sends: 0, isUrgent: isUrgent || waiting.get(id)?.isUrgent === true});
 		},
 		take(memberCount) {
 			const limit = 2 * Math.ceil(Math.log2(memberCount + 2));
-			const ids = [...sends]
-				.toSorted(([, a], [, b]) => a - b)
-				.slice(0, MAX_UPDATES)
-				.map(([id]) => id);
-			for (const id of ids) {
-				const count = sends.get(id)! + 1;
-				if (count >= limit) {
-					sends.delete(id);
+			const taken = [...waiting]
+				.toSorted(([, a], [, b]) => Number(b.isUrgent) - Number(a.isUrgent) || a.sends - b.sends)
+				.slice(0, MAX_UPDATES);
+			for (const [id, {sends, isUrgent}] of taken) {
+				if (sends + 1 >= limit) {
+					waiting.delete(id);
 				} else {
-					sends.set(id, count);
+					waiting.set(id, {sends: sends + 1, isUrgent});
 				}
 			}
 
-			return ids;
+			return taken.map(([id]) => id);
 		},
 	};
 };
--- a/packages/platform/src/instance-list.ts
+++ b/packages/platform/src/instance-list.ts
@@ -6,6 +6,12 @@
 
 export type InstanceListEvents = {changed: readonly ListedInstance[]};
 
+export type InstanceListOptions = Readonly<{
+	url: string;
+	/** Called when a reading fails; the next one follows after the usual interval. */
+	onFailure?: (error: Error) => void;
+}>;
+
 /** The platform's list as last seen. */
 export type InstanceList = Readonly<{
 	current: () => readonly ListedInstance[];
@@ -16,8 +22,15 @@
 	events: Emittery<InstanceListEvents>;
 }>;
 
+const mergeRole = (known: readonly ListedInstance[], reading: readonly ListedInstance[]): readonly ListedInstance[] => {
+	const ids = new Set(reading.map(({id}) => id));
+	const missing = known.filter(({id}) => !ids.has(id));
+	const kept = known.length - missing.length;
+	return kept < known.length * PLAUSIBLE_LIST_SHARE ? [...reading, ...missing] : reading;
+};
+
 /**
-Merges a new reading into the known list. A reading that lost more than half of the entries keeps the missing ones, because the list service can answer with an empty or partial list.
+Merges a new reading into the known list. A reading that lost more than half of the entries of a role keeps the missing ones, because the list service can answer with an empty or partial list, also for one role alone.
 
 @example
 ```ts
@@ -28,10 +41,13 @@
 	known: readonly ListedInstance[],
 	reading: readonly ListedInstance[],
 ): readonly ListedInstance[] => {
-	const ids = new Set(reading.map(({id}) => id));
-	const missing = known.filter(({id}) => !ids.has(id));
-	const kept = known.length - missing.length;
-	return kept < known.length * PLAUSIBLE_LIST_SHARE ? [...reading, ...missing] : reading;
+	const roles = new Set([...known, ...reading].map(({role}) => role));
+	return [...roles].flatMap((role) =>
+		mergeRole(
+			known.filter((entry) => entry.role === role),
+			reading.filter((entry) => entry.role === role),
+		),
+	);
 };
 
 /**
@@ -43,7 +59,7 @@
 lifecycle.run('instance-list', list.run);
 ```
 */
-export const createInstanceList = ({url}: Readonly<{url: string}>): InstanceList => {
+export const createInstanceList = ({url, onFailure}: InstanceListOptions): InstanceList => {
 	const events = new Emittery<InstanceListEvents>();
 	let known: readonly ListedInstance[] = [];
 	let lastText = '';
@@ -74,7 +90,12 @@
 		refresh,
 		async run(signal) {
 			while (!signal.aborted) {
-				await refresh();
+				try {
+					await refresh();
+				} catch (error) {
+					onFailure?.(error instanceof Error ? error : new Error(String(error)));
+				}
+
 				await sleep(INSTANCE_LIST_POLL_MS, signal);
 			}
 		},
