--- a/packages/instance/src/constants.ts
+++ b/packages/instance/src/constants.ts
@@ -64,3 +64,9 @@
 
 /** A job submitted within this time may be missing in a replica that follows the store. */
 export const RECENT_JOB_MS = 30_000;
+
+/** Pause of the first watcher after changes. Without it each write costs one call of each watcher. */
+export const WATCH_PAUSE_MS = 20;
+
+/** Pause of the second watcher, which only makes up for a failed first one. */
+export const STANDBY_WATCH_PAUSE_MS = 250;
--- a/packages/peer/src/membership.ts
+++ b/packages/peer/src/membership.ts
@@ -22,6 +22,7 @@
 } from './member-table.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import type {Heartbeat, HeartbeatMessage, Member, MemberUpdate} from './types.js';
+import {packUpdate, unpackUpdate} from './update-codec.js';
 import {createUpdateQueue} from './update-queue.js';
 
 export type MembershipEvents = {
@@ -57,6 +58,7 @@
 type Peer = {
 	entry: MemberEntry;
 	link: PeerLink;
+	readonly ringDistance: number;
 	isListed: boolean;
 	/** Start of the heartbeats to this peer, while it is one of the fixed targets. */
 	watchedSinceMs: number | undefined;
@@ -79,6 +81,9 @@
 	const events = new Emittery<MembershipEvents>();
 	const queue = createUpdateQueue();
 	let lastOwners = '';
+	let targets: readonly Peer[] = [];
+	/** Other instances that may own work; undefined after a change of the members. */
+	let otherOwners: readonly string[] | undefined;
 	let beat = 0;
 	let incarnation = 0;
 	let isSuperseded = false;
@@ -92,8 +97,11 @@
 
 	const owners = (): readonly string[] => {
 		const own = self();
-		const others = [...peers.values()].filter(({entry}) => canOwn(entry)).map(({entry}) => entry.id);
-		return (own.state === 'live' && !isSuperseded ? [...others, own.id] : others).toSorted();
+		otherOwners ??= [...peers.values()]
+			.filter(({entry}) => canOwn(entry))
+			.map(({entry}) => entry.id)
+			.toSorted();
+		return own.state === 'live' && !isSuperseded ? [...otherOwners, own.id].toSorted() : otherOwners;
 	};
 
 	const announceChange = () => {
@@ -110,6 +118,7 @@
 		const peer: Peer = {
 			entry: newEntry(id, address, Date.now()),
 			link: createPeerLink(address),
+			ringDistance: (hash48(id) - hash48(self().id) + 2 ** 48) % 2 ** 48,
 			isListed: false,
 			watchedSinceMs: undefined,
 		};
@@ -127,9 +136,14 @@
 			peer.link = createPeerLink(entry.address);
 		}
 
+		const isUrgent = entry.health !== peer.entry.health || entry.heartbeat?.state !== peer.entry.heartbeat?.state;
+		if (canOwn(entry) !== canOwn(peer.entry)) {
+			otherOwners = undefined;
+		}
+
 		peer.entry = entry;
 		if (isNews) {
-			queue.add(entry.id);
+			queue.add(entry.id, isUrgent);
 		}
 	};
 
@@ -157,7 +171,7 @@
 			hearOwnId(heartbeat);
 			if (update.health !== 'alive' && heartbeat.incarnation === own.incarnation) {
 				beat = Math.max(beat, heartbeat.beat) + 1;
-				queue.add(own.id);
+				queue.add(own.id, true);
 			}
 
 			return;
@@ -183,7 +197,7 @@
 		}
 
 		for (const update of updates) {
-			takeUpdate(update);
+			takeUpdate(unpackUpdate(update));
 		}
 
 		announceChange();
@@ -211,19 +225,18 @@
 			ids.add([...peers.keys()][refreshIndex]!);
 		}
 
+		// The message carries the sender's own heartbeat anyway.
 		ids.delete(self().id);
-		return {...ownHeartbeat(), updates: updatesOf(ids)};
+		return {...ownHeartbeat(), updates: updatesOf(ids).map((update) => packUpdate(update))};
 	};
 
-	const ringTargets = (): readonly Peer[] => {
-		const ownHash = hash48(self().id);
-		return [...peers.values()]
+	const ringTargets = (): readonly Peer[] =>
+		[...peers.values()]
 			.filter(({entry}) => entry.health !== 'dead')
-			.map((peer) => ({peer, distance: (hash48(peer.entry.id) - ownHash + 2 ** 48) % 2 ** 48}))
-			.toSorted((a, b) => a.distance - b.distance)
-			.slice(0, HEARTBEAT_TARGETS)
-			.map(({peer}) => peer);
-	};
+			.toSorted((a, b) => a.ringDistance - b.ringDistance)
+			.slice(0, HEARTBEAT_TARGETS);
+
+	const ringTarget = (index: number) => (): Peer | undefined => targets[index];
 
 	const randomTarget = (): Peer | undefined => {
 		const others = [...peers.values()].filter(({watchedSinceMs}) => watchedSinceMs === undefined);
@@ -254,12 +267,14 @@
 	};
 
 	const check = (nowMs: number) => {
-		const targets = new Set(ringTargets());
+		targets = ringTargets();
+		const watched = new Set(targets);
 		for (const peer of peers.values()) {
-			peer.watchedSinceMs = targets.has(peer) ? (peer.watchedSinceMs ?? nowMs) : undefined;
+			peer.watchedSinceMs = watched.has(peer) ? (peer.watchedSinceMs ?? nowMs) : undefined;
 			store(peer, mergeSilence(peer.entry, peer.watchedSinceMs, nowMs));
 			if (!peer.isListed && isForgettable(peer.entry, nowMs)) {
 				peers.delete(peer.entry.id);
+				otherOwners = undefined;
 				peer.link.reset('the peer was removed');
 			}
 		}
@@ -271,6 +286,7 @@
 		await sleep(0, signal);
 		let lastMs = Date.now();
 		let lastOwn = '';
+		let lastState = '';
 		while (!signal.aborted) {
 			const nowMs = Date.now();
 			const pausedMs = nowMs - lastMs - MEMBER_CHECK_MS;
@@ -286,10 +302,11 @@
 			lastMs = nowMs;
 			beat += 1;
 			const {state, generation, workersDown} = self();
-			const own = `${state}/${generation}/${workersDown.join(',')}`;
-			if (own !== lastOwn) {
+			const own = `${generation}/${workersDown.join(',')}`;
+			if (own !== lastOwn || state !== lastState) {
+				queue.add(self().id, state !== lastState);
 				lastOwn = own;
-				queue.add(self().id);
+				lastState = state;
 			}
 
 			check(nowMs);
@@ -298,7 +315,7 @@
 	};
 
 	for (let index = 0; index < HEARTBEAT_TARGETS; index += 1) {
-		lifecycle.run(`heartbeats-${index}`, async (signal) => runProbes(() => ringTargets()[index], signal));
+		lifecycle.run(`heartbeats-${index}`, async (signal) => runProbes(ringTarget(index), signal));
 	}
 
 	lifecycle.run('heartbeats-random', async (signal) => runProbes(randomTarget, signal));
