--- a/packages/bench/src/capacity/constants.ts
+++ b/packages/bench/src/capacity/constants.ts
@@ -27,9 +27,6 @@
 
 export const WORKERS_PER_RACK = 8;
 
-/** Kernel clock ticks in a second, by which the process table counts CPU time. */
-export const CLOCK_TICKS_PER_SECOND = 100;
-
 /** Run time of jobs that must not end during a measurement. */
 export const ENDLESS_RUN_MS = 3_600_000;
 
--- a/packages/bench/src/capacity/fleet.ts
+++ b/packages/bench/src/capacity/fleet.ts
@@ -1,5 +1,5 @@
-import {startListedInstance, startPlatform, type Platform, type StartedInstance} from '@bergamotgauge/harness';
-import {createLifecycle, sleep} from '@bergamotgauge/lifecycle';
+import {startListedInstance, startPlatform, until, type Platform, type StartedInstance} from '@bergamotgauge/harness';
+import {createLifecycle} from '@bergamotgauge/lifecycle';
 import {createOperatorClient, type OperatorClient} from '@bergamotgauge/operator';
 import {mean} from 'simple-statistics';
 import {request} from 'undici';
@@ -31,22 +31,12 @@
 	close: () => Promise<void>;
 }>;
 
-const IN_FORCE_DEADLINE_MS = 20_000;
-
 const waitUntilInForce = async (operator: OperatorClient, generation: number, count: number): Promise<void> => {
-	const deadlineMs = Date.now() + IN_FORCE_DEADLINE_MS;
-	for (;;) {
+	await until(`generation ${generation} in force on ${count} instances`, async () => {
 		const {instances} = await operator.status();
-		if (instances.length >= count && instances.every((instance) => instance.generation >= generation)) {
-			return;
-		}
-
-		if (Date.now() > deadlineMs) {
-			throw new Error(`generation ${generation} is not in force on ${count} instances`);
-		}
-
-		await sleep(50);
-	}
+		const isInForce = instances.length >= count && instances.every((instance) => instance.generation >= generation);
+		return isInForce ? true : undefined;
+	});
 };
 
 const averageOf = (usages: readonly Usage[]): Usage => ({
--- a/packages/bench/src/capacity/tables.ts
+++ b/packages/bench/src/capacity/tables.ts
@@ -33,7 +33,8 @@
 			points.map(({size, value}) => `${size}: ${significant(value)}`).join(', '),
 			significant(fit.slope),
 			significant(fit.intercept),
-			fit.rSquared.toFixed(2),
+			// Points without variance have no share to explain.
+			Number.isNaN(fit.rSquared) ? '–' : fit.rSquared.toFixed(2),
 			significant(fit.spread),
 		]),
 	);
--- a/packages/bench/src/control/constants.ts
+++ b/packages/bench/src/control/constants.ts
@@ -16,10 +16,6 @@
 /** Instances that start at the same time; starting all at once measures the machine instead. */
 export const START_BATCH = 8;
 
-export const STEP_DEADLINE_MS = 30_000;
-
-export const POLL_MS = 20;
-
 /** Jobs submitted a second under load. */
 export const LOAD_JOBS_PER_SECOND = 10;
 
@@ -33,8 +29,5 @@
 
 export const CPU_GOAL = 0.017;
 
-/** Clock ticks a second of /proc/<pid>/stat on Linux. */
-export const CLOCK_TICKS = 100;
-
 /** Jobs submitted together before a measurement. */
 export const SUBMIT_BATCH = 50;
--- a/packages/bench/src/control/fleet.ts
+++ b/packages/bench/src/control/fleet.ts
@@ -1,13 +1,19 @@
-import {createHash, randomBytes} from 'node:crypto';
-import {readFileSync} from 'node:fs';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
-import {startInstanceProcess, startStandIn} from '@bergamotgauge/harness';
-import {sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
+import {
+	newToken,
+	readProcessUsage,
+	register,
+	sha256,
+	startInstanceProcess,
+	startStandIn,
+	type ProcessUsage,
+} from '@bergamotgauge/harness';
+import type {Lifecycle} from '@bergamotgauge/lifecycle';
 import type {Declarations, Rack} from '@bergamotgauge/model';
 import {createOperatorClient, loadDirectory, type OperatorClient} from '@bergamotgauge/operator';
 import {request} from 'undici';
-import {CLOCK_TICKS, POLL_MS, START_BATCH, STEP_DEADLINE_MS} from './constants.js';
+import {START_BATCH} from './constants.js';
 
 const EXAMPLE = fileURLToPath(new URL('../../../../examples/quebec', import.meta.url));
 const ZONES = ['a', 'b', 'c'] as const;
@@ -15,14 +21,12 @@
 /** An event of an instance's log. */
 export type LoggedEvent = Readonly<{instance: string; event: string; timeMs: number; line: string}>;
 
-export type Usage = Readonly<{cpuSeconds: number; bytes: number}>;
-
 export type FleetInstance = Readonly<{
 	id: string;
 	address: string;
 	kill: (signal: NodeJS.Signals) => void;
 	/** CPU time and bytes that passed through read and write calls so far. */
-	usage: () => Usage;
+	usage: () => ProcessUsage;
 }>;
 
 export type Fleet = Readonly<{
@@ -35,36 +39,6 @@
 	start: (id: string) => Promise<void>;
 }>;
 
-export const until = async <Result>(what: string, probe: () => Promise<Result | undefined>): Promise<Result> => {
-	const deadlineMs = Date.now() + STEP_DEADLINE_MS;
-	for (;;) {
-		const result = await probe();
-		if (result !== undefined) {
-			return result;
-		}
-
-		if (Date.now() > deadlineMs) {
-			throw new Error(`${what} did not happen within ${STEP_DEADLINE_MS} ms`);
-		}
-
-		await sleep(POLL_MS);
-	}
-};
-
-const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex');
-
-const numberAfter = (text: string, field: string): number =>
-	Number(new RegExp(String.raw`^${field}: (?<value>\d+)$`, 'mv').exec(text)?.groups?.value ?? 0);
-
-const usageOf = (pid: number): Usage => {
-	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
-	const io = readFileSync(`/proc/${pid}/io`, 'utf8');
-	return {
-		cpuSeconds: (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS,
-		bytes: numberAfter(io, 'rchar') + numberAfter(io, 'wchar'),
-	};
-};
-
 const cloneRack = (rack: Rack, index: number): Rack => ({
 	...rack,
 	name: `${rack.name}-${index}`,
@@ -91,7 +65,7 @@
 
 	const example = loaded.declarations;
 	const customer = example.customers[0]!;
-	const [operatorToken, callerToken] = [randomBytes(32).toString('base64url'), randomBytes(32).toString('base64url')];
+	const [operatorToken, callerToken] = [newToken(), newToken()];
 	const [store, list] = await Promise.all([
 		startStandIn(lifecycle, ['store']),
 		startStandIn(lifecycle, ['instance-list', '--lag-ms', '100']),
@@ -102,15 +76,6 @@
 	const instances = new Map<string, FleetInstance>();
 	const events: LoggedEvent[] = [];
 
-	const register = async (id: string, address: string, availabilityZone: string) => {
-		const response = await request(`${listUrl}/v1/instances/${id}`, {
-			method: 'PUT',
-			headers: {'content-type': 'application/json'},
-			body: JSON.stringify({id, role: 'instance', address, availabilityZone, state: 'live', labels: {}}),
-		});
-		await response.body.dump();
-	};
-
 	const start = async (id: string) => {
 		const zone = ZONES[instances.size % ZONES.length]!;
 		const started = await startInstanceProcess(lifecycle, id, [
@@ -140,9 +105,16 @@
 			kill(signal) {
 				child.kill(signal);
 			},
-			usage: () => usageOf(child.pid!),
+			usage: () => readProcessUsage(child.pid!),
+		});
+		await register(listUrl, {
+			id,
+			role: 'instance',
+			address: started.peerAddress,
+			availabilityZone: zone,
+			state: 'live',
+			labels: {},
 		});
-		await register(id, started.peerAddress, zone);
 	};
 
 	const clientOf = (token: string) => (id: string) =>
--- a/packages/bench/src/control/measure.ts
+++ b/packages/bench/src/control/measure.ts
@@ -1,7 +1,8 @@
+import {until} from '@bergamotgauge/harness';
 import {sleep} from '@bergamotgauge/lifecycle';
 import {ownerOf} from '@bergamotgauge/peer';
 import {LOAD_JOBS_PER_SECOND} from './constants.js';
-import {until, type Fleet} from './fleet.js';
+import type {Fleet} from './fleet.js';
 import type {Point} from './types.js';
 
 const idsOf = (fleet: Fleet): readonly string[] => [...fleet.instances.keys()];
--- a/packages/bench/src/placement/traces/arrivals.ts
+++ b/packages/bench/src/placement/traces/arrivals.ts
@@ -26,7 +26,7 @@
 		['urgent', 6],
 		['render', 40],
 		['batch', 30],
-		['firm', 10],
+		['non-preemptible', 10],
 		['scratch', 8],
 		['once', 6],
 	],
--- a/packages/bench/src/placement/traces/days.ts
+++ b/packages/bench/src/placement/traces/days.ts
@@ -50,7 +50,7 @@
 	],
 	classes: [
 		['render', 3],
-		['firm', 1],
+		['non-preemptible', 1],
 	],
 	seconds: [600, 5400],
 };
--- a/packages/bench/src/placement/traces/fleet.ts
+++ b/packages/bench/src/placement/traces/fleet.ts
@@ -15,7 +15,7 @@
 	jobClass('urgent', {urgency: 'urgent', preemptible: false}),
 	jobClass('render', {}),
 	jobClass('batch', {urgency: 'batch', checkpointSeconds: 10}),
-	jobClass('firm', {preemptible: false}),
+	jobClass('non-preemptible', {preemptible: false}),
 	jobClass('scratch', {checkpointSeconds: 0}),
 	jobClass('once', {preemptible: false, retryRule: 'at-most-once'}),
 ];
--- a/packages/cli/src/declaration-commands.ts
+++ b/packages/cli/src/declaration-commands.ts
@@ -8,6 +8,8 @@
 	mergePartner,
 	type BundleReply,
 	type DeclarationChange,
+	type DifferenceKind,
+	type ThreeWayDifference,
 	type LoadOptions,
 	type OperatorClient,
 } from '@bergamotgauge/operator';
@@ -122,6 +124,13 @@
 		.map(({id}) => id);
 };
 
+const DIFFERENCE_TEXTS: Readonly<Record<DifferenceKind, string>> = {
+	theirs: 'changed by the accepted change only',
+	mine: 'changed by the files only',
+	same: 'changed by both in the same way',
+	conflicting: 'changed by both differently',
+};
+
 const applyOrExplain = async (client: OperatorClient, basedOn: number, declarations: Declarations): Promise<number> => {
 	try {
 		return await client.apply(basedOn, declarations);
@@ -132,6 +141,10 @@
 			for (const line of describeChanges(changes)) {
 				printError(line);
 			}
+
+			for (const {kind, collection, name} of (error.details.differences ?? []) as readonly ThreeWayDifference[]) {
+				printError(`${collection}/${name}: ${DIFFERENCE_TEXTS[kind]}`);
+			}
 		}
 
 		throw error;
--- a/packages/demo/src/constants.ts
+++ b/packages/demo/src/constants.ts
@@ -1,7 +1,3 @@
-export const STEP_DEADLINE_MS = 20_000;
-
-export const POLL_MS = 50;
-
 export const ENDPOINT_COUNT = 30;
 
 export const LIST_LAG_MS = 100;
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -6,14 +6,15 @@
 	sha256,
 	startListedInstance,
 	startPlatform,
+	until,
 	type Platform,
 	type StartedInstance,
 } from '@bergamotgauge/harness';
-import {createLifecycle, sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
+import {createLifecycle, type Lifecycle} from '@bergamotgauge/lifecycle';
 import type {Declarations, JobOutcome} from '@bergamotgauge/model';
 import {createOperatorClient, loadDirectory, type OperatorClient} from '@bergamotgauge/operator';
 import {request} from 'undici';
-import {ENDPOINT_COUNT, GANG_RUN_MS, LIST_LAG_MS, POLL_MS, STEP_DEADLINE_MS} from './constants.js';
+import {ENDPOINT_COUNT, GANG_RUN_MS, LIST_LAG_MS} from './constants.js';
 
 const EXAMPLE = fileURLToPath(new URL('../../../examples/quebec', import.meta.url));
 const ZONES = ['a', 'b', 'c'] as const;
@@ -22,22 +23,6 @@
 	process.stdout.write(`${text}\n`);
 };
 
-const until = async <Result>(what: string, probe: () => Promise<Result | undefined>): Promise<Result> => {
-	const deadlineMs = Date.now() + STEP_DEADLINE_MS;
-	for (;;) {
-		const result = await probe();
-		if (result !== undefined) {
-			return result;
-		}
-
-		if (Date.now() > deadlineMs) {
-			throw new Error(`${what} did not happen within ${STEP_DEADLINE_MS} ms`);
-		}
-
-		await sleep(POLL_MS);
-	}
-};
-
 const startAll = async (lifecycle: Lifecycle, declarations: Declarations, operatorToken: string) => {
 	const platform = await startPlatform(lifecycle, {
 		racks: declarations.racks,
--- /dev/null
+++ b/packages/harness/src/process-usage.ts
@@ -0,0 +1,27 @@
+import {readFileSync} from 'node:fs';
+import {CLOCK_TICKS_PER_SECOND} from './constants.js';
+import type {ProcessUsage} from './types.js';
+
+const numberAfter = (text: string, field: string): number =>
+	Number(new RegExp(String.raw`^${field}:\s+(?<value>\d+)`, 'mv').exec(text)?.groups?.value ?? 0);
+
+/**
+Reads what a process has used so far from the process table of Linux. Bytes are those of all read and write calls: sockets, files and log lines.
+
+@example
+```ts
+const {cpuSeconds} = readProcessUsage(child.pid);
+```
+*/
+export const readProcessUsage = (pid: number): ProcessUsage => {
+	const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+	const io = readFileSync(`/proc/${pid}/io`, 'utf8');
+	const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+	// Fields after the closing parenthesis of the command: user and system time are the 12th and 13th.
+	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+	return {
+		cpuSeconds: (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND,
+		bytes: numberAfter(io, 'rchar') + numberAfter(io, 'wchar'),
+		memoryBytes: numberAfter(status, 'VmRSS') * 1024,
+	};
+};
--- a/packages/harness/src/test/service.ts
+++ b/packages/harness/src/test/service.ts
@@ -1,16 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {fileURLToPath} from 'node:url';
-import {sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
+import type {Lifecycle} from '@bergamotgauge/lifecycle';
 import type {AccessToken, Declarations, RackRecord} from '@bergamotgauge/model';
 import {createOperatorClient, loadDirectory} from '@bergamotgauge/operator';
 import {decodeValue} from '@bergamotgauge/platform';
 import {request} from 'undici';
 import {startInstanceProcess, startStandIn} from '../processes.js';
 import {newToken, sha256} from '../tokens.js';
-
-const POLL_MS = 50;
-
-const STEP_DEADLINE_MS = 20_000;
+import {until} from '../until.js';
 
 const EXAMPLE = fileURLToPath(new URL('../../../../examples/shared', import.meta.url));
 
@@ -115,12 +112,5 @@
 
 /** Waits until a probe gives true. */
 export const waitUntil = async (what: string, probe: () => Promise<boolean>): Promise<void> => {
-	const deadlineMs = Date.now() + STEP_DEADLINE_MS;
-	while (!(await probe())) {
-		if (Date.now() > deadlineMs) {
-			throw new Error(`${what} did not happen within ${STEP_DEADLINE_MS} ms`);
-		}
-
-		await sleep(POLL_MS);
-	}
+	await until(what, async () => ((await probe()) ? true : undefined));
 };
--- a/packages/harness/src/types.ts
+++ b/packages/harness/src/types.ts
@@ -1,6 +1,13 @@
 import type {ChildProcess} from 'node:child_process';
 import type {Rack} from '@bergamotgauge/model';
 
+/** What a process has used since its start. */
+export type ProcessUsage = Readonly<{
+	cpuSeconds: number;
+	bytes: number;
+	memoryBytes: number;
+}>;
+
 /** A process that the harness started. */
 export type StartedProcess = Readonly<{
 	name: string;
--- a/packages/operator/src/three-way-diff.ts
+++ b/packages/operator/src/three-way-diff.ts
@@ -1,6 +1,6 @@
 import {isDeepStrictEqual} from 'node:util';
 import type {Declarations} from '@bergamotgauge/model';
-import {EMPTY_DECLARATIONS} from './diff.js';
+import {COLLECTIONS} from './diff.js';
 
 /** Who changed an item: the configuration in force, the refused change, both alike, or both differently. */
 export type DifferenceKind = 'theirs' | 'mine' | 'same' | 'conflicting';
@@ -17,8 +17,6 @@
 
 type Named = Readonly<{name: string}>;
 
-const COLLECTIONS = Object.keys(EMPTY_DECLARATIONS) as ReadonlyArray<keyof Declarations>;
-
 const byName = (items: readonly Named[]): ReadonlyMap<string, Named> => new Map(items.map((item) => [item.name, item]));
 
 const kindOf = (base: unknown, theirs: unknown, mine: unknown): DifferenceKind | undefined => {
--- a/packages/placement/src/check-invariant.ts
+++ b/packages/placement/src/check-invariant.ts
@@ -40,9 +40,9 @@
 			report('partial-gang', `job ${placement.job} holds ${cells.length} of ${expected} adjacent accelerators`);
 		}
 
-		const firmCell = cells.find((cell) => owner.has(cell) && owner.get(cell) !== placement.customer);
-		if (!placement.preemptible && firmCell !== undefined) {
-			report('home-occupied', `job ${placement.job} can't be evicted and occupies a home of ${owner.get(firmCell)}`);
+		const blockedCell = cells.find((cell) => owner.has(cell) && owner.get(cell) !== placement.customer);
+		if (!placement.preemptible && blockedCell !== undefined) {
+			report('home-occupied', `job ${placement.job} can't be evicted and occupies a home of ${owner.get(blockedCell)}`);
 		}
 	}
 };
--- a/packages/placement/src/claims.test.ts
+++ b/packages/placement/src/claims.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import type {Bundle, JobRecord} from '@bergamotgauge/model';
 import type {Decision, PlacementView} from './types.js';
-import {applyAll, release, testBundle, testCustomer, testGuarantee, testJob, testRacks, testView} from './test-view.js';
+import {applyAll, release, testBundle, testCustomer, testGuarantee, testJob, testRacks, testView} from './test/view.js';
 import {checkSubmission, createArrivalPlanner, explainJob, planPass} from './index.js';
 
 const placed = (bundle: Bundle, jobs: readonly JobRecord[], nowMs = 0): PlacementView => {
@@ -26,7 +26,11 @@
 // Guards against an owner that waits for borrowers, and against evictions of more or dearer work than needed.
 await t.test('the owner reclaims its home from borrowers', async (t) => {
 	const borrowers = ['x', 'y'].map((id) => testJob(id, ['b', 'batch', 8]));
-	const view = arrive(placed(guaranteed, borrowers), 60_000, testJob('j', ['a', 'firm', 8], {submittedAtMs: 60_000}));
+	const view = arrive(
+		placed(guaranteed, borrowers),
+		60_000,
+		testJob('j', ['a', 'non-preemptible', 8], {submittedAtMs: 60_000}),
+	);
 	const decisions = planPass(view);
 	t.equal(evictedJobs(decisions).length, 1);
 	const [evict] = decisions;
@@ -51,11 +55,14 @@
 
 // Guards against a home that its owner can't reclaim.
 await t.test('work that cannot be evicted stays out of homes of others', async (t) => {
-	const view = placed(guaranteed, [testJob('x', ['b', 'firm', 8]), testJob('y', ['b', 'firm', 8])]);
+	const view = placed(guaranteed, [
+		testJob('x', ['b', 'non-preemptible', 8]),
+		testJob('y', ['b', 'non-preemptible', 8]),
+	]);
 	const decisions = planPass(view);
 	t.match(decisions, [{kind: 'wait', job: 'y', reason: /no rack has 8/v}]);
 	const all = testBundle({guarantees: [testGuarantee('a', 2, 8)]});
-	t.match(planPass(placed(all, [testJob('x', ['b', 'firm', 8])])), [
+	t.match(planPass(placed(all, [testJob('x', ['b', 'non-preemptible', 8])])), [
 		{kind: 'wait', reason: /homes of other customers/v},
 	]);
 });
@@ -71,7 +78,7 @@
 		'its checkpoint is too long',
 	);
 	const owned = placed(guaranteed, [testJob('x', ['b', 'once-saved', 8]), testJob('y', ['b', 'once-saved', 8])]);
-	t.equal(evictedJobs(planPass(arrive(owned, 1000, testJob('j', ['a', 'firm', 8])))).length, 1);
+	t.equal(evictedJobs(planPass(arrive(owned, 1000, testJob('j', ['a', 'non-preemptible', 8])))).length, 1);
 });
 
 // Guards against urgent work that waits behind borrowed work or for its checkpoints.
@@ -119,35 +126,42 @@
 	];
 	const pools = [{name: 'pool', weights: {completionTime: 0.5, fragmentation: 0.5}, shares}];
 	const bundle = testBundle({pools});
-	const firm = placed(bundle, [testJob('x', ['a', 'firm', 8]), testJob('y', ['a', 'firm', 8])]);
-	t.match(planPass(firm), [{kind: 'wait', job: 'y', reason: /share of partner a is in use/v}]);
+	const nonPreemptible = placed(bundle, [
+		testJob('x', ['a', 'non-preemptible', 8]),
+		testJob('y', ['a', 'non-preemptible', 8]),
+	]);
+	t.match(planPass(nonPreemptible), [{kind: 'wait', job: 'y', reason: /share of partner a is in use/v}]);
 	const full = placed(bundle, [testJob('x', ['a', 'batch', 8]), testJob('y', ['a', 'batch', 8])]);
-	t.equal(evictedJobs(planPass(arrive(full, 1000, testJob('j', ['b', 'firm', 8])))).length, 1);
-	t.same(evictedJobs(planPass(arrive(full, 1000, testJob('j', ['b', 'firm', 16])))), [], 'the job exceeds the share');
+	t.equal(evictedJobs(planPass(arrive(full, 1000, testJob('j', ['b', 'non-preemptible', 8])))).length, 1);
+	t.same(
+		evictedJobs(planPass(arrive(full, 1000, testJob('j', ['b', 'non-preemptible', 16])))),
+		[],
+		'the job exceeds the share',
+	);
 });
 
 // Guards against starvation of a large gang by small jobs, and against idle accelerators before its start.
 await t.test('a reservation lets only work pass that ends in time', async (t) => {
 	const runTimes = new Map([
-		['a/firm', Array.from({length: 20}, () => 1)],
-		['b/firm', Array.from({length: 20}, () => 1)],
+		['a/non-preemptible', Array.from({length: 20}, () => 1)],
+		['b/non-preemptible', Array.from({length: 20}, () => 1)],
 	]);
-	const running = placed(testBundle({}), [testJob('x', ['a', 'firm', 8], {declaredSeconds: 1000})]);
+	const running = placed(testBundle({}), [testJob('x', ['a', 'non-preemptible', 8], {declaredSeconds: 1000})]);
 	const waiting = [
-		testJob('gang', ['a', 'firm', 16], {submittedAtMs: -10_000_000}),
-		testJob('short', ['b', 'firm', 4], {declaredSeconds: 500}),
-		testJob('long', ['b', 'firm', 4], {declaredSeconds: 5000}),
+		testJob('gang', ['a', 'non-preemptible', 16], {submittedAtMs: -10_000_000}),
+		testJob('short', ['b', 'non-preemptible', 4], {declaredSeconds: 500}),
+		testJob('long', ['b', 'non-preemptible', 4], {declaredSeconds: 5000}),
 	];
 	const view = {...arrive(running, 0, ...waiting), runTimes};
 	t.same(placedJobs(planPass(view)), ['short']);
-	const late = {...view, runTimes: new Map([...runTimes, ['b/firm', Array.from({length: 20}, () => 4)]])};
+	const late = {...view, runTimes: new Map([...runTimes, ['b/non-preemptible', Array.from({length: 20}, () => 4)]])};
 	t.same(placedJobs(planPass(late)), [], 'observed run times exclude the job that declares too little');
 });
 
 // Guards against a gang that is delayed without bound by work that overran its estimate.
 await t.test('a long wait evicts work that can checkpoint', async (t) => {
 	const view = placed(testBundle({}), [testJob('x', ['b', 'batch', 8], {declaredSeconds: 86_400})]);
-	const gang = testJob('gang', ['a', 'firm', 16], {submittedAtMs: 1000, declaredSeconds: 7200});
+	const gang = testJob('gang', ['a', 'non-preemptible', 16], {submittedAtMs: 1000, declaredSeconds: 7200});
 	t.same(evictedJobs(planPass(arrive(view, 300_000, gang))), []);
 	t.same(evictedJobs(planPass(arrive(view, 1_000_000, gang))), ['x']);
 });
@@ -155,10 +169,10 @@
 // Guards against a customer that exceeds its quota by several jobs of one pass.
 await t.test('quotas hold within one pass, and fair share orders equal jobs', async (t) => {
 	const customers = [testCustomer('a', 'a', 10), testCustomer('b', 'b', 16)];
-	const jobs = ['x', 'y', 'z'].map((id) => testJob(id, ['a', 'firm', 4]));
+	const jobs = ['x', 'y', 'z'].map((id) => testJob(id, ['a', 'non-preemptible', 4]));
 	t.same(placedJobs(planPass(testView(testBundle({customers}), jobs))), ['x', 'y']);
-	const held = placed(testBundle({}), [testJob('x', ['a', 'firm', 8])]);
-	const next = [testJob('y', ['a', 'firm', 8]), testJob('z', ['b', 'firm', 8])];
+	const held = placed(testBundle({}), [testJob('x', ['a', 'non-preemptible', 8])]);
+	const next = [testJob('y', ['a', 'non-preemptible', 8]), testJob('z', ['b', 'non-preemptible', 8])];
 	t.same(placedJobs(planPass(arrive(held, 1, ...next))), ['z'], 'the customer that holds less goes first');
 });
 
@@ -166,9 +180,12 @@
 await t.test('jobs end by their own fault, at most once, or cancelled', async (t) => {
 	const failed = {failedOn: ['r0w0', 'r0w1', 'gone']};
 	for (const [job, outcome] of [
-		[testJob('j', ['a', 'firm', 1], failed), {kind: 'failed', verdict: 'ran', reason: /failed on 3 workers/v}],
+		[
+			testJob('j', ['a', 'non-preemptible', 1], failed),
+			{kind: 'failed', verdict: 'ran', reason: /failed on 3 workers/v},
+		],
 		[testJob('j', ['a', 'once', 1], {failedOn: ['gone']}), {kind: 'failed', verdict: 'may-have-run'}],
-		[testJob('j', ['a', 'firm', 1], {cancelRequested: true}), {kind: 'cancelled', verdict: 'not-run'}],
+		[testJob('j', ['a', 'non-preemptible', 1], {cancelRequested: true}), {kind: 'cancelled', verdict: 'not-run'}],
 	] as const) {
 		t.match(planPass(testView(testBundle({}), [job])), [{kind: 'end', job: 'j', outcome}]);
 	}
@@ -204,31 +221,39 @@
 
 // Guards against a task whose cores or memory its worker does not have.
 await t.test('cores and memory of a worker are not exceeded', async (t) => {
-	const jobs = ['x', 'y', 'z'].map((id) => testJob(id, ['a', 'firm', 1], {coresPerAccelerator: 100}));
+	const jobs = ['x', 'y', 'z'].map((id) => testJob(id, ['a', 'non-preemptible', 1], {coresPerAccelerator: 100}));
 	t.same(placedJobs(planPass(testView(testBundle({}), jobs))), ['x', 'y']);
 });
 
 // Guards against arrivals that take what jobs ahead wait for, or that are booked twice on one index.
 await t.test('single arrivals respect the queue and each other', async (t) => {
-	const waiting = testJob('gang', ['a', 'firm', 16], {submittedAtMs: -10_000_000});
-	const running = placed(testBundle({}), [testJob('x', ['a', 'firm', 8], {declaredSeconds: 1000})]);
+	const waiting = testJob('gang', ['a', 'non-preemptible', 16], {submittedAtMs: -10_000_000});
+	const running = placed(testBundle({}), [testJob('x', ['a', 'non-preemptible', 8], {declaredSeconds: 1000})]);
 	const planArrival = createArrivalPlanner(arrive(running, 0, waiting));
-	t.match(planArrival(testJob('long', ['b', 'firm', 4], {declaredSeconds: 5000})), [{kind: 'wait', job: 'long'}]);
+	t.match(planArrival(testJob('long', ['b', 'non-preemptible', 4], {declaredSeconds: 5000})), [
+		{kind: 'wait', job: 'long'},
+	]);
 	const open = createArrivalPlanner(running);
-	const blocks = ['y', 'z'].flatMap((id) => placedJobs(open(testJob(id, ['b', 'firm', 8]))));
+	const blocks = ['y', 'z'].flatMap((id) => placedJobs(open(testJob(id, ['b', 'non-preemptible', 8]))));
 	t.same(blocks, ['y'], 'the second one finds nothing left');
 });
 
 // Guards against an explanation that differs from what the pass does.
 await t.test('explain names the place, the cause and the obstacles', async (t) => {
-	const view = placed(testBundle({}), [testJob('x', ['b', 'firm', 16]), testJob('y', ['a', 'firm', 8])]);
+	const view = placed(testBundle({}), [
+		testJob('x', ['b', 'non-preemptible', 16]),
+		testJob('y', ['a', 'non-preemptible', 8]),
+	]);
 	t.match(explainJob(view, 'x'), {state: 'running', rack: 'r0', obstacles: []});
 	t.match(explainJob(view, 'y'), {
 		state: 'waiting',
 		reason: /no rack has 8 adjacent accelerators free now; reserved in rack r0/v,
 		obstacles: [{job: 'x', customer: 'b', preemptible: false}],
 	});
-	const down = {...testView(testBundle({}), [testJob('z', ['a', 'firm', 1])]), workersDown: new Set(['r0w0', 'r0w1'])};
+	const down = {
+		...testView(testBundle({}), [testJob('z', ['a', 'non-preemptible', 1])]),
+		workersDown: new Set(['r0w0', 'r0w1']),
+	};
 	t.match(explainJob(down, 'z').reason, /down, quarantined or failed it before/v);
 	t.match(explainJob(view, 'none'), {state: 'unknown'});
 });
@@ -243,7 +268,7 @@
 		[0, {}, /whole number/v],
 	] as const) {
 		t.throws(() => {
-			checkSubmission(bundle, 'a', testJob('j', ['a', 'firm', accelerators], changes));
+			checkSubmission(bundle, 'a', testJob('j', ['a', 'non-preemptible', accelerators], changes));
 		}, reason);
 	}
 });
--- a/packages/placement/src/demand.ts
+++ b/packages/placement/src/demand.ts
@@ -34,7 +34,7 @@
 	isPreemptible && (jobClass.checkpointSeconds > 0 || estimate.expectedSeconds <= BORROWING_WITHOUT_CHECKPOINT_SECONDS);
 
 /** Whether the partner's declared share of a pool admits work of this size that can't be evicted. */
-export const fitsShare = ({fleet, firmByPartner}: PassState, poolName: string, demand: Demand): boolean => {
+export const fitsShare = ({fleet, nonPreemptibleByPartner}: PassState, poolName: string, demand: Demand): boolean => {
 	const pool = fleet.pools.get(poolName);
 	if (!pool || pool.shares.length === 0 || demand.isPreemptible) {
 		return true;
@@ -43,7 +43,7 @@
 	const {partner} = demand.customer;
 	const share = pool.shares.find((declared) => declared.partner === partner)?.share ?? 0;
 	const limit = share * (fleet.poolAccelerators.get(poolName) ?? 0);
-	return (firmByPartner.get(`${poolName}/${partner}`) ?? 0) + demand.job.accelerators <= limit + 1e-9;
+	return (nonPreemptibleByPartner.get(`${poolName}/${partner}`) ?? 0) + demand.job.accelerators <= limit + 1e-9;
 };
 
 /** Accelerators by which a partner is above (positive) or below its declared share of a pool; 0 without shares. */
--- a/packages/placement/src/homes.test.ts
+++ b/packages/placement/src/homes.test.ts
@@ -9,14 +9,14 @@
 	testJob,
 	testRacks,
 	testView,
-} from './test-view.js';
+} from './test/view.js';
 import {checkGuarantees, checkInvariant, explainJob, planHomes, planPass} from './index.js';
 
 const bundle = testBundle({racks: testRacks(2, 2), guarantees: [testGuarantee('a', 1, 16)]});
 
 // Guards against placements that depend on homes which are not written yet.
 await t.test('homes come before placements', async (t) => {
-	const view = testView(bundle, [testJob('j', ['a', 'firm', 16])]);
+	const view = testView(bundle, [testJob('j', ['a', 'non-preemptible', 16])]);
 	t.match(planPass(view), [
 		{kind: 'homes', rack: 'r0', homes: [{guarantee: 'a-16', index: 0}]},
 		{kind: 'place', rack: 'r0', placement: {job: 'j', guarantee: 'a-16', homeIndex: 0}},
@@ -42,7 +42,7 @@
 	const view = {
 		...homes,
 		workersDown: new Set(['r0w0', 'r1w1']),
-		jobs: [testJob('j', ['a', 'firm', 16])],
+		jobs: [testJob('j', ['a', 'non-preemptible', 16])],
 	};
 	t.match(planHomes(view).shortfalls, [{guarantee: 'a-16', index: 0, customer: 'a'}]);
 	t.match(explainJob(view, 'j').reason, /guarantee a-16 has no home for shape 1/v);
@@ -52,12 +52,17 @@
 // Guards against a home on accelerators that can't be reclaimed.
 await t.test('a new home avoids work that cannot be evicted', async (t) => {
 	const open = testBundle({racks: testRacks(2, 2)});
-	let view = testView(open, [testJob('firm', ['b', 'firm', 1]), testJob('batch', ['b', 'batch', 16])]);
+	let view = testView(open, [
+		testJob('non-preemptible', ['b', 'non-preemptible', 1]),
+		testJob('batch', ['b', 'batch', 16]),
+	]);
 	view = applyAll(view, planPass(view));
-	const firmRack = [...view.racks.values()].find(({placements}) => placements.some(({job}) => job === 'firm'))!.rack;
+	const blockedRack = [...view.racks.values()].find(({placements}) =>
+		placements.some(({job}) => job === 'non-preemptible'),
+	)!.rack;
 	const withGuarantee = {...view, bundle};
 	const [decision] = planPass(withGuarantee);
-	t.match(decision, {kind: 'homes', rack: firmRack === 'r0' ? 'r1' : 'r0'});
+	t.match(decision, {kind: 'homes', rack: blockedRack === 'r0' ? 'r1' : 'r0'});
 	t.same(checkInvariant(applyDecision(withGuarantee, decision!)), []);
 });
 
@@ -76,7 +81,7 @@
 // Guards against each way in which a record can break R1, R2 or a quota without notice.
 await t.test('checkInvariant names what is broken', async (t) => {
 	const small = testBundle({customers: [testCustomer('a'), testCustomer('b', 'b', 4)], guarantees: bundle.guarantees});
-	const view = testView(small, [testJob('x', ['b', 'firm', 8]), testJob('y', ['b', 'firm', 8])]);
+	const view = testView(small, [testJob('x', ['b', 'non-preemptible', 8]), testJob('y', ['b', 'non-preemptible', 8])]);
 	const placement = {
 		attempt: 1,
 		customer: 'b',
--- a/packages/placement/src/homes.ts
+++ b/packages/placement/src/homes.ts
@@ -69,24 +69,24 @@
 	!view.workersDown.has(worker) && !quarantined.has(worker);
 
 const occupiedByOthers = (view: PlacementView, rack: FleetRack, customer: string) => {
-	const firm = new Uint8Array(rack.cells);
+	const nonPreemptible = new Uint8Array(rack.cells);
 	const borrowed = new Uint8Array(rack.cells);
 	for (const placement of view.racks.get(rack.rack.name)?.placements ?? []) {
 		if (placement.customer !== customer) {
 			forEachCell(rack, placement.blocks, (cell) => {
-				(placement.preemptible ? borrowed : firm)[cell] = 1;
+				(placement.preemptible ? borrowed : nonPreemptible)[cell] = 1;
 			});
 		}
 	}
 
-	return {firm, borrowed};
+	return {nonPreemptible, borrowed};
 };
 
 const hasFirmWorkOfOthers = (view: PlacementView, rack: FleetRack, home: Home): boolean => {
-	const {firm} = occupiedByOthers(view, rack, home.customer);
+	const {nonPreemptible} = occupiedByOthers(view, rack, home.customer);
 	let isOccupied = false;
 	forEachCell(rack, home.blocks, (cell) => {
-		isOccupied ||= firm[cell] === 1;
+		isOccupied ||= nonPreemptible[cell] === 1;
 	});
 	return isOccupied;
 };
@@ -130,14 +130,14 @@
 			continue;
 		}
 
-		const {firm, borrowed} = occupiedByOthers(view, rack, guarantee.customer);
+		const {nonPreemptible, borrowed} = occupiedByOthers(view, rack, guarantee.customer);
 		const takenCells = taken.get(rack.rack.name)!;
 		const rackCost = -(inHomes.get(rack.rack.name) ?? 0) * MAX_CELLS;
 		for (const start of runs) {
 			let cost = rackCost;
 			for (let cell = start; cell < start + guarantee.accelerators; cell += 1) {
 				const worker = rack.workers[rack.workerOfCell[cell]!]!.name;
-				if (takenCells[cell] === 1 || firm[cell] === 1 || !isUsable(view, quarantined, worker)) {
+				if (takenCells[cell] === 1 || nonPreemptible[cell] === 1 || !isUsable(view, quarantined, worker)) {
 					cost = Number.POSITIVE_INFINITY;
 					break;
 				}
--- a/packages/placement/src/pass-state.ts
+++ b/packages/placement/src/pass-state.ts
@@ -67,7 +67,7 @@
 	readonly heldByCustomer: Map<string, number>;
 	/** Accelerators by `pool/partner`; the second map counts work that can't be evicted. */
 	readonly heldByPartner: Map<string, number>;
-	readonly firmByPartner: Map<string, number>;
+	readonly nonPreemptibleByPartner: Map<string, number>;
 };
 
 export const add = (counts: Map<string, number>, key: string, amount: number): void => {
@@ -157,7 +157,7 @@
 	const key = partnerKey(state.fleet, rack.fleetRack.rack.pool, placement.customer);
 	add(state.heldByPartner, key, accelerators);
 	if (!placement.preemptible) {
-		add(state.firmByPartner, key, accelerators);
+		add(state.nonPreemptibleByPartner, key, accelerators);
 	}
 
 	if (job) {
@@ -222,7 +222,7 @@
 		heldByJob: new Map(),
 		heldByCustomer: new Map(),
 		heldByPartner: new Map(),
-		firmByPartner: new Map(),
+		nonPreemptibleByPartner: new Map(),
 	};
 	const jobs = new Map<string, JobRecord>();
 	for (const job of view.jobs) {
--- a/packages/placement/src/plan-pass.property.test.ts
+++ b/packages/placement/src/plan-pass.property.test.ts
@@ -10,7 +10,7 @@
 	testJob,
 	testRacks,
 	testView,
-} from './test-view.js';
+} from './test/view.js';
 import {checkInvariant, planPass} from './index.js';
 
 const SEED = 20_261_203;
@@ -19,7 +19,7 @@
 
 const aJob = fc.record({
 	customer: fc.constantFrom(...CUSTOMERS),
-	jobClass: fc.constantFrom('firm', 'batch', 'urgent', 'once', 'once-saved'),
+	jobClass: fc.constantFrom('non-preemptible', 'batch', 'urgent', 'once', 'once-saved'),
 	accelerators: fc.constantFrom(1, 1, 2, 3, 4, 8, 16, 24, 32),
 	declaredSeconds: fc.integer({min: 10, max: 7200}),
 	coresPerAccelerator: fc.constantFrom(1, 16, 24),
--- a/packages/placement/src/quarantine.test.ts
+++ b/packages/placement/src/quarantine.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import type {TaskOutcome} from './types.js';
-import {testBundle, testJob, testRacks, testView, withQuarantines} from './test-view.js';
+import {testBundle, testJob, testRacks, testView, withQuarantines} from './test/view.js';
 import {planPass, planQuarantines} from './index.js';
 
 const MINUTE_MS = 60_000;
@@ -45,7 +45,11 @@
 await t.test('workers return by probation', async (t) => {
 	const [change] = planQuarantines({...base, taskOutcomes: fails('r0w0')});
 	const quarantined = withQuarantines(base, 'r0', change!.quarantines);
-	const one = [testJob('j', ['a', 'firm', 16]), testJob('k', ['a', 'once', 8]), testJob('l', ['a', 'firm', 8])];
+	const one = [
+		testJob('j', ['a', 'non-preemptible', 16]),
+		testJob('k', ['a', 'once', 8]),
+		testJob('l', ['a', 'non-preemptible', 8]),
+	];
 	t.match(planPass({...quarantined, jobs: one.slice(0, 1)}), [{kind: 'wait'}]);
 	const later = {...quarantined, nowMs: base.nowMs + 16 * MINUTE_MS};
 	const [probation] = planQuarantines(later);
@@ -62,7 +66,7 @@
 
 // Guards against failures of a bad worker that end a healthy job.
 await t.test('failures on quarantined workers are not the fault of the job', async (t) => {
-	const job = testJob('j', ['a', 'firm', 8], {failedOn: ['r0w0', 'gone', 'other']});
+	const job = testJob('j', ['a', 'non-preemptible', 8], {failedOn: ['r0w0', 'gone', 'other']});
 	const quarantines = [{worker: 'r0w0', state: 'quarantined' as const, untilMs: 1e9, jobs: []}];
 	t.match(planPass({...base, jobs: [job]}), [{kind: 'end'}]);
 	t.match(planPass({...withQuarantines(base, 'r0', quarantines), jobs: [job]}), [{kind: 'place'}]);
--- a/packages/placement/src/test-view.ts
+++ b/packages/placement/src/test/view.ts
@@ -9,7 +9,7 @@
 	RackRecord,
 	WorkerQuarantine,
 } from '@bergamotgauge/model';
-import type {Decision, PlacementView} from './types.js';
+import type {Decision, PlacementView} from '../types.js';
 
 /** Racks `r0`, `r1`, … of workers `r0w0`, `r0w1`, … with eight accelerators each. */
 export const testRacks = (count: number, workers: number): Rack[] =>
@@ -43,7 +43,7 @@
 });
 
 export const testClasses: readonly JobClass[] = [
-	jobClass('firm', {preemptible: false}),
+	jobClass('non-preemptible', {preemptible: false}),
 	jobClass('batch', {urgency: 'batch'}),
 	jobClass('urgent', {urgency: 'urgent', preemptible: false}),
 	jobClass('once', {retryRule: 'at-most-once', checkpointSeconds: 0}),
