Rename private words and complete doc comments

Cause: reading as a newcomer found private words in benches and tests, and exported gang actions without a doc comment. Conclusion: no change of behaviour.

--- a/packages/bench/src/edge/processes.ts
+++ b/packages/bench/src/edge/processes.ts
@@ -78,7 +78,7 @@
 	tokens: Readonly<Record<string, string>>;
 }>;
 
-const CUSTOMERS = ['calm', 'flood'] as const;
+const CUSTOMERS = ['steady', 'flood'] as const;
 
 const declarationsFor = (tokens: Edge['tokens'], operatorToken: string): Declarations => {
 	const quota = {accelerators: 0, queuedJobs: 0, concurrentRequests: 1000, queuedRequests: 1000};
--- a/packages/bench/src/edge/scenarios.ts
+++ b/packages/bench/src/edge/scenarios.ts
@@ -78,7 +78,7 @@
 		]);
 		const baseline = [createCaller(baselineAddress, '', 64)];
 		lifecycle.add('caller', baseline[0]!.close);
-		const ours = callersOf(edge, 'calm', 64, lifecycle);
+		const ours = callersOf(edge, 'steady', 64, lifecycle);
 		const load = {concurrency: 64, ms: quick ? 1500 : 5000};
 		await runClosed(baseline, {...load, ms: 1500});
 		await runClosed(ours, {...load, ms: 1500});
@@ -128,13 +128,17 @@
 
 const measureFairness = async (edge: Edge, peak: number, lifecycle: Lifecycle, quick: boolean): Promise<Figure> => {
 	const ms = quick ? 4000 : 15_000;
-	const [calm] = await Promise.all([
-		runOpen(callersOf(edge, 'calm', 200, lifecycle), {perSecond: Math.round(peak * 0.2), ms, deadlineMs: DEADLINE_MS}),
+	const [steady] = await Promise.all([
+		runOpen(callersOf(edge, 'steady', 200, lifecycle), {
+			perSecond: Math.round(peak * 0.2),
+			ms,
+			deadlineMs: DEADLINE_MS,
+		}),
 		runOpen(callersOf(edge, 'flood', 400, lifecycle), {perSecond: Math.round(peak * 2), ms, deadlineMs: DEADLINE_MS}),
 	]);
 	return atLeast(
-		'share of a calm customer within its deadline while another floods',
-		calm.good / calm.sent,
+		'share of a steady customer within its deadline while another floods',
+		steady.good / steady.sent,
 		GOAL_FAIR_SHARE,
 	);
 };
@@ -164,7 +168,7 @@
 	withLifecycle(async (lifecycle) => {
 		const platform = await startPlatform(lifecycle, SMALL_ENDPOINTS);
 		const edge = await startEdge(lifecycle, platform, 3);
-		const callers = callersOf(edge, 'calm', 400, lifecycle);
+		const callers = callersOf(edge, 'steady', 400, lifecycle);
 		const {peak, figures} = await measureOverload(platform, callers, quick);
 		const fairness = await measureFairness(edge, peak, lifecycle, quick);
 		const leaving = await measureLeaving(platform, callers);
--- a/packages/instance/src/claims-failures.test.ts
+++ b/packages/instance/src/claims-failures.test.ts
@@ -60,9 +60,9 @@
 
 // Guards against a second run of an at-most-once request, an answer other than the first, and a `not-run` for what ran.
 for (const {failure, runs, seen} of ROWS) {
-	for (const fate of ['survives', 'dies'] as const) {
+	for (const instanceState of ['survives', 'dies'] as const) {
 		for (const retryRule of ['at-most-once', 'idempotent'] as const) {
-			await t.test(`endpoint ${failure}, ${retryRule}, instance ${fate}`, async (t) => {
+			await t.test(`endpoint ${failure}, ${retryRule}, instance ${instanceState}`, async (t) => {
 				const store = createFakeStore();
 				const first = createInstance(store, 'a');
 				let count = 0;
@@ -93,13 +93,13 @@
 					}
 				};
 
-				const result = await send(fate === 'dies' ? killed(first) : first, 'r1');
+				const result = await send(instanceState === 'dies' ? killed(first) : first, 'r1');
 				t.equal(result, seen === 'answer' ? 'done' : seen);
 				const repeat = await send(createInstance(store, 'b'), 'r2');
 				if (retryRule === 'idempotent') {
 					t.equal(repeat, 'done');
 					t.equal(count, runs + 1);
-				} else if (fate === 'dies') {
+				} else if (instanceState === 'dies') {
 					t.equal(repeat, 'may-have-run', 'nobody recorded how the request ended');
 					t.equal(count, runs);
 				} else {
--- a/packages/instance/src/gang-actions.ts
+++ b/packages/instance/src/gang-actions.ts
@@ -127,6 +127,7 @@
 	return {...record, taskEnds: [...(record.taskEnds ?? []), ...ends].slice(-MAX_TASK_ENDS)};
 };
 
+/** Records the answer of the first task as the job's answer, then releases the accelerators. */
 export const succeedGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	const {placement} = gang;
 	const reports = reportsOf(placement, options.links.tasks);
@@ -176,6 +177,7 @@
 	await releaseGang(options, gang);
 };
 
+/** Records the failure and queues the next attempt, or ends a job that must not run twice. */
 export const failGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	const {placement} = gang;
 	const reports = reportsOf(placement, options.links.tasks);
@@ -207,6 +209,7 @@
 	await releaseGang(options, gang);
 };
 
+/** Stops the tasks, ends the job as cancelled and releases the accelerators. */
 export const cancelGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	await stopTasks(options, gang);
 	await options.jobs.end(gang.placement.job, {
--- a/packages/instance/src/test/crash.ts
+++ b/packages/instance/src/test/crash.ts
@@ -45,17 +45,17 @@
 /** A gate that holds the n-th call and all later ones for `holdMs`, as a stopped and continued process does. */
 export const createFreezeGate = (freezeAt: number, holdMs: number): CrashGate => {
 	const calls: string[] = [];
-	let thaw: Promise<void> | undefined;
+	let resumed: Promise<void> | undefined;
 	return {
 		calls,
-		hasCrashed: () => thaw !== undefined,
+		hasCrashed: () => resumed !== undefined,
 		async gate(name, call) {
 			calls.push(name);
 			if (calls.length === freezeAt) {
-				thaw = sleep(holdMs);
+				resumed = sleep(holdMs);
 			}
 
-			await thaw;
+			await resumed;
 			return call();
 		},
 	};
--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -39,7 +39,7 @@
 	(error.code === 'ECONNREFUSED' || error.code === 'UND_ERR_CONNECT_TIMEOUT');
 
 /**
-Tells the fate of a write from the entry found later. At most one operation succeeds on an expected revision, so another one on the same revision proves that this one was not applied.
+Tells the outcome of a write from the entry found later. At most one operation succeeds on an expected revision, so another one on the same revision proves that this one was not applied.
 */
 const judge = ({operation}: Write, found: Entry<unknown>): Attempt => {
 	const operations = found.operations ?? [];
