--- a/packages/bench/src/capacity/experiments.ts
+++ b/packages/bench/src/capacity/experiments.ts
@@ -1,6 +1,6 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import type {Declarations} from '@bergamotgauge/model';
-import {encodeValue} from '@bergamotgauge/platform';
+import {encodeValue} from '@bergamotgauge/store';
 import {request} from 'undici';
 import {BASE_INSTANCES, BASE_WORKERS, ENDLESS_RUN_MS, TARGET} from './constants.js';
 import {generateDeclarations} from './declarations.js';
--- a/packages/harness/src/test/service.ts
+++ b/packages/harness/src/test/service.ts
@@ -3,7 +3,7 @@
 import type {Lifecycle} from '@bergamotgauge/lifecycle';
 import type {AccessToken, Declarations, RackRecord} from '@bergamotgauge/model';
 import {createOperatorClient, loadDirectory} from '@bergamotgauge/operator';
-import {decodeValue} from '@bergamotgauge/platform';
+import {decodeValue} from '@bergamotgauge/store';
 import {request} from 'undici';
 import {startInstanceProcess, startStandIn} from '../processes.js';
 import {newToken, sha256} from '../tokens.js';
--- a/packages/instance/src/bundle-merge.test.ts
+++ b/packages/instance/src/bundle-merge.test.ts
@@ -1,5 +1,5 @@
 import {BUNDLE_KEY} from '@bergamotgauge/model';
-import {createReplica} from '@bergamotgauge/platform';
+import {createReplica} from '@bergamotgauge/store';
 import fc from 'fast-check';
 import t from 'tap';
 import {generationOf, mergeBundle} from './bundle-merge.js';
--- a/packages/instance/src/bundle-merge.ts
+++ b/packages/instance/src/bundle-merge.ts
@@ -1,5 +1,5 @@
 import {BUNDLE_KEY, type Bundle} from '@bergamotgauge/model';
-import type {Entry, ReplicaOptions} from '@bergamotgauge/platform';
+import type {Entry, ReplicaOptions} from '@bergamotgauge/store';
 
 /** Generation of a bundle entry; 0 without a value. */
 export const generationOf = (entry: Entry<unknown>): number => (entry.value as Bundle | undefined)?.generation ?? 0;
--- a/packages/instance/src/claims-store.ts
+++ b/packages/instance/src/claims-store.ts
@@ -9,7 +9,7 @@
 	type ClaimResult,
 } from '@bergamotgauge/caller';
 import {claimShardKey, ServiceError, toServiceError, type ClaimShardRecord} from '@bergamotgauge/model';
-import {createGroupCommit, type Entry, type GroupCommit, type Store} from '@bergamotgauge/platform';
+import {createGroupCommit, type Entry, type GroupCommit, type Store} from '@bergamotgauge/store';
 
 const MAX_CLAIM_WRITES = 3;
 
--- a/packages/instance/src/context.ts
+++ b/packages/instance/src/context.ts
@@ -1,7 +1,7 @@
 import type {Lifecycle} from '@bergamotgauge/lifecycle';
 import {BUNDLE_KEY, type Bundle, type JobRecord, type JobShardRecord, type RackRecord} from '@bergamotgauge/model';
 import {ownerOf, type MemberState, type Membership} from '@bergamotgauge/peer';
-import type {Entry, InstanceList, Replica, Store} from '@bergamotgauge/platform';
+import type {Entry, InstanceList, Replica, Store} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import type {Settings} from './types.js';
 
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -16,7 +16,7 @@
 	createReplica,
 	createStoreClient,
 	INSTANCE_LIST_POLL_MS,
-} from '@bergamotgauge/platform';
+} from '@bergamotgauge/store';
 import {createMetrics, type Log, type Metrics} from '@bergamotgauge/telemetry';
 import {mergeBundle} from './bundle-merge.js';
 import {createCallerService} from './caller-service.js';
--- a/packages/instance/src/job-store.ts
+++ b/packages/instance/src/job-store.ts
@@ -12,7 +12,7 @@
 	type JobSpecification,
 } from '@bergamotgauge/model';
 import {checkSubmission} from '@bergamotgauge/placement';
-import {createGroupCommit, STORE_RETRY_AFTER_MS, type GroupCommit} from '@bergamotgauge/platform';
+import {createGroupCommit, STORE_RETRY_AFTER_MS, type GroupCommit} from '@bergamotgauge/store';
 import {validate, version} from 'uuid';
 import {RECENT_JOB_MS} from './constants.js';
 import {allJobs, bundleOf, type Context} from './context.js';
--- a/packages/instance/src/rack-writer.ts
+++ b/packages/instance/src/rack-writer.ts
@@ -1,5 +1,5 @@
 import {rackKey, toServiceError, type RackRecord} from '@bergamotgauge/model';
-import {createGroupCommit, type GroupCommit} from '@bergamotgauge/platform';
+import {createGroupCommit, type GroupCommit} from '@bergamotgauge/store';
 import {RACK_BATCH_MS} from './constants.js';
 import {emptyRack, type Context} from './context.js';
 
--- a/packages/instance/src/replication.ts
+++ b/packages/instance/src/replication.ts
@@ -1,7 +1,7 @@
 import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
 import {BUNDLE_KEY} from '@bergamotgauge/model';
 import {ANTI_ENTROPY_INTERVAL_MS, rankMembers, type Handlers} from '@bergamotgauge/peer';
-import {listAll, runWatcher, type Changes, type Entry, type OperationHistory} from '@bergamotgauge/platform';
+import {listAll, runWatcher, type Changes, type Entry, type OperationHistory} from '@bergamotgauge/store';
 import {encode} from 'cbor-x';
 import {generationOf} from './bundle-merge.js';
 import {
--- a/packages/instance/src/slots-holder.ts
+++ b/packages/instance/src/slots-holder.ts
@@ -1,5 +1,5 @@
 import {slotShardKey, type SlotShardRecord} from '@bergamotgauge/model';
-import type {Replica} from '@bergamotgauge/platform';
+import type {Replica} from '@bergamotgauge/store';
 
 /** Shares lapse when neither the instance list nor the store has confirmed them for this long. */
 export const SHARES_LAPSE_MS = 8000;
--- a/packages/instance/src/test/fake-store.ts
+++ b/packages/instance/src/test/fake-store.ts
@@ -1,5 +1,5 @@
 import {ServiceError} from '@bergamotgauge/model';
-import type {Entry, Store} from '@bergamotgauge/platform';
+import type {Entry, Store} from '@bergamotgauge/store';
 
 export type FakeStore = Store & {
 	/** Calls fail before they have an effect. */
--- a/packages/instance/src/test/memory-store.ts
+++ b/packages/instance/src/test/memory-store.ts
@@ -1,5 +1,5 @@
 import {ServiceError} from '@bergamotgauge/model';
-import type {Changes, Entry, Store} from '@bergamotgauge/platform';
+import type {Changes, Entry, Store} from '@bergamotgauge/store';
 import Emittery from 'emittery';
 
 /** A key-value store in memory with compare-and-swap. */
--- a/packages/instance/src/test/slot-group.ts
+++ b/packages/instance/src/test/slot-group.ts
@@ -1,7 +1,7 @@
 import {createLifecycle, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {BUNDLE_KEY, ServiceError, type Bundle, type ListedInstance} from '@bergamotgauge/model';
 import type {Heartbeat, Member, Membership, MemberState, PeerLink} from '@bergamotgauge/peer';
-import {createReplica, type Entry, type InstanceList, type Replica} from '@bergamotgauge/platform';
+import {createReplica, type Entry, type InstanceList, type Replica} from '@bergamotgauge/store';
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import Emittery from 'emittery';
 import type {Context} from '../context.js';
--- a/packages/instance/src/test/world.ts
+++ b/packages/instance/src/test/world.ts
@@ -12,7 +12,7 @@
 	type RackRecord,
 } from '@bergamotgauge/model';
 import type {Membership} from '@bergamotgauge/peer';
-import {createReplica, type InstanceList, type Store} from '@bergamotgauge/platform';
+import {createReplica, type InstanceList, type Store} from '@bergamotgauge/store';
 import {createWorkerModel, type WorkerModel} from '@bergamotgauge/standins';
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import type {WorkerClient} from '@bergamotgauge/worker';
--- /dev/null
+++ b/packages/scheduler/src/constants.ts
@@ -0,0 +1,107 @@
+/** Root of the scheduler's keys in the store. */
+export const JOB_PREFIX = 'bergamotgauge/job/';
+export const PROGRESS_PREFIX = 'bergamotgauge/progress/';
+export const CANCEL_PREFIX = 'bergamotgauge/cancel/';
+export const ROOT_PREFIX = 'bergamotgauge/';
+export const LEADER_KEY = 'bergamotgauge/leader';
+export const TERM_KEY = 'bergamotgauge/term';
+
+/** Time after which the leadership of a dead instance ends; several lost renewals fit. */
+export const LEADER_TTL_MS = 2000;
+
+/** Four renewals fit into the lease. */
+export const LEADER_RENEW_MS = 500;
+
+/** The leader stops this long before its lease ends at the store, so that its last orders have left. */
+export const LEADER_MARGIN_MS = 300;
+
+/** Longest wait of one watch; an answer also proves that the copy is current. */
+export const WATCH_WAIT_MS = 1500;
+
+/** Pause after a watch that brought changes; those that come meanwhile share the next answer. */
+export const WATCH_PAUSE_MS = 25;
+
+export const WATCH_RETRY_MIN_MS = 50;
+export const WATCH_RETRY_MAX_MS = 400;
+
+/** Longest wait of a worker for an end before it answers. */
+export const HOLD_WAIT_MS = 2000;
+
+/** Added to a hold's wait; a hold that takes longer counts as lost. */
+export const HOLD_GRACE_MS = 1000;
+
+/** Deadline of a start or stop; a worker on the same site answers in a few milliseconds. */
+export const ORDER_DEADLINE_MS = 500;
+
+/** Times that an unanswered order is sent before the worker counts as silent. */
+export const ORDER_ATTEMPTS = 3;
+
+/** Pause before a worker that does not answer is asked again. */
+export const WORKER_RETRY_MS = 100;
+export const WORKER_RETRY_MAX_MS = 500;
+
+/** Share of the longest lease that is asked for; the rest covers the error of the clock estimate. */
+export const LEASE_SHARE = 0.95;
+
+/** A worker's clock may be this much slower than this instance's. */
+export const CLOCK_RATE_ERROR = 0.02;
+
+/** Added to the end of a lease before its work starts elsewhere. */
+export const LEASE_EXPIRY_MARGIN_MS = 250;
+
+/** Runs of one term; the run numbers of the next term begin above. */
+export const RUNS_PER_TERM = 1000;
+
+/** Changes are collected this long before one planning pass. */
+export const PLAN_DELAY_MS = 5;
+
+/** Longest time between two planning passes while work is waiting. */
+export const PLAN_INTERVAL_MS = 500;
+
+/** Jobs in one transaction; each takes up to three of the 32 entries that the store accepts, the leader key one. */
+export const COMMIT_BATCH = 10;
+
+/** Least time between two commits of progress that no caller waits for. */
+export const LAZY_COMMIT_MS = 300;
+
+/** A store without an answer for this long counts as lost; new jobs are then refused at once. */
+export const STORE_LOST_MS = 1000;
+
+/** Time to return for a caller that was refused because the store is lost. */
+export const STORE_RETRY_AFTER_MS = 1000;
+
+/** Time for which a submission with unknown effect is resolved before the caller is told so. */
+export const SUBMIT_RESOLVE_MS = 2200;
+
+/** Longest delay between two looks of an idle planner. */
+export const IDLE_LOOK_MS = 1000;
+
+/** Worker lives that an earlier leader may have given leases to, written before their first start. */
+export const ROSTER_KEY = 'bergamotgauge/roster';
+
+/** Pause between two looks at whether the leadership is free. */
+export const ELECTION_RETRY_MS = 50;
+
+/** Pause between two sendings of a stop that no worker has answered. */
+export const STOP_RETRY_MS = 200;
+
+/** Added to the time a stop takes before a report without the run proves its end. */
+export const STOP_SETTLE_MS = 100;
+
+/** Pause between two removals of old records. */
+export const RETENTION_INTERVAL_MS = 5000;
+
+/** Jobs whose records are removed in one transaction; each takes three of its 32 entries. */
+export const RETENTION_BATCH = 10;
+
+/** Kept longer than promised, since the clocks of instances differ. */
+export const RETENTION_MARGIN_MS = 30_000;
+
+/** Different jobs that fail in a row on a worker before it comes under suspicion. */
+export const FAILED_JOBS_LIMIT = 2;
+
+export const SUSPICION_MIN_MS = 4000;
+export const SUSPICION_MAX_MS = 30_000;
+
+/** Time for which a worker that refused a start gets no other. */
+export const REFUSAL_PAUSE_MS = 200;
--- /dev/null
+++ b/packages/scheduler/src/election.ts
@@ -0,0 +1,173 @@
+import {randomUUID} from 'node:crypto';
+import {TextDecoder, TextEncoder} from 'node:util';
+import {sleep} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
+import {
+	ELECTION_RETRY_MS,
+	LEADER_KEY,
+	LEADER_MARGIN_MS,
+	LEADER_RENEW_MS,
+	LEADER_TTL_MS,
+	TERM_KEY,
+} from './constants.js';
+import type {JobTable} from './job-table.js';
+import type {StoreHealth} from './store-health.js';
+import type {SchedulerContext} from './types.js';
+
+/** One period of leadership. */
+export type Term = Readonly<{
+	/** Fencing token; rises with each term. */
+	number: number;
+	/** Revision of the leader key, on which the leader's writes depend. */
+	leaderRevision: number;
+	/** Whether the lease still holds by this instance's clock. */
+	isValid: () => boolean;
+	/** Ends the term early, after a sign that another instance leads. */
+	abandon: (reason: string) => void;
+	signal: AbortSignal;
+}>;
+
+export type ElectionOptions = Readonly<{
+	context: SchedulerContext;
+	table: JobTable;
+	health: StoreHealth;
+	/** Work of a leader; the term ends when it returns. */
+	lead: (term: Term) => Promise<void>;
+	/** False when the instance is about to stop. */
+	isCandidate: () => boolean;
+	signal: AbortSignal;
+}>;
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/**
+Takes part in elections until the signal aborts. The leader key is bound to a lease and replaced only when it is gone, so there is one holder at a time at the store; a holder whose lease may have ended by its own clock stops by itself.
+
+@example
+```ts
+lifecycle.run('election', async (signal) => runElection({context, table, health, lead, isCandidate, signal}));
+```
+*/
+export const runElection = async (options: ElectionOptions): Promise<void> => {
+	const {context, table, health, lead, isCandidate, signal} = options;
+	const {store, log, instanceId, metrics} = context;
+
+	const claim = async (): Promise<Readonly<{number: number; revision: number; lease: number; sentMs: number}> | undefined> => {
+		const last = await store.get(TERM_KEY);
+		const number = last ? Number(decoder.decode(last.value)) + 1 : 1;
+		const sentMs = health.now();
+		const {lease} = await store.grantLease(LEADER_TTL_MS);
+		const result = await store.transact({
+			expected: [
+				{key: LEADER_KEY, revision: 0},
+				{key: TERM_KEY, revision: last?.revision ?? 0},
+			],
+			writes: [
+				{key: LEADER_KEY, value: encoder.encode(`${instanceId}/${randomUUID()}`), lease},
+				{key: TERM_KEY, value: encoder.encode(String(number))},
+			],
+		});
+		if (result.outcome === 'applied') {
+			return {number, revision: result.revision, lease, sentMs};
+		}
+
+		table.learn(result.outcome === 'conflict' ? result.current : []);
+		await store.endLease(lease);
+		return undefined;
+	};
+
+	const renew = async (lease: number, controller: AbortController, extend: (sentMs: number) => void) => {
+		while (!controller.signal.aborted) {
+			await sleep(LEADER_RENEW_MS, controller.signal);
+			if (controller.signal.aborted) {
+				return;
+			}
+
+			const sentMs = health.now();
+			try {
+				if (!(await store.renewLease(lease))) {
+					controller.abort(new Error('the lease has ended'));
+					return;
+				}
+
+				extend(sentMs);
+			} catch (error) {
+				log.debug('lease-not-renewed', {error: toServiceError(error, 'may-have-run').message});
+			}
+		}
+	};
+
+	const serve = async ({number, revision, lease, sentMs}: Readonly<{number: number; revision: number; lease: number; sentMs: number}>) => {
+		const controller = new AbortController();
+		let validUntilMs = sentMs + LEADER_TTL_MS - LEADER_MARGIN_MS;
+		const resign = () => {
+			controller.abort(new Error('the instance stops'));
+		};
+
+		signal.addEventListener('abort', resign, {once: true});
+		const watchValidity = async () => {
+			while (!controller.signal.aborted) {
+				await sleep(LEADER_RENEW_MS / 5, controller.signal);
+				if (!isCandidate()) {
+					resign();
+				} else if (health.now() > validUntilMs) {
+					controller.abort(new Error('the lease was not renewed in time'));
+				}
+			}
+		};
+
+		log.info('term-started', {term: number, instance: instanceId});
+		metrics.gauge('leader_term', number);
+		try {
+			await Promise.all([
+				renew(lease, controller, (atMs) => {
+					validUntilMs = atMs + LEADER_TTL_MS - LEADER_MARGIN_MS;
+				}),
+				watchValidity(),
+				(async () => {
+					try {
+						await lead({
+							number,
+							leaderRevision: revision,
+							isValid: () => !controller.signal.aborted && health.now() < validUntilMs,
+							abandon(reason) {
+								controller.abort(new Error(reason));
+							},
+							signal: controller.signal,
+						});
+					} finally {
+						controller.abort(new Error('the work of the term has ended'));
+					}
+				})(),
+			]);
+		} finally {
+			signal.removeEventListener('abort', resign);
+			const reason = controller.signal.reason as unknown;
+			log.info('term-ended', {term: number, reason: reason instanceof Error ? reason.message : 'unknown'});
+			metrics.gauge('leader_term', 0);
+			await store.endLease(lease).catch((error: unknown) => {
+				log.debug('lease-not-ended', {error: toServiceError(error, 'may-have-run').message});
+			});
+		}
+	};
+
+	while (!signal.aborted) {
+		const mayClaim = isCandidate() && table.isLoaded() && !table.leader() && !health.isLost();
+		if (!mayClaim) {
+			await sleep(ELECTION_RETRY_MS, signal);
+			continue;
+		}
+
+		try {
+			const claimed = await claim();
+			if (claimed) {
+				await serve(claimed);
+			}
+		} catch (error) {
+			log.warn('election-failed', {error: toServiceError(error, 'may-have-run').message});
+		}
+
+		await sleep(ELECTION_RETRY_MS, signal);
+	}
+};
--- /dev/null
+++ b/packages/scheduler/src/job-run.ts
@@ -0,0 +1,283 @@
+import {objectiveMs, partKey, type Job, type PartRecord, type Progress, type RunEnd, type Step} from '@bergamotgauge/jobs';
+import {RUNS_PER_TERM} from './constants.js';
+
+/** One run of a unit on a worker. */
+export type Placement = {
+	readonly workerId: string;
+	readonly index: number;
+	readonly run: number;
+	/** An order without an answer may still be carried out, so `starting` takes room until its outcome is known. */
+	phase: 'starting' | 'running' | 'stopping';
+	readonly startedMs: number;
+	/** Time since which the worker is known to have the run. */
+	acceptedMs: number | undefined;
+	/** Time at which the worker accepted a stop. */
+	stopAcceptedMs: number | undefined;
+	/** Reports of the worker without the run, after it was accepted. */
+	missedReports: number;
+	percent: number;
+	/** Time of the last progress that the worker reported. */
+	progressMs: number;
+};
+
+/** What runs and ends as one: a unit, or all units of a gang. */
+export type Part = {
+	readonly key: string;
+	readonly occurrence: number;
+	readonly step: number;
+	readonly indexes: readonly number[];
+	isDone: boolean;
+	failures: number;
+	/** Highest run that has ended. */
+	run: number;
+	/** Highest run whose failure was counted. */
+	failedRun: number;
+	/** Highest run that was ordered. */
+	orderedRun: number;
+	checkpoint: string;
+	placements: Placement[];
+	/** Time since which the part could run but does not. */
+	waitingSinceMs: number | undefined;
+	/** Workers on which the part failed or stood still. */
+	avoided: Set<string>;
+	/** Set while an earlier leader's run may still exist on a worker that has not answered. */
+	blockedUntilMs: number;
+};
+
+/** A job while this instance leads. */
+export type JobRun = {
+	readonly job: Job;
+	/** Parts of the occurrences that are due, by key. */
+	readonly parts: Map<string, Part>;
+	readonly objectiveMs: number;
+	occurrences: number;
+	isCancelled: boolean;
+	hasBegun: boolean;
+	outcome: Progress['outcome'];
+	endedMs: number | undefined;
+	/** Counts changes of what is stored. */
+	changes: number;
+	storedChanges: number;
+	progressRevision: number;
+	jobRevision: number;
+};
+
+/** Number of times that the steps of a job run. */
+export const occurrencesOf = ({schedule}: Job): number => Math.max(1, schedule?.repeats ?? 1);
+
+/** Time of day at which an occurrence is due. */
+export const dueMs = ({schedule, acceptedMs}: Job, occurrence: number): number =>
+	schedule ? schedule.firstMs + occurrence * schedule.intervalMs : acceptedMs;
+
+const createPart = (
+	occurrence: number,
+	step: number,
+	indexes: readonly number[],
+	record: PartRecord | undefined,
+	key: string,
+): Part => ({
+	key,
+	occurrence,
+	step,
+	indexes,
+	isDone: record?.isDone ?? false,
+	failures: record?.failures ?? 0,
+	run: record?.run ?? 0,
+	failedRun: record?.failedRun ?? 0,
+	orderedRun: record?.run ?? 0,
+	checkpoint: record?.checkpoint ?? '',
+	placements: [],
+	waitingSinceMs: undefined,
+	avoided: new Set(),
+	blockedUntilMs: 0,
+});
+
+/** Adds the parts of the next occurrence. */
+export const addOccurrence = (run: JobRun, progress?: Progress): void => {
+	const occurrence = run.occurrences;
+	run.occurrences += 1;
+	for (const [stepIndex, step] of run.job.steps.entries()) {
+		const indexes = Array.from({length: step.count}, (_value, index) => index);
+		const groups = step.gang ? [indexes] : indexes.map((index) => [index]);
+		for (const group of groups) {
+			const key = partKey(occurrence, stepIndex, step.gang ? 'gang' : group[0]!);
+			run.parts.set(key, createPart(occurrence, stepIndex, group, progress?.parts[key], key));
+		}
+	}
+};
+
+/**
+Creates the run of a job from its records; `nowMs` is the time of day.
+
+@example
+```ts
+const run = createJobRun({job, progress: undefined, isCancelled: false, nowMs: Date.now()});
+```
+*/
+export const createJobRun = (
+	options: Readonly<{
+		job: Job;
+		progress: Progress | undefined;
+		progressRevision: number;
+		jobRevision: number;
+		isCancelled: boolean;
+		nowMs: number;
+	}>,
+): JobRun => {
+	const {job, progress, progressRevision, jobRevision, isCancelled, nowMs} = options;
+	const run: JobRun = {
+		job,
+		parts: new Map(),
+		objectiveMs: objectiveMs(job),
+		occurrences: 0,
+		isCancelled,
+		hasBegun: progress?.hasBegun ?? false,
+		outcome: progress?.outcome,
+		endedMs: progress?.endedMs,
+		changes: 0,
+		storedChanges: 0,
+		progressRevision,
+		jobRevision,
+	};
+	addDueOccurrences(run, nowMs, progress);
+	return run;
+};
+
+/** Adds all occurrences that are due; returns the time of day of the next one. */
+export const addDueOccurrences = (run: JobRun, nowMs: number, progress?: Progress): number | undefined => {
+	const total = occurrencesOf(run.job);
+	while (run.occurrences < total && dueMs(run.job, run.occurrences) <= nowMs) {
+		addOccurrence(run, progress);
+	}
+
+	return run.occurrences < total ? dueMs(run.job, run.occurrences) : undefined;
+};
+
+const isStepDone = (run: JobRun, occurrence: number, step: number): boolean => {
+	for (const part of run.parts.values()) {
+		if (part.occurrence === occurrence && part.step === step && !part.isDone) {
+			return false;
+		}
+	}
+
+	return true;
+};
+
+/** Parts that may start now, in the order of their steps. */
+export const readyParts = (run: JobRun): Part[] => {
+	if (run.outcome || run.isCancelled) {
+		return [];
+	}
+
+	const openSteps = new Map<string, boolean>();
+	const isOpen = ({occurrence, step}: Part): boolean => {
+		const key = `${occurrence}.${step}`;
+		let open = openSteps.get(key);
+		if (open === undefined) {
+			open = (run.job.steps[step]?.after ?? []).every((earlier) => isStepDone(run, occurrence, earlier));
+			openSteps.set(key, open);
+		}
+
+		return open;
+	};
+
+	return [...run.parts.values()].filter((part) => !part.isDone && part.placements.length === 0 && isOpen(part));
+};
+
+/** Number of the next run of a part in a term; greater than those of earlier terms. */
+export const nextRun = (part: Part, term: number): number =>
+	Math.max(part.orderedRun, part.run, (term - 1) * RUNS_PER_TERM) + 1;
+
+export const partOf = (run: JobRun, occurrence: number, step: number, index: number): Part | undefined => {
+	const isGang = run.job.steps[step]?.gang ?? false;
+	while (run.occurrences <= occurrence && run.occurrences < occurrencesOf(run.job)) {
+		addOccurrence(run);
+	}
+
+	return run.parts.get(partKey(occurrence, step, isGang ? 'gang' : index));
+};
+
+export const stepOf = (run: JobRun, part: Part): Step => run.job.steps[part.step]!;
+
+const conclude = (run: JobRun, nowMs: number) => {
+	if (run.outcome) {
+		return;
+	}
+
+	const parts = [...run.parts.values()];
+	const hasFailed = parts.some(
+		(part) => !part.isDone && part.failures >= run.job.attempts && !stepOf(run, part).longRunning,
+	);
+	const isComplete = run.occurrences === occurrencesOf(run.job) && parts.every(({isDone}) => isDone);
+	if (run.isCancelled || hasFailed || isComplete) {
+		run.outcome = isComplete ? 'completed' : run.isCancelled ? 'cancelled' : 'failed';
+		run.endedMs = nowMs;
+		run.changes += 1;
+	}
+};
+
+/** Notes that a caller has cancelled the job. */
+export const cancelRun = (run: JobRun, nowMs: number): void => {
+	run.isCancelled = true;
+	conclude(run, nowMs);
+};
+
+/** What an end meant for its part. */
+export type EndEffect = 'counted' | 'repeated';
+
+/**
+Notes the end of a run of one unit. An end that was counted before changes nothing, so that a worker may list it again.
+*/
+export const noteEnd = (
+	run: JobRun,
+	part: Part,
+	end: Readonly<{workerId: string; index: number; run: number; how: RunEnd; checkpoint: string}>,
+	nowMs: number,
+): EndEffect => {
+	part.placements = part.placements.filter(
+		(placement) =>
+			placement.workerId !== end.workerId || placement.index !== end.index || placement.run !== end.run,
+	);
+	const isFailure = end.how === 'failed' && end.run > part.failedRun;
+	// A run that was started after this one's lease had ended goes before a result that came too late.
+	const isResult = end.how === 'done' && part.placements.every((placement) => placement.run <= end.run);
+	if (part.isDone || (end.run <= part.run && !isFailure && !isResult)) {
+		return 'repeated';
+	}
+
+	run.hasBegun = true;
+	run.changes += 1;
+	if (isResult && !stepOf(run, part).longRunning) {
+		part.isDone = true;
+	}
+
+	if (isFailure) {
+		part.failures += 1;
+		part.failedRun = end.run;
+		part.avoided.add(end.workerId);
+	}
+
+	if (end.checkpoint && end.run >= part.run) {
+		part.checkpoint = end.checkpoint;
+	}
+
+	part.run = Math.max(part.run, end.run);
+	part.orderedRun = Math.max(part.orderedRun, part.run);
+	conclude(run, nowMs);
+	return 'counted';
+};
+
+/** Progress of a job for the store. */
+export const progressOf = (run: JobRun): Progress => ({
+	hasBegun: run.hasBegun,
+	outcome: run.outcome,
+	endedMs: run.endedMs,
+	parts: Object.fromEntries(
+		[...run.parts.values()]
+			.filter(({run: ended}) => ended > 0)
+			.map(({key, isDone, run: ended, failures, failedRun, checkpoint}) => [
+				key,
+				{isDone, run: ended, failures, failedRun, checkpoint: isDone ? '' : checkpoint},
+			]),
+	),
+});
--- /dev/null
+++ b/packages/scheduler/src/job-service.ts
@@ -0,0 +1,199 @@
+import {checkSubmission, decodeJob, encodeJob, type Job, type JobState} from '@bergamotgauge/jobs';
+import {ServiceError, toServiceError} from '@bergamotgauge/model';
+import {sleep} from '@bergamotgauge/lifecycle';
+import type {KeyValueStore, StoredItem, Transaction} from '@bergamotgauge/store';
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import {CANCEL_PREFIX, JOB_PREFIX, STORE_RETRY_AFTER_MS, SUBMIT_RESOLVE_MS} from './constants.js';
+import {stateOf, type JobEntry, type JobTable} from './job-table.js';
+import type {StoreHealth} from './store-health.js';
+import type {JobRequest, Queue} from './types.js';
+
+/** Retries of a transaction whose effect is not known start after this pause. */
+const RESOLVE_PAUSE_MS = 60;
+
+export type JobServiceOptions = Readonly<{
+	store: KeyValueStore;
+	table: JobTable;
+	health: StoreHealth;
+	log: Log;
+	metrics: Metrics;
+}>;
+
+/** A job by its queue, customer and id. */
+export type JobAddress = Readonly<{queue: Queue; customer: string; id: string}>;
+
+/** What callers may ask for. */
+export type JobService = Readonly<{
+	/** Resolves when the job is stored. */
+	submit: (request: JobRequest) => Promise<void>;
+	state: (address: JobAddress) => Promise<JobState>;
+	/** Resolves when the cancellation is stored. */
+	cancel: (address: JobAddress) => Promise<void>;
+	/** Accepted jobs of the queue of which no unit has started. */
+	countPending: (queue: Queue) => number;
+}>;
+
+const noSuchJob = (id: string): ServiceError =>
+	new ServiceError(`there is no job ${id}`, {code: 'not-found', verdict: 'not-run', status: 410});
+
+const storeLost = (): ServiceError =>
+	new ServiceError('the store does not answer', {
+		code: 'store-unavailable',
+		verdict: 'not-run',
+		retryAfterMs: STORE_RETRY_AFTER_MS,
+	});
+
+const isSameSubmission = (a: Job, b: Job): boolean =>
+	a.queue === b.queue && a.customer === b.customer && a.spec === b.spec && a.steps.length === b.steps.length;
+
+/**
+Creates the interface for callers' jobs.
+
+@example
+```ts
+const service = createJobService({store, table, health, log, metrics});
+await service.submit({queue, customer: 'acme', submission});
+```
+*/
+export const createJobService = ({store, table, health, log, metrics}: JobServiceOptions): JobService => {
+	/** Repeats a transaction until its effect is known; `undefined` result means a conflict. */
+	const transactSurely = async (transaction: Transaction): Promise<readonly StoredItem[] | undefined> => {
+		const deadlineMs = health.now() + SUBMIT_RESOLVE_MS;
+		let mayHaveRun = false;
+		for (;;) {
+			try {
+				const result = await store.transact(transaction);
+				return result.outcome === 'conflict' ? result.current : undefined;
+			} catch (thrown) {
+				const error = toServiceError(thrown, 'may-have-run');
+				mayHaveRun ||= error.verdict === 'may-have-run';
+				if (!mayHaveRun) {
+					throw error;
+				}
+
+				if (health.now() > deadlineMs) {
+					throw new ServiceError(`the effect of the request is not known: ${error.message}`, {
+						code: 'deadline-exceeded',
+						verdict: 'may-have-run',
+						cause: error,
+					});
+				}
+
+				await sleep(RESOLVE_PAUSE_MS);
+			}
+		}
+	};
+
+	const readEntry = async (id: string): Promise<JobEntry | undefined> => {
+		const known = table.get(id);
+		if (known?.job) {
+			return known;
+		}
+
+		const item = await store.get(JOB_PREFIX + id);
+		if (!item) {
+			return undefined;
+		}
+
+		table.learn([item]);
+		return {
+			job: decodeJob(item.value),
+			jobRevision: item.revision,
+			progress: undefined,
+			progressRevision: 0,
+			cancelRevision: 0,
+		};
+	};
+
+	const find = async ({queue, customer, id}: JobAddress): Promise<JobEntry> => {
+		const entry = await readEntry(id);
+		const isTheirs = entry?.job?.queue === queue.name && (queue.isPublic || entry.job.customer === customer);
+		if (!entry || !isTheirs) {
+			throw noSuchJob(id);
+		}
+
+		return entry;
+	};
+
+	return {
+		async submit({queue, customer, submission}) {
+			checkSubmission(submission);
+			const {name, service, priority, attempts, stretch, targetLatencyMs} = queue;
+			const job: Job = {
+				...submission,
+				queue: name,
+				service,
+				priority,
+				attempts,
+				stretch,
+				targetLatencyMs,
+				customer,
+				acceptedMs: Date.now(),
+			};
+			const known = table.get(job.id)?.job;
+			if (!known && health.isLost()) {
+				metrics.count('jobs_refused_total', {queue: name, reason: 'store-lost'});
+				log.info('job-refused', {job: job.id, queue: name, reason: 'store-lost', retryAfterMs: STORE_RETRY_AFTER_MS});
+				throw storeLost();
+			}
+
+			const key = JOB_PREFIX + job.id;
+			const value = encodeJob(job);
+			const current = known
+				? undefined
+				: await transactSurely({expected: [{key, revision: 0}], writes: [{key, value}]});
+			const stored = known ?? (current?.[0] && decodeJob(current[0].value));
+			if (stored && !isSameSubmission(stored, job)) {
+				throw new ServiceError(`job ${job.id} exists with other content`, {code: 'conflict', verdict: 'not-run'});
+			}
+
+			metrics.count('jobs_accepted_total', {queue: name, customer, repeated: stored ? 'yes' : 'no'});
+			log.info('job-accepted', {
+				job: job.id,
+				queue: name,
+				customer,
+				units: job.steps.reduce((sum, {count}) => sum + count, 0),
+				repeated: stored !== undefined,
+			});
+		},
+		state: async (address) => stateOf(await find(address)),
+		async cancel(address) {
+			const entry = await find(address);
+			if (entry.progress?.outcome) {
+				throw noSuchJob(address.id);
+			}
+
+			if (entry.cancelRevision > 0) {
+				return;
+			}
+
+			if (health.isLost()) {
+				throw storeLost();
+			}
+
+			const key = CANCEL_PREFIX + address.id;
+			const conflict = await transactSurely({
+				expected: [
+					{key: JOB_PREFIX + address.id, revision: entry.jobRevision},
+					{key, revision: 0},
+				],
+				writes: [{key, value: new Uint8Array(0)}],
+			});
+			if (conflict && !conflict.some((item) => item.key === key)) {
+				throw noSuchJob(address.id);
+			}
+
+			log.info('job-cancel-stored', {job: address.id, queue: address.queue.name});
+		},
+		countPending(queue) {
+			let pending = 0;
+			for (const [, entry] of table.entries()) {
+				if (entry.job?.queue === queue.name && stateOf(entry) === 'queued') {
+					pending += 1;
+				}
+			}
+
+			return pending;
+		},
+	};
+};
--- /dev/null
+++ b/packages/scheduler/src/leader-state.ts
@@ -0,0 +1,81 @@
+import {stepOf, type JobRun, type Part, type Placement} from './job-run.js';
+import type {Room, Worker} from './types.js';
+import type {WorkerLink} from './worker-link.js';
+
+/** Evidence about a worker from the runs on it. */
+export type WorkerRecord = {
+	/** Failures of different jobs in a row. */
+	failedJobs: Set<string>;
+	/** Time until which the worker gets work only when no other fits. */
+	suspectUntilMs: number;
+	/** Time until which the worker gets no work. */
+	pausedUntilMs: number;
+	/** Times in a row that it was put under suspicion; lengthens the next one. */
+	suspicions: number;
+	/** Factor on run times, smoothed over its last runs. */
+	slowness: number;
+};
+
+/** All that a leader keeps in memory during its term. */
+export type LeaderState = Readonly<{
+	runs: Map<string, JobRun>;
+	links: Map<string, WorkerLink>;
+	/** Workers as the platform lists them. */
+	directory: Map<string, Worker>;
+	records: Map<string, WorkerRecord>;
+	/** Runs that are on workers and belong to no job that should run, by worker and unit. */
+	strays: Map<string, Map<string, number>>;
+}>;
+
+export const createLeaderState = (): LeaderState => ({
+	runs: new Map(),
+	links: new Map(),
+	directory: new Map(),
+	records: new Map(),
+	strays: new Map(),
+});
+
+/** The record of a worker, created on first use. */
+export const recordOf = (state: LeaderState, workerId: string): WorkerRecord => {
+	let record = state.records.get(workerId);
+	if (!record) {
+		record = {failedJobs: new Set(), suspectUntilMs: 0, pausedUntilMs: 0, suspicions: 0, slowness: 1};
+		state.records.set(workerId, record);
+	}
+
+	return record;
+};
+
+export type Placed = Readonly<{run: JobRun; part: Part; placement: Placement}>;
+
+/** All placements of active jobs. */
+export const allPlaced = function* (state: LeaderState): Generator<Placed> {
+	for (const run of state.runs.values()) {
+		for (const part of run.parts.values()) {
+			for (const placement of part.placements) {
+				yield {run, part, placement};
+			}
+		}
+	}
+};
+
+/** Placements by worker. */
+export const placedByWorker = (state: LeaderState): ReadonlyMap<string, readonly Placed[]> => {
+	const byWorker = new Map<string, Placed[]>();
+	for (const placed of allPlaced(state)) {
+		const list = byWorker.get(placed.placement.workerId);
+		if (list) {
+			list.push(placed);
+		} else {
+			byWorker.set(placed.placement.workerId, [placed]);
+		}
+	}
+
+	return byWorker;
+};
+
+/** Room that one unit of the part takes on a worker. */
+export const needOf = (run: JobRun, part: Part): Room => {
+	const {cpuMillis, memoryMb, accelerators, usesLeftover} = stepOf(run, part);
+	return {cpuMillis: usesLeftover ? 0 : cpuMillis, memoryMb, accelerators};
+};
--- /dev/null
+++ b/packages/scheduler/src/plan/constants.ts
@@ -0,0 +1,11 @@
+/** Workers that one pass keeps free for parts that found no room, as a share of all. */
+export const RESERVED_SHARE = 0.25;
+
+/** Parts that may reserve workers in one pass. */
+export const MAX_RESERVING_PARTS = 8;
+
+/** Evictions in one pass; more would stop work that the next pass could still place around. */
+export const MAX_EVICTIONS = 16;
+
+/** Pending parts that one pass looks at; bounds the time of a pass under a long queue. */
+export const MAX_PLANNED_PARTS = 600;
--- /dev/null
+++ b/packages/scheduler/src/plan/plan.ts
@@ -0,0 +1,118 @@
+import {MAX_EVICTIONS, MAX_PLANNED_PARTS, MAX_RESERVING_PARTS, RESERVED_SHARE} from './constants.js';
+import {findEviction} from './evict.js';
+import {findPlace, isEligible, takePlace, type PlaceOptions, type WorkerSlot} from './place-part.js';
+import {addRoom, fits} from './room.js';
+import type {Plan, PlanPart, PlanStart, PlanView, PlanWorker} from './types.js';
+
+/** Time at which the worker has room for one member if nothing new starts on it. */
+const freeAtMs = (part: PlanPart, worker: PlanWorker, nowMs: number): number => {
+	let {free} = worker;
+	for (const {need, endMs} of worker.placements.toSorted((a, b) => a.endMs - b.endMs)) {
+		if (fits(part.need, free)) {
+			break;
+		}
+
+		free = addRoom(free, need);
+		if (fits(part.need, free)) {
+			return Math.max(nowMs, endMs);
+		}
+	}
+
+	return fits(part.need, free) ? nowMs : Number.POSITIVE_INFINITY;
+};
+
+/**
+Keeps workers free for a part that found no room, so that smaller parts behind it cannot take each gap before it does.
+*/
+const reserve = (part: PlanPart, slots: readonly WorkerSlot[], budget: number, nowMs: number): number => {
+	const open = slots
+		.filter(({worker, isReserved}) => !isReserved && isEligible(part, worker) && !worker.isSuspect)
+		.filter(({worker}) => !part.dataRack || worker.rack === part.dataRack)
+		.map((slot) => ({slot, atMs: freeAtMs(part, slot.worker, nowMs)}))
+		.filter(({atMs}) => atMs < Number.POSITIVE_INFINITY)
+		.toSorted((a, b) => a.atMs - b.atMs);
+	const count = Math.min(part.members, open.length, budget);
+	for (const {slot} of open.slice(0, count)) {
+		slot.isReserved = true;
+	}
+
+	return count;
+};
+
+/** Parts alike in what they ask for; when one finds no room, the others need not be tried. */
+const shapeOf = ({stepId, members, avoidedWorkers}: PlanPart): string =>
+	`${stepId}/${members}/${[...avoidedWorkers].toSorted().join(',')}`;
+
+/**
+Decides what starts where. Parts are served by rank; a part that finds no room reserves workers, and an urgent one lets work of lower priority give way.
+
+@example
+```ts
+const {starts, evictions} = plan({workers, parts, unitsOnWorker, nowMs, remoteFactor: 3});
+```
+*/
+export const plan = (view: PlanView): Plan => {
+	const {workers, nowMs} = view;
+	const slots: WorkerSlot[] = workers
+		.filter(({isUsable}) => isUsable)
+		.map((worker) => ({worker, free: worker.free, isReserved: false, units: new Map()}));
+	const options: PlaceOptions = {unitsOnWorker: view.unitsOnWorker, remoteFactor: view.remoteFactor};
+	const parts = view.parts.toSorted((a, b) => a.rank - b.rank).slice(0, MAX_PLANNED_PARTS);
+	const starts: PlanStart[] = [];
+	const evictions = new Map<string, string>();
+	const failedShapes = new Set<string>();
+	let reservationBudget = Math.floor(slots.length * RESERVED_SHARE);
+	let reservingParts = 0;
+
+	const tryEvict = (part: PlanPart): boolean => {
+		if (!part.mayEvict || evictions.size >= MAX_EVICTIONS) {
+			return false;
+		}
+
+		const eviction = findEviction(part, slots, options, new Set(evictions.keys()));
+		if (!eviction) {
+			return false;
+		}
+
+		for (const victim of eviction.victims) {
+			evictions.set(victim, part.id);
+		}
+
+		// The room is promised to this part as soon as it is free.
+		for (const slot of eviction.chosen) {
+			slot.isReserved = true;
+		}
+
+		takePlace(part, eviction.chosen, options);
+		return true;
+	};
+
+	for (const part of parts) {
+		const shape = shapeOf(part);
+		if (failedShapes.has(shape)) {
+			continue;
+		}
+
+		const chosen = findPlace(part, slots, {...options, includeReserved: false});
+		if (chosen) {
+			takePlace(part, chosen, options);
+			starts.push({partId: part.id, workerIds: chosen.map(({worker}) => worker.id)});
+			continue;
+		}
+
+		if (tryEvict(part)) {
+			continue;
+		}
+
+		failedShapes.add(shape);
+		if (reservingParts < MAX_RESERVING_PARTS && reservationBudget > 0) {
+			reservingParts += 1;
+			reservationBudget -= reserve(part, slots, reservationBudget, nowMs);
+		}
+	}
+
+	return {
+		starts,
+		evictions: [...evictions].map(([partId, forPartId]) => ({partId, forPartId})),
+	};
+};
--- /dev/null
+++ b/packages/scheduler/src/plan/types.ts
@@ -0,0 +1,72 @@
+import type {Room} from '../types.js';
+
+/** A run on a worker that could give way. */
+export type PlanPlacement = Readonly<{
+	/** Identifies the part, so that all members of a gang count as one. */
+	partId: string;
+	need: Room;
+	priority: number;
+	customer: string;
+	/** Work that a stop would throw away, in accelerator-milliseconds. */
+	lossMs: number;
+	/** Expected end. */
+	endMs: number;
+	/** Runs until it is stopped, or stops already. */
+	isStopping: boolean;
+}>;
+
+export type PlanWorker = Readonly<{
+	id: string;
+	service: string;
+	rack: string;
+	labels: readonly string[];
+	capacity: Room;
+	free: Room;
+	/** Takes new work. */
+	isUsable: boolean;
+	/** Under suspicion of failing or slow work; used only when no other worker fits. */
+	isSuspect: boolean;
+	/** Factor on run times that its past work shows. */
+	slowness: number;
+	placements: readonly PlanPlacement[];
+}>;
+
+/** A part that waits for a worker, or a gang that waits for several. */
+export type PlanPart = Readonly<{
+	id: string;
+	/** Identifies the step and occurrence, for limits on units of one step on one worker. */
+	stepId: string;
+	service: string;
+	customer: string;
+	members: number;
+	need: Room;
+	priority: number;
+	/** May take the place of work of lower priority. */
+	mayEvict: boolean;
+	sameRack: boolean;
+	requiredLabel: string | undefined;
+	dataRack: string | undefined;
+	maxPerWorker: number;
+	avoidedWorkers: ReadonlySet<string>;
+	estimateMs: number;
+	waitedMs: number;
+	/** Order of service; lower comes first. */
+	rank: number;
+}>;
+
+export type PlanView = Readonly<{
+	workers: readonly PlanWorker[];
+	parts: readonly PlanPart[];
+	/** Units of a step that are on a worker now. */
+	unitsOnWorker: (stepId: string, workerId: string) => number;
+	nowMs: number;
+	remoteFactor: number;
+}>;
+
+export type PlanStart = Readonly<{partId: string; workerIds: readonly string[]}>;
+
+export type Plan = Readonly<{
+	starts: readonly PlanStart[];
+	/** Parts that give way to more urgent ones. */
+	evictions: ReadonlyArray<Readonly<{partId: string; forPartId: string}>>;
+}>;
--- /dev/null
+++ b/packages/scheduler/src/progress-writer.ts
@@ -0,0 +1,174 @@
+import {encodeProgress} from '@bergamotgauge/jobs';
+import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
+import {ServiceError, toServiceError} from '@bergamotgauge/model';
+import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
+import type {Log} from '@bergamotgauge/telemetry';
+import {CANCEL_PREFIX, COMMIT_BATCH, LAZY_COMMIT_MS, LEADER_KEY, PROGRESS_PREFIX, WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
+import {cancelRun, progressOf, type JobRun} from './job-run.js';
+import type {Term} from './election.js';
+
+/** Stores the progress of jobs while this instance leads. */
+export type ProgressWriter = Readonly<{
+	/** Resolves when the changes that the job has now are stored; rejects when the term ends first. */
+	store: (runs: readonly JobRun[]) => Promise<void>;
+	/** Has the changes stored soon. */
+	storeLater: (run: JobRun) => void;
+}>;
+
+type Waiting = {changes: number; run: JobRun; resolve: () => void; reject: (error: Error) => void};
+
+export type ProgressWriterOptions = Readonly<{
+	store: KeyValueStore;
+	term: Term;
+	log: Log;
+	/** Called with the items that were written, so that this instance sees them at once. */
+	onStored: (items: readonly StoredItem[]) => void;
+	/** Called when a stored cancellation went before the outcome. */
+	onCancelled: (run: JobRun) => void;
+}>;
+
+/**
+Creates the writer of a term. Changes of several jobs share a transaction, which applies only while this instance holds the leader key and nobody else has written the same progress.
+
+@example
+```ts
+const writer = createProgressWriter({store, term, log, onStored: table.learn, onCancelled});
+await writer.store([run]);
+```
+*/
+export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
+	const {store, term, log, onStored, onCancelled} = options;
+	const dirty = new Set<JobRun>();
+	let waiting: Waiting[] = [];
+	let isWriting = false;
+	let lazyTimer: NodeJS.Timeout | undefined;
+
+	const settle = () => {
+		const remaining: Waiting[] = [];
+		for (const entry of waiting) {
+			if (entry.run.storedChanges >= entry.changes) {
+				entry.resolve();
+			} else {
+				remaining.push(entry);
+			}
+		}
+
+		waiting = remaining;
+	};
+
+	const takeConflict = (batch: readonly JobRun[], current: readonly StoredItem[]) => {
+		const byKey = new Map(current.map((item) => [item.key, item]));
+		if (byKey.get(LEADER_KEY)?.revision !== term.leaderRevision) {
+			term.abandon('another instance leads');
+			return;
+		}
+
+		for (const run of batch) {
+			run.progressRevision = byKey.get(PROGRESS_PREFIX + run.job.id)?.revision ?? 0;
+			if (byKey.has(CANCEL_PREFIX + run.job.id) && !run.isCancelled) {
+				// The caller was told of the cancellation before this outcome was stored.
+				run.outcome = undefined;
+				cancelRun(run, Date.now());
+				onCancelled(run);
+			}
+		}
+	};
+
+	const writeBatch = async (batch: readonly JobRun[]) => {
+		const changes = new Map(batch.map((run) => [run, run.changes]));
+		const writes = batch.map((run) => ({key: PROGRESS_PREFIX + run.job.id, value: encodeProgress(progressOf(run))}));
+		const result = await store.transact({
+			expected: [
+				{key: LEADER_KEY, revision: term.leaderRevision},
+				...batch.map((run) => ({key: PROGRESS_PREFIX + run.job.id, revision: run.progressRevision})),
+				...batch
+					.filter(({outcome}) => outcome !== undefined && outcome !== 'cancelled')
+					.map(({job}) => ({key: CANCEL_PREFIX + job.id, revision: 0})),
+			],
+			writes,
+		});
+		if (result.outcome === 'conflict') {
+			takeConflict(batch, result.current);
+			return;
+		}
+
+		if (result.outcome === 'lease-ended') {
+			term.abandon('the lease has ended');
+			return;
+		}
+
+		for (const run of batch) {
+			run.progressRevision = result.revision;
+			run.storedChanges = changes.get(run)!;
+			if (run.changes === run.storedChanges) {
+				dirty.delete(run);
+			}
+		}
+
+		onStored(writes.map(({key, value}) => ({key, value, revision: result.revision, createRevision: 0, lease: 0})));
+		settle();
+	};
+
+	const rejectAll = () => {
+		const error = new ServiceError('the term has ended', {code: 'stale-token', verdict: 'may-have-run'});
+		for (const entry of waiting) {
+			entry.reject(error);
+		}
+
+		waiting = [];
+		dirty.clear();
+		clearTimeout(lazyTimer);
+	};
+
+	const drain = async () => {
+		if (isWriting) {
+			return;
+		}
+
+		isWriting = true;
+		const backoff = createBackoff({minMs: WATCH_RETRY_MIN_MS, maxMs: WATCH_RETRY_MAX_MS});
+		while (dirty.size > 0 && !term.signal.aborted) {
+			try {
+				await writeBatch([...dirty].slice(0, COMMIT_BATCH));
+				backoff.reset();
+			} catch (error) {
+				log.warn('progress-not-stored', {jobs: dirty.size, error: toServiceError(error, 'may-have-run').message});
+				await sleep(backoff.next(), term.signal);
+			}
+		}
+
+		isWriting = false;
+		if (term.signal.aborted) {
+			rejectAll();
+		}
+	};
+
+	term.signal.addEventListener('abort', () => {
+		if (!isWriting) {
+			rejectAll();
+		}
+	});
+
+	return {
+		async store(runs) {
+			const pending = runs
+				.filter((run) => run.changes > run.storedChanges)
+				.map(
+					async (run) =>
+						new Promise<void>((resolve, reject) => {
+							dirty.add(run);
+							waiting.push({run, changes: run.changes, resolve, reject});
+						}),
+				);
+			void drain();
+			await Promise.all(pending);
+		},
+		storeLater(run) {
+			dirty.add(run);
+			lazyTimer ??= setTimeout(() => {
+				lazyTimer = undefined;
+				void drain();
+			}, LAZY_COMMIT_MS);
+		},
+	};
+};
--- /dev/null
+++ b/packages/scheduler/src/retention.ts
@@ -0,0 +1,43 @@
+import {sleep} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
+import type {KeyValueStore} from '@bergamotgauge/store';
+import type {Log} from '@bergamotgauge/telemetry';
+import {CANCEL_PREFIX, JOB_PREFIX, LEADER_KEY, PROGRESS_PREFIX, RETENTION_BATCH, RETENTION_INTERVAL_MS, RETENTION_MARGIN_MS} from './constants.js';
+import type {Term} from './election.js';
+import type {JobTable} from './job-table.js';
+import type {Bounds} from './types.js';
+
+export type RetentionOptions = Readonly<{
+	store: KeyValueStore;
+	table: JobTable;
+	term: Term;
+	bounds: Bounds;
+	log: Log;
+	signal: AbortSignal;
+}>;
+
+/** Removes the records of jobs that ended longer ago than callers may ask for them. */
+export const removeEndedJobs = async ({store, table, term, bounds, log, signal}: RetentionOptions): Promise<void> => {
+	while (!signal.aborted) {
+		await sleep(RETENTION_INTERVAL_MS, signal);
+		const limitMs = Date.now() - bounds.stateRetentionMs - RETENTION_MARGIN_MS;
+		const old = [...table.entries()]
+			.filter(([, {progress}]) => progress?.endedMs !== undefined && progress.endedMs < limitMs)
+			.map(([id]) => id)
+			.slice(0, RETENTION_BATCH);
+		if (old.length === 0 || !term.isValid()) {
+			continue;
+		}
+
+		try {
+			await store.transact({
+				expected: [{key: LEADER_KEY, revision: term.leaderRevision}],
+				writes: [],
+				removals: old.flatMap((id) => [JOB_PREFIX + id, PROGRESS_PREFIX + id, CANCEL_PREFIX + id]),
+			});
+			log.info('records-removed', {jobs: old.length});
+		} catch (error) {
+			log.warn('records-not-removed', {jobs: old.length, error: toServiceError(error, 'may-have-run').message});
+		}
+	}
+};
--- /dev/null
+++ b/packages/scheduler/src/worker-clock.ts
@@ -0,0 +1,45 @@
+import {CLOCK_RATE_ERROR, LEASE_EXPIRY_MARGIN_MS} from './constants.js';
+
+/** A worker's clock and the lease that this instance may have given it. */
+export type WorkerClock = Readonly<{
+	/** Notes a reading of the worker's clock, taken between the two times of this instance. */
+	observe: (workerMs: number, sentMs: number, receivedMs: number) => void;
+	/** End of a lease of the length on the worker's clock; `undefined` before the first reading. */
+	leaseUntil: (nowMs: number, lengthMs: number) => number | undefined;
+	/** Notes that an order with this lease end was sent, whether or not it was answered. */
+	granted: (leaseUntilMs: number) => void;
+	/** Time of this instance after which no lease given here can hold. */
+	expiryMs: () => number;
+}>;
+
+/**
+Creates the estimate of a worker's clock. Leases end by that clock, which may be slower than this instance's, so their ends are estimated late and new ones early.
+
+@example
+```ts
+const clock = createWorkerClock(startedMs + maxLeaseMs);
+clock.observe(report.clockMs, sentMs, receivedMs);
+```
+*/
+export const createWorkerClock = (initialExpiryMs: number): WorkerClock => {
+	let reading: Readonly<{workerMs: number; sentMs: number; receivedMs: number}> | undefined;
+	let latestLeaseMs = 0;
+	return {
+		observe(workerMs, sentMs, receivedMs) {
+			if (!reading || sentMs >= reading.sentMs) {
+				reading = {workerMs, sentMs, receivedMs};
+			}
+		},
+		leaseUntil: (nowMs, lengthMs) =>
+			reading && Math.round(reading.workerMs + Math.max(0, nowMs - reading.receivedMs) + lengthMs),
+		granted(leaseUntilMs) {
+			latestLeaseMs = Math.max(latestLeaseMs, leaseUntilMs);
+		},
+		expiryMs: () =>
+			reading && latestLeaseMs > 0
+				? reading.receivedMs +
+					Math.max(0, latestLeaseMs - reading.workerMs) * (1 + CLOCK_RATE_ERROR + CLOCK_RATE_ERROR ** 2) +
+					LEASE_EXPIRY_MARGIN_MS
+				: initialExpiryMs,
+	};
+};
--- /dev/null
+++ b/packages/scheduler/src/worker-link.ts
@@ -0,0 +1,262 @@
+import {createBackoff, sleep, withDeadline} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
+import {
+	HOLD_GRACE_MS,
+	HOLD_WAIT_MS,
+	LEASE_SHARE,
+	ORDER_ATTEMPTS,
+	ORDER_DEADLINE_MS,
+	WORKER_RETRY_MAX_MS,
+	WORKER_RETRY_MS,
+} from './constants.js';
+import type {EndedUnit, OrderReply, RunningUnit, SchedulerContext, StartRefusal, Worker, WorkerPort} from './types.js';
+import {createWaker} from './waker.js';
+import {createWorkerClock} from './worker-clock.js';
+
+export type WorkerLinkState =
+	/** The worker has not answered this leader yet. */
+	| 'unsynced'
+	| 'synced'
+	/** The last calls got no answer. */
+	| 'silent'
+	/** This life of the worker has ended, or its leases have. */
+	| 'gone';
+
+export type StartResult =
+	| Readonly<{outcome: 'accepted'}>
+	| Readonly<{outcome: 'refused'; reason: StartRefusal}>
+	/** The order may still be carried out until it is stopped or its lease ends. */
+	| Readonly<{outcome: 'unknown'}>;
+
+export type WorkerLinkEvents = Readonly<{
+	/** First answer to this leader, or any later one: all that runs there. */
+	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	/** New ends; resolves when they are stored. */
+	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
+	/** Nothing that this leader knows of runs there any more. */
+	onGone: (link: WorkerLink, reason: 'other-life' | 'lease-ended') => void;
+	/** The worker has seen a newer fencing token. */
+	onStaleToken: () => void;
+	/** Whether something may run there. */
+	hasWork: (link: WorkerLink) => boolean;
+}>;
+
+/** Orders to one life of a worker and what it reports. */
+export type WorkerLink = {
+	worker: Worker;
+	readonly state: () => WorkerLinkState;
+	readonly start: (order: Readonly<{unit: string; run: number; spec: string; checkpoint: string}>) => Promise<StartResult>;
+	/** Resolves when the worker has accepted the stop, or its life is over. */
+	readonly stop: (unit: string, run: number) => Promise<boolean>;
+	/** Asks again at once instead of waiting for the next turn. */
+	readonly wake: () => void;
+	readonly run: (signal: AbortSignal) => Promise<void>;
+	/** Time of this instance after which no lease given to the worker can hold. */
+	readonly expiryMs: () => number;
+};
+
+export type WorkerLinkOptions = Readonly<{
+	context: SchedulerContext;
+	worker: Worker;
+	token: number;
+	now: () => number;
+	/** Time after which leases of earlier leaders have ended. */
+	earlierLeasesEndMs: number;
+	/** False when this instance may no longer lead. */
+	mayOrder: () => boolean;
+	events: WorkerLinkEvents;
+}>;
+
+/**
+Creates the orders and the reporting loop of one life of a worker.
+
+@example
+```ts
+const link = createWorkerLink({context, worker, token: term, now, earlierLeasesEndMs, mayOrder, events});
+lifecycle.run(`worker/${worker.id}`, link.run);
+```
+*/
+export const createWorkerLink = (options: WorkerLinkOptions): WorkerLink => {
+	const {context, token, now, earlierLeasesEndMs, mayOrder, events} = options;
+	const {log, metrics, bounds} = context;
+	const port: WorkerPort = context.connectWorker(options.worker);
+	const clock = createWorkerClock(earlierLeasesEndMs);
+	const waker = createWaker();
+	const leaseLengthMs = bounds.maxLeaseMs * LEASE_SHARE;
+	let state: WorkerLinkState = 'unsynced';
+	/** Ends up to here have been handed on. */
+	let seenSequence = 0;
+	/** Ends up to here are stored. */
+	let notedSequence = 0;
+	let storing: Promise<void> | undefined;
+
+	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
+		if (state !== next) {
+			log.info('worker-link', {worker: options.worker.id, from: state, to: next, token, ...fields});
+			state = next;
+		}
+	};
+
+	const end = (reason: 'other-life' | 'lease-ended') => {
+		if (state !== 'gone') {
+			setState('gone', {reason});
+			events.onGone(link, reason);
+		}
+	};
+
+	const judgeRefusal = (reason: StartRefusal) => {
+		if (reason === 'stale-token') {
+			events.onStaleToken();
+		} else if (reason === 'other-life') {
+			end('other-life');
+		}
+	};
+
+	const observeReply = (reply: Readonly<{clockMs?: number | undefined}>, sentMs: number) => {
+		if (reply.clockMs !== undefined) {
+			clock.observe(reply.clockMs, sentMs, now());
+		}
+	};
+
+	/** Repeats an order that got no answer; the worker carries it out once. */
+	const order = async (kind: 'start' | 'stop', send: () => Promise<OrderReply>): Promise<OrderReply | undefined> => {
+		for (let attempt = 1; attempt <= ORDER_ATTEMPTS && mayOrder() && state !== 'gone'; attempt += 1) {
+			const sentMs = now();
+			try {
+				const reply = await withDeadline(ORDER_DEADLINE_MS, async () => send());
+				metrics.observe('worker_order_milliseconds', now() - sentMs, {kind});
+				observeReply(reply, sentMs);
+				return reply;
+			} catch (thrown) {
+				metrics.count('worker_orders_unanswered_total', {kind});
+				log.debug('order-unanswered', {kind, worker: options.worker.id, error: toServiceError(thrown, 'may-have-run').message});
+			}
+		}
+
+		return undefined;
+	};
+
+	const storeEnds = async (ended: readonly EndedUnit[], lastSequence: number) => {
+		try {
+			await events.onEnds(link, ended);
+			notedSequence = Math.max(notedSequence, lastSequence);
+		} catch (error) {
+			// The term is over; the next leader reads the ends again.
+			log.info('ends-not-stored', {worker: options.worker.id, error: toServiceError(error, 'not-run').message});
+		}
+
+		storing = undefined;
+		waker.wake();
+	};
+
+	const takeReport = async (signal: AbortSignal) => {
+		const isFirst = state === 'unsynced';
+		const hasWork = events.hasWork(link);
+		const sentMs = now();
+		const leaseUntilMs = hasWork && !isFirst ? clock.leaseUntil(sentMs, leaseLengthMs) : undefined;
+		if (leaseUntilMs !== undefined) {
+			clock.granted(leaseUntilMs);
+		}
+
+		const waitMs = isFirst || state === 'silent' ? 0 : HOLD_WAIT_MS;
+		const report = await withDeadline(
+			waitMs + HOLD_GRACE_MS,
+			async (limit) => port.hold({token, notedSequence, waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})}, limit),
+			signal,
+		);
+		if (report.outcome === 'refused') {
+			judgeRefusal(report.reason);
+			return;
+		}
+
+		observeReply(report, sentMs);
+		setState('synced', isFirst ? {running: report.running.length, ended: report.ended.length} : {});
+		const fresh = report.ended.filter(({sequence}) => sequence > seenSequence);
+		if (fresh.length > 0) {
+			seenSequence = Math.max(...fresh.map(({sequence}) => sequence));
+			storing = storeEnds(fresh, seenSequence);
+		}
+
+		events.onReport(link, report.running, sentMs);
+	};
+
+	const run = async (signal: AbortSignal) => {
+		const backoff = createBackoff({minMs: WORKER_RETRY_MS, maxMs: WORKER_RETRY_MAX_MS});
+		let reportedSequence = 0;
+		while (!signal.aborted && state !== 'gone') {
+			if (!mayOrder()) {
+				await sleep(WORKER_RETRY_MS, signal);
+				continue;
+			}
+
+			if (storing) {
+				// A worker lists ends that are not stored yet at once, so a look in between only keeps its lease.
+				await Promise.race([storing, sleep(HOLD_WAIT_MS / 2, signal)]);
+			}
+
+			const hasUnnotedEnds = notedSequence > reportedSequence;
+			if (state === 'synced' && !events.hasWork(link) && !hasUnnotedEnds && !storing) {
+				await waker.wait(signal);
+				continue;
+			}
+
+			try {
+				reportedSequence = notedSequence;
+				await takeReport(signal);
+				backoff.reset();
+			} catch (thrown) {
+				if (signal.aborted) {
+					break;
+				}
+
+				if (state === 'synced') {
+					setState('silent', {error: toServiceError(thrown, 'may-have-run').message});
+				}
+
+				if (now() > clock.expiryMs()) {
+					end('lease-ended');
+					break;
+				}
+
+				await sleep(backoff.next(), signal);
+			}
+		}
+
+		port.close();
+	};
+
+	const link: WorkerLink = {
+		worker: options.worker,
+		state: () => state,
+		expiryMs: clock.expiryMs,
+		wake: waker.wake,
+		run,
+		async start({unit, run: runNumber, spec, checkpoint}) {
+			const reply = await order('start', async () => {
+				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs) ?? 0;
+				clock.granted(leaseUntilMs);
+				return port.start({unit, run: runNumber, spec, leaseUntilMs, token, checkpoint});
+			});
+			if (!reply) {
+				return {outcome: 'unknown'};
+			}
+
+			if (reply.outcome === 'refused') {
+				judgeRefusal(reply.reason);
+				return {outcome: 'refused', reason: reply.reason};
+			}
+
+			waker.wake();
+			return {outcome: 'accepted'};
+		},
+		async stop(unit, runNumber) {
+			const reply = await order('stop', async () => port.stop({unit, run: runNumber, token}));
+			if (reply?.outcome === 'refused') {
+				judgeRefusal(reply.reason);
+			}
+
+			return reply !== undefined;
+		},
+	};
+	return link;
+};
--- a/packages/platform/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,8 +1,10 @@
 export type * from './types.js';
+export type * from './key-value.js';
 export {INSTANCE_LIST_POLL_MS, STORE_RETRY_AFTER_MS} from './constants.js';
 export {createGroupCommit, type Change, type GroupCommit} from './group-commit.js';
 export {createInstanceList, mergeListing, type InstanceList} from './instance-list.js';
 export {createOperationHistory, type OperationHistory} from './operation-history.js';
+export {runKeyWatch, type KeyWatchOptions} from './key-watch.js';
 export {createReplica, type Replica, type ReplicaOptions} from './replica.js';
 export {createStoreClient, type StoreClientOptions} from './store-client.js';
 export {listAll, runWatcher} from './watcher.js';
--- /dev/null
+++ b/packages/store/src/key-watch.ts
@@ -0,0 +1,58 @@
+import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
+import type {KeyChanges, KeyValueStore} from './key-value.js';
+
+export type KeyWatchOptions = Readonly<{
+	store: KeyValueStore;
+	prefix: string;
+	/** Longest wait of one call. */
+	waitMs: number;
+	/** Pause after changes; those that come meanwhile share the next answer. */
+	pauseMs: number;
+	retryMinMs: number;
+	retryMaxMs: number;
+	onChanges: (changes: KeyChanges) => void;
+	/** Called with the time at which an answered call began. */
+	onAnswer?: (startedMs: number) => void;
+	onFailure?: (error: Error) => void;
+	now: () => number;
+	signal: AbortSignal;
+}>;
+
+/**
+Follows the keys of a prefix: one full listing, then long-poll watches. A call that fails is repeated with backoff after the last known revision.
+
+@example
+```ts
+lifecycle.run('watch', async (signal) => runKeyWatch({store, prefix: 'jobs/', onChanges, signal, ...timing}));
+```
+*/
+export const runKeyWatch = async (options: KeyWatchOptions): Promise<void> => {
+	const {store, prefix, waitMs, pauseMs, onChanges, onAnswer, onFailure, now, signal} = options;
+	const backoff = createBackoff({minMs: options.retryMinMs, maxMs: options.retryMaxMs});
+	let revision: number | undefined;
+	while (!signal.aborted) {
+		const startedMs = now();
+		try {
+			const changes: KeyChanges =
+				revision === undefined ? await store.list(prefix) : await store.watch(prefix, revision, waitMs, signal);
+			if (signal.aborted) {
+				return;
+			}
+
+			revision = changes.revision;
+			onChanges(changes);
+			onAnswer?.(startedMs);
+			backoff.reset();
+			if (changes.items.length + changes.removed.length > 0) {
+				await sleep(pauseMs, signal);
+			}
+		} catch (error) {
+			if (signal.aborted) {
+				return;
+			}
+
+			onFailure?.(error instanceof Error ? error : new Error(String(error)));
+			await sleep(backoff.next(), signal);
+		}
+	}
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -5,7 +5,7 @@
 		ignores: ['**/dist/**', '.tap/**'],
 	},
 	{
-		files: ['packages/**/*.ts'],
+		files: ['packages/**/*.ts', 'platform/**/*.ts'],
 		rules: {
 			// One async task for each connection and peer is written straight down as a loop of awaits.
 			'no-await-in-loop': 'off',
