Evict for urgent work only in need, and by the least work lost

Change: loss counts unsaved core-time of the whole part; eviction waits while an expected end comes in time; guaranteed parts may also take the place of uncovered urgent work.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -105,3 +105,12 @@
 
 /** Time for which a worker that refused a start gets no other. */
 export const REFUSAL_PAUSE_MS = 200;
+
+/** Cores that an accelerator counts for where work of different shapes is compared. */
+export const ACCELERATOR_CORES = 8;
+
+/** Work that a stop throws away when the unit saves its progress as it stops. */
+export const RESTART_MS = 300;
+
+/** Taken off the rank of work within a guarantee; larger than any rank. */
+export const GUARANTEED_RANK = 1e12;
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -1,4 +1,6 @@
-import {readyParts, stepOf, type JobRun, type Part} from './job-run.js';
+import type {Step} from '@bergamotgauge/jobs';
+import {ACCELERATOR_CORES, GUARANTEED_RANK, RESTART_MS} from './constants.js';
+import {dueMs, readyParts, stepOf, type JobRun, type Part} from './job-run.js';
 import {needOf, placedByWorker, recordOf, type LeaderState, type Placed} from './leader-state.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {addRoom, NO_ROOM, subtractRoom} from './plan/room.js';
@@ -24,14 +26,17 @@
 
 const stepIdOf = (run: JobRun, part: Part): string => `${run.job.id}.${part.occurrence}.${part.step}`;
 
+/** Cores that a unit takes, with accelerators weighed in. */
+const coresOf = ({cpuMillis, accelerators}: Step): number => cpuMillis / 1000 + accelerators * ACCELERATOR_CORES;
+
 const lossOf = ({run, part, placement}: Placed, nowMs: number): number => {
 	const step = stepOf(run, part);
-	const ranMs = nowMs - placement.startedMs;
-	// Work since the last checkpoint is lost; its age is not known, so half of the run is assumed.
-	return ranMs * Math.max(1, step.accelerators) * part.indexes.length * (step.checkpoints ? 0.3 : 1);
+	// A unit that saves its progress does so when it is stopped, and loses only the time of the restart.
+	const lostMs = step.checkpoints ? RESTART_MS : nowMs - placement.startedMs;
+	return lostMs * coresOf(step) * part.indexes.length;
 };
 
-const viewPlacement = (placed: Placed, nowMs: number): PlanPlacement => {
+const viewPlacement = (placed: Placed, nowMs: number, isGuaranteed: boolean): PlanPlacement => {
 	const {run, part, placement} = placed;
 	const step = stepOf(run, part);
 	const ranMs = nowMs - placement.startedMs;
@@ -42,13 +47,14 @@
 		need: needOf(run, part),
 		priority: run.job.priority,
 		customer: run.job.customer,
-		lossMs: lossOf(placed, nowMs),
+		isGuaranteed,
+		lossCoreMs: lossOf(placed, nowMs),
 		endMs: step.longRunning ? Number.POSITIVE_INFINITY : placement.startedMs + totalMs,
 		isStopping: placement.phase === 'stopping',
 	};
 };
 
-const viewWorkers = (options: PlanViewOptions): readonly PlanWorker[] => {
+const viewWorkers = (options: PlanViewOptions, covered: ReadonlySet<JobRun>): readonly PlanWorker[] => {
 	const {state, nowMs, isOrderable} = options;
 	const placed = placedByWorker(state);
 	return [...state.directory.values()].map((worker) => {
@@ -67,12 +73,21 @@
 				worker.state === 'ready' && isOrderable(worker.id) && record.pausedUntilMs <= nowMs && !hasStrays,
 			isSuspect: record.suspectUntilMs > nowMs,
 			slowness: record.slowness,
-			placements: here.map((one) => viewPlacement(one, nowMs)),
+			placements: here.map((one) => viewPlacement(one, nowMs, covered.has(one.run))),
 		};
 	});
 };
 
-const viewPart = (run: JobRun, part: Part, options: PlanViewOptions): PlanPart => {
+/** Time for which a waiting part can still wait before its job misses its objective or its customer's guarantee. */
+const slackOf = (run: JobRun, part: Part, isGuaranteed: boolean, {todayMs, bounds}: PlanViewOptions): number => {
+	const ageMs = todayMs - dueMs(run.job, part.occurrence);
+	const step = stepOf(run, part);
+	const slackMs = run.objectiveMs - ageMs - step.estimateMs;
+	// Half of the bound is left for stops that are late.
+	return isGuaranteed ? Math.min(slackMs, bounds.reclaimMs / 2 - ageMs) : slackMs;
+};
+
+const viewPart = (run: JobRun, part: Part, isGuaranteed: boolean, options: PlanViewOptions): PlanPart => {
 	const {nowMs} = options;
 	const step = stepOf(run, part);
 	part.waitingSinceMs ??= nowMs;
@@ -84,7 +99,9 @@
 		members: part.indexes.length,
 		need: needOf(run, part),
 		priority: run.job.priority,
-		mayEvict: run.job.priority === 0,
+		isGuaranteed,
+		workCoreMs: step.estimateMs * coresOf(step) * part.indexes.length,
+		slackMs: slackOf(run, part, isGuaranteed, options),
 		sameRack: step.sameRack,
 		requiredLabel: step.requiredLabel,
 		dataRack: step.dataRack,
@@ -92,51 +109,37 @@
 		avoidedWorkers: part.avoided,
 		estimateMs: step.estimateMs,
 		waitedMs: nowMs - part.waitingSinceMs,
-		rank: rankOf(run, part, options.todayMs),
+		rank: rankOf(run, part, options.todayMs) - (isGuaranteed ? GUARANTEED_RANK : 0),
 	};
 };
 
-/** Accelerators that each customer's running urgent work holds. */
-const guaranteedUse = (state: LeaderState): Map<string, number> => {
-	const use = new Map<string, number>();
-	for (const run of state.runs.values()) {
-		if (run.job.priority === 0) {
-			for (const part of run.parts.values()) {
-				const held = part.placements.length * stepOf(run, part).accelerators;
-				use.set(run.job.customer, (use.get(run.job.customer) ?? 0) + held);
-			}
-		}
-	}
-
-	return use;
+/** Accelerators that the first steps of a job need at the same time; what its customer's guarantee counts. */
+const urgentNeed = (run: JobRun): number => {
+	const first = run.job.steps.filter(({after}) => after.length === 0);
+	return first.reduce((sum, {count, accelerators}) => sum + count * accelerators, 0);
 };
 
-/** Puts urgent work that its customer's guarantee covers before all other work. */
-const raiseGuaranteed = (parts: readonly PlanPart[], options: PlanViewOptions): readonly PlanPart[] => {
+/** Urgent jobs that their customers' guarantees cover, the oldest first. */
+const coveredJobs = ({state, declarations}: PlanViewOptions): ReadonlySet<JobRun> => {
 	const left = new Map(
-		(options.declarations?.customers ?? []).map(({name, guaranteedAccelerators}) => [name, guaranteedAccelerators]),
+		(declarations?.customers ?? []).map(({name, guaranteedAccelerators}) => [name, guaranteedAccelerators]),
 	);
-	for (const [customer, used] of guaranteedUse(options.state)) {
-		left.set(customer, (left.get(customer) ?? 0) - used);
+	const urgent = [...state.runs.values()]
+		.filter(({job, outcome}) => job.priority === 0 && !outcome)
+		.toSorted((a, b) => a.job.acceptedMs - b.job.acceptedMs);
+	const covered = new Set<JobRun>();
+	for (const run of urgent) {
+		const available = left.get(run.job.customer) ?? 0;
+		const need = urgentNeed(run);
+		if (need <= available) {
+			left.set(run.job.customer, available - need);
+			covered.add(run);
+		}
 	}
 
-	return parts
-		.toSorted((a, b) => a.rank - b.rank)
-		.map((part) => {
-			const asked = part.need.accelerators * part.members;
-			const available = left.get(part.customer) ?? 0;
-			if (part.priority !== 0 || asked > available) {
-				return part;
-			}
-
-			left.set(part.customer, available - asked);
-			return {...part, rank: part.rank - GUARANTEED_RANK};
-		});
+	return covered;
 };
 
-/** Taken off the rank of work within a guarantee; larger than any rank. */
-const GUARANTEED_RANK = 1e12;
-
 /**
 Describes the workers and the waiting work for one planning pass.
 
@@ -149,6 +152,7 @@
 	const {state, bounds, nowMs, isBlocked} = options;
 	const parts: PlanPart[] = [];
 	const units = new Map<string, number>();
+	const covered = coveredJobs(options);
 	for (const run of state.runs.values()) {
 		for (const part of run.parts.values()) {
 			for (const {workerId} of part.placements) {
@@ -158,13 +162,13 @@
 		}
 
 		if (!isBlocked(run)) {
-			parts.push(...readyParts(run).map((part) => viewPart(run, part, options)));
+			parts.push(...readyParts(run).map((part) => viewPart(run, part, covered.has(run), options)));
 		}
 	}
 
 	return {
-		workers: viewWorkers(options),
-		parts: raiseGuaranteed(parts, options),
+		workers: viewWorkers(options, covered),
+		parts,
 		unitsOnWorker: (stepId, workerId) => units.get(`${stepId} ${workerId}`) ?? 0,
 		nowMs,
 		remoteFactor: bounds.remoteFactor,
--- a/packages/scheduler/src/plan/constants.ts
+++ b/packages/scheduler/src/plan/constants.ts
@@ -9,3 +9,9 @@
 
 /** Pending parts that one pass looks at; bounds the time of a pass under a long queue. */
 export const MAX_PLANNED_PARTS = 600;
+
+/** Urgent work may throw away at most this many times its own work. */
+export const EVICTION_LOSS_RATIO = 2;
+
+/** Time that a stop and the start after it take. */
+export const EVICTION_TIME_MS = 500;
--- a/packages/scheduler/src/plan/evict.ts
+++ b/packages/scheduler/src/plan/evict.ts
@@ -1,89 +1,136 @@
 import type {Room} from '../types.js';
-import {findPlace, type PlaceOptions, type WorkerSlot} from './place-part.js';
-import {addRoom, fits} from './room.js';
+import {isEligible, type PlaceOptions, type WorkerSlot} from './place-part.js';
+import {addRoom, fits, NO_ROOM, subtractRoom} from './room.js';
 import type {PlanPart, PlanPlacement} from './types.js';
 
-/** Placements that may give way to the part, those with the least loss first. */
-const victimsOf = (part: PlanPart, slot: WorkerSlot, given: ReadonlySet<string>): readonly PlanPlacement[] =>
-	slot.worker.placements
-		.filter(({partId, priority, isStopping}) => priority > part.priority && !isStopping && !given.has(partId))
-		.toSorted((a, b) => b.priority - a.priority || a.lossMs - b.lossMs);
-
-/** Room that is about to become free and is not yet counted as free. */
-const stoppingRoom = ({worker}: WorkerSlot): Room => {
-	let room: Room = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
-	for (const {need, isStopping} of worker.placements) {
-		if (isStopping) {
-			room = addRoom(room, need);
+export type Eviction = Readonly<{
+	/** One slot for each member. */
+	chosen: readonly WorkerSlot[];
+	victims: readonly string[];
+	/** Work that the stops throw away, in core-milliseconds. */
+	lossCoreMs: number;
+}>;
+
+/** Room of a slot during the search, with what is already being freed. */
+type Draft = {readonly slot: WorkerSlot; room: Room; limit: number};
+
+/** Stops that make room for one more member on a slot. */
+type Option = Readonly<{draft: Draft; victims: readonly PlanPlacement[]; lossCoreMs: number}>;
+
+const canGiveWay = (part: PlanPart, placement: PlanPlacement): boolean =>
+	!placement.isStopping &&
+	(placement.priority > part.priority || (part.isGuaranteed && !placement.isGuaranteed && placement.customer !== part.customer));
+
+const stoppingRoom = ({worker}: WorkerSlot): Room =>
+	worker.placements.filter(({isStopping}) => isStopping).reduce((room, {need}) => addRoom(room, need), NO_ROOM);
+
+/** Cheapest stops on the slot that make room for one member. */
+const optionOn = (part: PlanPart, draft: Draft, chosen: ReadonlySet<string>): Option | undefined => {
+	if (draft.limit <= 0) {
+		return undefined;
+	}
+
+	let {room} = draft;
+	let lossCoreMs = 0;
+	const victims: PlanPlacement[] = [];
+	const possible = draft.slot.worker.placements
+		.filter((placement) => canGiveWay(part, placement) && !chosen.has(placement.partId))
+		.toSorted((a, b) => a.lossCoreMs - b.lossCoreMs);
+	for (const placement of possible) {
+		if (fits(part.need, room)) {
+			break;
 		}
+
+		room = addRoom(room, placement.need);
+		lossCoreMs += placement.lossCoreMs;
+		victims.push(placement);
 	}
 
-	return room;
+	return fits(part.need, room) ? {draft, victims, lossCoreMs} : undefined;
 };
 
-export type Eviction = Readonly<{chosen: readonly WorkerSlot[]; victims: readonly string[]}>;
+const search = (part: PlanPart, slots: readonly WorkerSlot[], options: PlaceOptions, given: ReadonlySet<string>): Eviction | undefined => {
+	const drafts: Draft[] = slots.map((slot) => ({
+		slot,
+		room: addRoom(slot.free, stoppingRoom(slot)),
+		limit:
+			part.maxPerWorker > 0
+				? part.maxPerWorker - (slot.units.get(part.stepId) ?? options.unitsOnWorker(part.stepId, slot.worker.id))
+				: Number.POSITIVE_INFINITY,
+	}));
+	const victims = new Set<string>(given);
+	const chosen: WorkerSlot[] = [];
+	let lossCoreMs = 0;
 
-/**
-Finds workers for a part by letting work of lower priority give way; `undefined` when even that does not help. Members that wait for room which is already being freed need no victim.
-*/
-export const findEviction = (
-	part: PlanPart,
-	slots: readonly WorkerSlot[],
-	options: PlaceOptions,
-	given: ReadonlySet<string>,
-): Eviction | undefined => {
-	const possible = (slot: WorkerSlot): Room => {
-		let room = addRoom(slot.free, stoppingRoom(slot));
-		for (const {need} of victimsOf(part, slot, given)) {
-			room = addRoom(room, need);
+	/** Frees the room of a victim on all slots, since the members of a gang end together. */
+	const free = (partId: string) => {
+		victims.add(partId);
+		for (const draft of drafts) {
+			for (const placement of draft.slot.worker.placements) {
+				if (placement.partId === partId) {
+					draft.room = addRoom(draft.room, placement.need);
+				}
+			}
 		}
-
-		return room;
 	};
 
-	const lossOf = (slot: WorkerSlot): number => {
-		let room = addRoom(slot.free, stoppingRoom(slot));
-		let loss = 0;
-		for (const victim of victimsOf(part, slot, given)) {
-			if (fits(part.need, room)) {
-				break;
+	while (chosen.length < part.members) {
+		let best: Option | undefined;
+		for (const draft of drafts) {
+			const option = optionOn(part, draft, victims);
+			if (option && (!best || option.lossCoreMs < best.lossCoreMs)) {
+				best = option;
 			}
+		}
 
-			room = addRoom(room, victim.need);
-			loss += victim.lossMs;
+		if (!best) {
+			return undefined;
 		}
 
-		return loss;
-	};
+		for (const {partId} of best.victims) {
+			free(partId);
+		}
 
-	const byLoss = slots
-		.map((slot) => ({slot, loss: lossOf(slot)}))
-		.toSorted((a, b) => a.loss - b.loss)
-		.map(({slot}) => slot);
-	const chosen = findPlace(part, byLoss, {...options, freeOf: possible, includeReserved: true});
-	if (!chosen) {
-		return undefined;
+		best.draft.room = subtractRoom(best.draft.room, part.need);
+		best.draft.limit -= 1;
+		lossCoreMs += best.lossCoreMs;
+		chosen.push(best.draft.slot);
 	}
 
-	const victims = new Set<string>();
-	for (const slot of new Set(chosen)) {
-		let room = addRoom(slot.free, stoppingRoom(slot));
-		let needed: Room = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
-		for (const member of chosen) {
-			if (member === slot) {
-				needed = addRoom(needed, part.need);
-			}
-		}
+	return {chosen, victims: [...victims].filter((partId) => !given.has(partId)), lossCoreMs};
+};
 
-		for (const victim of victimsOf(part, slot, given)) {
-			if (fits(needed, room)) {
-				break;
-			}
+/**
+Finds room for a part by letting other work give way, with the least work thrown away; `undefined` when even that does not help. Room that is already being freed needs no victim.
+
+@example
+```ts
+const eviction = findEviction(part, slots, options, new Set());
+```
+*/
+export const findEviction = (
+	part: PlanPart,
+	slots: readonly WorkerSlot[],
+	options: PlaceOptions,
+	given: ReadonlySet<string>,
+): Eviction | undefined => {
+	const eligible = slots.filter(
+		({worker}) =>
+			isEligible(part, worker) &&
+			!worker.isSuspect &&
+			(part.dataRack === undefined || worker.rack === part.dataRack),
+	);
+	if (!part.sameRack || part.members === 1) {
+		return search(part, eligible, options, given);
+	}
 
-			victims.add(victim.partId);
-			room = addRoom(room, victim.need);
+	let best: Eviction | undefined;
+	for (const rack of new Set(eligible.map(({worker}) => worker.rack))) {
+		const found = search(part, eligible.filter(({worker}) => worker.rack === rack), options, given);
+		if (found && (!best || found.lossCoreMs < best.lossCoreMs)) {
+			best = found;
 		}
 	}
 
-	return {chosen, victims: [...victims]};
+	return best;
 };
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -15,9 +15,6 @@
 export type PlaceOptions = Readonly<{
 	unitsOnWorker: (stepId: string, workerId: string) => number;
 	remoteFactor: number;
-	/** Room of a slot as the search shall see it. */
-	freeOf?: (slot: WorkerSlot) => Room;
-	includeReserved?: boolean;
 }>;
 
 /** Whether the worker could ever run a unit of the part. */
@@ -35,7 +32,7 @@
 
 /** Members of the part that fit on the slot, at most `wanted`. */
 const countFitting = (part: PlanPart, slot: WorkerSlot, wanted: number, options: PlaceOptions): number => {
-	let free = options.freeOf?.(slot) ?? slot.free;
+	let {free} = slot;
 	const limit = Math.min(wanted, memberLimit(part, slot, options));
 	let count = 0;
 	while (count < limit && fits(part.need, free)) {
@@ -51,7 +48,7 @@
 	const {worker} = slot;
 	const isRemote = part.dataRack !== undefined && part.dataRack !== worker.rack;
 	const isDoubtful = worker.isSuspect || part.avoidedWorkers.has(worker.id);
-	const left = subtractRoom(options.freeOf?.(slot) ?? slot.free, part.need);
+	const left = subtractRoom(slot.free, part.need);
 	return (
 		(isDoubtful ? 100 : 0) +
 		10 * (isRemote ? options.remoteFactor : 1) * worker.slowness +
@@ -69,7 +66,7 @@
 	return slots
 		.filter(
 			(slot) =>
-				(options.includeReserved === true || !slot.isReserved) &&
+				!slot.isReserved &&
 				isEligible(part, slot.worker) &&
 				(isRemoteAccepted || slot.worker.rack === part.dataRack),
 		)
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -1,4 +1,11 @@
-import {MAX_EVICTIONS, MAX_PLANNED_PARTS, MAX_RESERVING_PARTS, RESERVED_SHARE} from './constants.js';
+import {
+	EVICTION_LOSS_RATIO,
+	EVICTION_TIME_MS,
+	MAX_EVICTIONS,
+	MAX_PLANNED_PARTS,
+	MAX_RESERVING_PARTS,
+	RESERVED_SHARE,
+} from './constants.js';
 import {findEviction} from './evict.js';
 import {findPlace, isEligible, takePlace, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {addRoom, fits} from './room.js';
@@ -39,6 +46,16 @@
 	return count;
 };
 
+/** Earliest time at which all members could start if nothing is stopped, judged by the expected ends. */
+const openingMs = (part: PlanPart, slots: readonly WorkerSlot[], nowMs: number): number => {
+	const times = slots
+		.filter(({worker, isReserved}) => !isReserved && isEligible(part, worker))
+		.filter(({worker}) => part.dataRack === undefined || worker.rack === part.dataRack)
+		.map(({worker}) => freeAtMs(part, worker, nowMs))
+		.toSorted((a, b) => a - b);
+	return times[part.members - 1] ?? Number.POSITIVE_INFINITY;
+};
+
 /** Parts alike in what they ask for; when one finds no room, the others need not be tried. */
 const shapeOf = ({stepId, members, avoidedWorkers}: PlanPart): string =>
 	`${stepId}/${members}/${[...avoidedWorkers].toSorted().join(',')}`;
@@ -64,13 +81,26 @@
 	let reservationBudget = Math.floor(slots.length * RESERVED_SHARE);
 	let reservingParts = 0;
 
+	/** Whether stops may make room: not while an expected end comes in time, nor for work that is late anyway. */
+	const maySeekEviction = (part: PlanPart): boolean => {
+		if (evictions.size >= MAX_EVICTIONS || (part.priority > 0 && !part.isGuaranteed)) {
+			return false;
+		}
+
+		const latestStartMs = nowMs + part.slackMs - EVICTION_TIME_MS;
+		return part.isGuaranteed
+			? openingMs(part, slots, nowMs) > latestStartMs
+			: part.slackMs > 0 && openingMs(part, slots, nowMs) > latestStartMs;
+	};
+
 	const tryEvict = (part: PlanPart): boolean => {
-		if (!part.mayEvict || evictions.size >= MAX_EVICTIONS) {
+		if (!maySeekEviction(part)) {
 			return false;
 		}
 
 		const eviction = findEviction(part, slots, options, new Set(evictions.keys()));
-		if (!eviction) {
+		const isWorthwhile = part.isGuaranteed || (eviction?.lossCoreMs ?? 0) <= part.workCoreMs * EVICTION_LOSS_RATIO;
+		if (!eviction || !isWorthwhile) {
 			return false;
 		}
 
@@ -93,7 +123,7 @@
 			continue;
 		}
 
-		const chosen = findPlace(part, slots, {...options, includeReserved: false});
+		const chosen = findPlace(part, slots, options);
 		if (chosen) {
 			takePlace(part, chosen, options);
 			starts.push({partId: part.id, workerIds: chosen.map(({worker}) => worker.id)});
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -7,8 +7,10 @@
 	need: Room;
 	priority: number;
 	customer: string;
-	/** Work that a stop would throw away, in accelerator-milliseconds. */
-	lossMs: number;
+	/** Holds accelerators that its customer's guarantee covers. */
+	isGuaranteed: boolean;
+	/** Work of the whole part that a stop would throw away, in core-milliseconds. */
+	lossCoreMs: number;
 	/** Expected end. */
 	endMs: number;
 	/** Runs until it is stopped, or stops already. */
@@ -41,8 +43,12 @@
 	members: number;
 	need: Room;
 	priority: number;
-	/** May take the place of work of lower priority. */
-	mayEvict: boolean;
+	/** Asks for accelerators that its customer's guarantee covers. */
+	isGuaranteed: boolean;
+	/** Work of the whole part, in core-milliseconds. */
+	workCoreMs: number;
+	/** Time for which the part can still wait without missing what was promised; negative when it is missed. */
+	slackMs: number;
 	sameRack: boolean;
 	requiredLabel: string | undefined;
 	dataRack: string | undefined;
