Let only the leader follow the stored jobs

Change: other instances read a job's records on demand, remember ended ones, and answer pending counts from a summary that the leader publishes; they watch only the leader key and the configuration.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -1,10 +1,5 @@
 /** Root of the scheduler's keys in the store. */
-export const JOB_PREFIX = 'bergamotgauge/job/';
-export const PROGRESS_PREFIX = 'bergamotgauge/progress/';
-export const CANCEL_PREFIX = 'bergamotgauge/cancel/';
 export const ROOT_PREFIX = 'bergamotgauge/';
-export const LEADER_KEY = 'bergamotgauge/leader';
-export const TERM_KEY = 'bergamotgauge/term';
 
 /** Time after which the leadership of a dead instance ends; several lost renewals fit. */
 export const LEADER_TTL_MS = 2000;
@@ -76,8 +71,6 @@
 /** Longest delay between two looks of an idle planner. */
 export const IDLE_LOOK_MS = 1000;
 
-/** Worker lives that an earlier leader may have given leases to, written before their first start. */
-export const ROSTER_KEY = 'bergamotgauge/roster';
 
 /** Pause between two looks at whether the leadership is free. */
 export const ELECTION_RETRY_MS = 50;
@@ -114,3 +107,15 @@
 
 /** Taken off the rank of work within a guarantee; larger than any rank. */
 export const GUARANTEED_RANK = 1e12;
+
+/** Longest wait of the watch on the leader key; an open connection that went silent delays an election by this. */
+export const LEADER_WATCH_WAIT_MS = 3000;
+
+/** Pause between two counts of jobs that have not begun; callers may be told counts up to 2 s old. */
+export const PENDING_WRITE_MS = 500;
+
+/** Time for which an instance answers from the counts that it read last. */
+export const PENDING_CACHE_MS = 400;
+
+/** Ended jobs whose state an instance remembers, so that repeated questions cost no call. */
+export const ENDED_CACHE_ENTRIES = 4000;
--- a/packages/scheduler/src/election.ts
+++ b/packages/scheduler/src/election.ts
@@ -4,13 +4,12 @@
 import {toServiceError} from '@bergamotgauge/model';
 import {
 	ELECTION_RETRY_MS,
-	LEADER_KEY,
 	LEADER_MARGIN_MS,
 	LEADER_RENEW_MS,
 	LEADER_TTL_MS,
-	TERM_KEY,
 } from './constants.js';
-import type {JobTable} from './job-table.js';
+import {LEADER_KEY, TERM_KEY} from './keys.js';
+import type {LeaderWatch} from './leader-watch.js';
 import type {StoreHealth} from './store-health.js';
 import type {SchedulerContext} from './types.js';
 
@@ -29,7 +28,7 @@
 
 export type ElectionOptions = Readonly<{
 	context: SchedulerContext;
-	table: JobTable;
+	leader: LeaderWatch;
 	health: StoreHealth;
 	/** Work of a leader; the term ends when it returns. */
 	lead: (term: Term) => Promise<void>;
@@ -46,11 +45,11 @@
 
 @example
 ```ts
-lifecycle.run('election', async (signal) => runElection({context, table, health, lead, isCandidate, signal}));
+lifecycle.run('election', async (signal) => runElection({context, leader, health, lead, isCandidate, signal}));
 ```
 */
 export const runElection = async (options: ElectionOptions): Promise<void> => {
-	const {context, table, health, lead, isCandidate, signal} = options;
+	const {context, leader, health, lead, isCandidate, signal} = options;
 	const {store, log, instanceId, metrics} = context;
 
 	const claim = async (): Promise<Readonly<{number: number; revision: number; lease: number; sentMs: number}> | undefined> => {
@@ -72,7 +71,11 @@
 			return {number, revision: result.revision, lease, sentMs};
 		}
 
-		table.learn(result.outcome === 'conflict' ? result.current : []);
+		const holder = result.outcome === 'conflict' ? result.current.find(({key}) => key === LEADER_KEY) : undefined;
+		if (holder) {
+			leader.noteTaken(holder.revision);
+		}
+
 		await store.endLease(lease);
 		return undefined;
 	};
@@ -153,7 +156,7 @@
 	};
 
 	while (!signal.aborted) {
-		const mayClaim = isCandidate() && table.isLoaded() && !table.leader() && !health.isLost();
+		const mayClaim = isCandidate() && leader.isLoaded() && leader.isVacant() && !health.isLost();
 		if (!mayClaim) {
 			await sleep(ELECTION_RETRY_MS, signal);
 			continue;
--- /dev/null
+++ b/packages/scheduler/src/job-entry.ts
@@ -0,0 +1,60 @@
+import {decodeJob, decodeProgress, type Job, type JobState, type Progress} from '@bergamotgauge/jobs';
+import type {StoredItem} from '@bergamotgauge/store';
+import {parseJobKey} from './keys.js';
+
+/** What the store holds about one job; a revision of 0 means that the record does not exist. */
+export type JobEntry = Readonly<{
+	job: Job | undefined;
+	jobRevision: number;
+	progress: Progress | undefined;
+	progressRevision: number;
+	cancelRevision: number;
+}>;
+
+export const EMPTY_ENTRY: JobEntry = {
+	job: undefined,
+	jobRevision: 0,
+	progress: undefined,
+	progressRevision: 0,
+	cancelRevision: 0,
+};
+
+/**
+Merges a record into what is known of its job; an older record changes nothing.
+
+@throws {ServiceError} `internal` when a newer version wrote the record.
+*/
+export const mergeRecord = (entry: JobEntry, {key, revision, value}: StoredItem): JobEntry => {
+	switch (parseJobKey(key)?.record) {
+		case 'submission': {
+			return revision > entry.jobRevision ? {...entry, job: decodeJob(value), jobRevision: revision} : entry;
+		}
+
+		case 'progress': {
+			return revision > entry.progressRevision
+				? {...entry, progress: decodeProgress(value), progressRevision: revision}
+				: entry;
+		}
+
+		case 'cancellation': {
+			return {...entry, cancelRevision: Math.max(entry.cancelRevision, revision)};
+		}
+
+		default: {
+			return entry;
+		}
+	}
+};
+
+/** State of a job as callers see it; an outcome that is stored goes before a later cancellation. */
+export const stateOf = ({progress, cancelRevision}: JobEntry): JobState => {
+	if (progress?.outcome) {
+		return progress.outcome;
+	}
+
+	if (cancelRevision > 0) {
+		return 'cancelled';
+	}
+
+	return progress?.hasBegun ? 'active' : 'queued';
+};
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -3,8 +3,11 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import type {KeyValueStore, StoredItem, Transaction} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
-import {CANCEL_PREFIX, JOB_PREFIX, STORE_RETRY_AFTER_MS, SUBMIT_RESOLVE_MS} from './constants.js';
-import {stateOf, type JobEntry, type JobTable} from './job-table.js';
+import {LRUCache} from 'lru-cache';
+import {ENDED_CACHE_ENTRIES, STORE_RETRY_AFTER_MS, SUBMIT_RESOLVE_MS} from './constants.js';
+import {EMPTY_ENTRY, mergeRecord, stateOf, type JobEntry} from './job-entry.js';
+import {jobKey, jobPrefix} from './keys.js';
+import {createPendingReader} from './pending-counts.js';
 import type {StoreHealth} from './store-health.js';
 import type {JobRequest, Queue} from './types.js';
 
@@ -13,7 +16,6 @@
 
 export type JobServiceOptions = Readonly<{
 	store: KeyValueStore;
-	table: JobTable;
 	health: StoreHealth;
 	log: Log;
 	metrics: Metrics;
@@ -29,8 +31,8 @@
 	state: (address: JobAddress) => Promise<JobState>;
 	/** Resolves when the cancellation is stored. */
 	cancel: (address: JobAddress) => Promise<void>;
-	/** Accepted jobs of the queue of which no unit has started. */
-	countPending: (queue: Queue) => number;
+	/** Accepted jobs of the queue of which no unit has started, up to two seconds old. */
+	countPending: (queue: Queue) => Promise<number>;
 }>;
 
 const noSuchJob = (id: string): ServiceError =>
@@ -51,11 +53,15 @@
 
 @example
 ```ts
-const service = createJobService({store, table, health, log, metrics});
+const service = createJobService({store, health, log, metrics});
 await service.submit({queue, customer: 'acme', submission});
 ```
 */
-export const createJobService = ({store, table, health, log, metrics}: JobServiceOptions): JobService => {
+export const createJobService = ({store, health, log, metrics}: JobServiceOptions): JobService => {
+	const readPending = createPendingReader(store, health.now);
+	/** An ended job does not change any more. */
+	const ended = new LRUCache<string, JobEntry>({max: ENDED_CACHE_ENTRIES});
+
 	/** Repeats a transaction until its effect is known; `undefined` result means a conflict. */
 	const transactSurely = async (transaction: Transaction): Promise<readonly StoredItem[] | undefined> => {
 		const deadlineMs = health.now() + SUBMIT_RESOLVE_MS;
@@ -84,31 +90,33 @@
 		}
 	};
 
-	const readEntry = async (id: string): Promise<JobEntry | undefined> => {
-		const known = table.get(id);
-		if (known?.job) {
+	const readEntry = async (id: string): Promise<JobEntry> => {
+		const known = ended.get(id);
+		if (known) {
 			return known;
 		}
 
-		const item = await store.get(JOB_PREFIX + id);
-		if (!item) {
-			return undefined;
+		if (health.isLost()) {
+			throw storeLost();
+		}
+
+		const {items} = await store.list(jobPrefix(id));
+		let entry = EMPTY_ENTRY;
+		for (const item of items) {
+			entry = mergeRecord(entry, item);
 		}
 
-		table.learn([item]);
-		return {
-			job: decodeJob(item.value),
-			jobRevision: item.revision,
-			progress: undefined,
-			progressRevision: 0,
-			cancelRevision: 0,
-		};
+		if (entry.progress?.outcome) {
+			ended.set(id, entry);
+		}
+
+		return entry;
 	};
 
 	const find = async ({queue, customer, id}: JobAddress): Promise<JobEntry> => {
 		const entry = await readEntry(id);
-		const isTheirs = entry?.job?.queue === queue.name && (queue.isPublic || entry.job.customer === customer);
-		if (!entry || !isTheirs) {
+		const isTheirs = entry.job?.queue === queue.name && (queue.isPublic || entry.job.customer === customer);
+		if (!isTheirs) {
 			throw noSuchJob(id);
 		}
 
@@ -130,19 +138,18 @@
 				customer,
 				acceptedMs: Date.now(),
 			};
-			const known = table.get(job.id)?.job;
-			if (!known && health.isLost()) {
+			if (health.isLost()) {
 				metrics.count('jobs_refused_total', {queue: name, reason: 'store-lost'});
 				log.info('job-refused', {job: job.id, queue: name, reason: 'store-lost', retryAfterMs: STORE_RETRY_AFTER_MS});
 				throw storeLost();
 			}
 
-			const key = JOB_PREFIX + job.id;
-			const value = encodeJob(job);
-			const current = known
-				? undefined
-				: await transactSurely({expected: [{key, revision: 0}], writes: [{key, value}]});
-			const stored = known ?? (current?.[0] && decodeJob(current[0].value));
+			const key = jobKey(job.id, 'submission');
+			const current = await transactSurely({
+				expected: [{key, revision: 0}],
+				writes: [{key, value: encodeJob(job)}],
+			});
+			const stored = current?.[0] && decodeJob(current[0].value);
 			if (stored && !isSameSubmission(stored, job)) {
 				throw new ServiceError(`job ${job.id} exists with other content`, {code: 'conflict', verdict: 'not-run'});
 			}
@@ -171,10 +178,10 @@
 				throw storeLost();
 			}
 
-			const key = CANCEL_PREFIX + address.id;
+			const key = jobKey(address.id, 'cancellation');
 			const conflict = await transactSurely({
 				expected: [
-					{key: JOB_PREFIX + address.id, revision: entry.jobRevision},
+					{key: jobKey(address.id, 'submission'), revision: entry.jobRevision},
 					{key, revision: 0},
 				],
 				writes: [{key, value: new Uint8Array(0)}],
@@ -185,15 +192,12 @@
 
 			log.info('job-cancel-stored', {job: address.id, queue: address.queue.name});
 		},
-		countPending(queue) {
-			let pending = 0;
-			for (const [, entry] of table.entries()) {
-				if (entry.job?.queue === queue.name && stateOf(entry) === 'queued') {
-					pending += 1;
-				}
+		async countPending(queue) {
+			if (health.isLost()) {
+				throw storeLost();
 			}
 
-			return pending;
+			return readPending(queue.name);
 		},
 	};
 };
--- /dev/null
+++ b/packages/scheduler/src/leader-watch.ts
@@ -0,0 +1,63 @@
+import {runKeyWatch, type KeyValueStore} from '@bergamotgauge/store';
+import type {Log} from '@bergamotgauge/telemetry';
+import {LEADER_WATCH_WAIT_MS, WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
+import {LEADER_KEY} from './keys.js';
+import type {StoreHealth} from './store-health.js';
+
+/** Whether some instance leads, as the store last said. */
+export type LeaderWatch = Readonly<{
+	isLoaded: () => boolean;
+	isVacant: () => boolean;
+	/** Notes that a claim found the key taken. */
+	noteTaken: (revision: number) => void;
+	run: (signal: AbortSignal) => Promise<void>;
+}>;
+
+/**
+Creates the watch on the leader key.
+
+@example
+```ts
+const leader = createLeaderWatch({store, health, log});
+lifecycle.run('leader-watch', leader.run);
+```
+*/
+export const createLeaderWatch = ({
+	store,
+	health,
+	log,
+}: Readonly<{store: KeyValueStore; health: StoreHealth; log: Log}>): LeaderWatch => {
+	let isLoaded = false;
+	let heldRevision = 0;
+	let vacantRevision = 0;
+	return {
+		isLoaded: () => isLoaded,
+		isVacant: () => vacantRevision >= heldRevision,
+		noteTaken(revision) {
+			heldRevision = Math.max(heldRevision, revision);
+		},
+		run: async (signal) =>
+			runKeyWatch({
+				store,
+				prefix: LEADER_KEY,
+				waitMs: LEADER_WATCH_WAIT_MS,
+				pauseMs: 0,
+				retryMinMs: WATCH_RETRY_MIN_MS,
+				retryMaxMs: WATCH_RETRY_MAX_MS,
+				onChanges(changes) {
+					isLoaded = true;
+					const item = changes.items.find(({key}) => key === LEADER_KEY);
+					if (item) {
+						heldRevision = Math.max(heldRevision, item.revision);
+					} else if (changes.isListing || changes.removed.includes(LEADER_KEY)) {
+						vacantRevision = Math.max(vacantRevision, changes.revision);
+					}
+				},
+				onFailure(error) {
+					log.debug('watch-failed', {prefix: LEADER_KEY, error: error.message});
+				},
+				now: health.now,
+				signal,
+			}),
+	};
+};
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -6,12 +6,9 @@
 import {
 	CLOCK_RATE_ERROR,
 	IDLE_LOOK_MS,
-	LEADER_KEY,
 	LEASE_EXPIRY_MARGIN_MS,
 	PLAN_DELAY_MS,
 	PLAN_INTERVAL_MS,
-	ROOT_PREFIX,
-	ROSTER_KEY,
 	WATCH_PAUSE_MS,
 	WATCH_RETRY_MAX_MS,
 	WATCH_RETRY_MIN_MS,
@@ -28,10 +25,12 @@
 	type JobRun,
 	type Part,
 } from './job-run.js';
-import type {JobTable} from './job-table.js';
+import {createJobTable} from './job-table.js';
+import {JOBS_PREFIX, LEADER_KEY, ROSTER_KEY} from './keys.js';
 import {allPlaced, createLeaderState, placedByWorker} from './leader-state.js';
 import {createPlanView, partIdOf} from './plan-view.js';
 import {plan} from './plan/plan.js';
+import {publishPendingCounts} from './pending-counts.js';
 import {createPlacements} from './placements.js';
 import {createProgressWriter} from './progress-writer.js';
 import {removeEndedJobs} from './retention.js';
@@ -43,7 +42,6 @@
 
 export type LeaderOptions = Readonly<{
 	context: SchedulerContext;
-	table: JobTable;
 	health: StoreHealth;
 	term: Term;
 }>;
@@ -58,13 +56,14 @@
 
 @example
 ```ts
-await runLeader({context, table, health, term});
+await runLeader({context, health, term});
 ```
 */
-export const runLeader = async ({context, table, health, term}: LeaderOptions): Promise<void> => {
+export const runLeader = async ({context, health, term}: LeaderOptions): Promise<void> => {
 	const {store, log, metrics, bounds, declarations, decodeWorker, workerPrefix} = context;
 	const {now} = health;
 	const state = createLeaderState();
+	const table = createJobTable(log);
 	const waker = createWaker();
 	const lifecycle = createLifecycle('term', (task, error, restartMs) => {
 		log.error('task-failed', {task, error: error.stack ?? error.message, restartMs});
@@ -426,65 +425,80 @@
 		}
 	};
 
-	const takeOver = async () => {
-		const [listing, roster] = await Promise.all([store.list(ROOT_PREFIX), store.get(ROSTER_KEY)]);
-		table.apply(listing);
-		if (roster) {
-			rosterRevision = roster.revision;
-			for (const worker of JSON.parse(decoder.decode(roster.value)) as readonly Worker[]) {
-				openLink(worker);
-			}
+	const follow = async (prefix: string, onChanges: (changes: KeyChanges) => void, signal: AbortSignal) =>
+		runKeyWatch({
+			store,
+			prefix,
+			waitMs: WATCH_WAIT_MS,
+			pauseMs: WATCH_PAUSE_MS,
+			retryMinMs: WATCH_RETRY_MIN_MS,
+			retryMaxMs: WATCH_RETRY_MAX_MS,
+			onChanges,
+			onFailure(error) {
+				log.debug('watch-failed', {prefix, error: error.message});
+			},
+			now,
+			signal,
+		});
+
+	const openRoster = async () => {
+		const roster = await store.get(ROSTER_KEY);
+		rosterRevision = roster?.revision ?? 0;
+		for (const worker of roster ? (JSON.parse(decoder.decode(roster.value)) as readonly Worker[]) : []) {
+			openLink(worker);
 		}
+	};
 
-		for (const [id, entry] of table.entries()) {
-			if (entry.job && !entry.progress?.outcome) {
-				takeJob(id);
+	const takeJobs = (changes: KeyChanges) => {
+		const isFirst = !table.isLoaded();
+		table.apply(changes);
+		if (isFirst) {
+			for (const [id, entry] of table.entries()) {
+				if (!entry.progress?.outcome) {
+					takeJob(id);
+				}
 			}
-		}
 
-		takeDirectory(await store.list(workerPrefix));
+			log.info('taken-over', {term: term.number, jobs: state.runs.size, workers: state.links.size});
+			loaded.wake();
+		}
 	};
 
-	try {
-		await takeOver();
-		log.info('taken-over', {term: term.number, jobs: state.runs.size, workers: state.links.size});
-		const unsubscribe = table.events.on('changed', (ids) => {
-			for (const id of ids) {
-				takeJob(id);
+	const untilEnded = async () =>
+		new Promise<void>((resolve) => {
+			term.signal.addEventListener(
+				'abort',
+				() => {
+					resolve();
+				},
+				{once: true},
+			);
+			if (term.signal.aborted) {
+				resolve();
 			}
-
-			waker.wake();
 		});
-		for (const [id, entry] of table.entries()) {
-			if (entry.job && !entry.progress?.outcome && !state.runs.has(id)) {
-				takeJob(id);
-			}
-		}
 
-		lifecycle.add('table', unsubscribe);
-		lifecycle.run('directory', async (signal) =>
-			runKeyWatch({
-				store,
-				prefix: workerPrefix,
-				waitMs: WATCH_WAIT_MS,
-				pauseMs: WATCH_PAUSE_MS,
-				retryMinMs: WATCH_RETRY_MIN_MS,
-				retryMaxMs: WATCH_RETRY_MAX_MS,
-				onChanges: takeDirectory,
-				now,
-				signal,
+	const loaded = createWaker();
+	try {
+		lifecycle.add(
+			'table',
+			table.events.on('changed', (ids) => {
+				for (const id of ids) {
+					takeJob(id);
+				}
+
+				waker.wake();
 			}),
 		);
+		lifecycle.run('jobs', async (signal) => follow(JOBS_PREFIX, takeJobs, signal));
+		// Runs that workers report can be judged only with the jobs at hand.
+		await loaded.wait(term.signal);
+		await openRoster();
+		lifecycle.run('directory', async (signal) => follow(workerPrefix, takeDirectory, signal));
 		lifecycle.run('retention', async (signal) => removeEndedJobs({store, table, term, bounds, log, signal}));
+		lifecycle.run('pending', async (signal) => publishPendingCounts({store, table, term, log, signal}));
 		lifecycle.run('plan', planLoop);
-		await new Promise<void>((resolve) => {
-			term.signal.addEventListener('abort', () => {
-				resolve();
-			}, {once: true});
-			if (term.signal.aborted) {
-				resolve();
-			}
-		});
+		await untilEnded();
 	} finally {
 		term.signal.removeEventListener('abort', endLifecycle);
 		await lifecycle.close();
--- /dev/null
+++ b/packages/scheduler/src/pending-counts.ts
@@ -0,0 +1,86 @@
+import {TextDecoder, TextEncoder} from 'node:util';
+import {sleep} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
+import type {KeyValueStore} from '@bergamotgauge/store';
+import type {Log} from '@bergamotgauge/telemetry';
+import {PENDING_CACHE_MS, PENDING_WRITE_MS} from './constants.js';
+import type {Term} from './election.js';
+import {stateOf} from './job-entry.js';
+import type {JobTable} from './job-table.js';
+import {LEADER_KEY, PENDING_KEY} from './keys.js';
+
+type Counts = Readonly<Record<string, number>>;
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+const countPending = (table: JobTable): Counts => {
+	const counts: Record<string, number> = {};
+	for (const [, entry] of table.entries()) {
+		if (entry.job && stateOf(entry) === 'queued') {
+			counts[entry.job.queue] = (counts[entry.job.queue] ?? 0) + 1;
+		}
+	}
+
+	return counts;
+};
+
+/** Publishes the counts of a term whenever they have changed. */
+export const publishPendingCounts = async ({
+	store,
+	table,
+	term,
+	log,
+	signal,
+}: Readonly<{store: KeyValueStore; table: JobTable; term: Term; log: Log; signal: AbortSignal}>): Promise<void> => {
+	let published = '';
+	while (!signal.aborted) {
+		const text = JSON.stringify(countPending(table));
+		if (text !== published && term.isValid()) {
+			try {
+				const result = await store.transact({
+					expected: [{key: LEADER_KEY, revision: term.leaderRevision}],
+					writes: [{key: PENDING_KEY, value: encoder.encode(text)}],
+				});
+				published = result.outcome === 'applied' ? text : '';
+			} catch (error) {
+				log.debug('pending-not-stored', {error: toServiceError(error, 'may-have-run').message});
+			}
+		}
+
+		await sleep(PENDING_WRITE_MS, signal);
+	}
+};
+
+/**
+Creates the reader of the published counts; readers that come together share one call.
+
+@example
+```ts
+const readPending = createPendingReader(store, health.now);
+const pending = await readPending('queue-1');
+```
+*/
+export const createPendingReader = (store: KeyValueStore, now: () => number) => {
+	let readMs = Number.NEGATIVE_INFINITY;
+	let counts: Promise<Counts> | undefined;
+
+	const read = async (): Promise<Counts> => {
+		const item = await store.get(PENDING_KEY);
+		return item ? (JSON.parse(decoder.decode(item.value)) as Counts) : {};
+	};
+
+	return async (queue: string): Promise<number> => {
+		if (!counts || now() - readMs > PENDING_CACHE_MS) {
+			readMs = now();
+			counts = read();
+		}
+
+		try {
+			return (await counts)[queue] ?? 0;
+		} catch (error) {
+			counts = undefined;
+			throw error;
+		}
+	};
+};
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -3,9 +3,10 @@
 import {ServiceError, toServiceError} from '@bergamotgauge/model';
 import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
-import {CANCEL_PREFIX, COMMIT_BATCH, LAZY_COMMIT_MS, LEADER_KEY, PROGRESS_PREFIX, WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
+import {COMMIT_BATCH, LAZY_COMMIT_MS, WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
 import {cancelRun, progressOf, type JobRun} from './job-run.js';
 import type {Term} from './election.js';
+import {jobKey, LEADER_KEY} from './keys.js';
 
 /** Stores the progress of jobs while this instance leads. */
 export type ProgressWriter = Readonly<{
@@ -64,8 +65,8 @@
 		}
 
 		for (const run of batch) {
-			run.progressRevision = byKey.get(PROGRESS_PREFIX + run.job.id)?.revision ?? 0;
-			if (byKey.has(CANCEL_PREFIX + run.job.id) && !run.isCancelled) {
+			run.progressRevision = byKey.get(jobKey(run.job.id, 'progress'))?.revision ?? 0;
+			if (byKey.has(jobKey(run.job.id, 'cancellation')) && !run.isCancelled) {
 				// The caller was told of the cancellation before this outcome was stored.
 				run.outcome = undefined;
 				cancelRun(run, Date.now());
@@ -76,14 +77,14 @@
 
 	const writeBatch = async (batch: readonly JobRun[]) => {
 		const changes = new Map(batch.map((run) => [run, run.changes]));
-		const writes = batch.map((run) => ({key: PROGRESS_PREFIX + run.job.id, value: encodeProgress(progressOf(run))}));
+		const writes = batch.map((run) => ({key: jobKey(run.job.id, 'progress'), value: encodeProgress(progressOf(run))}));
 		const result = await store.transact({
 			expected: [
 				{key: LEADER_KEY, revision: term.leaderRevision},
-				...batch.map((run) => ({key: PROGRESS_PREFIX + run.job.id, revision: run.progressRevision})),
+				...batch.map((run) => ({key: jobKey(run.job.id, 'progress'), revision: run.progressRevision})),
 				...batch
 					.filter(({outcome}) => outcome !== undefined && outcome !== 'cancelled')
-					.map(({job}) => ({key: CANCEL_PREFIX + job.id, revision: 0})),
+					.map(({job}) => ({key: jobKey(job.id, 'cancellation'), revision: 0})),
 			],
 			writes,
 		});
--- a/packages/scheduler/src/retention.ts
+++ b/packages/scheduler/src/retention.ts
@@ -2,9 +2,10 @@
 import {toServiceError} from '@bergamotgauge/model';
 import type {KeyValueStore} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
-import {CANCEL_PREFIX, JOB_PREFIX, LEADER_KEY, PROGRESS_PREFIX, RETENTION_BATCH, RETENTION_INTERVAL_MS, RETENTION_MARGIN_MS} from './constants.js';
+import {RETENTION_BATCH, RETENTION_INTERVAL_MS, RETENTION_MARGIN_MS} from './constants.js';
 import type {Term} from './election.js';
 import type {JobTable} from './job-table.js';
+import {jobKey, LEADER_KEY} from './keys.js';
 import type {Bounds} from './types.js';
 
 export type RetentionOptions = Readonly<{
@@ -33,7 +34,7 @@
 			await store.transact({
 				expected: [{key: LEADER_KEY, revision: term.leaderRevision}],
 				writes: [],
-				removals: old.flatMap((id) => [JOB_PREFIX + id, PROGRESS_PREFIX + id, CANCEL_PREFIX + id]),
+				removals: old.flatMap((id) => [jobKey(id, 'submission'), jobKey(id, 'progress'), jobKey(id, 'cancellation')]),
 			});
 			log.info('records-removed', {jobs: old.length});
 		} catch (error) {
