--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -14,7 +14,10 @@
 export const WATCH_WAIT_MS = 1500;
 
 /** Pause after a watch that brought changes; those that come meanwhile share the next answer. */
-export const WATCH_PAUSE_MS = 25;
+export const WATCH_PAUSE_MS = 40;
+
+/** The same for the workers' reports, of which each worker writes one every second or two. */
+export const DIRECTORY_PAUSE_MS = 250;
 
 export const WATCH_RETRY_MIN_MS = 50;
 export const WATCH_RETRY_MAX_MS = 400;
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -9,6 +9,7 @@
 	LEASE_EXPIRY_MARGIN_MS,
 	PLAN_DELAY_MS,
 	PLAN_INTERVAL_MS,
+	DIRECTORY_PAUSE_MS,
 	WATCH_PAUSE_MS,
 	WATCH_RETRY_MAX_MS,
 	WATCH_RETRY_MIN_MS,
@@ -425,12 +426,17 @@
 		}
 	};
 
-	const follow = async (prefix: string, onChanges: (changes: KeyChanges) => void, signal: AbortSignal) =>
+	const follow = async (
+		prefix: string,
+		pauseMs: number,
+		onChanges: (changes: KeyChanges) => void,
+		signal: AbortSignal,
+	) =>
 		runKeyWatch({
 			store,
 			prefix,
 			waitMs: WATCH_WAIT_MS,
-			pauseMs: WATCH_PAUSE_MS,
+			pauseMs,
 			retryMinMs: WATCH_RETRY_MIN_MS,
 			retryMaxMs: WATCH_RETRY_MAX_MS,
 			onChanges,
@@ -490,11 +496,11 @@
 				waker.wake();
 			}),
 		);
-		lifecycle.run('jobs', async (signal) => follow(JOBS_PREFIX, takeJobs, signal));
+		lifecycle.run('jobs', async (signal) => follow(JOBS_PREFIX, WATCH_PAUSE_MS, takeJobs, signal));
 		// Runs that workers report can be judged only with the jobs at hand.
 		await loaded.wait(term.signal);
 		await openRoster();
-		lifecycle.run('directory', async (signal) => follow(workerPrefix, takeDirectory, signal));
+		lifecycle.run('directory', async (signal) => follow(workerPrefix, DIRECTORY_PAUSE_MS, takeDirectory, signal));
 		lifecycle.run('retention', async (signal) => removeEndedJobs({store, table, term, bounds, log, signal}));
 		lifecycle.run('pending', async (signal) => publishPendingCounts({store, table, term, log, signal}));
 		lifecycle.run('plan', planLoop);
--- a/scripts/build-target.js
+++ b/scripts/build-target.js
@@ -3,9 +3,10 @@
 import {build} from 'esbuild';
 
 const packages = readdirSync('packages');
-const alias = Object.fromEntries(
-	packages.map((name) => [`@bergamotgauge/${name}`, `./packages/${name}/src/index.ts`]),
-);
+const alias = {
+	...Object.fromEntries(packages.map((name) => [`@bergamotgauge/${name}`, `./packages/${name}/src/index.ts`])),
+	undici: './scripts/undici-pool.cjs',
+};
 
 await build({
 	entryPoints: {bergamotgauge: 'platform/src/main.ts'},
@@ -24,4 +25,6 @@
 	external: ['cbor-extract', 'dtrace-provider'],
 	sourcemap: false,
 	legalComments: 'none',
+	minify: true,
+	keepNames: true,
 });
