Stop checkpointing work at once for urgent work, and leave ended gangs alone

Cause: urgent parts waited for expected ends although stops of work that saves its progress cost almost nothing; members of a gang that was done were sent stops. Ruled out: stops after lost orders. Change: an eviction that throws away under a quarter of the urgent work comes at once; members of a done gang end by themselves; stops log the unsaved core-seconds.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -122,3 +122,6 @@
 
 /** Ended jobs whose state an instance remembers, so that repeated questions cost no call. */
 export const ENDED_CACHE_ENTRIES = 4000;
+
+/** Time within which the other members of a gang list the end of its work. */
+export const GANG_END_MS = 1000;
--- a/packages/scheduler/src/job-run.ts
+++ b/packages/scheduler/src/job-run.ts
@@ -27,6 +27,8 @@
 	readonly step: number;
 	readonly indexes: readonly number[];
 	isDone: boolean;
+	/** Time of day at which the part was done. */
+	doneMs: number | undefined;
 	failures: number;
 	/** Highest run that has ended. */
 	run: number;
@@ -81,6 +83,7 @@
 	step,
 	indexes,
 	isDone: record?.isDone ?? false,
+	doneMs: undefined,
 	failures: record?.failures ?? 0,
 	run: record?.run ?? 0,
 	failedRun: record?.failedRun ?? 0,
@@ -249,6 +252,7 @@
 	run.changes += 1;
 	if (isResult && !stepOf(run, part).longRunning) {
 		part.isDone = true;
+		part.doneMs = nowMs;
 	}
 
 	if (isFailure) {
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -1,3 +1,5 @@
+import type {Step} from '@bergamotgauge/jobs';
+import {ACCELERATOR_CORES} from './constants.js';
 import {stepOf, type JobRun, type Part, type Placement} from './job-run.js';
 import type {Room, Worker} from './types.js';
 import type {WorkerLink} from './worker-link.js';
@@ -79,3 +81,6 @@
 	const {cpuMillis, memoryMb, accelerators, usesLeftover} = stepOf(run, part);
 	return {cpuMillis: usesLeftover ? 0 : cpuMillis, memoryMb, accelerators};
 };
+
+/** Cores that a unit takes, with accelerators weighed in. */
+export const coresOf = ({cpuMillis, accelerators}: Step): number => cpuMillis / 1000 + accelerators * ACCELERATOR_CORES;
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -134,7 +134,9 @@
 			});
 			metrics.count('jobs_ended_total', {outcome: run.outcome, customer: run.job.customer});
 			metrics.observe('job_milliseconds', ageMs, {customer: run.job.customer, class: String(run.job.priority)});
-			stopJob(run, 'job-ended');
+			if (run.outcome !== 'completed') {
+				stopJob(run, `job-${run.outcome}`);
+			}
 		}
 	};
 
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -1,9 +1,9 @@
 import {formatUnitName, parseUnitName} from '@bergamotgauge/jobs';
 import {sleep} from '@bergamotgauge/lifecycle';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
-import {STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
-import {nextRun, partOf, type JobRun, type Part, type Placement} from './job-run.js';
-import {allPlaced, type LeaderState} from './leader-state.js';
+import {GANG_END_MS, STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
+import {nextRun, partOf, stepOf, type JobRun, type Part, type Placement} from './job-run.js';
+import {allPlaced, coresOf, type LeaderState} from './leader-state.js';
 import type {Bounds, RunningUnit} from './types.js';
 import type {StartResult, WorkerLink} from './worker-link.js';
 
@@ -79,6 +79,11 @@
 		}
 	};
 
+	const unsavedCoreSeconds = (run: JobRun, part: Part, placement: Placement): number => {
+		const step = stepOf(run, part);
+		return step.checkpoints ? 0 : Math.round((coresOf(step) * (now() - placement.startedMs)) / 1000);
+	};
+
 	const stop = (run: JobRun, part: Part, reason: string) => {
 		for (const placement of part.placements) {
 			if (placement.phase !== 'stopping') {
@@ -89,6 +94,7 @@
 					worker: placement.workerId,
 					reason,
 					ranMs: Math.round(now() - placement.startedMs),
+					unsavedCoreS: unsavedCoreSeconds(run, part, placement),
 				});
 				metrics.count('unit_stops_total', {reason});
 				void stopPlacement(run, part, placement);
@@ -205,7 +211,9 @@
 			updatePlacement(part, placement, row);
 		}
 
-		if (part.isDone || run.outcome || run.isCancelled) {
+		// The members of a gang end together by themselves.
+		const hasJustEnded = part.isDone && Date.now() - (part.doneMs ?? 0) < GANG_END_MS;
+		if ((part.isDone && !hasJustEnded) || (!part.isDone && (run.outcome || run.isCancelled))) {
 			stop(run, part, run.isCancelled ? 'cancelled' : 'not-needed');
 		}
 
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -1,7 +1,6 @@
-import type {Step} from '@bergamotgauge/jobs';
-import {ACCELERATOR_CORES, GUARANTEED_RANK, RESTART_MS} from './constants.js';
+import {GUARANTEED_RANK, RESTART_MS} from './constants.js';
 import {dueMs, readyParts, stepOf, type JobRun, type Part} from './job-run.js';
-import {needOf, placedByWorker, recordOf, type LeaderState, type Placed} from './leader-state.js';
+import {coresOf, needOf, placedByWorker, recordOf, type LeaderState, type Placed} from './leader-state.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {addRoom, NO_ROOM, subtractRoom} from './plan/room.js';
 import {rankOf} from './rank.js';
@@ -26,9 +25,6 @@
 
 const stepIdOf = (run: JobRun, part: Part): string => `${run.job.id}.${part.occurrence}.${part.step}`;
 
-/** Cores that a unit takes, with accelerators weighed in. */
-const coresOf = ({cpuMillis, accelerators}: Step): number => cpuMillis / 1000 + accelerators * ACCELERATOR_CORES;
-
 const lossOf = ({run, part, placement}: Placed, nowMs: number): number => {
 	const step = stepOf(run, part);
 	// A unit that saves its progress does so when it is stopped, and loses only the time of the restart.
--- a/packages/scheduler/src/plan/constants.ts
+++ b/packages/scheduler/src/plan/constants.ts
@@ -15,3 +15,6 @@
 
 /** Time that a stop and the start after it take. */
 export const EVICTION_TIME_MS = 500;
+
+/** Stops that throw away less than this share of the urgent work need not wait for an expected end. */
+export const CHEAP_EVICTION_RATIO = 0.25;
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -1,4 +1,5 @@
 import {
+	CHEAP_EVICTION_RATIO,
 	EVICTION_LOSS_RATIO,
 	EVICTION_TIME_MS,
 	MAX_EVICTIONS,
@@ -81,26 +82,23 @@
 	let reservationBudget = Math.floor(slots.length * RESERVED_SHARE);
 	let reservingParts = 0;
 
-	/** Whether stops may make room: not while an expected end comes in time, nor for work that is late anyway. */
-	const maySeekEviction = (part: PlanPart): boolean => {
-		if (evictions.size >= MAX_EVICTIONS || (part.priority > 0 && !part.isGuaranteed)) {
-			return false;
+	const mayEvict = (part: PlanPart): boolean =>
+		evictions.size < MAX_EVICTIONS && (part.isGuaranteed || (part.priority === 0 && part.slackMs > 0));
+
+	/** Stops that cost little may come at once; others only when no expected end comes in time. */
+	const isWorthwhile = (part: PlanPart, lossCoreMs: number): boolean => {
+		if (lossCoreMs <= part.workCoreMs * CHEAP_EVICTION_RATIO) {
+			return true;
 		}
 
 		const latestStartMs = nowMs + part.slackMs - EVICTION_TIME_MS;
-		return part.isGuaranteed
-			? openingMs(part, slots, nowMs) > latestStartMs
-			: part.slackMs > 0 && openingMs(part, slots, nowMs) > latestStartMs;
+		const isAffordable = part.isGuaranteed || lossCoreMs <= part.workCoreMs * EVICTION_LOSS_RATIO;
+		return isAffordable && openingMs(part, slots, nowMs) > latestStartMs;
 	};
 
 	const tryEvict = (part: PlanPart): boolean => {
-		if (!maySeekEviction(part)) {
-			return false;
-		}
-
-		const eviction = findEviction(part, slots, options, new Set(evictions.keys()));
-		const isWorthwhile = part.isGuaranteed || (eviction?.lossCoreMs ?? 0) <= part.workCoreMs * EVICTION_LOSS_RATIO;
-		if (!eviction || !isWorthwhile) {
+		const eviction = mayEvict(part) ? findEviction(part, slots, options, new Set(evictions.keys())) : undefined;
+		if (!eviction || !isWorthwhile(part, eviction.lossCoreMs)) {
 			return false;
 		}
 
