--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -74,7 +74,6 @@
 /** Longest delay between two looks of an idle planner. */
 export const IDLE_LOOK_MS = 1000;
 
-
 /** Pause between two looks at whether the leadership is free. */
 export const ELECTION_RETRY_MS = 50;
 
@@ -125,3 +124,9 @@
 
 /** Time within which the other members of a gang list the end of its work. */
 export const GANG_END_MS = 1000;
+
+/** Time without progress after which a unit stands still; workers are asked at least every two seconds. */
+export const STALL_MIN_MS = 3500;
+
+/** The same as a share of the estimated run time, for units whose percent changes slowly. */
+export const STALL_SHARE = 0.5;
--- a/packages/scheduler/src/election.ts
+++ b/packages/scheduler/src/election.ts
@@ -1,13 +1,7 @@
 import {randomUUID} from 'node:crypto';
-import {TextDecoder, TextEncoder} from 'node:util';
 import {sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
-import {
-	ELECTION_RETRY_MS,
-	LEADER_MARGIN_MS,
-	LEADER_RENEW_MS,
-	LEADER_TTL_MS,
-} from './constants.js';
+import {ELECTION_RETRY_MS, LEADER_MARGIN_MS, LEADER_RENEW_MS, LEADER_TTL_MS} from './constants.js';
 import {LEADER_KEY, TERM_KEY} from './keys.js';
 import type {LeaderWatch} from './leader-watch.js';
 import type {StoreHealth} from './store-health.js';
@@ -52,7 +46,9 @@
 	const {context, leader, health, lead, isCandidate, signal} = options;
 	const {store, log, instanceId, metrics} = context;
 
-	const claim = async (): Promise<Readonly<{number: number; revision: number; lease: number; sentMs: number}> | undefined> => {
+	const claim = async (): Promise<
+		Readonly<{number: number; revision: number; lease: number; sentMs: number}> | undefined
+	> => {
 		const last = await store.get(TERM_KEY);
 		const number = last ? Number(decoder.decode(last.value)) + 1 : 1;
 		const sentMs = health.now();
@@ -101,7 +97,12 @@
 		}
 	};
 
-	const serve = async ({number, revision, lease, sentMs}: Readonly<{number: number; revision: number; lease: number; sentMs: number}>) => {
+	const serve = async ({
+		number,
+		revision,
+		lease,
+		sentMs,
+	}: Readonly<{number: number; revision: number; lease: number; sentMs: number}>) => {
 		const controller = new AbortController();
 		let validUntilMs = sentMs + LEADER_TTL_MS - LEADER_MARGIN_MS;
 		const resign = () => {
--- a/packages/scheduler/src/job-entry.ts
+++ b/packages/scheduler/src/job-entry.ts
@@ -40,7 +40,7 @@
 			return {...entry, cancelRevision: Math.max(entry.cancelRevision, revision)};
 		}
 
-		default: {
+		case undefined: {
 			return entry;
 		}
 	}
--- a/packages/scheduler/src/job-run.ts
+++ b/packages/scheduler/src/job-run.ts
@@ -1,4 +1,12 @@
-import {objectiveMs, partKey, type Job, type PartRecord, type Progress, type RunEnd, type Step} from '@bergamotgauge/jobs';
+import {
+	objectiveMs,
+	partKey,
+	type Job,
+	type PartRecord,
+	type Progress,
+	type RunEnd,
+	type Step,
+} from '@bergamotgauge/jobs';
 import {RUNS_PER_TERM} from './constants.js';
 
 /** One run of a unit on a worker. */
@@ -72,16 +80,10 @@
 	schedule ? schedule.firstMs + occurrence * schedule.intervalMs : acceptedMs;
 
 const createPart = (
-	occurrence: number,
-	step: number,
-	indexes: readonly number[],
+	place: Pick<Part, 'key' | 'occurrence' | 'step' | 'indexes'>,
 	record: PartRecord | undefined,
-	key: string,
 ): Part => ({
-	key,
-	occurrence,
-	step,
-	indexes,
+	...place,
 	isDone: record?.isDone ?? false,
 	doneMs: undefined,
 	failures: record?.failures ?? 0,
@@ -104,7 +106,7 @@
 		const groups = step.gang ? [indexes] : indexes.map((index) => [index]);
 		for (const group of groups) {
 			const key = partKey(occurrence, stepIndex, step.gang ? 'gang' : group[0]!);
-			run.parts.set(key, createPart(occurrence, stepIndex, group, progress?.parts[key], key));
+			run.parts.set(key, createPart({key, occurrence, step: stepIndex, indexes: group}, progress?.parts[key]));
 		}
 	}
 };
@@ -168,7 +170,7 @@
 
 /** Parts that may start now, in the order of their steps. */
 export const readyParts = (run: JobRun): Part[] => {
-	if (run.outcome || run.isCancelled) {
+	if (run.outcome !== undefined || run.isCancelled) {
 		return [];
 	}
 
@@ -238,8 +240,7 @@
 	nowMs: number,
 ): EndEffect => {
 	part.placements = part.placements.filter(
-		(placement) =>
-			placement.workerId !== end.workerId || placement.index !== end.index || placement.run !== end.run,
+		(placement) => placement.workerId !== end.workerId || placement.index !== end.index || placement.run !== end.run,
 	);
 	const isFailure = end.how === 'failed' && end.run > part.failedRun;
 	// A run that was started after this one's lease had ended goes before a result that came too late.
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -70,8 +70,8 @@
 			try {
 				const result = await store.transact(transaction);
 				return result.outcome === 'conflict' ? result.current : undefined;
-			} catch (thrown) {
-				const error = toServiceError(thrown, 'may-have-run');
+			} catch (error_) {
+				const error = toServiceError(error_, 'may-have-run');
 				mayHaveRun ||= error.verdict === 'may-have-run';
 				if (!mayHaveRun) {
 					throw error;
--- a/packages/scheduler/src/pending-counts.ts
+++ b/packages/scheduler/src/pending-counts.ts
@@ -1,4 +1,3 @@
-import {TextDecoder, TextEncoder} from 'node:util';
 import {sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
 import type {KeyValueStore} from '@bergamotgauge/store';
@@ -77,7 +76,8 @@
 		}
 
 		try {
-			return (await counts)[queue] ?? 0;
+			const current = await counts;
+			return current[queue] ?? 0;
 		} catch (error) {
 			counts = undefined;
 			throw error;
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -3,7 +3,7 @@
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {GANG_END_MS, STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
 import {nextRun, partOf, stepOf, type JobRun, type Part, type Placement} from './job-run.js';
-import {allPlaced, coresOf, type LeaderState} from './leader-state.js';
+import {allPlaced, coresOf, type LeaderState, type Placed} from './leader-state.js';
 import type {Bounds, RunningUnit} from './types.js';
 import type {StartResult, WorkerLink} from './worker-link.js';
 
@@ -143,7 +143,7 @@
 		}
 	};
 
-	const attach = (run: JobRun, part: Part, row: RunningUnit, workerId: string, index: number) => {
+	const attach = ({run, part}: Omit<Placed, 'placement'>, row: RunningUnit, workerId: string, index: number) => {
 		const newest = Math.max(row.run, ...part.placements.map((placement) => placement.run));
 		part.placements.push({
 			workerId,
@@ -203,7 +203,7 @@
 
 		const workerId = link.worker.id;
 		if (!part.placements.some((placement) => isSame(placement, workerId, name.index, row.run))) {
-			attach(run, part, row, workerId, name.index);
+			attach({run, part}, row, workerId, name.index);
 		}
 
 		const placement = part.placements.find((other) => isSame(other, workerId, name.index, row.run));
@@ -213,7 +213,7 @@
 
 		// The members of a gang end together by themselves.
 		const hasJustEnded = part.isDone && Date.now() - (part.doneMs ?? 0) < GANG_END_MS;
-		if ((part.isDone && !hasJustEnded) || (!part.isDone && (run.outcome || run.isCancelled))) {
+		if ((part.isDone && !hasJustEnded) || (!part.isDone && (run.outcome !== undefined || run.isCancelled))) {
 			stop(run, part, run.isCancelled ? 'cancelled' : 'not-needed');
 		}
 
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -2,7 +2,7 @@
 import {dueMs, readyParts, stepOf, type JobRun, type Part} from './job-run.js';
 import {coresOf, needOf, placedByWorker, recordOf, type LeaderState, type Placed} from './leader-state.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
-import {addRoom, NO_ROOM, subtractRoom} from './plan/room.js';
+import {subtractRoom, sumRoom} from './plan/room.js';
 import {rankOf} from './rank.js';
 import type {Bounds, Declarations} from './types.js';
 
@@ -46,7 +46,8 @@
 		isGuaranteed,
 		lossCoreMs: lossOf(placed, nowMs),
 		endMs: step.longRunning ? Number.POSITIVE_INFINITY : placement.startedMs + totalMs,
-		isStopping: placement.phase === 'stopping',
+		// What has ended frees its room without a stop.
+		isStopping: placement.phase === 'stopping' || part.isDone || run.outcome !== undefined,
 	};
 };
 
@@ -56,7 +57,7 @@
 	return [...state.directory.values()].map((worker) => {
 		const record = recordOf(state, worker.id);
 		const here = placed.get(worker.id) ?? [];
-		const used = here.reduce((sum, {run, part}) => addRoom(sum, needOf(run, part)), NO_ROOM);
+		const used = sumRoom(here.map(({run, part}) => needOf(run, part)));
 		const hasStrays = (state.strays.get(worker.id)?.size ?? 0) > 0;
 		return {
 			id: worker.id,
@@ -65,8 +66,7 @@
 			labels: worker.labels,
 			capacity: worker.capacity,
 			free: subtractRoom(worker.capacity, used),
-			isUsable:
-				worker.state === 'ready' && isOrderable(worker.id) && record.pausedUntilMs <= nowMs && !hasStrays,
+			isUsable: worker.state === 'ready' && isOrderable(worker.id) && record.pausedUntilMs <= nowMs && !hasStrays,
 			isSuspect: record.suspectUntilMs > nowMs,
 			slowness: record.slowness,
 			placements: here.map((one) => viewPlacement(one, nowMs, covered.has(one.run))),
--- a/packages/scheduler/src/plan/evict.ts
+++ b/packages/scheduler/src/plan/evict.ts
@@ -1,6 +1,6 @@
 import type {Room} from '../types.js';
 import {isEligible, type PlaceOptions, type WorkerSlot} from './place-part.js';
-import {addRoom, fits, NO_ROOM, subtractRoom} from './room.js';
+import {addRoom, fits, subtractRoom, sumRoom} from './room.js';
 import type {PlanPart, PlanPlacement} from './types.js';
 
 export type Eviction = Readonly<{
@@ -19,10 +19,11 @@
 
 const canGiveWay = (part: PlanPart, placement: PlanPlacement): boolean =>
 	!placement.isStopping &&
-	(placement.priority > part.priority || (part.isGuaranteed && !placement.isGuaranteed && placement.customer !== part.customer));
+	(placement.priority > part.priority ||
+		(part.isGuaranteed && !placement.isGuaranteed && placement.customer !== part.customer));
 
 const stoppingRoom = ({worker}: WorkerSlot): Room =>
-	worker.placements.filter(({isStopping}) => isStopping).reduce((room, {need}) => addRoom(room, need), NO_ROOM);
+	sumRoom(worker.placements.filter(({isStopping}) => isStopping).map(({need}) => need));
 
 /** Cheapest stops on the slot that make room for one member. */
 const optionOn = (part: PlanPart, draft: Draft, chosen: ReadonlySet<string>): Option | undefined => {
@@ -49,7 +50,12 @@
 	return fits(part.need, room) ? {draft, victims, lossCoreMs} : undefined;
 };
 
-const search = (part: PlanPart, slots: readonly WorkerSlot[], options: PlaceOptions, given: ReadonlySet<string>): Eviction | undefined => {
+const search = (
+	part: PlanPart,
+	slots: readonly WorkerSlot[],
+	options: PlaceOptions,
+	given: ReadonlySet<string>,
+): Eviction | undefined => {
 	const drafts: Draft[] = slots.map((slot) => ({
 		slot,
 		room: addRoom(slot.free, stoppingRoom(slot)),
@@ -116,9 +122,7 @@
 ): Eviction | undefined => {
 	const eligible = slots.filter(
 		({worker}) =>
-			isEligible(part, worker) &&
-			!worker.isSuspect &&
-			(part.dataRack === undefined || worker.rack === part.dataRack),
+			isEligible(part, worker) && !worker.isSuspect && (part.dataRack === undefined || worker.rack === part.dataRack),
 	);
 	if (!part.sameRack || part.members === 1) {
 		return search(part, eligible, options, given);
@@ -126,7 +130,12 @@
 
 	let best: Eviction | undefined;
 	for (const rack of new Set(eligible.map(({worker}) => worker.rack))) {
-		const found = search(part, eligible.filter(({worker}) => worker.rack === rack), options, given);
+		const found = search(
+			part,
+			eligible.filter(({worker}) => worker.rack === rack),
+			options,
+			given,
+		);
 		if (found && (!best || found.lossCoreMs < best.lossCoreMs)) {
 			best = found;
 		}
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -66,9 +66,7 @@
 	return slots
 		.filter(
 			(slot) =>
-				!slot.isReserved &&
-				isEligible(part, slot.worker) &&
-				(isRemoteAccepted || slot.worker.rack === part.dataRack),
+				!slot.isReserved && isEligible(part, slot.worker) && (isRemoteAccepted || slot.worker.rack === part.dataRack),
 		)
 		.map((slot) => ({slot, cost: costOf(part, slot, options)}))
 		.toSorted((a, b) => a.cost - b.cost)
@@ -79,7 +77,7 @@
 	part: PlanPart,
 	slots: readonly WorkerSlot[],
 	options: PlaceOptions,
-): ReadonlyArray<WorkerSlot> | undefined => {
+): readonly WorkerSlot[] | undefined => {
 	const chosen: WorkerSlot[] = [];
 	for (const slot of slots) {
 		const count = countFitting(part, slot, part.members - chosen.length, options);
--- a/packages/scheduler/src/plan/room.ts
+++ b/packages/scheduler/src/plan/room.ts
@@ -24,3 +24,13 @@
 		capacity.memoryMb > 0 ? room.memoryMb / capacity.memoryMb : 0,
 		capacity.accelerators > 0 ? room.accelerators / capacity.accelerators : 0,
 	);
+
+/** Room of all units together. */
+export const sumRoom = (rooms: readonly Room[]): Room => {
+	let sum = NO_ROOM;
+	for (const room of rooms) {
+		sum = addRoom(sum, room);
+	}
+
+	return sum;
+};
--- /dev/null
+++ b/packages/scheduler/src/planner.ts
@@ -0,0 +1,108 @@
+import {STALL_MIN_MS, STALL_SHARE} from './constants.js';
+import type {Term} from './election.js';
+import {addDueOccurrences, stepOf, type JobRun, type Part} from './job-run.js';
+import {placedByWorker, type LeaderState} from './leader-state.js';
+import {createPlanView, partIdOf} from './plan-view.js';
+import {plan} from './plan/plan.js';
+import type {Placements} from './placements.js';
+import type {SchedulerContext} from './types.js';
+import {noteStall} from './worker-evidence.js';
+import type {WorkerFleet} from './worker-fleet.js';
+
+export type PlannerOptions = Readonly<{
+	context: SchedulerContext;
+	term: Term;
+	state: LeaderState;
+	fleet: WorkerFleet;
+	placements: Placements;
+	now: () => number;
+}>;
+
+/** Decides what starts and stops, and has it carried out. */
+export type Planner = Readonly<{
+	/** One pass; returns the time of day at which the next occurrence of a scheduled job is due. */
+	pass: () => number;
+}>;
+
+/** Whether all that the job left behind is settled. */
+const isSettled = (run: JobRun): boolean =>
+	run.storedChanges === run.changes && [...run.parts.values()].every(({placements}) => placements.length === 0);
+
+/** Creates the planner of a term. */
+export const createPlanner = ({context, term, state, fleet, placements, now}: PlannerOptions): Planner => {
+	const {metrics, bounds, declarations} = context;
+
+	const stopStalled = (run: JobRun, part: Part) => {
+		const limitMs = Math.max(STALL_MIN_MS, stepOf(run, part).estimateMs * STALL_SHARE);
+		const stalled = part.placements.find(
+			({phase, progressMs, workerId}) =>
+				phase === 'running' && now() - progressMs > limitMs && state.links.get(workerId)?.state() === 'synced',
+		);
+		if (stalled) {
+			noteStall(state, stalled.workerId, now());
+			part.avoided.add(stalled.workerId);
+			placements.stop(run, part, 'stalled');
+		}
+	};
+
+	/** Jobs of earlier terms wait while workers that have not answered may still run them. */
+	const isBlocked = (run: JobRun): boolean => run.jobRevision < term.leaderRevision && fleet.mayHoldUnknownRuns();
+
+	const collectParts = (): Readonly<{parts: ReadonlyMap<string, readonly [JobRun, Part]>; nextDueMs: number}> => {
+		const parts = new Map<string, readonly [JobRun, Part]>();
+		let nextDueMs = Number.POSITIVE_INFINITY;
+		for (const [id, run] of state.runs) {
+			if (run.outcome !== undefined) {
+				if (isSettled(run)) {
+					state.runs.delete(id);
+				}
+
+				continue;
+			}
+
+			nextDueMs = Math.min(nextDueMs, addDueOccurrences(run, Date.now()) ?? Number.POSITIVE_INFINITY);
+			for (const part of run.parts.values()) {
+				stopStalled(run, part);
+				parts.set(partIdOf(run, part), [run, part]);
+			}
+		}
+
+		return {parts, nextDueMs};
+	};
+
+	return {
+		pass() {
+			const startedMs = performance.now();
+			const {parts, nextDueMs} = collectParts();
+			const view = createPlanView({
+				state,
+				declarations: declarations(),
+				bounds,
+				nowMs: now(),
+				todayMs: Date.now(),
+				isOrderable: fleet.isOrderable,
+				isBlocked,
+			});
+			const {starts, evictions} = plan(view);
+			for (const {partId, workerIds} of starts) {
+				const [run, part] = parts.get(partId)!;
+				placements.start(run, part, workerIds);
+			}
+
+			for (const {partId, forPartId} of evictions) {
+				const victim = parts.get(partId);
+				if (!victim) {
+					continue;
+				}
+
+				const [run, part] = victim;
+				placements.stop(run, part, `evicted-for-${forPartId.split('.')[0]}`);
+			}
+
+			fleet.setInUse(new Set(placedByWorker(state).keys()));
+			metrics.gauge('parts_waiting', view.parts.length - starts.length);
+			metrics.observe('plan_milliseconds', performance.now() - startedMs);
+			return nextDueMs;
+		},
+	};
+};
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -1,4 +1,4 @@
-import type {Job, RunEnd, Submission} from '@bergamotgauge/jobs';
+import type {RunEnd, Submission} from '@bergamotgauge/jobs';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import type {KeyValueStore} from '@bergamotgauge/store';
 
@@ -146,6 +146,3 @@
 
 /** Identity of a caller for one queue. */
 export type JobRequest = Readonly<{queue: Queue; customer: string; submission: Submission}>;
-
-/** A job with what is known of its progress. */
-export type JobView = Readonly<{job: Job; state: import('@bergamotgauge/jobs').JobState}>;
--- /dev/null
+++ b/packages/scheduler/src/unit-ends.ts
@@ -0,0 +1,89 @@
+import {parseUnitName, type UnitName} from '@bergamotgauge/jobs';
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import {noteEnd, partOf, type JobRun, type Part} from './job-run.js';
+import type {LeaderState} from './leader-state.js';
+import type {Placements} from './placements.js';
+import type {EndedUnit} from './types.js';
+import {noteFailure, noteSuccess} from './worker-evidence.js';
+import type {WorkerLink} from './worker-link.js';
+
+export type UnitEndsOptions = Readonly<{
+	state: LeaderState;
+	placements: Placements;
+	log: Log;
+	metrics: Metrics;
+	now: () => number;
+}>;
+
+/** Takes note of ends of units and jobs. */
+export type UnitEnds = Readonly<{
+	/** The job whose records the end changes; `undefined` for a unit of no active job. */
+	take: (link: WorkerLink, end: EndedUnit) => JobRun | undefined;
+	/** Reports the outcome of a job that has just ended, and stops what is left of it. */
+	conclude: (run: JobRun) => void;
+}>;
+
+/** Creates the handler of ends of a term. */
+export const createUnitEnds = ({state, placements, log, metrics, now}: UnitEndsOptions): UnitEnds => {
+	const conclude = (run: JobRun) => {
+		const {id, queue, customer, priority, acceptedMs} = run.job;
+		const ageMs = Date.now() - acceptedMs;
+		const outcome = run.outcome ?? 'failed';
+		log.info('job-ended', {job: id, outcome, queue, customer, ageMs, objectiveMs: Math.round(run.objectiveMs)});
+		metrics.count('jobs_ended_total', {outcome, customer});
+		metrics.observe('job_milliseconds', ageMs, {customer, class: String(priority)});
+		if (outcome !== 'completed') {
+			for (const part of run.parts.values()) {
+				placements.stop(run, part, `job-${outcome}`);
+			}
+		}
+	};
+
+	const count = (run: JobRun, part: Part, end: EndedUnit & Readonly<{workerId: string}>, name: UnitName) => {
+		const startedMs = part.placements.find(
+			({workerId, index, run: placed}) => workerId === end.workerId && index === name.index && placed === end.run,
+		)?.startedMs;
+		const effect = noteEnd(run, part, {...end, index: name.index}, Date.now());
+		log.info('unit-ended', {
+			unit: end.unit,
+			run: end.run,
+			how: end.how,
+			worker: end.workerId,
+			effect,
+			failures: part.failures,
+			ranMs: startedMs === undefined ? undefined : Math.round(now() - startedMs),
+		});
+		if (end.how === 'failed' && effect === 'counted') {
+			noteFailure(state, end.workerId, run.job.id, now());
+		} else if (end.how === 'done') {
+			noteSuccess(state, end.workerId);
+		}
+	};
+
+	return {
+		conclude,
+		take(link, end) {
+			const name = parseUnitName(end.unit);
+			const run = name && state.runs.get(name.jobId);
+			const part = run && partOf(run, name.occurrence, name.step, name.index);
+			if (!name || !run || !part) {
+				return undefined;
+			}
+
+			const hadOutcome = run.outcome !== undefined;
+			count(run, part, {...end, workerId: link.worker.id}, name);
+			if (part.placements.length === 0) {
+				part.waitingSinceMs = undefined;
+			} else if (end.how !== 'done') {
+				// The members that are left can only wait for the others.
+				placements.stop(run, part, 'gang-broken');
+			}
+
+			if (run.outcome !== undefined && !hadOutcome) {
+				conclude(run);
+			}
+
+			return run;
+		},
+	};
+};
--- a/packages/scheduler/src/waker.ts
+++ b/packages/scheduler/src/waker.ts
@@ -26,9 +26,13 @@
 			if (!isWoken && !signal.aborted) {
 				await new Promise<void>((resolve) => {
 					resume = resolve;
-					signal.addEventListener('abort', () => {
-						resolve();
-					}, {once: true});
+					signal.addEventListener(
+						'abort',
+						() => {
+							resolve();
+						},
+						{once: true},
+					);
 				});
 			}
 
--- a/packages/scheduler/src/worker-evidence.ts
+++ b/packages/scheduler/src/worker-evidence.ts
@@ -1,9 +1,4 @@
-import {
-	FAILED_JOBS_LIMIT,
-	REFUSAL_PAUSE_MS,
-	SUSPICION_MAX_MS,
-	SUSPICION_MIN_MS,
-} from './constants.js';
+import {FAILED_JOBS_LIMIT, REFUSAL_PAUSE_MS, SUSPICION_MAX_MS, SUSPICION_MIN_MS} from './constants.js';
 import {recordOf, type LeaderState, type WorkerRecord} from './leader-state.js';
 import type {StartRefusal} from './types.js';
 
--- /dev/null
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -0,0 +1,206 @@
+import type {Lifecycle} from '@bergamotgauge/lifecycle';
+import type {KeyChanges} from '@bergamotgauge/store';
+import {CLOCK_RATE_ERROR, LEASE_EXPIRY_MARGIN_MS} from './constants.js';
+import type {Term} from './election.js';
+import {LEADER_KEY, ROSTER_KEY} from './keys.js';
+import type {LeaderState} from './leader-state.js';
+import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
+import {createWorkerLink, type WorkerLink} from './worker-link.js';
+
+export type WorkerFleetOptions = Readonly<{
+	context: SchedulerContext;
+	term: Term;
+	state: LeaderState;
+	lifecycle: Lifecycle;
+	now: () => number;
+	/** Called with all that runs on a worker. */
+	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	/** Called with new ends; resolves when they are stored. */
+	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
+	/** Called when nothing runs on a worker any more. */
+	onGone: (workerId: string) => void;
+	/** Called when workers come, go or change. */
+	onChanged: () => void;
+}>;
+
+/** The workers of a term: those that the platform lists and those that earlier leaders used. */
+export type WorkerFleet = Readonly<{
+	/** Opens links to the workers that earlier leaders may have given leases to. */
+	openRoster: () => Promise<void>;
+	takeDirectory: (changes: KeyChanges) => void;
+	/** Opens links to listed workers whose leases had ended and that may answer again. */
+	reopen: () => void;
+	/** Whether a worker answers that a later leader would not find. */
+	isRosterOld: () => boolean;
+	storeRoster: () => Promise<void>;
+	isOrderable: (workerId: string) => boolean;
+	/** Whether runs of earlier leaders may exist on workers that have not answered yet. */
+	mayHoldUnknownRuns: () => boolean;
+	/** Tells which workers have placements, so that their reports are read. */
+	setInUse: (workerIds: ReadonlySet<string>) => void;
+}>;
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/**
+Creates the fleet of a term.
+
+@example
+```ts
+const fleet = createWorkerFleet({context, term, state, lifecycle, now, onReport, onEnds, onGone, onChanged});
+await fleet.openRoster();
+```
+*/
+export const createWorkerFleet = (options: WorkerFleetOptions): WorkerFleet => {
+	const {context, term, state, lifecycle, now, onReport, onEnds, onGone, onChanged} = options;
+	const {store, log, bounds, decodeWorker, workerPrefix} = context;
+	// Leases that an earlier leader gave end by then, whether or not their workers can be reached.
+	const earlierLeasesEndMs =
+		now() + bounds.maxLeaseMs * (1 + CLOCK_RATE_ERROR + CLOCK_RATE_ERROR ** 2) + LEASE_EXPIRY_MARGIN_MS;
+	/** Workers whose earlier runs are not known yet. */
+	const unsynced = new Set<string>();
+	/** Workers that a later leader will find in the roster. */
+	let rostered: ReadonlySet<string> = new Set();
+	let rosterRevision = 0;
+	let inUse: ReadonlySet<string> = new Set();
+
+	const removeLink = (link: WorkerLink) => {
+		if (state.links.get(link.worker.id) === link) {
+			state.links.delete(link.worker.id);
+		}
+
+		unsynced.delete(link.worker.id);
+		onGone(link.worker.id);
+		onChanged();
+	};
+
+	const openLink = (worker: Worker) => {
+		const link = createWorkerLink({
+			context,
+			worker,
+			token: term.number,
+			now,
+			earlierLeasesEndMs,
+			mayOrder: term.isValid,
+			events: {
+				onReport(from, running, sentMs) {
+					unsynced.delete(from.worker.id);
+					onReport(from, running, sentMs);
+				},
+				onEnds,
+				onGone(from, reason) {
+					log.info('worker-gone', {worker: from.worker.id, reason});
+					removeLink(from);
+				},
+				onStaleToken() {
+					term.abandon('a worker has seen a newer fencing token');
+				},
+				hasWork: (from) => state.strays.has(from.worker.id) || inUse.has(from.worker.id),
+			},
+		});
+		state.links.set(worker.id, link);
+		unsynced.add(worker.id);
+		lifecycle.run(`worker/${worker.id}`, link.run);
+	};
+
+	const takeWorker = (worker: Worker) => {
+		if (state.directory.get(worker.id)?.state !== worker.state) {
+			const {id, rack, remainingMs} = worker;
+			log.info('worker-listed', {worker: id, state: worker.state, rack, remainingMs});
+		}
+
+		state.directory.set(worker.id, worker);
+		const link = state.links.get(worker.id);
+		if (link) {
+			link.worker = worker;
+		} else {
+			openLink(worker);
+		}
+	};
+
+	const idOf = (key: string): string => key.slice(workerPrefix.length);
+
+	const removeMissing = (present: ReadonlySet<string>) => {
+		for (const id of state.directory.keys()) {
+			if (!present.has(id)) {
+				state.directory.delete(id);
+			}
+		}
+	};
+
+	const isAnswering = (link: WorkerLink): boolean => link.state() === 'synced';
+
+	return {
+		async openRoster() {
+			const roster = await store.get(ROSTER_KEY);
+			rosterRevision = roster?.revision ?? 0;
+			for (const worker of roster ? (JSON.parse(decoder.decode(roster.value)) as readonly Worker[]) : []) {
+				openLink(worker);
+			}
+		},
+		takeDirectory(changes) {
+			if (changes.isListing) {
+				removeMissing(new Set(changes.items.map(({key}) => idOf(key))));
+			}
+
+			for (const key of changes.removed) {
+				state.directory.delete(idOf(key));
+			}
+
+			for (const {key, value} of changes.items) {
+				const worker = decodeWorker(key, value);
+				if (worker) {
+					takeWorker(worker);
+				} else {
+					log.warn('worker-unreadable', {key});
+					state.directory.delete(idOf(key));
+				}
+			}
+
+			onChanged();
+		},
+		reopen() {
+			for (const worker of state.directory.values()) {
+				if (!state.links.has(worker.id)) {
+					openLink(worker);
+				}
+			}
+		},
+		isRosterOld: () => [...state.links.values()].some((link) => isAnswering(link) && !rostered.has(link.worker.id)),
+		async storeRoster() {
+			const workers = [...state.links.values()].filter((link) => link.state() !== 'gone').map(({worker}) => worker);
+			const result = await store.transact({
+				expected: [
+					{key: LEADER_KEY, revision: term.leaderRevision},
+					{key: ROSTER_KEY, revision: rosterRevision},
+				],
+				writes: [{key: ROSTER_KEY, value: encoder.encode(JSON.stringify(workers))}],
+			});
+			if (result.outcome === 'applied') {
+				rosterRevision = result.revision;
+				rostered = new Set(workers.map(({id}) => id));
+				return;
+			}
+
+			const current = result.outcome === 'conflict' ? result.current : [];
+			if (current.find(({key}) => key === LEADER_KEY)?.revision !== term.leaderRevision) {
+				term.abandon('another instance leads');
+			}
+
+			// An earlier write of this term may have been carried out without an answer.
+			rosterRevision = current.find(({key}) => key === ROSTER_KEY)?.revision ?? 0;
+		},
+		isOrderable(workerId) {
+			const link = state.links.get(workerId);
+			return link !== undefined && isAnswering(link) && rostered.has(workerId);
+		},
+		mayHoldUnknownRuns: () => unsynced.size > 0 && now() < earlierLeasesEndMs,
+		setInUse(workerIds) {
+			inUse = workerIds;
+			for (const workerId of workerIds) {
+				state.links.get(workerId)?.wake();
+			}
+		},
+	};
+};
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -45,7 +45,9 @@
 export type WorkerLink = {
 	worker: Worker;
 	readonly state: () => WorkerLinkState;
-	readonly start: (order: Readonly<{unit: string; run: number; spec: string; checkpoint: string}>) => Promise<StartResult>;
+	readonly start: (
+		order: Readonly<{unit: string; run: number; spec: string; checkpoint: string}>,
+	) => Promise<StartResult>;
 	/** Resolves when the worker has accepted the stop, or its life is over. */
 	readonly stop: (unit: string, run: number) => Promise<boolean>;
 	/** Asks again at once instead of waiting for the next turn. */
@@ -84,6 +86,7 @@
 	const waker = createWaker();
 	const leaseLengthMs = bounds.maxLeaseMs * LEASE_SHARE;
 	let state: WorkerLinkState = 'unsynced';
+	const isGone = (): boolean => state === 'gone';
 	/** Ends up to here have been handed on. */
 	let seenSequence = 0;
 	/** Ends up to here are stored. */
@@ -98,7 +101,7 @@
 	};
 
 	const end = (reason: 'other-life' | 'lease-ended') => {
-		if (state !== 'gone') {
+		if (!isGone()) {
 			setState('gone', {reason});
 			events.onGone(link, reason);
 		}
@@ -120,16 +123,20 @@
 
 	/** Repeats an order that got no answer; the worker carries it out once. */
 	const order = async (kind: 'start' | 'stop', send: () => Promise<OrderReply>): Promise<OrderReply | undefined> => {
-		for (let attempt = 1; attempt <= ORDER_ATTEMPTS && mayOrder() && state !== 'gone'; attempt += 1) {
+		for (let attempt = 1; attempt <= ORDER_ATTEMPTS && mayOrder() && !isGone(); attempt += 1) {
 			const sentMs = now();
 			try {
 				const reply = await withDeadline(ORDER_DEADLINE_MS, async () => send());
 				metrics.observe('worker_order_milliseconds', now() - sentMs, {kind});
 				observeReply(reply, sentMs);
 				return reply;
-			} catch (thrown) {
+			} catch (error) {
 				metrics.count('worker_orders_unanswered_total', {kind});
-				log.debug('order-unanswered', {kind, worker: options.worker.id, error: toServiceError(thrown, 'may-have-run').message});
+				log.debug('order-unanswered', {
+					kind,
+					worker: options.worker.id,
+					error: toServiceError(error, 'may-have-run').message,
+				});
 			}
 		}
 
@@ -161,7 +168,8 @@
 		const waitMs = isFirst || state === 'silent' ? 0 : HOLD_WAIT_MS;
 		const report = await withDeadline(
 			waitMs + HOLD_GRACE_MS,
-			async (limit) => port.hold({token, notedSequence, waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})}, limit),
+			async (limit) =>
+				port.hold({token, notedSequence, waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})}, limit),
 			signal,
 		);
 		if (report.outcome === 'refused') {
@@ -183,7 +191,7 @@
 	const run = async (signal: AbortSignal) => {
 		const backoff = createBackoff({minMs: WORKER_RETRY_MS, maxMs: WORKER_RETRY_MAX_MS});
 		let reportedSequence = 0;
-		while (!signal.aborted && state !== 'gone') {
+		while (!signal.aborted && !isGone()) {
 			if (!mayOrder()) {
 				await sleep(WORKER_RETRY_MS, signal);
 				continue;
@@ -204,13 +212,13 @@
 				reportedSequence = notedSequence;
 				await takeReport(signal);
 				backoff.reset();
-			} catch (thrown) {
+			} catch (error) {
 				if (signal.aborted) {
 					break;
 				}
 
 				if (state === 'synced') {
-					setState('silent', {error: toServiceError(thrown, 'may-have-run').message});
+					setState('silent', {error: toServiceError(error, 'may-have-run').message});
 				}
 
 				if (now() > clock.expiryMs()) {
