--- /dev/null
+++ b/packages/scheduler/src/job-run.test.ts
@@ -0,0 +1,126 @@
+import type {Job, RunEnd} from '@bergamotgauge/jobs';
+import t from 'tap';
+import {
+	addDueOccurrences,
+	cancelRun,
+	createJobRun,
+	nextRun,
+	noteEnd,
+	partOf,
+	progressOf,
+	readyParts,
+} from './job-run.js';
+import {newStep, newSubmission, QUEUE} from './test/world.js';
+
+const newJob = (change: Partial<Job> = {}): Job => ({
+	...newSubmission(1, [newStep({count: 2}), newStep({after: [0]})]),
+	queue: QUEUE.name,
+	service: QUEUE.service,
+	priority: 1,
+	attempts: 2,
+	stretch: 3,
+	targetLatencyMs: 1000,
+	customer: 'acme',
+	acceptedMs: 0,
+	...change,
+});
+
+const newRun = (job = newJob()) =>
+	createJobRun({job, progress: undefined, progressRevision: 0, jobRevision: 1, isCancelled: false, nowMs: 0});
+
+type Unit = readonly [step: number, index: number];
+
+const end = (run: ReturnType<typeof newRun>, [step, index]: Unit, how: RunEnd, number = 1) =>
+	noteEnd(run, partOf(run, 0, step, index)!, {workerId: 'w', index, run: number, how, checkpoint: ''}, 5);
+
+// Guards against a step that starts before those it waits for have ended.
+await t.test('a step waits for all units of the steps before it', async (t) => {
+	const run = newRun();
+	t.same(
+		readyParts(run).map(({key}) => key),
+		['0.0.0', '0.0.1'],
+	);
+	end(run, [0, 0], 'done');
+	t.same(
+		readyParts(run).map(({key}) => key),
+		['0.0.1'],
+	);
+	end(run, [0, 1], 'done');
+	t.same(
+		readyParts(run).map(({key}) => key),
+		['0.1.0'],
+	);
+	end(run, [1, 0], 'done');
+	t.equal(run.outcome, 'completed');
+});
+
+// Guards against an end that is counted again when a worker lists it to the next leader.
+await t.test('an end counts once', async (t) => {
+	const run = newRun();
+	t.equal(end(run, [0, 0], 'failed'), 'counted');
+	t.equal(end(run, [0, 0], 'failed'), 'repeated');
+	const restored = createJobRun({
+		job: run.job,
+		progress: progressOf(run),
+		progressRevision: 7,
+		jobRevision: 1,
+		isCancelled: false,
+		nowMs: 0,
+	});
+	t.equal(end(restored, [0, 0], 'failed'), 'repeated');
+	t.equal(partOf(restored, 0, 0, 0)?.failures, 1);
+	t.equal(end(restored, [0, 0], 'failed', 2), 'counted');
+	t.equal(restored.outcome, 'failed');
+});
+
+// Guards against stops and lost leases being taken for failures of the work.
+await t.test('only failures count as attempts', async (t) => {
+	const run = newRun();
+	for (const [index, how] of (['stopped', 'lapsed', 'broken', 'alone'] as const).entries()) {
+		end(run, [0, 0], how, index + 1);
+	}
+
+	t.equal(partOf(run, 0, 0, 0)?.failures, 0);
+	t.equal(run.outcome, undefined);
+});
+
+// Guards against a member that ended with its gang hiding the failure of the one that caused it.
+await t.test('a gang counts one failure a run, in any order of its ends', async (t) => {
+	const run = newRun(newJob({steps: [newStep({count: 3, gang: true})]}));
+	end(run, [0, 0], 'broken');
+	end(run, [0, 1], 'failed');
+	end(run, [0, 2], 'failed');
+	t.equal(partOf(run, 0, 0, 0)?.failures, 1);
+});
+
+// Guards against run numbers that a worker refuses as old after a change of leader.
+await t.test('run numbers rise over runs and terms', async (t) => {
+	const run = newRun();
+	const part = partOf(run, 0, 0, 0)!;
+	t.equal(nextRun(part, 1), 1);
+	end(run, [0, 0], 'stopped', 4);
+	t.equal(nextRun(part, 1), 5);
+	t.equal(nextRun(part, 3), 2001);
+});
+
+// Guards against a cancelled job that is shown as failed or completed later.
+await t.test('a cancelled job stays cancelled', async (t) => {
+	const run = newRun();
+	cancelRun(run, 9);
+	end(run, [0, 0], 'failed');
+	t.equal(run.outcome, 'cancelled');
+	t.equal(run.endedMs, 9);
+	t.same(readyParts(run), []);
+});
+
+// Guards against occurrences that start before they are due, or a job that ends before its last one.
+await t.test('occurrences become ready when they are due', async (t) => {
+	const run = newRun(newJob({steps: [newStep()], schedule: {repeats: 3, firstMs: 100, intervalMs: 50}}));
+	t.same(readyParts(run), []);
+	t.equal(addDueOccurrences(run, 150), 200);
+	t.equal(readyParts(run).length, 2);
+	t.equal(addDueOccurrences(run, 500), undefined);
+	t.equal(readyParts(run).length, 3);
+	end(run, [0, 0], 'done');
+	t.equal(run.outcome, undefined);
+});
--- /dev/null
+++ b/packages/scheduler/src/job-service.test.ts
@@ -0,0 +1,71 @@
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import FakeTimers from '@sinonjs/fake-timers';
+import t, {type Test} from 'tap';
+import {createJobService} from './job-service.js';
+import {createStoreHealth, createSuspendClock} from './store-health.js';
+import {createMemoryKeyValue} from './test/memory-key-value.js';
+import {newStep, newSubmission, QUEUE} from './test/world.js';
+
+const createFixture = (t: Test) => {
+	const clock = FakeTimers.install({now: 1_000_000});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const store = createMemoryKeyValue();
+	const health = createStoreHealth(createSuspendClock());
+	const jobs = createJobService({store, health, log: createSilentLog(), metrics: createMetrics()});
+	const request = {queue: QUEUE, customer: 'acme', submission: newSubmission(1, [newStep()])};
+	return {clock, store, health, jobs, request};
+};
+
+const ADDRESS = {queue: QUEUE, customer: 'acme', id: '0000000000000001'};
+
+// Guards against a repeated request that becomes a second job, or is refused.
+await t.test('a repeated submission remains one job', async (t) => {
+	const {store, jobs, request} = createFixture(t);
+	await jobs.submit(request);
+	await jobs.submit(request);
+	t.equal(store.items().length, 1);
+	const other = {...request, submission: {...request.submission, spec: 'other'}};
+	await t.rejects(jobs.submit(other), {code: 'conflict', verdict: 'not-run'});
+});
+
+// Guards against a refusal that says that the job never runs although its write was carried out.
+await t.test('a lost answer is resolved, and an unknown effect is never called a refusal', async (t) => {
+	const {clock, store, jobs, request} = createFixture(t);
+	store.faults.lostAnswers = 1;
+	const accepted = jobs.submit(request);
+	await clock.tickAsync(200);
+	await accepted;
+	t.equal(store.items().length, 1);
+
+	store.faults.delayed = 100;
+	const second = {...request, submission: newSubmission(2, [newStep()])};
+	const unknown = t.rejects(jobs.submit(second), {code: 'deadline-exceeded', verdict: 'may-have-run', status: 504});
+	await clock.tickAsync(4000);
+	await unknown;
+});
+
+// Guards against callers that wait for a store that is known to be away.
+await t.test('a lost store refuses at once, with the time to return', async (t) => {
+	const {clock, store, health, jobs, request} = createFixture(t);
+	store.faults.isDown = true;
+	health.failed();
+	await clock.tickAsync(1500);
+	health.failed();
+	await t.rejects(jobs.submit(request), {code: 'store-unavailable', verdict: 'not-run', retryAfterMs: 1000});
+	await t.rejects(jobs.state(ADDRESS), {code: 'store-unavailable'});
+});
+
+// Guards against one customer's jobs being read or cancelled with another customer's key.
+await t.test('a job belongs to its queue and customer', async (t) => {
+	const {jobs, request} = createFixture(t);
+	await jobs.submit(request);
+	t.equal(await jobs.state(ADDRESS), 'queued');
+	await t.rejects(jobs.state({...ADDRESS, customer: 'other'}), {code: 'not-found', verdict: 'not-run'});
+	await t.rejects(jobs.cancel({...ADDRESS, customer: 'other'}), {code: 'not-found', verdict: 'not-run'});
+	await t.rejects(jobs.state({...ADDRESS, id: '00000000000000ff'}), {code: 'not-found', verdict: 'not-run'});
+	await jobs.cancel(ADDRESS);
+	await jobs.cancel(ADDRESS);
+	t.equal(await jobs.state(ADDRESS), 'cancelled');
+});
--- /dev/null
+++ b/packages/scheduler/src/leader.test.ts
@@ -0,0 +1,165 @@
+import t from 'tap';
+import type {JobService} from './job-service.js';
+import {createWorld, newStep, newSubmission, newWorker, QUEUE} from './test/world.js';
+
+const submit = async (jobs: JobService, id: number, step = newStep()) =>
+	jobs.submit({queue: QUEUE, customer: 'acme', submission: newSubmission(id, [step])});
+
+const unitOf = (id: number, index = 0): string => `${id.toString(16).padStart(16, '0')}.0.0.${index}`;
+
+const addressOf = (id: number) => ({queue: QUEUE, customer: 'acme', id: id.toString(16).padStart(16, '0')});
+
+// Guards against a job that is accepted and never runs, or whose end is forgotten by the worker before it is stored.
+await t.test('a job runs once and is shown as completed', async (t) => {
+	const world = createWorld(t, [newWorker('w1')]);
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1);
+	await world.clock.tickAsync(200);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'queued');
+	await world.clock.tickAsync(2500);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+	t.equal(world.startsOf(unitOf(1)), 1);
+	t.equal(world.workers.get('w1')!.noted(), 1, 'the end is noted after it is stored');
+});
+
+// Guards against a second run of a unit whose leader died after it was started.
+await t.test('a new leader takes over what runs', async (t) => {
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], () => ({runMs: 6000, how: 'done'}));
+	const one = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(one.scheduler.jobs, 1);
+	await world.clock.tickAsync(500);
+	t.equal(world.startsOf(unitOf(1)), 1);
+	one.die();
+	const two = world.startInstance('two');
+	await world.clock.tickAsync(9000);
+	t.equal(await two.scheduler.jobs.state(addressOf(1)), 'completed');
+	t.equal(world.startsOf(unitOf(1)), 1, 'the unit was not started again');
+});
+
+// Guards against a start elsewhere while the unit may still run on a worker that cannot be reached.
+await t.test('the work of a worker that is cut off waits for the end of its lease', async (t) => {
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2', {rack: 'r1-2'})], () => ({
+		runMs: 30_000,
+		how: 'done',
+	}));
+	const one = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(one.scheduler.jobs, 1);
+	await world.clock.tickAsync(500);
+	const holder = [...world.workers.values()].find(({running}) => running().length > 0)!;
+	holder.faults.isCutOff = true;
+	one.die();
+	world.startInstance('two');
+	let overlapMs = 0;
+	for (let step = 0; step < 150; step += 1) {
+		await world.clock.tickAsync(100);
+		const places = [...world.workers.values()].filter(({running}) => running().length > 0);
+		overlapMs += places.length > 1 ? 100 : 0;
+	}
+
+	t.equal(overlapMs, 0, 'the unit never runs twice at the same time');
+	t.equal(world.startsOf(unitOf(1)), 2, 'it runs again after the lease');
+});
+
+// Guards against a start that is carried out after the scheduler has given it up.
+await t.test('a late order does not start a unit twice', async (t) => {
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], () => ({runMs: 8000, how: 'done'}));
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	for (const worker of world.workers.values()) {
+		worker.faults.delayedStarts = 3;
+	}
+
+	await submit(scheduler.jobs, 1);
+	await world.clock.tickAsync(4000);
+	for (const worker of world.workers.values()) {
+		worker.release();
+	}
+
+	await world.clock.tickAsync(100);
+	t.equal([...world.workers.values()].flatMap(({running}) => running()).length, 1);
+	await world.clock.tickAsync(10_000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+});
+
+// Guards against a start whose answer is lost being counted as a run of its own.
+await t.test('a lost answer costs no second run', async (t) => {
+	const world = createWorld(t, [newWorker('w1')]);
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	world.workers.get('w1')!.faults.lostAnswers = 1;
+	await submit(scheduler.jobs, 1);
+	await world.clock.tickAsync(3000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+	t.equal(world.startsOf(unitOf(1)), 1);
+});
+
+// Guards against work that goes on after its caller was told that it is cancelled.
+await t.test('a cancelled job is stopped and stays cancelled', async (t) => {
+	const world = createWorld(t, [newWorker('w1')], () => ({runMs: 20_000, how: 'done'}));
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1, newStep({count: 3}));
+	await world.clock.tickAsync(500);
+	t.equal(world.workers.get('w1')!.running().length, 3);
+	await scheduler.jobs.cancel(addressOf(1));
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'cancelled');
+	await world.clock.tickAsync(1000);
+	t.equal(world.workers.get('w1')!.running().length, 0);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'cancelled');
+});
+
+// Guards against a job that can never be done being tried for good.
+await t.test('a job fails after as many failed runs of a unit as its queue allows', async (t) => {
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], () => ({runMs: 300, how: 'failed'}));
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1);
+	await world.clock.tickAsync(5000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'failed');
+	t.equal(world.startsOf(unitOf(1)), 2);
+});
+
+// Guards against an outage of the store that kills running work or loses its end.
+await t.test('an outage of the store stops no running unit', async (t) => {
+	const world = createWorld(t, [newWorker('w1')], () => ({runMs: 4000, how: 'done'}));
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1);
+	await world.clock.tickAsync(500);
+	world.store.faults.isDown = true;
+	await world.clock.tickAsync(6000);
+	world.store.faults.isDown = false;
+	await world.clock.tickAsync(4000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+	t.equal(world.startsOf(unitOf(1)), 1);
+});
+
+// Guards against a copy of the jobs that misses what changed while the store dropped its history.
+await t.test('a job that is accepted while the history is dropped runs', async (t) => {
+	const world = createWorld(t, [newWorker('w1')]);
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	world.store.faults.isCompacted = true;
+	await submit(scheduler.jobs, 1);
+	await world.clock.tickAsync(4000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+});
+
+// Guards against a gang that runs with a part of its members after one of them has failed.
+await t.test('a failed member ends the run of its gang, which counts one failure', async (t) => {
+	let failures = 0;
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], (unit) => {
+		const isFirst = unit.endsWith('.1') && failures === 0;
+		failures += isFirst ? 1 : 0;
+		return isFirst ? {runMs: 200, how: 'failed'} : {runMs: 1500, how: 'done'};
+	});
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1, newStep({count: 4, gang: true, accelerators: 4}));
+	await world.clock.tickAsync(6000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+	t.equal(world.startsOf(unitOf(1, 0)), 2);
+});
--- /dev/null
+++ b/packages/scheduler/src/plan/plan.test.ts
@@ -0,0 +1,116 @@
+import t from 'tap';
+import {newFullWorker, newPlacement, newPlanPart, newPlanView, newPlanWorker} from '../test/plan-view.js';
+import {plan} from './plan.js';
+
+const ids = (count: number): readonly string[] => Array.from({length: count}, (_value, index) => `w${index}`);
+
+// Load: a burst of urgent gangs while other customers' urgent work beyond their guarantees fills the pool.
+await t.test('a guarantee takes the place of urgent work that no guarantee covers', async (t) => {
+	const workers = ids(4).map((id) => newFullWorker(id, [newPlacement(`p-${id}`, {priority: 0, lossCoreMs: 1e9})]));
+	const covered = newPlanPart('gang', {members: 4, isGuaranteed: true, slackMs: 400});
+	const result = plan(newPlanView(workers, [covered]));
+	t.equal(result.evictions.length, 4);
+
+	const uncovered = newPlanPart('gang', {members: 4, slackMs: 400});
+	t.equal(plan(newPlanView(workers, [uncovered])).evictions.length, 0, 'urgent work gives way only to a guarantee');
+});
+
+// Load: all accelerators of the pool in use by work that another guarantee covers.
+await t.test('a guarantee never takes the place of another guarantee', async (t) => {
+	const workers = ids(2).map((id) =>
+		newFullWorker(id, [newPlacement(`p-${id}`, {priority: 0, isGuaranteed: true, lossCoreMs: 0})]),
+	);
+	const result = plan(newPlanView(workers, [newPlanPart('a', {isGuaranteed: true, slackMs: 0})]));
+	t.equal(result.evictions.length, 0);
+});
+
+// Load: small urgent jobs arrive steadily into a pool that long checkpointing work fills.
+await t.test('work that saves its progress gives way at once, before work that would lose it', async (t) => {
+	const workers = [
+		newFullWorker('w0', [newPlacement('costly', {lossCoreMs: 90_000})]),
+		newFullWorker('w1', [newPlacement('saved', {lossCoreMs: 500})]),
+	];
+	const {evictions} = plan(newPlanView(workers, [newPlanPart('a')]));
+	t.same(
+		evictions.map(({partId}) => partId),
+		['saved'],
+	);
+});
+
+// Load: urgent jobs one after the other beside large gangs without checkpoints, which were stopped again and again.
+await t.test('a costly stop waits for an end that is expected in time', async (t) => {
+	const soon = newFullWorker('w0', [newPlacement('costly', {lossCoreMs: 90_000, endMs: 600})]);
+	t.equal(plan(newPlanView([soon], [newPlanPart('a')])).evictions.length, 0);
+
+	const late = newFullWorker('w0', [newPlacement('costly', {lossCoreMs: 90_000, endMs: 9000})]);
+	t.equal(plan(newPlanView([late], [newPlanPart('a')])).evictions.length, 1);
+});
+
+// Load: the same, when the urgent job is worth less than the work that it would throw away.
+await t.test('urgent work throws away little more than its own work', async (t) => {
+	const worker = newFullWorker('w0', [newPlacement('huge', {lossCoreMs: 5_000_000})]);
+	t.equal(plan(newPlanView([worker], [newPlanPart('a')])).evictions.length, 0);
+	t.equal(plan(newPlanView([worker], [newPlanPart('a', {isGuaranteed: true, slackMs: 0})])).evictions.length, 1);
+});
+
+// Load: urgent work that is late already, in a pool under overload.
+await t.test('work that misses its objective anyway stops nothing', async (t) => {
+	const worker = newFullWorker('w0', [newPlacement('saved', {lossCoreMs: 0})]);
+	t.equal(plan(newPlanView([worker], [newPlanPart('a', {slackMs: -100})])).evictions.length, 0);
+});
+
+// Load: passes follow each other every few milliseconds while a stop takes some hundred.
+await t.test('room that is already being freed is not freed again', async (t) => {
+	const workers = [
+		newFullWorker('w0', [newPlacement('first', {isStopping: true})]),
+		newFullWorker('w1', [newPlacement('second', {lossCoreMs: 0})]),
+	];
+	t.equal(plan(newPlanView(workers, [newPlanPart('a')])).evictions.length, 0);
+});
+
+// Load: whole-worker units of a large job among many small ones.
+await t.test('a large unit keeps a worker free from smaller units behind it', async (t) => {
+	const half = {cpuMillis: 32_000, memoryMb: 32_000, accelerators: 4};
+	const workers = [newPlanWorker('w0', {free: half, placements: [newPlacement('p', {need: half, endMs: 1000})]})];
+	const large = newPlanPart('large', {priority: 1, rank: 0});
+	const small = newPlanPart('small', {priority: 1, rank: 1, need: {cpuMillis: 1000, memoryMb: 1000, accelerators: 1}});
+	t.same(plan(newPlanView(workers, [large, small])).starts, []);
+	t.equal(plan(newPlanView(workers, [small])).starts.length, 1);
+});
+
+// Load: many single-accelerator units that would scatter over all workers.
+await t.test('small units fill up the fullest worker', async (t) => {
+	const workers = [
+		newPlanWorker('empty'),
+		newPlanWorker('used', {free: {cpuMillis: 20_000, memoryMb: 20_000, accelerators: 2}}),
+	];
+	const need = {cpuMillis: 1000, memoryMb: 1000, accelerators: 1};
+	const parts = ['a', 'b'].map((id) => newPlanPart(id, {need}));
+	t.same(
+		plan(newPlanView(workers, parts)).starts.map(({workerIds}) => workerIds),
+		[['used'], ['used']],
+	);
+});
+
+await t.test('a gang gets all its workers or none, in one rack where it asks for one', async (t) => {
+	const racks = [newPlanWorker('w0'), newPlanWorker('w1', {rack: 'r2'}), newPlanWorker('w2', {rack: 'r2'})];
+	const gang = newPlanPart('gang', {members: 2, sameRack: true, priority: 1});
+	t.same(plan(newPlanView(racks, [gang])).starts[0]?.workerIds.toSorted(), ['w1', 'w2']);
+	t.same(plan(newPlanView(racks, [newPlanPart('g', {members: 3, sameRack: true, priority: 1})])).starts, []);
+	t.equal(plan(newPlanView(racks, [newPlanPart('g', {members: 3, priority: 1})])).starts.length, 1);
+});
+
+await t.test('labels, data and limits on one worker bind', async (t) => {
+	const need = {cpuMillis: 1000, memoryMb: 1000, accelerators: 1};
+	const workers = [newPlanWorker('w0'), newPlanWorker('w1', {rack: 'r2', labels: ['b', 'r2']})];
+	const startOf = (change: Parameters<typeof newPlanPart>[1]) =>
+		plan(newPlanView(workers, [newPlanPart('a', {need, priority: 1, ...change})])).starts[0]?.workerIds;
+	t.same(startOf({requiredLabel: 'b'}), ['w1']);
+	t.same(startOf({requiredLabel: 'c'}), undefined);
+	t.same(startOf({dataRack: 'r2'}), ['w1']);
+	t.same(startOf({dataRack: 'r3'}), undefined, 'work waits for its data');
+	t.same(startOf({dataRack: 'r3', waitedMs: 6000}), ['w0'], 'but not for good');
+	t.same(startOf({members: 3, maxPerWorker: 1}), undefined);
+	t.same(startOf({members: 2, maxPerWorker: 1})?.toSorted(), ['w0', 'w1']);
+	t.same(startOf({avoidedWorkers: new Set(['w0'])}), ['w1']);
+});
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -79,7 +79,7 @@
 	const starts: PlanStart[] = [];
 	const evictions = new Map<string, string>();
 	const failedShapes = new Set<string>();
-	let reservationBudget = Math.floor(slots.length * RESERVED_SHARE);
+	let reservationBudget = Math.max(1, Math.floor(slots.length * RESERVED_SHARE));
 	let reservingParts = 0;
 
 	const mayEvict = (part: PlanPart): boolean =>
--- /dev/null
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -0,0 +1,127 @@
+import {decodeProgress} from '@bergamotgauge/jobs';
+import {createSilentLog} from '@bergamotgauge/telemetry';
+import FakeTimers from '@sinonjs/fake-timers';
+import t, {type Test} from 'tap';
+import type {Term} from './election.js';
+import {createJobRun, noteEnd, partOf, type JobRun} from './job-run.js';
+import {jobKey, LEADER_KEY} from './keys.js';
+import {createProgressWriter} from './progress-writer.js';
+import {createMemoryKeyValue} from './test/memory-key-value.js';
+import {newStep, newSubmission, QUEUE} from './test/world.js';
+
+const createFixture = async (t: Test) => {
+	const clock = FakeTimers.install({now: 1_000_000});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const store = createMemoryKeyValue();
+	store.put(LEADER_KEY, new Uint8Array(1));
+	const controller = new AbortController();
+	const leader = await store.get(LEADER_KEY);
+	const term: Term = {
+		number: 1,
+		leaderRevision: leader!.revision,
+		isValid: () => !controller.signal.aborted,
+		abandon(reason) {
+			controller.abort(new Error(reason));
+		},
+		signal: controller.signal,
+	};
+	const cancelled: JobRun[] = [];
+	const writer = createProgressWriter({
+		store,
+		term,
+		log: createSilentLog(),
+		onStored() {
+			// The test reads the store itself.
+		},
+		onCancelled(run) {
+			cancelled.push(run);
+		},
+	});
+	const {name: queue, service, priority, attempts, stretch, targetLatencyMs} = QUEUE;
+	const run = createJobRun({
+		job: {
+			...newSubmission(1, [newStep({count: 2})]),
+			queue,
+			service,
+			priority,
+			attempts,
+			stretch,
+			targetLatencyMs,
+			customer: 'acme',
+			acceptedMs: 0,
+		},
+		progress: undefined,
+		progressRevision: 0,
+		jobRevision: 1,
+		isCancelled: false,
+		nowMs: 0,
+	});
+	const finish = (index: number) =>
+		noteEnd(run, partOf(run, 0, 0, index)!, {workerId: 'w', index, run: 1, how: 'done', checkpoint: ''}, 5);
+	/** Outcome in the store, or whether there is a record at all. */
+	const storedOutcome = async () => {
+		const item = await store.get(jobKey(run.job.id, 'progress'));
+		return item ? (decodeProgress(item.value).outcome ?? 'none yet') : 'no record';
+	};
+
+	return {clock, store, term, writer, run, finish, storedOutcome, cancelled};
+};
+
+// Guards against an old write that is carried out late and takes back ends that workers have been told to forget.
+await t.test('a write that is carried out late changes nothing newer', async (t) => {
+	const {clock, store, writer, run, finish, storedOutcome} = await createFixture(t);
+	store.faults.delayed = 1;
+	finish(0);
+	const first = writer.store([run]);
+	await clock.tickAsync(10);
+	finish(1);
+	const second = writer.store([run]);
+	await clock.tickAsync(1000);
+	await Promise.all([first, second]);
+	store.release();
+	t.equal(await storedOutcome(), 'completed');
+});
+
+// Guards against a lost answer that stops all later writes of the job.
+await t.test('a write whose answer is lost is recognised', async (t) => {
+	const {clock, store, writer, run, finish, storedOutcome} = await createFixture(t);
+	store.faults.lostAnswers = 1;
+	finish(0);
+	const first = writer.store([run]);
+	await clock.tickAsync(1000);
+	await first;
+	finish(1);
+	const second = writer.store([run]);
+	await clock.tickAsync(1000);
+	await second;
+	t.equal(await storedOutcome(), 'completed');
+});
+
+// Guards against a job that is shown as completed after its caller was told that it is cancelled.
+await t.test('a stored cancellation goes before an outcome', async (t) => {
+	const {clock, store, writer, run, finish, storedOutcome, cancelled} = await createFixture(t);
+	store.put(jobKey(run.job.id, 'cancellation'), new Uint8Array(0));
+	finish(0);
+	noteEnd(run, partOf(run, 0, 0, 1)!, {workerId: 'w', index: 1, run: 1, how: 'failed', checkpoint: ''}, 5);
+	noteEnd(run, partOf(run, 0, 0, 1)!, {workerId: 'w', index: 1, run: 2, how: 'failed', checkpoint: ''}, 5);
+	t.equal(run.outcome, 'failed');
+	const written = writer.store([run]);
+	await clock.tickAsync(1000);
+	await written;
+	t.equal(await storedOutcome(), 'cancelled');
+	t.equal(cancelled.length, 1);
+});
+
+// Guards against writes of an instance that no longer leads.
+await t.test('a leader that was replaced writes nothing', async (t) => {
+	const {clock, store, term, writer, run, finish, storedOutcome} = await createFixture(t);
+	store.put(LEADER_KEY, new Uint8Array(2));
+	finish(0);
+	const written = t.rejects(writer.store([run]), {code: 'stale-token'});
+	await clock.tickAsync(1000);
+	await written;
+	t.ok(term.signal.aborted);
+	t.equal(await storedOutcome(), 'no record');
+});
--- /dev/null
+++ b/packages/scheduler/src/test/memory-key-value.ts
@@ -0,0 +1,238 @@
+import {ServiceError, type Verdict} from '@bergamotgauge/model';
+import type {KeyChanges, KeyValueStore, StoredItem, Transaction, TransactionResult} from '@bergamotgauge/store';
+import Emittery from 'emittery';
+
+export type StoreFaults = {
+	/** Calls fail and nothing is done. */
+	isDown: boolean;
+	/** The next transactions are carried out and their answers are lost. */
+	lostAnswers: number;
+	/** The next transactions get no answer; `release` carries them out later. */
+	delayed: number;
+	/** Changes before the current revision are forgotten. */
+	isCompacted: boolean;
+};
+
+/** A store in memory with revisions, leases, watches and faults. */
+export type MemoryKeyValue = KeyValueStore &
+	Readonly<{
+		faults: StoreFaults;
+		items: () => readonly StoredItem[];
+		/** Carries out the delayed transactions whose conditions still hold. */
+		release: () => void;
+		/** Writes as an operator or worker would. */
+		put: (key: string, value: Uint8Array) => void;
+		remove: (key: string) => void;
+	}>;
+
+type Event = Readonly<{key: string; revision: number; item: StoredItem | undefined}>;
+
+const unavailable = (verdict: Verdict): ServiceError =>
+	new ServiceError('the store does not answer', {code: 'store-unavailable', verdict});
+
+/** Creates an empty store; leases run on the clock of the runtime. */
+export const createMemoryKeyValue = (): MemoryKeyValue => {
+	const items = new Map<string, StoredItem>();
+	const events: Event[] = [];
+	const changed = new Emittery<{changed: undefined}>();
+	const leases = new Map<number, {ttlMs: number; timer: NodeJS.Timeout}>();
+	const delayed: Transaction[] = [];
+	const faults: StoreFaults = {isDown: false, lostAnswers: 0, delayed: 0, isCompacted: false};
+	let revision = 1;
+	let nextLease = 1;
+	let compactedRevision = 0;
+
+	const setItem = (key: string, value: Uint8Array, lease: number) => {
+		const item: StoredItem = {
+			key,
+			value,
+			revision,
+			createRevision: items.get(key)?.createRevision ?? revision,
+			lease,
+		};
+		items.set(key, item);
+		events.push({key, revision, item});
+	};
+
+	const removeItem = (key: string) => {
+		if (items.delete(key)) {
+			events.push({key, revision, item: undefined});
+		}
+	};
+
+	const announce = () => {
+		void changed.emit('changed');
+	};
+
+	const endLease = (lease: number) => {
+		const entry = leases.get(lease);
+		if (!entry) {
+			return;
+		}
+
+		clearTimeout(entry.timer);
+		leases.delete(lease);
+		revision += 1;
+		for (const item of items.values()) {
+			if (item.lease === lease) {
+				removeItem(item.key);
+			}
+		}
+
+		announce();
+	};
+
+	const startTimer = (lease: number, ttlMs: number): NodeJS.Timeout =>
+		setTimeout(() => {
+			endLease(lease);
+		}, ttlMs);
+
+	const apply = ({expected, writes, removals = []}: Transaction): TransactionResult => {
+		if (expected.some(({key, revision: wanted}) => (items.get(key)?.revision ?? 0) !== wanted)) {
+			return {
+				outcome: 'conflict',
+				current: expected.map(({key}) => items.get(key)).filter((item) => item !== undefined),
+			};
+		}
+
+		if (writes.some(({lease}) => lease !== undefined && !leases.has(lease))) {
+			return {outcome: 'lease-ended'};
+		}
+
+		revision += 1;
+		for (const {key, value, lease = 0} of writes) {
+			setItem(key, value, lease);
+		}
+
+		for (const key of removals) {
+			removeItem(key);
+		}
+
+		announce();
+		return {outcome: 'applied', revision};
+	};
+
+	const requireStore = () => {
+		if (faults.isDown) {
+			throw unavailable('not-run');
+		}
+	};
+
+	const list = (prefix: string): KeyChanges => ({
+		revision,
+		items: [...items.values()].filter(({key}) => key.startsWith(prefix)),
+		removed: [],
+		isListing: true,
+	});
+
+	const changesAfter = (prefix: string, afterRevision: number): KeyChanges => {
+		const last = new Map(
+			events
+				.filter((event) => event.revision > afterRevision && event.key.startsWith(prefix))
+				.map((event) => [event.key, event]),
+		);
+		return {
+			revision,
+			items: [...last.values()].map(({item}) => item).filter((item) => item !== undefined),
+			removed: [...last.values()].filter(({item}) => item === undefined).map(({key}) => key),
+			isListing: false,
+		};
+	};
+
+	return {
+		faults,
+		items: () => [...items.values()],
+		release() {
+			for (const transaction of delayed.splice(0)) {
+				apply(transaction);
+			}
+		},
+		put(key, value) {
+			apply({expected: [], writes: [{key, value}]});
+		},
+		remove(key) {
+			apply({expected: [], writes: [], removals: [key]});
+		},
+		async get(key) {
+			requireStore();
+			return items.get(key);
+		},
+		async list(prefix) {
+			requireStore();
+			return list(prefix);
+		},
+		async watch(prefix, afterRevision, waitMs, signal) {
+			requireStore();
+			if (faults.isCompacted) {
+				faults.isCompacted = false;
+				compactedRevision = revision;
+			}
+
+			if (afterRevision < compactedRevision) {
+				return list(prefix);
+			}
+
+			const endMs = performance.now() + waitMs;
+			for (;;) {
+				const changes = changesAfter(prefix, afterRevision);
+				const isOver = changes.items.length + changes.removed.length > 0 || performance.now() >= endMs;
+				if (isOver || signal.aborted) {
+					return changes;
+				}
+
+				await new Promise<void>((resolve) => {
+					const timer = setTimeout(resolve, endMs - performance.now());
+					void (async () => {
+						await changed.once('changed');
+						clearTimeout(timer);
+						resolve();
+					})();
+
+					signal.addEventListener('abort', () => {
+						clearTimeout(timer);
+						resolve();
+					});
+				});
+				requireStore();
+			}
+		},
+		async transact(transaction) {
+			requireStore();
+			if (faults.delayed > 0) {
+				faults.delayed -= 1;
+				delayed.push(transaction);
+				throw unavailable('may-have-run');
+			}
+
+			const result = apply(transaction);
+			if (faults.lostAnswers > 0) {
+				faults.lostAnswers -= 1;
+				throw unavailable('may-have-run');
+			}
+
+			return result;
+		},
+		async grantLease(ttlMs) {
+			requireStore();
+			const lease = nextLease;
+			nextLease += 1;
+			leases.set(lease, {ttlMs, timer: startTimer(lease, ttlMs)});
+			return {lease, ttlMs};
+		},
+		async renewLease(lease) {
+			requireStore();
+			const entry = leases.get(lease);
+			if (!entry) {
+				return false;
+			}
+
+			clearTimeout(entry.timer);
+			entry.timer = startTimer(lease, entry.ttlMs);
+			return true;
+		},
+		async endLease(lease) {
+			requireStore();
+			endLease(lease);
+		},
+	};
+};
--- /dev/null
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -0,0 +1,212 @@
+import {ServiceError} from '@bergamotgauge/model';
+import type {RunEnd} from '@bergamotgauge/jobs';
+import type {EndedUnit, OrderReply, StartOrder, Worker, WorkerPort} from '../types.js';
+
+/** How units on the worker behave. */
+export type UnitBehaviour = Readonly<{runMs: number; how: RunEnd}>;
+
+export type WorkerFaults = {
+	/** No order arrives and no answer leaves. */
+	isCutOff: boolean;
+	/** The next starts get no answer and are carried out by `release`. */
+	delayedStarts: number;
+	/** The next starts are carried out and their answers are lost. */
+	lostAnswers: number;
+};
+
+type Run = {unit: string; run: number; timer: NodeJS.Timeout; startedMs: number; behaviour: UnitBehaviour};
+
+/** A worker that keeps the rules of fencing tokens, leases, stopped runs and listed ends. */
+export type ModelWorker = Readonly<{
+	worker: Worker;
+	port: () => WorkerPort;
+	faults: WorkerFaults;
+	release: () => void;
+	/** Starts so far, by unit. */
+	starts: ReadonlyMap<string, number>;
+	running: () => ReadonlyArray<Readonly<{unit: string; run: number}>>;
+	/** Ends that the scheduler has taken note of. */
+	noted: () => number;
+}>;
+
+/** Creates a worker on the clock of the runtime. */
+export const createModelWorker = (worker: Worker, behave: (unit: string) => UnitBehaviour): ModelWorker => {
+	const runs = new Map<string, Run>();
+	const closedRuns = new Map<string, number>();
+	const starts = new Map<string, number>();
+	const delayed: StartOrder[] = [];
+	const faults: WorkerFaults = {isCutOff: false, delayedStarts: 0, lostAnswers: 0};
+	const ended: EndedUnit[] = [];
+	const waiting = new Set<() => void>();
+	let sequence = 0;
+	let token = 0;
+	let notedSequence = 0;
+	let leaseUntilMs = 0;
+	let leaseTimer: NodeJS.Timeout | undefined;
+
+	const clockMs = () => Math.round(performance.now()) + 50_000;
+
+	const end = (run: Run, how: RunEnd) => {
+		clearTimeout(run.timer);
+		runs.delete(run.unit);
+		closedRuns.set(run.unit, Math.max(closedRuns.get(run.unit) ?? 0, run.run));
+		sequence += 1;
+		ended.push({sequence, unit: run.unit, run: run.run, how, checkpoint: ''});
+		for (const wake of waiting) {
+			wake();
+		}
+	};
+
+	const extendLease = (untilMs: number) => {
+		leaseUntilMs = Math.max(leaseUntilMs, untilMs);
+		clearTimeout(leaseTimer);
+		leaseTimer = setTimeout(() => {
+			for (const run of runs.values()) {
+				end(run, 'lapsed');
+			}
+		}, leaseUntilMs - clockMs());
+	};
+
+	const isStale = (given: number): boolean => {
+		token = Math.max(token, given);
+		return given < token;
+	};
+
+	const refuse = (reason: Extract<OrderReply, {outcome: 'refused'}>['reason']): OrderReply => ({
+		outcome: 'refused',
+		reason,
+		clockMs: clockMs(),
+	});
+
+	const start = ({unit, run, leaseUntilMs: untilMs, token: given}: StartOrder): OrderReply => {
+		if (isStale(given)) {
+			return refuse('stale-token');
+		}
+
+		if (untilMs <= clockMs()) {
+			return refuse('late');
+		}
+
+		extendLease(untilMs);
+		if (runs.get(unit)?.run === run) {
+			return {outcome: 'accepted', clockMs: clockMs()};
+		}
+
+		if (run <= (closedRuns.get(unit) ?? 0)) {
+			return refuse('old-run');
+		}
+
+		const behaviour = behave(unit);
+		const started: Run = {
+			unit,
+			run,
+			behaviour,
+			startedMs: performance.now(),
+			timer: setTimeout(() => {
+				end(started, behaviour.how);
+			}, behaviour.runMs),
+		};
+		runs.set(unit, started);
+		starts.set(unit, (starts.get(unit) ?? 0) + 1);
+		return {outcome: 'accepted', clockMs: clockMs()};
+	};
+
+	const noAnswer = () => new ServiceError('no answer', {code: 'worker-failed', verdict: 'may-have-run'});
+
+	const requireWay = () => {
+		if (faults.isCutOff) {
+			throw noAnswer();
+		}
+	};
+
+	const listEnded = (limit: number) => ended.filter((one) => one.sequence > limit);
+
+	const waitForEnd = async (waitMs: number, signal: AbortSignal) =>
+		new Promise<void>((resolve) => {
+			const finish = () => {
+				clearTimeout(timer);
+				waiting.delete(finish);
+				resolve();
+			};
+
+			const timer = setTimeout(finish, waitMs);
+			waiting.add(finish);
+			signal.addEventListener('abort', finish, {once: true});
+		});
+
+	return {
+		worker,
+		faults,
+		starts,
+		running: () => [...runs.values()].map(({unit, run}) => ({unit, run})),
+		noted: () => notedSequence,
+		release() {
+			for (const order of delayed.splice(0)) {
+				start(order);
+			}
+		},
+		port: () => ({
+			close() {
+				// The model has no connections.
+			},
+			async start(order) {
+				requireWay();
+				if (faults.delayedStarts > 0) {
+					faults.delayedStarts -= 1;
+					delayed.push(order);
+					throw noAnswer();
+				}
+
+				const reply = start(order);
+				if (faults.lostAnswers > 0) {
+					faults.lostAnswers -= 1;
+					throw noAnswer();
+				}
+
+				return reply;
+			},
+			async stop({unit, run, token: given}) {
+				requireWay();
+				if (isStale(given)) {
+					return refuse('stale-token');
+				}
+
+				closedRuns.set(unit, Math.max(closedRuns.get(unit) ?? 0, run));
+				const found = runs.get(unit);
+				if (found && found.run <= run) {
+					end(found, 'stopped');
+				}
+
+				return {outcome: 'accepted', clockMs: clockMs()};
+			},
+			async hold({token: given, notedSequence: noted, leaseUntilMs: untilMs, waitMs}, signal) {
+				requireWay();
+				if (isStale(given)) {
+					return {outcome: 'refused', reason: 'stale-token'};
+				}
+
+				notedSequence = Math.max(notedSequence, noted);
+				if (untilMs !== undefined) {
+					extendLease(untilMs);
+				}
+
+				if (waitMs > 0 && listEnded(noted).length === 0) {
+					await waitForEnd(waitMs, signal);
+				}
+
+				requireWay();
+				return {
+					outcome: 'accepted',
+					clockMs: clockMs(),
+					running: [...runs.values()].map(({unit, run, startedMs, behaviour}) => ({
+						unit,
+						run,
+						checkpoint: '',
+						percent: Math.min(99, Math.round((100 * (performance.now() - startedMs)) / behaviour.runMs)),
+					})),
+					ended: listEnded(noted),
+				};
+			},
+		}),
+	};
+};
--- /dev/null
+++ b/packages/scheduler/src/test/plan-view.ts
@@ -0,0 +1,64 @@
+import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from '../plan/types.js';
+
+/** A whole worker with 8 accelerators, with changes. */
+export const newPlanWorker = (id: string, change: Partial<PlanWorker> = {}): PlanWorker => ({
+	id,
+	service: 'matching',
+	rack: 'r1-1',
+	labels: ['a', 'r1-1'],
+	capacity: {cpuMillis: 64_000, memoryMb: 64_000, accelerators: 8},
+	free: {cpuMillis: 64_000, memoryMb: 64_000, accelerators: 8},
+	isUsable: true,
+	isSuspect: false,
+	slowness: 1,
+	placements: [],
+	...change,
+});
+
+/** A worker that the placements fill. */
+export const newFullWorker = (id: string, placements: readonly PlanPlacement[], change: Partial<PlanWorker> = {}) =>
+	newPlanWorker(id, {free: {cpuMillis: 0, memoryMb: 0, accelerators: 0}, placements, ...change});
+
+/** A long unit with 8 accelerators of low priority. */
+export const newPlacement = (partId: string, change: Partial<PlanPlacement> = {}): PlanPlacement => ({
+	partId,
+	need: {cpuMillis: 64_000, memoryMb: 64_000, accelerators: 8},
+	priority: 2,
+	customer: 'other',
+	isGuaranteed: false,
+	lossCoreMs: 1000,
+	endMs: 60_000,
+	isStopping: false,
+	...change,
+});
+
+/** An urgent unit with 8 accelerators. */
+export const newPlanPart = (id: string, change: Partial<PlanPart> = {}): PlanPart => ({
+	id,
+	stepId: id,
+	service: 'matching',
+	customer: 'acme',
+	members: 1,
+	need: {cpuMillis: 8000, memoryMb: 8000, accelerators: 8},
+	priority: 0,
+	isGuaranteed: false,
+	workCoreMs: 100_000,
+	slackMs: 1500,
+	sameRack: false,
+	requiredLabel: undefined,
+	dataRack: undefined,
+	maxPerWorker: 0,
+	avoidedWorkers: new Set(),
+	estimateMs: 2500,
+	waitedMs: 0,
+	rank: 0,
+	...change,
+});
+
+export const newPlanView = (workers: readonly PlanWorker[], parts: readonly PlanPart[]): PlanView => ({
+	workers,
+	parts,
+	unitsOnWorker: () => 0,
+	nowMs: 0,
+	remoteFactor: 3,
+});
--- /dev/null
+++ b/packages/scheduler/src/test/world.ts
@@ -0,0 +1,176 @@
+import {Buffer} from 'node:buffer';
+import type {Step, Submission} from '@bergamotgauge/jobs';
+import {createLifecycle, type Lifecycle} from '@bergamotgauge/lifecycle';
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import type {Test} from 'tap';
+import {startScheduler, type Scheduler} from '../scheduler.js';
+import {createStoreHealth, createSuspendClock} from '../store-health.js';
+import type {Bounds, Declarations, Queue, Worker} from '../types.js';
+import {createMemoryKeyValue, type MemoryKeyValue} from './memory-key-value.js';
+import {createModelWorker, type ModelWorker, type UnitBehaviour} from './model-worker.js';
+
+export const BOUNDS: Bounds = {
+	maxLeaseMs: 10_000,
+	stopMs: 400,
+	gangMs: 3000,
+	remoteFactor: 3,
+	stateRetentionMs: 120_000,
+	revocationMs: 5000,
+	reclaimMs: 2900,
+	earlyMs: 250,
+	graceMs: 6000,
+};
+
+export const QUEUE: Queue = {
+	name: 'ranking',
+	service: 'matching',
+	priority: 1,
+	attempts: 2,
+	stretch: 3,
+	targetLatencyMs: 1000,
+	isPublic: false,
+};
+
+export const DECLARATIONS: Declarations = {
+	version: 1,
+	queues: [QUEUE],
+	customers: [{name: 'acme', guaranteedAccelerators: 16, priority: 1}],
+};
+
+/** A step of one unit with one accelerator, with changes. */
+export const newStep = (change: Partial<Step> = {}): Step => ({
+	count: 1,
+	cpuMillis: 1000,
+	memoryMb: 100,
+	accelerators: 1,
+	estimateMs: 1000,
+	after: [],
+	gang: false,
+	sameRack: false,
+	requiredLabel: undefined,
+	dataRack: undefined,
+	maxPerWorker: 0,
+	checkpoints: false,
+	copies: false,
+	longRunning: false,
+	usesLeftover: false,
+	maxAbsent: 0,
+	...change,
+});
+
+export const newSubmission = (id: number, steps: readonly Step[]): Submission => ({
+	id: id.toString(16).padStart(16, '0'),
+	spec: 'spec',
+	steps,
+	schedule: undefined,
+});
+
+export const newWorker = (id: string, change: Partial<Worker> = {}): Worker => ({
+	id,
+	address: `${id}:80`,
+	service: 'matching',
+	availabilityZone: 'a',
+	state: 'ready',
+	capacity: {cpuMillis: 64_000, memoryMb: 64_000, accelerators: 8},
+	labels: ['a', 'r1-1'],
+	rack: 'r1-1',
+	remainingMs: undefined,
+	...change,
+});
+
+export type Instance = Readonly<{scheduler: Scheduler; lifecycle: Lifecycle; die: () => void}>;
+
+/** A store and workers that several instances share. */
+export type World = Readonly<{
+	clock: Clock;
+	store: MemoryKeyValue;
+	workers: ReadonlyMap<string, ModelWorker>;
+	startInstance: (id: string) => Instance;
+	/** Starts of the unit on all workers. */
+	startsOf: (unit: string) => number;
+}>;
+
+const WORKER_PREFIX = 'workers/';
+
+/** Creates a world on a paused clock; it is closed with the test. */
+export const createWorld = (
+	t: Test,
+	workers: readonly Worker[],
+	behave: (unit: string) => UnitBehaviour = () => ({runMs: 1000, how: 'done'}),
+): World => {
+	const clock = FakeTimers.install({now: 1_000_000});
+	const store = createMemoryKeyValue();
+	const models = new Map(workers.map((worker) => [worker.id, createModelWorker(worker, behave)]));
+	const lifecycles: Lifecycle[] = [];
+	for (const worker of workers) {
+		store.put(WORKER_PREFIX + worker.id, Buffer.from(JSON.stringify(worker)));
+	}
+
+	t.teardown(async () => {
+		const closed = Promise.all(lifecycles.map(async (lifecycle) => lifecycle.close()));
+		await clock.tickAsync(30_000);
+		await closed;
+		clock.uninstall();
+	});
+
+	return {
+		clock,
+		store,
+		workers: models,
+		startsOf: (unit) => [...models.values()].reduce((sum, {starts}) => sum + (starts.get(unit) ?? 0), 0),
+		startInstance(id) {
+			const lifecycle = createLifecycle(id, (task, error) => {
+				t.fail(`${task}: ${error.message}`);
+			});
+			lifecycles.push(lifecycle);
+			let isDead = false;
+			const requireLife = () => {
+				if (isDead) {
+					throw new Error('the instance is dead');
+				}
+			};
+
+			const guard =
+				<Arguments extends unknown[], Result>(call: (...values: Arguments) => Promise<Result>) =>
+				async (...values: Arguments): Promise<Result> => {
+					requireLife();
+					return call(...values);
+				};
+
+			const scheduler = startScheduler({
+				context: {
+					instanceId: id,
+					store: {
+						get: guard(store.get),
+						list: guard(store.list),
+						watch: guard(store.watch),
+						transact: guard(store.transact),
+						grantLease: guard(store.grantLease),
+						renewLease: guard(store.renewLease),
+						endLease: guard(store.endLease),
+					},
+					bounds: BOUNDS,
+					log: createSilentLog(),
+					metrics: createMetrics(),
+					declarations: () => DECLARATIONS,
+					connectWorker(worker) {
+						const port = models.get(worker.id)!.port();
+						return {start: guard(port.start), stop: guard(port.stop), hold: guard(port.hold), close: port.close};
+					},
+					decodeWorker: (_key, value) => JSON.parse(Buffer.from(value).toString()) as Worker,
+					workerPrefix: WORKER_PREFIX,
+				},
+				health: createStoreHealth(createSuspendClock()),
+				lifecycle,
+			});
+			return {
+				scheduler,
+				lifecycle,
+				die() {
+					isDead = true;
+				},
+			};
+		},
+	};
+};
--- /dev/null
+++ b/packages/scheduler/src/worker-clock.test.ts
@@ -0,0 +1,33 @@
+import fc from 'fast-check';
+import t from 'tap';
+import {createWorkerClock} from './worker-clock.js';
+
+// Guards against work that starts elsewhere while a slow clock still holds its lease.
+await t.test('the expiry is never before the end of a lease on a clock that is 2% slow', async (t) => {
+	fc.assert(
+		fc.property(
+			fc.integer({min: 0, max: 10_000}),
+			fc.integer({min: 0, max: 800}),
+			fc.integer({min: 0, max: 800}),
+			fc.double({min: 0.98, max: 1.02, noNaN: true}),
+			(leaseMs, outMs, backMs, rate) => {
+				const clock = createWorkerClock(0);
+				// The worker reads its clock `outMs` after the call was sent.
+				const workerAt = (atMs: number) => 40_000 + (atMs - outMs) * rate;
+				clock.observe(workerAt(outMs), 0, outMs + backMs);
+				const untilMs = workerAt(outMs) + leaseMs;
+				clock.granted(untilMs);
+				const endsAtMs = outMs + (untilMs - workerAt(outMs)) / rate;
+				return clock.expiryMs() >= endsAtMs;
+			},
+		),
+		{seed: 7, numRuns: 500},
+	);
+	t.pass('no counterexample');
+});
+
+await t.test('before the first answer the leases of earlier leaders bound the expiry', async (t) => {
+	const clock = createWorkerClock(12_345);
+	t.equal(clock.expiryMs(), 12_345);
+	t.equal(clock.leaseUntil(0, 1000), undefined);
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -34,7 +34,13 @@
 		},
 	},
 	{
-		files: ['platform/src/main.ts', 'packages/cli/**/*.ts', 'packages/demo/**/*.ts', 'packages/harness/**/*.ts', 'packages/bench/**/*.ts'],
+		files: [
+			'platform/src/main.ts',
+			'packages/cli/**/*.ts',
+			'packages/demo/**/*.ts',
+			'packages/harness/**/*.ts',
+			'packages/bench/**/*.ts',
+		],
 		rules: {
 			'unicorn/no-process-exit': 'off',
 		},
