Plan and reconcile in less time; let larger instances lead; keep dead workers out of the roster

Change: one scan for single units, placements indexed by worker, pauses after long passes, a bound on eviction searches; the roster is rewritten when a worker is gone; small instances claim the leadership later.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -130,3 +130,14 @@
 
 /** The same as a share of the estimated run time, for units whose percent changes slowly. */
 export const STALL_SHARE = 0.5;
+
+/** Pause after a planning pass as a multiple of its own time, so that planning takes at most a third of the processor. */
+export const PLAN_PAUSE_RATIO = 2;
+
+export const MAX_PLAN_PAUSE_MS = 200;
+
+/** Longest time by which an instance with little processor lets larger ones claim the leadership first. */
+export const MAX_CLAIM_DELAY_MS = 400;
+
+/** Delay of a claim for each whole core that the instance lacks. */
+export const CLAIM_DELAY_PER_CORE_MS = 500;
--- a/packages/scheduler/src/election.ts
+++ b/packages/scheduler/src/election.ts
@@ -1,7 +1,14 @@
 import {randomUUID} from 'node:crypto';
 import {sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
-import {ELECTION_RETRY_MS, LEADER_MARGIN_MS, LEADER_RENEW_MS, LEADER_TTL_MS} from './constants.js';
+import {
+	CLAIM_DELAY_PER_CORE_MS,
+	ELECTION_RETRY_MS,
+	LEADER_MARGIN_MS,
+	LEADER_RENEW_MS,
+	LEADER_TTL_MS,
+	MAX_CLAIM_DELAY_MS,
+} from './constants.js';
 import {LEADER_KEY, TERM_KEY} from './keys.js';
 import type {LeaderWatch} from './leader-watch.js';
 import type {StoreHealth} from './store-health.js';
@@ -46,6 +53,8 @@
 	const {context, leader, health, lead, isCandidate, signal} = options;
 	const {store, log, instanceId, metrics} = context;
 
+	const claimDelayMs = Math.min(MAX_CLAIM_DELAY_MS, Math.max(0, 1 - context.cores) * CLAIM_DELAY_PER_CORE_MS);
+
 	const claim = async (): Promise<
 		Readonly<{number: number; revision: number; lease: number; sentMs: number}> | undefined
 	> => {
@@ -156,9 +165,11 @@
 		}
 	};
 
+	let vacantSinceMs: number | undefined;
 	while (!signal.aborted) {
 		const mayClaim = isCandidate() && leader.isLoaded() && leader.isVacant() && !health.isLost();
-		if (!mayClaim) {
+		vacantSinceMs = mayClaim ? (vacantSinceMs ?? health.now()) : undefined;
+		if (vacantSinceMs === undefined || health.now() - vacantSinceMs < claimDelayMs) {
 			await sleep(ELECTION_RETRY_MS, signal);
 			continue;
 		}
@@ -172,6 +183,7 @@
 			log.warn('election-failed', {error: toServiceError(error, 'may-have-run').message});
 		}
 
+		vacantSinceMs = undefined;
 		await sleep(ELECTION_RETRY_MS, signal);
 	}
 };
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -27,6 +27,8 @@
 	records: Map<string, WorkerRecord>;
 	/** Runs that are on workers and belong to no job that should run, by worker and unit. */
 	strays: Map<string, Map<string, number>>;
+	/** Placements by worker as of the last planning pass; some may have ended since. */
+	index: {placed: ReadonlyMap<string, readonly Placed[]>};
 }>;
 
 export const createLeaderState = (): LeaderState => ({
@@ -35,6 +37,7 @@
 	directory: new Map(),
 	records: new Map(),
 	strays: new Map(),
+	index: {placed: new Map()},
 });
 
 /** The record of a worker, created on first use. */
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -4,8 +4,10 @@
 import {
 	DIRECTORY_PAUSE_MS,
 	IDLE_LOOK_MS,
+	MAX_PLAN_PAUSE_MS,
 	PLAN_DELAY_MS,
 	PLAN_INTERVAL_MS,
+	PLAN_PAUSE_RATIO,
 	WATCH_PAUSE_MS,
 	WATCH_RETRY_MAX_MS,
 	WATCH_RETRY_MIN_MS,
@@ -185,17 +187,20 @@
 				}
 			}
 
+			const startedMs = performance.now();
 			let nextDueMs = Number.POSITIVE_INFINITY;
 			if (term.isValid()) {
 				fleet.reopen();
 				nextDueMs = planner.pass();
 			}
 
+			const passEndMs = performance.now();
 			const limitMs = state.runs.size > 0 ? PLAN_INTERVAL_MS : IDLE_LOOK_MS;
 			const untilDueMs = Math.max(PLAN_DELAY_MS, nextDueMs - Date.now());
 			await Promise.race([waker.wait(signal), sleep(Math.min(limitMs, untilDueMs), signal)]);
-			// Changes that come together share one pass.
-			await sleep(PLAN_DELAY_MS, signal);
+			// Changes that come together share one pass; long passes leave time for orders and reports between them.
+			const tookMs = Math.min(MAX_PLAN_PAUSE_MS, (passEndMs - startedMs) * PLAN_PAUSE_RATIO);
+			await sleep(Math.max(PLAN_DELAY_MS, tookMs), signal);
 		}
 	};
 
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -287,8 +287,8 @@
 				}
 			}
 
-			for (const {part, placement} of allPlaced(state)) {
-				if (placement.workerId === link.worker.id && !listed.has(placement)) {
+			for (const {part, placement} of state.index.placed.get(link.worker.id) ?? []) {
+				if (!listed.has(placement) && part.placements.includes(placement)) {
 					judgeMissing(part, placement, sentMs);
 				}
 			}
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -1,6 +1,6 @@
 import {GUARANTEED_RANK, RESTART_MS} from './constants.js';
 import {dueMs, readyParts, stepOf, type JobRun, type Part} from './job-run.js';
-import {coresOf, needOf, placedByWorker, recordOf, type LeaderState, type Placed} from './leader-state.js';
+import {coresOf, needOf, recordOf, type LeaderState, type Placed} from './leader-state.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractRoom, sumRoom} from './plan/room.js';
 import {rankOf} from './rank.js';
@@ -53,7 +53,7 @@
 
 const viewWorkers = (options: PlanViewOptions, covered: ReadonlySet<JobRun>): readonly PlanWorker[] => {
 	const {state, nowMs, isOrderable} = options;
-	const placed = placedByWorker(state);
+	const {placed} = state.index;
 	return [...state.directory.values()].map((worker) => {
 		const record = recordOf(state, worker.id);
 		const here = placed.get(worker.id) ?? [];
--- a/packages/scheduler/src/plan/constants.ts
+++ b/packages/scheduler/src/plan/constants.ts
@@ -18,3 +18,6 @@
 
 /** Stops that throw away less than this share of the urgent work need not wait for an expected end. */
 export const CHEAP_EVICTION_RATIO = 0.25;
+
+/** Parts for which one pass looks for work that could give way; the search visits every placement. */
+export const MAX_EVICTION_SEARCHES = 24;
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -61,18 +61,40 @@
 const acceptsRemote = (part: PlanPart, options: PlaceOptions): boolean =>
 	part.dataRack === undefined || part.waitedMs > (options.remoteFactor - 1) * part.estimateMs;
 
+const isCandidate = (part: PlanPart, slot: WorkerSlot, isRemoteAccepted: boolean): boolean =>
+	!slot.isReserved && isEligible(part, slot.worker) && (isRemoteAccepted || slot.worker.rack === part.dataRack);
+
 const candidates = (part: PlanPart, slots: readonly WorkerSlot[], options: PlaceOptions): WorkerSlot[] => {
 	const isRemoteAccepted = acceptsRemote(part, options);
 	return slots
-		.filter(
-			(slot) =>
-				!slot.isReserved && isEligible(part, slot.worker) && (isRemoteAccepted || slot.worker.rack === part.dataRack),
-		)
+		.filter((slot) => isCandidate(part, slot, isRemoteAccepted) && fits(part.need, slot.free))
 		.map((slot) => ({slot, cost: costOf(part, slot, options)}))
 		.toSorted((a, b) => a.cost - b.cost)
 		.map(({slot}) => slot);
 };
 
+/** The best slot for a part with one member; most parts are such. */
+const findSlot = (part: PlanPart, slots: readonly WorkerSlot[], options: PlaceOptions): WorkerSlot | undefined => {
+	const isRemoteAccepted = acceptsRemote(part, options);
+	let best: WorkerSlot | undefined;
+	let bestCost = Number.POSITIVE_INFINITY;
+	for (const slot of slots) {
+		if (
+			fits(part.need, slot.free) &&
+			isCandidate(part, slot, isRemoteAccepted) &&
+			memberLimit(part, slot, options) > 0
+		) {
+			const cost = costOf(part, slot, options);
+			if (cost < bestCost) {
+				best = slot;
+				bestCost = cost;
+			}
+		}
+	}
+
+	return best;
+};
+
 const fill = (
 	part: PlanPart,
 	slots: readonly WorkerSlot[],
@@ -106,8 +128,13 @@
 	slots: readonly WorkerSlot[],
 	options: PlaceOptions,
 ): readonly WorkerSlot[] | undefined => {
+	if (part.members === 1) {
+		const slot = findSlot(part, slots, options);
+		return slot && [slot];
+	}
+
 	const sorted = candidates(part, slots, options);
-	if (!part.sameRack || part.members === 1) {
+	if (!part.sameRack) {
 		return fill(part, sorted, options);
 	}
 
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -2,6 +2,7 @@
 	CHEAP_EVICTION_RATIO,
 	EVICTION_LOSS_RATIO,
 	EVICTION_TIME_MS,
+	MAX_EVICTION_SEARCHES,
 	MAX_EVICTIONS,
 	MAX_PLANNED_PARTS,
 	MAX_RESERVING_PARTS,
@@ -81,9 +82,12 @@
 	const failedShapes = new Set<string>();
 	let reservationBudget = Math.max(1, Math.floor(slots.length * RESERVED_SHARE));
 	let reservingParts = 0;
+	let evictionSearches = 0;
 
 	const mayEvict = (part: PlanPart): boolean =>
-		evictions.size < MAX_EVICTIONS && (part.isGuaranteed || (part.priority === 0 && part.slackMs > 0));
+		evictions.size < MAX_EVICTIONS &&
+		evictionSearches < MAX_EVICTION_SEARCHES &&
+		(part.isGuaranteed || (part.priority === 0 && part.slackMs > 0));
 
 	/** Stops that cost little may come at once; others only when no expected end comes in time. */
 	const isWorthwhile = (part: PlanPart, lossCoreMs: number): boolean => {
@@ -98,6 +102,7 @@
 
 	const tryEvict = (part: PlanPart): boolean => {
 		const eviction = mayEvict(part) ? findEviction(part, slots, options, new Set(evictions.keys())) : undefined;
+		evictionSearches += 1;
 		if (!eviction || !isWorthwhile(part, eviction.lossCoreMs)) {
 			return false;
 		}
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -20,7 +20,7 @@
 
 /** Decides what starts and stops, and has it carried out. */
 export type Planner = Readonly<{
-	/** One pass; returns the time of day at which the next occurrence of a scheduled job is due. */
+	/** One pass. Returns the time of day at which the next occurrence of a scheduled job is due. */
 	pass: () => number;
 }>;
 
@@ -74,6 +74,7 @@
 		pass() {
 			const startedMs = performance.now();
 			const {parts, nextDueMs} = collectParts();
+			state.index.placed = placedByWorker(state);
 			const view = createPlanView({
 				state,
 				declarations: declarations(),
@@ -99,7 +100,8 @@
 				placements.stop(run, part, `evicted-for-${forPartId.split('.')[0]}`);
 			}
 
-			fleet.setInUse(new Set(placedByWorker(state).keys()));
+			state.index.placed = placedByWorker(state);
+			fleet.setInUse(new Set(state.index.placed.keys()));
 			metrics.gauge('parts_waiting', view.parts.length - starts.length);
 			metrics.observe('plan_milliseconds', performance.now() - startedMs);
 			return nextDueMs;
--- a/packages/scheduler/src/test/world.ts
+++ b/packages/scheduler/src/test/world.ts
@@ -141,6 +141,7 @@
 			const scheduler = startScheduler({
 				context: {
 					instanceId: id,
+					cores: 1,
 					store: {
 						get: guard(store.get),
 						list: guard(store.list),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -131,6 +131,8 @@
 
 export type SchedulerContext = Readonly<{
 	instanceId: string;
+	/** Cores that the instance may use. */
+	cores: number;
 	store: KeyValueStore;
 	bounds: Bounds;
 	log: Log;
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -30,7 +30,7 @@
 	takeDirectory: (changes: KeyChanges) => void;
 	/** Opens links to listed workers whose leases had ended and that may answer again. */
 	reopen: () => void;
-	/** Whether a worker answers that a later leader would not find. */
+	/** Whether the roster lacks a worker that answers, or holds one that is gone. */
 	isRosterOld: () => boolean;
 	storeRoster: () => Promise<void>;
 	isOrderable: (workerId: string) => boolean;
@@ -167,7 +167,10 @@
 				}
 			}
 		},
-		isRosterOld: () => [...state.links.values()].some((link) => isAnswering(link) && !rostered.has(link.worker.id)),
+		// Workers that are gone are taken out too: a new leader would wait for their leases.
+		isRosterOld: () =>
+			[...rostered].some((id) => !state.links.has(id)) ||
+			[...state.links.values()].some((link) => isAnswering(link) && !rostered.has(link.worker.id)),
 		async storeRoster() {
 			const workers = [...state.links.values()].filter((link) => link.state() !== 'gone').map(({worker}) => worker);
 			const result = await store.transact({
