Let leases of silent workers end, and move work off workers that leave

Change: only a worker that answers gets a longer lease; a draining worker gets short leases, and work that would not end in its remaining time is stopped and resumes elsewhere. Tests: two that failed first in leader.test.ts.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -141,3 +141,12 @@
 
 /** Delay of a claim for each whole core that the instance lacks. */
 export const CLAIM_DELAY_PER_CORE_MS = 500;
+
+/** Length of a lease on a worker that leaves; longer than the time between two reports. */
+export const DRAINING_LEASE_MS = 3500;
+
+/** Time that a worker which leaves is sure to stay when its report does not say; it serves this long after the store has taken the report. */
+export const DEFAULT_REMAINING_MS = 2000;
+
+/** Left of a leaving worker's time for the stop of its work. */
+export const LEAVING_MARGIN_MS = 300;
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -14,6 +14,8 @@
 	pausedUntilMs: number;
 	/** Times in a row that it was put under suspicion; lengthens the next one. */
 	suspicions: number;
+	/** Time until which a worker that leaves is sure to stay. */
+	staysUntilMs: number | undefined;
 	/** Factor on run times, smoothed over its last runs. */
 	slowness: number;
 };
@@ -44,7 +46,14 @@
 export const recordOf = (state: LeaderState, workerId: string): WorkerRecord => {
 	let record = state.records.get(workerId);
 	if (!record) {
-		record = {failedJobs: new Set(), suspectUntilMs: 0, pausedUntilMs: 0, suspicions: 0, slowness: 1};
+		record = {
+			failedJobs: new Set(),
+			suspectUntilMs: 0,
+			pausedUntilMs: 0,
+			suspicions: 0,
+			staysUntilMs: undefined,
+			slowness: 1,
+		};
 		state.records.set(workerId, record);
 	}
 
--- a/packages/scheduler/src/leader.test.ts
+++ b/packages/scheduler/src/leader.test.ts
@@ -163,3 +163,33 @@
 	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
 	t.equal(world.startsOf(unitOf(1, 0)), 2);
 });
+
+// Guards against leases that unanswered reports keep extending, so that the work of a dead worker never runs again.
+await t.test('the work of a dead worker runs elsewhere after its lease', async (t) => {
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], () => ({runMs: 6000, how: 'done'}));
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1);
+	await world.clock.tickAsync(500);
+	const holder = [...world.workers.values()].find(({running}) => running().length > 0)!;
+	holder.faults.isCutOff = true;
+	await world.clock.tickAsync(20_000);
+	t.equal(world.startsOf(unitOf(1)), 2);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+});
+
+// Guards against work that is lost with a worker that had said that it leaves.
+await t.test('work that a leaving worker cannot finish moves before it leaves', async (t) => {
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], () => ({runMs: 6000, how: 'done'}));
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1, newStep({estimateMs: 6000}));
+	await world.clock.tickAsync(500);
+	const holder = [...world.workers.values()].find(({running}) => running().length > 0)!;
+	world.report({...holder.worker, state: 'draining', remainingMs: 2000});
+	await world.clock.tickAsync(1500);
+	t.equal(holder.running().length, 0);
+	t.equal([...world.workers.values()].flatMap(({running}) => running()).length, 1);
+	await world.clock.tickAsync(8000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+});
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -32,12 +32,24 @@
 	return lostMs * coresOf(step) * part.indexes.length;
 };
 
-const viewPlacement = (placed: Placed, nowMs: number, isGuaranteed: boolean): PlanPlacement => {
-	const {run, part, placement} = placed;
+/** Percent from which a run's own progress tells its end better than the caller's estimate. */
+const MEASURED_PERCENT = 5;
+
+/** Time at which a run is expected to end. */
+export const expectedEndMs = ({run, part, placement}: Placed, nowMs: number): number => {
 	const step = stepOf(run, part);
 	const ranMs = nowMs - placement.startedMs;
-	const isMeasured = placement.percent >= 5;
+	if (step.longRunning) {
+		return Number.POSITIVE_INFINITY;
+	}
+
+	const isMeasured = placement.percent >= MEASURED_PERCENT;
 	const totalMs = isMeasured ? (ranMs * 100) / placement.percent : Math.max(step.estimateMs, ranMs * 1.2);
+	return placement.startedMs + totalMs;
+};
+
+const viewPlacement = (placed: Placed, nowMs: number, isGuaranteed: boolean): PlanPlacement => {
+	const {run, part, placement} = placed;
 	return {
 		partId: partIdOf(run, part),
 		need: needOf(run, part),
@@ -45,7 +57,7 @@
 		customer: run.job.customer,
 		isGuaranteed,
 		lossCoreMs: lossOf(placed, nowMs),
-		endMs: step.longRunning ? Number.POSITIVE_INFINITY : placement.startedMs + totalMs,
+		endMs: expectedEndMs(placed, nowMs),
 		// What has ended frees its room without a stop.
 		isStopping: placement.phase === 'stopping' || part.isDone || run.outcome !== undefined,
 	};
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,8 +1,8 @@
-import {STALL_MIN_MS, STALL_SHARE} from './constants.js';
+import {LEAVING_MARGIN_MS, STALL_MIN_MS, STALL_SHARE} from './constants.js';
 import type {Term} from './election.js';
 import {addDueOccurrences, stepOf, type JobRun, type Part} from './job-run.js';
-import {placedByWorker, type LeaderState} from './leader-state.js';
-import {createPlanView, partIdOf} from './plan-view.js';
+import {placedByWorker, recordOf, type LeaderState} from './leader-state.js';
+import {createPlanView, expectedEndMs, partIdOf} from './plan-view.js';
 import {plan} from './plan/plan.js';
 import type {Placements} from './placements.js';
 import type {SchedulerContext} from './types.js';
@@ -45,6 +45,23 @@
 		}
 	};
 
+	/** Moves work off workers that leave before it would end. */
+	const evacuate = () => {
+		for (const worker of state.directory.values()) {
+			const {staysUntilMs} = recordOf(state, worker.id);
+			if (worker.state !== 'draining' || staysUntilMs === undefined) {
+				continue;
+			}
+
+			const limitMs = Math.max(staysUntilMs, now()) - LEAVING_MARGIN_MS;
+			for (const placed of state.index.placed.get(worker.id) ?? []) {
+				if (placed.placement.phase === 'running' && expectedEndMs(placed, now()) > limitMs) {
+					placements.stop(placed.run, placed.part, 'worker-leaves');
+				}
+			}
+		}
+	};
+
 	/** Jobs of earlier terms wait while workers that have not answered may still run them. */
 	const isBlocked = (run: JobRun): boolean => run.jobRevision < term.leaderRevision && fleet.mayHoldUnknownRuns();
 
@@ -75,6 +92,7 @@
 			const startedMs = performance.now();
 			const {parts, nextDueMs} = collectParts();
 			state.index.placed = placedByWorker(state);
+			evacuate();
 			const view = createPlanView({
 				state,
 				declarations: declarations(),
--- a/packages/scheduler/src/test/world.ts
+++ b/packages/scheduler/src/test/world.ts
@@ -87,6 +87,8 @@
 	store: MemoryKeyValue;
 	workers: ReadonlyMap<string, ModelWorker>;
 	startInstance: (id: string) => Instance;
+	/** Writes a worker's own report. */
+	report: (worker: Worker) => void;
 	/** Starts of the unit on all workers. */
 	startsOf: (unit: string) => number;
 }>;
@@ -103,8 +105,12 @@
 	const store = createMemoryKeyValue();
 	const models = new Map(workers.map((worker) => [worker.id, createModelWorker(worker, behave)]));
 	const lifecycles: Lifecycle[] = [];
-	for (const worker of workers) {
+	const report = (worker: Worker) => {
 		store.put(WORKER_PREFIX + worker.id, Buffer.from(JSON.stringify(worker)));
+	};
+
+	for (const worker of workers) {
+		report(worker);
 	}
 
 	t.teardown(async () => {
@@ -118,6 +124,7 @@
 		clock,
 		store,
 		workers: models,
+		report,
 		startsOf: (unit) => [...models.values()].reduce((sum, {starts}) => sum + (starts.get(unit) ?? 0), 0),
 		startInstance(id) {
 			const lifecycle = createLifecycle(id, (task, error) => {
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -1,9 +1,9 @@
 import type {Lifecycle} from '@bergamotgauge/lifecycle';
 import type {KeyChanges} from '@bergamotgauge/store';
-import {CLOCK_RATE_ERROR, LEASE_EXPIRY_MARGIN_MS} from './constants.js';
+import {CLOCK_RATE_ERROR, DEFAULT_REMAINING_MS, LEASE_EXPIRY_MARGIN_MS} from './constants.js';
 import type {Term} from './election.js';
 import {LEADER_KEY, ROSTER_KEY} from './keys.js';
-import type {LeaderState} from './leader-state.js';
+import {recordOf, type LeaderState} from './leader-state.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
 import {createWorkerLink, type WorkerLink} from './worker-link.js';
 
@@ -110,6 +110,10 @@
 			log.info('worker-listed', {worker: id, state: worker.state, rack, remainingMs});
 		}
 
+		if (worker.state === 'draining') {
+			recordOf(state, worker.id).staysUntilMs ??= now() + (worker.remainingMs ?? DEFAULT_REMAINING_MS);
+		}
+
 		state.directory.set(worker.id, worker);
 		const link = state.links.get(worker.id);
 		if (link) {
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -1,6 +1,7 @@
 import {createBackoff, sleep, withDeadline} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
 import {
+	DRAINING_LEASE_MS,
 	HOLD_GRACE_MS,
 	HOLD_WAIT_MS,
 	LEASE_SHARE,
@@ -84,7 +85,9 @@
 	const port: WorkerPort = context.connectWorker(options.worker);
 	const clock = createWorkerClock(earlierLeasesEndMs);
 	const waker = createWaker();
-	const leaseLengthMs = bounds.maxLeaseMs * LEASE_SHARE;
+	/** A worker that leaves gets short leases, so that work that is lost with it runs again soon. */
+	const leaseLengthMs = (): number =>
+		link.worker.state === 'draining' ? DRAINING_LEASE_MS : bounds.maxLeaseMs * LEASE_SHARE;
 	let state: WorkerLinkState = 'unsynced';
 	const isGone = (): boolean => state === 'gone';
 	/** Ends up to here have been handed on. */
@@ -160,7 +163,8 @@
 		const isFirst = state === 'unsynced';
 		const hasWork = events.hasWork(link);
 		const sentMs = now();
-		const leaseUntilMs = hasWork && !isFirst ? clock.leaseUntil(sentMs, leaseLengthMs) : undefined;
+		// A report without an answer may still extend the lease, so that only a worker that answers gets a longer one.
+		const leaseUntilMs = hasWork && state === 'synced' ? clock.leaseUntil(sentMs, leaseLengthMs()) : undefined;
 		if (leaseUntilMs !== undefined) {
 			clock.granted(leaseUntilMs);
 		}
@@ -241,7 +245,7 @@
 		run,
 		async start({unit, run: runNumber, spec, checkpoint}) {
 			const reply = await order('start', async () => {
-				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs) ?? 0;
+				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs()) ?? 0;
 				clock.granted(leaseUntilMs);
 				return port.start({unit, run: runNumber, spec, leaseUntilMs, token, checkpoint});
 			});
