--- a/packages/scheduler/src/leader.test.ts
+++ b/packages/scheduler/src/leader.test.ts
@@ -196,12 +196,12 @@
 
 // Guards against a new leader that lets all waiting work stand still for the leases of workers that are known to be gone.
 await t.test('a new leader waits only for what a silent worker may hold', async (t) => {
-	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], () => ({runMs: 2500, how: 'done'}));
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], () => ({runMs: 4500, how: 'done'}));
 	const one = world.startInstance('one');
 	await world.clock.tickAsync(500);
-	await submit(one.scheduler.jobs, 1, newStep({accelerators: 8, estimateMs: 2500}));
-	await submit(one.scheduler.jobs, 2, newStep({accelerators: 8, estimateMs: 2500}));
-	await submit(one.scheduler.jobs, 3, newStep({accelerators: 8, estimateMs: 2500}));
+	await submit(one.scheduler.jobs, 1, newStep({accelerators: 8, estimateMs: 4500}));
+	await submit(one.scheduler.jobs, 2, newStep({accelerators: 8, estimateMs: 4500}));
+	await submit(one.scheduler.jobs, 3, newStep({accelerators: 8, estimateMs: 4500}));
 	await world.clock.tickAsync(500);
 	world.workers.get('w1')!.faults.isCutOff = true;
 	// The hold that waits at the worker is lost with it.
