Learn run times by queue; callers' estimates are often far off

Change: expected run times weigh the estimate against the queue's own mean by the error that each has shown; units of a step follow its first ended unit.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -150,3 +150,12 @@
 
 /** Left of a leaving worker's time for the stop of its work. */
 export const LEAVING_MARGIN_MS = 300;
+
+/** Runs of a queue that its record of run times remembers. */
+export const RUN_TIME_MEMORY = 100;
+
+/** Squared error in logarithms that is assumed before runs have shown another. */
+export const RUN_TIME_PRIOR_ERROR = 0.5;
+
+/** Runs that this assumption counts for. */
+export const RUN_TIME_PRIOR_RUNS = 3;
--- a/packages/scheduler/src/job-run.ts
+++ b/packages/scheduler/src/job-run.ts
@@ -1,12 +1,4 @@
-import {
-	objectiveMs,
-	partKey,
-	type Job,
-	type PartRecord,
-	type Progress,
-	type RunEnd,
-	type Step,
-} from '@bergamotgauge/jobs';
+import {partKey, type Job, type PartRecord, type Progress, type RunEnd, type Step} from '@bergamotgauge/jobs';
 import {RUNS_PER_TERM} from './constants.js';
 
 /** One run of a unit on a worker. */
@@ -24,6 +16,8 @@
 	/** Reports of the worker without the run, after it was accepted. */
 	missedReports: number;
 	percent: number;
+	/** Started here without a checkpoint, so that its run time tells that of the unit. */
+	readonly isWhole: boolean;
 	/** Time of the last progress that the worker reported. */
 	progressMs: number;
 };
@@ -59,7 +53,8 @@
 	readonly job: Job;
 	/** Parts of the occurrences that are due, by key. */
 	readonly parts: Map<string, Part>;
-	readonly objectiveMs: number;
+	/** Run time of units by step, where units of the step have ended. */
+	readonly stepTimes: Map<number, number>;
 	occurrences: number;
 	isCancelled: boolean;
 	hasBegun: boolean;
@@ -133,7 +128,7 @@
 	const run: JobRun = {
 		job,
 		parts: new Map(),
-		objectiveMs: objectiveMs(job),
+		stepTimes: new Map(),
 		occurrences: 0,
 		isCancelled,
 		hasBegun: progress?.hasBegun ?? false,
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -1,6 +1,7 @@
-import type {Step} from '@bergamotgauge/jobs';
+import {objectiveMs, type Step} from '@bergamotgauge/jobs';
 import {ACCELERATOR_CORES} from './constants.js';
 import {stepOf, type JobRun, type Part, type Placement} from './job-run.js';
+import {createRunTimes, type RunTimes} from './run-times.js';
 import type {Room, Worker} from './types.js';
 import type {WorkerLink} from './worker-link.js';
 
@@ -29,6 +30,7 @@
 	records: Map<string, WorkerRecord>;
 	/** Runs that are on workers and belong to no job that should run, by worker and unit. */
 	strays: Map<string, Map<string, number>>;
+	runTimes: RunTimes;
 	/** Placements by worker as of the last planning pass; some may have ended since. */
 	index: {placed: ReadonlyMap<string, readonly Placed[]>};
 }>;
@@ -39,6 +41,7 @@
 	directory: new Map(),
 	records: new Map(),
 	strays: new Map(),
+	runTimes: createRunTimes(),
 	index: {placed: new Map()},
 });
 
@@ -96,3 +99,14 @@
 
 /** Cores that a unit takes, with accelerators weighed in. */
 export const coresOf = ({cpuMillis, accelerators}: Step): number => cpuMillis / 1000 + accelerators * ACCELERATOR_CORES;
+
+/** Expected run time of a unit: that of its step's other units, else by queue and estimate. */
+export const expectedRunMs = ({runTimes}: LeaderState, run: JobRun, step: number): number =>
+	run.stepTimes.get(step) ?? runTimes.expectMs(run.job.queue, run.job.steps[step]?.estimateMs ?? 0);
+
+/** Time within which the job should complete, by the expected run times. */
+export const expectedObjectiveMs = (state: LeaderState, run: JobRun): number =>
+	objectiveMs({
+		...run.job,
+		steps: run.job.steps.map((step, index) => ({...step, estimateMs: expectedRunMs(state, run, index)})),
+	});
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -155,6 +155,7 @@
 			stopAcceptedMs: undefined,
 			missedReports: 0,
 			percent: row.percent,
+			isWhole: false,
 			progressMs: now(),
 		});
 		part.orderedRun = Math.max(part.orderedRun, row.run);
@@ -255,6 +256,7 @@
 				stopAcceptedMs: undefined,
 				missedReports: 0,
 				percent: 0,
+				isWhole: part.checkpoint === '',
 				progressMs: now(),
 			}));
 			log.info('part-start', {
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -1,6 +1,14 @@
 import {GUARANTEED_RANK, RESTART_MS} from './constants.js';
 import {dueMs, readyParts, stepOf, type JobRun, type Part} from './job-run.js';
-import {coresOf, needOf, recordOf, type LeaderState, type Placed} from './leader-state.js';
+import {
+	coresOf,
+	expectedObjectiveMs,
+	expectedRunMs,
+	needOf,
+	recordOf,
+	type LeaderState,
+	type Placed,
+} from './leader-state.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractRoom, sumRoom} from './plan/room.js';
 import {rankOf} from './rank.js';
@@ -36,7 +44,7 @@
 const MEASURED_PERCENT = 5;
 
 /** Time at which a run is expected to end. */
-export const expectedEndMs = ({run, part, placement}: Placed, nowMs: number): number => {
+export const expectedEndMs = (state: LeaderState, {run, part, placement}: Placed, nowMs: number): number => {
 	const step = stepOf(run, part);
 	const ranMs = nowMs - placement.startedMs;
 	if (step.longRunning) {
@@ -44,11 +52,13 @@
 	}
 
 	const isMeasured = placement.percent >= MEASURED_PERCENT;
-	const totalMs = isMeasured ? (ranMs * 100) / placement.percent : Math.max(step.estimateMs, ranMs * 1.2);
+	const totalMs = isMeasured
+		? (ranMs * 100) / placement.percent
+		: Math.max(expectedRunMs(state, run, part.step), ranMs * 1.2);
 	return placement.startedMs + totalMs;
 };
 
-const viewPlacement = (placed: Placed, nowMs: number, isGuaranteed: boolean): PlanPlacement => {
+const viewPlacement = (state: LeaderState, placed: Placed, nowMs: number, isGuaranteed: boolean): PlanPlacement => {
 	const {run, part, placement} = placed;
 	return {
 		partId: partIdOf(run, part),
@@ -57,7 +67,7 @@
 		customer: run.job.customer,
 		isGuaranteed,
 		lossCoreMs: lossOf(placed, nowMs),
-		endMs: expectedEndMs(placed, nowMs),
+		endMs: expectedEndMs(state, placed, nowMs),
 		// What has ended frees its room without a stop.
 		isStopping: placement.phase === 'stopping' || part.isDone || run.outcome !== undefined,
 	};
@@ -81,23 +91,31 @@
 			isUsable: worker.state === 'ready' && isOrderable(worker.id) && record.pausedUntilMs <= nowMs && !hasStrays,
 			isSuspect: record.suspectUntilMs > nowMs,
 			slowness: record.slowness,
-			placements: here.map((one) => viewPlacement(one, nowMs, covered.has(one.run))),
+			placements: here.map((one) => viewPlacement(state, one, nowMs, covered.has(one.run))),
 		};
 	});
 };
 
+/** What is expected of a job, judged once a pass. */
+type Expectation = Readonly<{run: JobRun; isGuaranteed: boolean; objectiveMs: number}>;
+
 /** Time for which a waiting part can still wait before its job misses its objective or its customer's guarantee. */
-const slackOf = (run: JobRun, part: Part, isGuaranteed: boolean, {todayMs, bounds}: PlanViewOptions): number => {
+const slackOf = (
+	{run, isGuaranteed, objectiveMs}: Expectation,
+	part: Part,
+	{state, todayMs, bounds}: PlanViewOptions,
+): number => {
 	const ageMs = todayMs - dueMs(run.job, part.occurrence);
-	const step = stepOf(run, part);
-	const slackMs = run.objectiveMs - ageMs - step.estimateMs;
+	const slackMs = objectiveMs - ageMs - expectedRunMs(state, run, part.step);
 	// Half of the bound is left for stops that are late.
 	return isGuaranteed ? Math.min(slackMs, bounds.reclaimMs / 2 - ageMs) : slackMs;
 };
 
-const viewPart = (run: JobRun, part: Part, isGuaranteed: boolean, options: PlanViewOptions): PlanPart => {
-	const {nowMs} = options;
+const viewPart = (expectation: Expectation, part: Part, options: PlanViewOptions): PlanPart => {
+	const {run, isGuaranteed, objectiveMs} = expectation;
+	const {nowMs, todayMs, state} = options;
 	const step = stepOf(run, part);
+	const estimateMs = expectedRunMs(state, run, part.step);
 	part.waitingSinceMs ??= nowMs;
 	return {
 		id: partIdOf(run, part),
@@ -108,16 +126,16 @@
 		need: needOf(run, part),
 		priority: run.job.priority,
 		isGuaranteed,
-		workCoreMs: step.estimateMs * coresOf(step) * part.indexes.length,
-		slackMs: slackOf(run, part, isGuaranteed, options),
+		workCoreMs: estimateMs * coresOf(step) * part.indexes.length,
+		slackMs: slackOf(expectation, part, options),
 		sameRack: step.sameRack,
 		requiredLabel: step.requiredLabel,
 		dataRack: step.dataRack,
 		maxPerWorker: step.maxPerWorker,
 		avoidedWorkers: part.avoided,
-		estimateMs: step.estimateMs,
+		estimateMs,
 		waitedMs: nowMs - part.waitingSinceMs,
-		rank: rankOf(run, part, options.todayMs) - (isGuaranteed ? GUARANTEED_RANK : 0),
+		rank: rankOf(run, part, objectiveMs, todayMs) - (isGuaranteed ? GUARANTEED_RANK : 0),
 	};
 };
 
@@ -170,7 +188,14 @@
 		}
 
 		const ready = readyParts(run).filter((part) => !isBlocked(run, part));
-		parts.push(...ready.map((part) => viewPart(run, part, covered.has(run), options)));
+		if (ready.length > 0) {
+			const expectation: Expectation = {
+				run,
+				isGuaranteed: covered.has(run),
+				objectiveMs: expectedObjectiveMs(state, run),
+			};
+			parts.push(...ready.map((part) => viewPart(expectation, part, options)));
+		}
 	}
 
 	return {
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,7 +1,7 @@
 import {LEAVING_MARGIN_MS, STALL_MIN_MS, STALL_SHARE} from './constants.js';
 import type {Term} from './election.js';
-import {addDueOccurrences, stepOf, type JobRun, type Part} from './job-run.js';
-import {placedByWorker, recordOf, type LeaderState} from './leader-state.js';
+import {addDueOccurrences, type JobRun, type Part} from './job-run.js';
+import {expectedRunMs, placedByWorker, recordOf, type LeaderState} from './leader-state.js';
 import {createPlanView, expectedEndMs, partIdOf} from './plan-view.js';
 import {plan} from './plan/plan.js';
 import type {Placements} from './placements.js';
@@ -33,7 +33,7 @@
 	const {metrics, bounds, declarations} = context;
 
 	const stopStalled = (run: JobRun, part: Part) => {
-		const limitMs = Math.max(STALL_MIN_MS, stepOf(run, part).estimateMs * STALL_SHARE);
+		const limitMs = Math.max(STALL_MIN_MS, expectedRunMs(state, run, part.step) * STALL_SHARE);
 		const stalled = part.placements.find(
 			({phase, progressMs, workerId}) =>
 				phase === 'running' && now() - progressMs > limitMs && state.links.get(workerId)?.state() === 'synced',
@@ -55,7 +55,7 @@
 
 			const limitMs = Math.max(staysUntilMs, now()) - LEAVING_MARGIN_MS;
 			for (const placed of state.index.placed.get(worker.id) ?? []) {
-				if (placed.placement.phase === 'running' && expectedEndMs(placed, now()) > limitMs) {
+				if (placed.placement.phase === 'running' && expectedEndMs(state, placed, now()) > limitMs) {
 					placements.stop(placed.run, placed.part, 'worker-leaves');
 				}
 			}
--- a/packages/scheduler/src/rank.ts
+++ b/packages/scheduler/src/rank.ts
@@ -12,9 +12,9 @@
 /**
 Order of service of a part, lower first: by priority, then by the time at which its job should be complete. Work that is too late to be of use comes last.
 */
-export const rankOf = (run: JobRun, part: Part, todayMs: number): number => {
+export const rankOf = (run: JobRun, part: Part, objectiveMs: number, todayMs: number): number => {
 	const ageMs = todayMs - dueMs(run.job, part.occurrence);
-	const isHopeless = ageMs > HOPELESS_FACTOR * run.objectiveMs;
-	const leftMs = run.objectiveMs - ageMs;
+	const isHopeless = ageMs > HOPELESS_FACTOR * objectiveMs;
+	const leftMs = objectiveMs - ageMs;
 	return run.job.priority * PRIORITY_STEP + leftMs + (isHopeless ? HOPELESS_STEP : 0);
 };
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -1,7 +1,7 @@
 import {parseUnitName, type UnitName} from '@bergamotgauge/jobs';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
-import {noteEnd, partOf, type JobRun, type Part} from './job-run.js';
-import type {LeaderState} from './leader-state.js';
+import {noteEnd, partOf, stepOf, type JobRun, type Part} from './job-run.js';
+import {expectedObjectiveMs, type LeaderState} from './leader-state.js';
 import type {Placements} from './placements.js';
 import type {EndedUnit} from './types.js';
 import {noteFailure, noteSuccess} from './worker-evidence.js';
@@ -29,7 +29,14 @@
 		const {id, queue, customer, priority, acceptedMs} = run.job;
 		const ageMs = Date.now() - acceptedMs;
 		const outcome = run.outcome ?? 'failed';
-		log.info('job-ended', {job: id, outcome, queue, customer, ageMs, objectiveMs: Math.round(run.objectiveMs)});
+		log.info('job-ended', {
+			job: id,
+			outcome,
+			queue,
+			customer,
+			ageMs,
+			objectiveMs: Math.round(expectedObjectiveMs(state, run)),
+		});
 		metrics.count('jobs_ended_total', {outcome, customer});
 		metrics.observe('job_milliseconds', ageMs, {customer, class: String(priority)});
 		if (outcome !== 'completed') {
@@ -40,9 +47,10 @@
 	};
 
 	const count = (run: JobRun, part: Part, end: EndedUnit & Readonly<{workerId: string}>, name: UnitName) => {
-		const startedMs = part.placements.find(
+		const placement = part.placements.find(
 			({workerId, index, run: placed}) => workerId === end.workerId && index === name.index && placed === end.run,
-		)?.startedMs;
+		);
+		const ranMs = placement && Math.round(now() - placement.startedMs);
 		const effect = noteEnd(run, part, {...end, index: name.index}, Date.now());
 		log.info('unit-ended', {
 			unit: end.unit,
@@ -51,12 +59,16 @@
 			worker: end.workerId,
 			effect,
 			failures: part.failures,
-			ranMs: startedMs === undefined ? undefined : Math.round(now() - startedMs),
+			ranMs,
 		});
 		if (end.how === 'failed' && effect === 'counted') {
 			noteFailure(state, end.workerId, run.job.id, now());
 		} else if (end.how === 'done') {
 			noteSuccess(state, end.workerId);
+			if (effect === 'counted' && placement?.isWhole && ranMs !== undefined) {
+				state.runTimes.observe(run.job.queue, stepOf(run, part).estimateMs, ranMs);
+				run.stepTimes.set(part.step, ranMs);
+			}
 		}
 	};
 
