--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -116,6 +116,7 @@
 	const {nowMs, todayMs, state} = options;
 	const step = stepOf(run, part);
 	const estimateMs = expectedRunMs(state, run, part.step);
+	const slackMs = slackOf(expectation, part, options);
 	part.waitingSinceMs ??= nowMs;
 	return {
 		id: partIdOf(run, part),
@@ -127,7 +128,7 @@
 		priority: run.job.priority,
 		isGuaranteed,
 		workCoreMs: estimateMs * coresOf(step) * part.indexes.length,
-		slackMs: slackOf(expectation, part, options),
+		slackMs,
 		sameRack: step.sameRack,
 		requiredLabel: step.requiredLabel,
 		dataRack: step.dataRack,
@@ -135,7 +136,7 @@
 		avoidedWorkers: part.avoided,
 		estimateMs,
 		waitedMs: nowMs - part.waitingSinceMs,
-		rank: rankOf(run, part, objectiveMs, todayMs) - (isGuaranteed ? GUARANTEED_RANK : 0),
+		rank: rankOf(run, part, {objectiveMs, slackMs, todayMs}) - (isGuaranteed ? GUARANTEED_RANK : 0),
 	};
 };
 
