End the write of a job that was done and then cancelled before its outcome was stored

Cause: such a job's outcome stayed 'completed' although the store held its cancellation; the write conflicted for good without a pause and held up the progress of all other jobs. Ruled out: workers and placement (392 of 400 jobs ended in time by the leader's own log). Change: a stored cancellation overrules an outcome that is not stored yet, also when it was seen before; conflicts are tried again with a pause. Test: progress-writer.test.ts, which did not end before the change.

--- a/packages/scheduler/src/job-run.ts
+++ b/packages/scheduler/src/job-run.ts
@@ -216,12 +216,20 @@
 	}
 };
 
-/** Notes that a caller has cancelled the job. */
+/** Notes that a caller has cancelled the job; an outcome that the store already holds stays. */
 export const cancelRun = (run: JobRun, nowMs: number): void => {
 	run.isCancelled = true;
 	conclude(run, nowMs);
 };
 
+/** Makes `cancelled` the outcome of a job whose cancellation was stored before any other outcome. */
+export const overruleOutcome = (run: JobRun, nowMs: number): void => {
+	run.isCancelled = true;
+	run.outcome = 'cancelled';
+	run.endedMs ??= nowMs;
+	run.changes += 1;
+};
+
 /** What an end meant for its part. */
 export type EndEffect = 'counted' | 'repeated';
 
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -3,7 +3,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import t, {type Test} from 'tap';
 import type {Term} from './election.js';
-import {createJobRun, noteEnd, partOf, type JobRun} from './job-run.js';
+import {cancelRun, createJobRun, noteEnd, partOf, type JobRun} from './job-run.js';
 import {jobKey, LEADER_KEY} from './keys.js';
 import {createProgressWriter} from './progress-writer.js';
 import {createMemoryKeyValue} from './test/memory-key-value.js';
@@ -125,3 +125,28 @@
 	t.ok(term.signal.aborted);
 	t.equal(await storedOutcome(), 'no record');
 });
+
+// Guards against a write that conflicts for good and holds up those of all other jobs: the cancellation was seen after
+// the last unit was done and before the outcome was stored.
+await t.test('a job that is done and then cancelled before its outcome is stored ends as cancelled', async (t) => {
+	for (const isSeenBefore of [true, false]) {
+		const {clock, store, writer, run, finish, storedOutcome} = await createFixture(t);
+		store.put(jobKey(run.job.id, 'cancellation'), new Uint8Array(0));
+		finish(0);
+		finish(1);
+		t.equal(run.outcome, 'completed');
+		if (isSeenBefore) {
+			cancelRun(run, 9);
+		}
+
+		let isWritten = false;
+		void (async () => {
+			await writer.store([run]);
+			isWritten = true;
+		})();
+		await clock.tickAsync(3000);
+		t.equal(isWritten, true, `the write ends, cancellation ${isSeenBefore ? 'seen before' : 'found by the write'}`);
+		t.equal(await storedOutcome(), 'cancelled');
+		clock.uninstall();
+	}
+});
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -4,7 +4,7 @@
 import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
 import {COMMIT_BATCH, LAZY_COMMIT_MS, WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
-import {cancelRun, progressOf, type JobRun} from './job-run.js';
+import {overruleOutcome, progressOf, type JobRun} from './job-run.js';
 import type {Term} from './election.js';
 import {jobKey, LEADER_KEY} from './keys.js';
 
@@ -66,16 +66,17 @@
 
 		for (const run of batch) {
 			run.progressRevision = byKey.get(jobKey(run.job.id, 'progress'))?.revision ?? 0;
-			if (byKey.has(jobKey(run.job.id, 'cancellation')) && !run.isCancelled) {
+			const isOverruled = run.outcome !== undefined && run.outcome !== 'cancelled';
+			if (byKey.has(jobKey(run.job.id, 'cancellation')) && isOverruled) {
 				// The caller was told of the cancellation before this outcome was stored.
-				run.outcome = undefined;
-				cancelRun(run, Date.now());
+				overruleOutcome(run, Date.now());
 				onCancelled(run);
 			}
 		}
 	};
 
-	const writeBatch = async (batch: readonly JobRun[]) => {
+	/** Returns false when the batch has to be tried again. */
+	const writeBatch = async (batch: readonly JobRun[]): Promise<boolean> => {
 		const changes = new Map(batch.map((run) => [run, run.changes]));
 		const writes = batch.map((run) => ({key: jobKey(run.job.id, 'progress'), value: encodeProgress(progressOf(run))}));
 		const result = await store.transact({
@@ -90,12 +91,12 @@
 		});
 		if (result.outcome === 'conflict') {
 			takeConflict(batch, result.current);
-			return;
+			return false;
 		}
 
 		if (result.outcome === 'lease-ended') {
 			term.abandon('the lease has ended');
-			return;
+			return false;
 		}
 
 		for (const run of batch) {
@@ -108,6 +109,7 @@
 
 		onStored(writes.map(({key, value}) => ({key, value, revision: result.revision, createRevision: 0, lease: 0})));
 		settle();
+		return true;
 	};
 
 	const rejectAll = () => {
@@ -130,8 +132,11 @@
 		const backoff = createBackoff({minMs: WATCH_RETRY_MIN_MS, maxMs: WATCH_RETRY_MAX_MS});
 		while (dirty.size > 0 && !term.signal.aborted) {
 			try {
-				await writeBatch([...dirty].slice(0, COMMIT_BATCH));
-				backoff.reset();
+				if (await writeBatch([...dirty].slice(0, COMMIT_BATCH))) {
+					backoff.reset();
+				} else {
+					await sleep(backoff.next(), term.signal);
+				}
 			} catch (error) {
 				log.warn('progress-not-stored', {jobs: dirty.size, error: toServiceError(error, 'may-have-run').message});
 				await sleep(backoff.next(), term.signal);
