--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -17,8 +17,6 @@
 	suspicions: number;
 	/** Time until which a worker that leaves is sure to stay. */
 	staysUntilMs: number | undefined;
-	/** Factor on run times, smoothed over its last runs. */
-	slowness: number;
 };
 
 /** All that a leader keeps in memory during its term. */
@@ -55,7 +53,6 @@
 			pausedUntilMs: 0,
 			suspicions: 0,
 			staysUntilMs: undefined,
-			slowness: 1,
 		};
 		state.records.set(workerId, record);
 	}
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -90,7 +90,6 @@
 			free: subtractRoom(worker.capacity, used),
 			isUsable: worker.state === 'ready' && isOrderable(worker.id) && record.pausedUntilMs <= nowMs && !hasStrays,
 			isSuspect: record.suspectUntilMs > nowMs,
-			slowness: record.slowness,
 			placements: here.map((one) => viewPlacement(state, one, nowMs, covered.has(one.run))),
 		};
 	});
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -43,7 +43,7 @@
 	return count;
 };
 
-/** Lower is better: sound and fast workers, near the data, the fullest first. */
+/** Lower is better: workers without suspicion, near the data, the fullest first. */
 const costOf = (part: PlanPart, slot: WorkerSlot, options: PlaceOptions): number => {
 	const {worker} = slot;
 	const isRemote = part.dataRack !== undefined && part.dataRack !== worker.rack;
@@ -51,7 +51,7 @@
 	const left = subtractRoom(slot.free, part.need);
 	return (
 		(isDoubtful ? 100 : 0) +
-		10 * (isRemote ? options.remoteFactor : 1) * worker.slowness +
+		10 * (isRemote ? options.remoteFactor : 1) +
 		// Filling up the fullest worker keeps others whole for large units.
 		shareOf(left, worker.capacity)
 	);
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -28,8 +28,6 @@
 	isUsable: boolean;
 	/** Under suspicion of failing or slow work; used only when no other worker fits. */
 	isSuspect: boolean;
-	/** Factor on run times that its past work shows. */
-	slowness: number;
 	placements: readonly PlanPlacement[];
 }>;
 
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -144,9 +144,11 @@
 			await writer.store([run]);
 			isWritten = true;
 		})();
+
 		await clock.tickAsync(3000);
 		t.equal(isWritten, true, `the write ends, cancellation ${isSeenBefore ? 'seen before' : 'found by the write'}`);
 		t.equal(await storedOutcome(), 'cancelled');
+
 		clock.uninstall();
 	}
 });
--- a/packages/scheduler/src/rank.test.ts
+++ b/packages/scheduler/src/rank.test.ts
@@ -8,7 +8,13 @@
 	const {name: queue, service, attempts, stretch, targetLatencyMs} = QUEUE;
 	const job = {
 		...newSubmission(1, [newStep()]),
-		...{queue, service, attempts, stretch, targetLatencyMs, priority, acceptedMs},
+		queue,
+		service,
+		attempts,
+		stretch,
+		targetLatencyMs,
+		priority,
+		acceptedMs,
 		customer: 'acme',
 	};
 	const run = createJobRun({
--- a/packages/scheduler/src/test/plan-view.ts
+++ b/packages/scheduler/src/test/plan-view.ts
@@ -10,7 +10,6 @@
 	free: {cpuMillis: 64_000, memoryMb: 64_000, accelerators: 8},
 	isUsable: true,
 	isSuspect: false,
-	slowness: 1,
 	placements: [],
 	...change,
 });
--- a/packages/scheduler/src/test/world.ts
+++ b/packages/scheduler/src/test/world.ts
@@ -13,12 +13,10 @@
 export const BOUNDS: Bounds = {
 	maxLeaseMs: 10_000,
 	stopMs: 400,
-	gangMs: 3000,
 	remoteFactor: 3,
 	stateRetentionMs: 120_000,
 	revocationMs: 5000,
 	reclaimMs: 2900,
-	earlyMs: 250,
 	graceMs: 6000,
 };
 
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -85,11 +85,6 @@
 	close: () => void;
 }>;
 
-/** Workers that the platform lists. */
-export type WorkerDirectory = Readonly<{
-	list: () => readonly Worker[];
-}>;
-
 /** A queue as the operators declare it. */
 export type Queue = Readonly<{
 	name: string;
@@ -116,7 +111,6 @@
 	/** Longest lease that a worker grants. */
 	maxLeaseMs: number;
 	stopMs: number;
-	gangMs: number;
 	/** Factor on the run time of a unit away from its data or of a gang across racks. */
 	remoteFactor: number;
 	/** Time for which the state of an ended job can be read. */
@@ -124,8 +118,6 @@
 	/** Time within which a revoked key must be refused. */
 	revocationMs: number;
 	reclaimMs: number;
-	/** Slack for starts before their due time. */
-	earlyMs: number;
 	graceMs: number;
 }>;
 
