--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -197,7 +197,7 @@
 			const passEndMs = performance.now();
 			const limitMs = state.runs.size > 0 ? PLAN_INTERVAL_MS : IDLE_LOOK_MS;
 			const untilDueMs = Math.max(PLAN_DELAY_MS, nextDueMs - Date.now());
-			await Promise.race([waker.wait(signal), sleep(Math.min(limitMs, untilDueMs), signal)]);
+			await waker.wait(signal, Math.min(limitMs, untilDueMs));
 			// Changes that come together share one pass; long passes leave time for orders and reports between them.
 			const tookMs = Math.min(MAX_PLAN_PAUSE_MS, (passEndMs - startedMs) * PLAN_PAUSE_RATIO);
 			await sleep(Math.max(PLAN_DELAY_MS, tookMs), signal);
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -101,8 +101,12 @@
 	};
 
 	const tryEvict = (part: PlanPart): boolean => {
-		const eviction = mayEvict(part) ? findEviction(part, slots, options, new Set(evictions.keys())) : undefined;
+		if (!mayEvict(part)) {
+			return false;
+		}
+
 		evictionSearches += 1;
+		const eviction = findEviction(part, slots, options, new Set(evictions.keys()));
 		if (!eviction || !isWorthwhile(part, eviction.lossCoreMs)) {
 			return false;
 		}
--- a/packages/scheduler/src/waker.ts
+++ b/packages/scheduler/src/waker.ts
@@ -1,17 +1,22 @@
+import {sleep} from '@bergamotgauge/lifecycle';
+
 /** Lets one task wait until it is woken. */
 export type Waker = Readonly<{
 	wake: () => void;
-	/** Resolves at the next wake, at once when one came since the last wait, or when the signal aborts. */
-	wait: (signal: AbortSignal) => Promise<void>;
+	/** Resolves at the next wake, at once when one came since the last wait, after `limitMs`, or when the signal aborts. */
+	wait: (signal: AbortSignal, limitMs?: number) => Promise<void>;
 }>;
 
+/** Longest timer of the runtime. */
+const NO_LIMIT_MS = 2 ** 31 - 1;
+
 /**
 Creates a waker.
 
 @example
 ```ts
 const waker = createWaker();
-await waker.wait(signal);
+await waker.wait(signal, 500);
 ```
 */
 export const createWaker = (): Waker => {
@@ -22,18 +27,17 @@
 			isWoken = true;
 			resume?.();
 		},
-		async wait(signal) {
+		async wait(signal, limitMs = NO_LIMIT_MS) {
 			if (!isWoken && !signal.aborted) {
-				await new Promise<void>((resolve) => {
-					resume = resolve;
-					signal.addEventListener(
-						'abort',
-						() => {
-							resolve();
-						},
-						{once: true},
-					);
-				});
+				const controller = new AbortController();
+				resume = () => {
+					controller.abort();
+				};
+
+				signal.addEventListener('abort', resume);
+				await sleep(limitMs, controller.signal);
+				// A listener left behind at each wait would pile up over a long term.
+				signal.removeEventListener('abort', resume);
 			}
 
 			resume = undefined;
