--- a/packages/scheduler/src/election.ts
+++ b/packages/scheduler/src/election.ts
@@ -85,23 +85,25 @@
 		return undefined;
 	};
 
+	const renewOnce = async (lease: number, controller: AbortController, extend: (sentMs: number) => void) => {
+		const sentMs = health.now();
+		try {
+			if (await store.renewLease(lease)) {
+				extend(sentMs);
+			} else {
+				controller.abort(new Error('the lease has ended'));
+			}
+		} catch (error) {
+			log.debug('lease-not-renewed', {error: toServiceError(error, 'may-have-run').message});
+		}
+	};
+
+	/** Does not wait for the answers: a lost one would else take up most of the lease before the next try. */
 	const renew = async (lease: number, controller: AbortController, extend: (sentMs: number) => void) => {
 		while (!controller.signal.aborted) {
 			await sleep(LEADER_RENEW_MS, controller.signal);
-			if (controller.signal.aborted) {
-				return;
-			}
-
-			const sentMs = health.now();
-			try {
-				if (!(await store.renewLease(lease))) {
-					controller.abort(new Error('the lease has ended'));
-					return;
-				}
-
-				extend(sentMs);
-			} catch (error) {
-				log.debug('lease-not-renewed', {error: toServiceError(error, 'may-have-run').message});
+			if (!controller.signal.aborted) {
+				void renewOnce(lease, controller, extend);
 			}
 		}
 	};
@@ -142,7 +144,7 @@
 		try {
 			await Promise.all([
 				renew(lease, controller, (atMs) => {
-					validUntilMs = atMs + LEADER_TTL_MS - LEADER_MARGIN_MS;
+					validUntilMs = Math.max(validUntilMs, atMs + LEADER_TTL_MS - LEADER_MARGIN_MS);
 				}),
 				watchValidity(),
 				(async () => {
--- a/packages/scheduler/src/leader.test.ts
+++ b/packages/scheduler/src/leader.test.ts
@@ -234,3 +234,15 @@
 	t.equal(world.startsOf(unitOf(1)), 1);
 	t.same(await world.store.get('bergamotgauge/term'), before, 'the same term goes on');
 });
+
+// Guards against a change of leader because the answers to two renewals were lost.
+await t.test('lost renewals do not end a term', async (t) => {
+	const world = createWorld(t, [newWorker('w1')]);
+	world.startInstance('one');
+	await world.clock.tickAsync(500);
+	const before = await world.store.get('bergamotgauge/term');
+	world.store.faults.silentRenewals = 2;
+	await world.clock.tickAsync(4000);
+	t.equal(world.store.faults.silentRenewals, 0);
+	t.same(await world.store.get('bergamotgauge/term'), before);
+});
--- a/packages/scheduler/src/test/memory-key-value.ts
+++ b/packages/scheduler/src/test/memory-key-value.ts
@@ -9,6 +9,8 @@
 	lostAnswers: number;
 	/** The next transactions get no answer; `release` carries them out later. */
 	delayed: number;
+	/** The next renewals of a lease get no answer and are not carried out. */
+	silentRenewals: number;
 	/** Changes before the current revision are forgotten. */
 	isCompacted: boolean;
 };
@@ -30,6 +32,9 @@
 
 type Event = Readonly<{key: string; revision: number; item: StoredItem | undefined}>;
 
+/** Time after which a client gives up a call without an answer. */
+const SILENCE_MS = 800;
+
 const unavailable = (verdict: Verdict): ServiceError =>
 	new ServiceError('the store does not answer', {code: 'store-unavailable', verdict});
 
@@ -40,7 +45,7 @@
 	const changed = new Emittery<{changed: undefined}>();
 	const leases = new Map<number, {ttlMs: number; timer: NodeJS.Timeout}>();
 	const delayed: Transaction[] = [];
-	const faults: StoreFaults = {isDown: false, lostAnswers: 0, delayed: 0, isCompacted: false};
+	const faults: StoreFaults = {isDown: false, lostAnswers: 0, delayed: 0, silentRenewals: 0, isCompacted: false};
 	let revision = 1;
 	let nextLease = 1;
 	let compactedRevision = 0;
@@ -234,6 +239,14 @@
 		},
 		async renewLease(lease) {
 			requireStore();
+			if (faults.silentRenewals > 0) {
+				faults.silentRenewals -= 1;
+				await new Promise((resolve) => {
+					setTimeout(resolve, SILENCE_MS);
+				});
+				throw unavailable('may-have-run');
+			}
+
 			const entry = leases.get(lease);
 			if (!entry) {
 				return false;
