Start work elsewhere when the rack of its data is full and the pool is idle

Work waits for its data's rack for twice its run time, also when that rack has too few workers left to hold it. Change: while less than half of the pool is in use, work waits 1.5 s for its data's rack. Test: plan.test.ts, 'work whose data rack cannot hold it starts elsewhere while the pool is idle'.

--- a/packages/scheduler/src/plan/constants.ts
+++ b/packages/scheduler/src/plan/constants.ts
@@ -21,3 +21,9 @@
 
 /** Parts for which one pass looks for work that could give way; the search visits every placement. */
 export const MAX_EVICTION_SEARCHES = 24;
+
+/** Time that work waits for its data's rack while less than half of the pool is in use. */
+export const MAX_IDLE_DATA_WAIT_MS = 1500;
+
+/** Share of a pool's room in use below which it counts as idle. */
+export const IDLE_POOL_SHARE = 0.5;
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -1,4 +1,5 @@
 import type {Room} from '../types.js';
+import {MAX_IDLE_DATA_WAIT_MS} from './constants.js';
 import {fits, shareOf, subtractRoom} from './room.js';
 import type {PlanPart, PlanWorker} from './types.js';
 
@@ -15,6 +16,8 @@
 export type PlaceOptions = Readonly<{
 	unitsOnWorker: (stepId: string, workerId: string) => number;
 	remoteFactor: number;
+	/** Less than half of the workers' room is in use. */
+	isPoolIdle: boolean;
 }>;
 
 /** Whether the worker could ever run a unit of the part. */
@@ -57,9 +60,13 @@
 	);
 };
 
-/** A unit away from its data takes longer than waiting for a worker near it, unless it has waited that long. */
+/**
+A unit away from its data takes longer than waiting for a worker near it, unless it has waited that long. In a pool that is mostly idle it waits only briefly: its data may be in a rack that cannot hold it.
+*/
 const acceptsRemote = (part: PlanPart, options: PlaceOptions): boolean =>
-	part.dataRack === undefined || part.waitedMs > (options.remoteFactor - 1) * part.estimateMs;
+	part.dataRack === undefined ||
+	part.waitedMs > (options.remoteFactor - 1) * part.estimateMs ||
+	(options.isPoolIdle && part.waitedMs > MAX_IDLE_DATA_WAIT_MS);
 
 const isCandidate = (part: PlanPart, slot: WorkerSlot, isRemoteAccepted: boolean): boolean =>
 	!slot.isReserved && isEligible(part, slot.worker) && (isRemoteAccepted || slot.worker.rack === part.dataRack);
@@ -120,7 +127,7 @@
 
 @example
 ```ts
-const slots = findPlace(part, allSlots, {unitsOnWorker, remoteFactor: 3});
+const slots = findPlace(part, allSlots, {unitsOnWorker, remoteFactor: 3, isPoolIdle: false});
 ```
 */
 export const findPlace = (
--- a/packages/scheduler/src/plan/plan.test.ts
+++ b/packages/scheduler/src/plan/plan.test.ts
@@ -114,3 +114,15 @@
 	t.same(startOf({members: 2, maxPerWorker: 1})?.toSorted(), ['w0', 'w1']);
 	t.same(startOf({avoidedWorkers: new Set(['w0'])}), ['w1']);
 });
+
+// Load: a gang whose data is in a rack that has lost workers, in a pool that is mostly idle; it never started.
+await t.test('work whose data rack cannot hold it starts elsewhere while the pool is idle', async (t) => {
+	const idle = [newPlanWorker('w0'), newPlanWorker('w1', {rack: 'r2'}), newPlanWorker('w2', {rack: 'r2'})];
+	const gang = newPlanPart('gang', {members: 2, sameRack: true, dataRack: 'r1-1', priority: 1, estimateMs: 9000});
+	t.same(plan(newPlanView(idle, [gang])).starts, [], 'it waits a little for its data');
+	t.equal(plan(newPlanView(idle, [{...gang, waitedMs: 2000}])).starts.length, 1);
+
+	const busy = [...idle, ...['b0', 'b1', 'b2', 'b3'].map((id) => newFullWorker(id, [], {rack: 'r3'}))];
+	t.same(plan(newPlanView(busy, [{...gang, waitedMs: 2000}])).starts, [], 'in a busy pool it waits longer');
+	t.equal(plan(newPlanView(busy, [{...gang, waitedMs: 19_000}])).starts.length, 1);
+});
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -2,6 +2,7 @@
 	CHEAP_EVICTION_RATIO,
 	EVICTION_LOSS_RATIO,
 	EVICTION_TIME_MS,
+	IDLE_POOL_SHARE,
 	MAX_EVICTION_SEARCHES,
 	MAX_EVICTIONS,
 	MAX_PLANNED_PARTS,
@@ -10,7 +11,7 @@
 } from './constants.js';
 import {findEviction} from './evict.js';
 import {findPlace, isEligible, takePlace, type PlaceOptions, type WorkerSlot} from './place-part.js';
-import {addRoom, fits} from './room.js';
+import {addRoom, fits, shareOf, subtractRoom, sumRoom} from './room.js';
 import type {Plan, PlanPart, PlanStart, PlanView, PlanWorker} from './types.js';
 
 /** Time at which the worker has room for one member if nothing new starts on it. */
@@ -58,6 +59,13 @@
 	return times[part.members - 1] ?? Number.POSITIVE_INFINITY;
 };
 
+const isPoolIdle = (workers: readonly PlanWorker[]): boolean => {
+	const usable = workers.filter(({isUsable}) => isUsable);
+	const capacity = sumRoom(usable.map((worker) => worker.capacity));
+	const free = sumRoom(usable.map((worker) => worker.free));
+	return shareOf(subtractRoom(capacity, free), capacity) < IDLE_POOL_SHARE;
+};
+
 /** Parts alike in what they ask for; when one finds no room, the others need not be tried. */
 const shapeOf = ({stepId, members, avoidedWorkers}: PlanPart): string =>
 	`${stepId}/${members}/${[...avoidedWorkers].toSorted().join(',')}`;
@@ -75,7 +83,11 @@
 	const slots: WorkerSlot[] = workers
 		.filter(({isUsable}) => isUsable)
 		.map((worker) => ({worker, free: worker.free, isReserved: false, units: new Map()}));
-	const options: PlaceOptions = {unitsOnWorker: view.unitsOnWorker, remoteFactor: view.remoteFactor};
+	const options: PlaceOptions = {
+		unitsOnWorker: view.unitsOnWorker,
+		remoteFactor: view.remoteFactor,
+		isPoolIdle: isPoolIdle(workers),
+	};
 	const parts = view.parts.toSorted((a, b) => a.rank - b.rank).slice(0, MAX_PLANNED_PARTS);
 	const starts: PlanStart[] = [];
 	const evictions = new Map<string, string>();
