Keep units without end at work

Cause: the check for units that stand still took a unit at 100 percent for a stalled one, stopped it after 3.5 s and put its worker under suspicion; the age of a long job made each restart count as too late to be of use; urgent work could stop more units of a step than its caller lets be away. Ruled out: treating 100 percent as an end, since the worker still lists the run. Change: a unit without end stands still only while it starts up; its age counts from its last run; absences.ts tells which parts the bound on absent units protects, and the planner spares them.

--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -28,8 +28,8 @@
 	longRunning: boolean;
 	/** The unit's cores come from what other units leave unused. */
 	usesLeftover: boolean;
-	/** Units of a long-running step that may be absent at the same time. */
-	maxAbsent: number;
+	/** Units of a long-running step that the scheduler may keep from work at the same time; `undefined` sets no bound. */
+	maxAbsent: number | undefined;
 }>;
 
 /** Times at which the steps run again. */
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -131,6 +131,9 @@
 /** The same as a share of the estimated run time, for units whose percent changes slowly. */
 export const STALL_SHARE = 0.5;
 
+/** Time without progress after which a unit without end that is not at work yet is started elsewhere. */
+export const ENDLESS_START_MS = 6000;
+
 /** Pause after a planning pass as a multiple of its own time, so that planning takes at most a third of the processor. */
 export const PLAN_PAUSE_RATIO = 2;
 
--- a/packages/scheduler/src/job-run.ts
+++ b/packages/scheduler/src/job-run.ts
@@ -74,6 +74,12 @@
 export const dueMs = ({schedule, acceptedMs}: Job, occurrence: number): number =>
 	schedule ? schedule.firstMs + occurrence * schedule.intervalMs : acceptedMs;
 
+/**
+Age of a part in milliseconds: since its job was due, and for work without end since it stopped running. `nowMs` is steady time, `todayMs` the time of day.
+*/
+export const ageOf = (run: JobRun, part: Part, {nowMs, todayMs}: Readonly<{nowMs: number; todayMs: number}>): number =>
+	stepOf(run, part).longRunning ? nowMs - (part.waitingSinceMs ?? nowMs) : todayMs - dueMs(run.job, part.occurrence);
+
 const createPart = (
 	place: Pick<Part, 'key' | 'occurrence' | 'step' | 'indexes'>,
 	record: PartRecord | undefined,
--- a/packages/scheduler/src/leader.test.ts
+++ b/packages/scheduler/src/leader.test.ts
@@ -246,3 +246,30 @@
 	t.equal(world.store.faults.silentRenewals, 0);
 	t.same(await world.store.get('bergamotgauge/term'), before);
 });
+
+const ENDLESS = {runMs: 3_600_000, how: 'done', startupMs: 1000} as const;
+
+// Guards against units at work being taken for units that stand still, since their percent stays at 100.
+await t.test('a unit without end is left at work', async (t) => {
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], () => ENDLESS);
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1, newStep({count: 3, longRunning: true}));
+	await world.clock.tickAsync(60_000);
+	t.equal([...world.workers.values()].flatMap(({running}) => running()).length, 3);
+	t.same(
+		[0, 1, 2].map((index) => world.startsOf(unitOf(1, index))),
+		[1, 1, 1],
+	);
+});
+
+// Guards against a unit that stays away after it has ended, however old its job is.
+await t.test('a unit without end runs again after each end', async (t) => {
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], () => ({...ENDLESS, runMs: 20_000, how: 'failed'}));
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1, newStep({longRunning: true}));
+	await world.clock.tickAsync(90_000);
+	t.equal(world.startsOf(unitOf(1)), 5);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'active');
+});
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -1,5 +1,6 @@
+import {protectedParts} from './absences.js';
 import {GUARANTEED_RANK, RESTART_MS} from './constants.js';
-import {dueMs, readyParts, stepOf, type JobRun, type Part} from './job-run.js';
+import {ageOf, readyParts, stepOf, type JobRun, type Part} from './job-run.js';
 import {
 	coresOf,
 	expectedObjectiveMs,
@@ -35,8 +36,8 @@
 
 const lossOf = ({run, part, placement}: Placed, nowMs: number): number => {
 	const step = stepOf(run, part);
-	// A unit that saves its progress does so when it is stopped, and loses only the time of the restart.
-	const lostMs = step.checkpoints ? RESTART_MS : nowMs - placement.startedMs;
+	// A unit that saves its progress does so when it is stopped, and one without end has none: they lose the restart.
+	const lostMs = step.checkpoints || step.longRunning ? RESTART_MS : nowMs - placement.startedMs;
 	return lostMs * coresOf(step) * part.indexes.length;
 };
 
@@ -58,7 +59,12 @@
 	return placement.startedMs + totalMs;
 };
 
-const viewPlacement = (state: LeaderState, placed: Placed, nowMs: number, isGuaranteed: boolean): PlanPlacement => {
+const viewPlacement = (
+	{state, nowMs}: PlanViewOptions,
+	placed: Placed,
+	isGuaranteed: boolean,
+	isStoppable: boolean,
+): PlanPlacement => {
 	const {run, part, placement} = placed;
 	return {
 		partId: partIdOf(run, part),
@@ -66,6 +72,7 @@
 		priority: run.job.priority,
 		customer: run.job.customer,
 		isGuaranteed,
+		isStoppable,
 		lossCoreMs: lossOf(placed, nowMs),
 		endMs: expectedEndMs(state, placed, nowMs),
 		// What has ended frees its room without a stop.
@@ -76,6 +83,7 @@
 const viewWorkers = (options: PlanViewOptions, covered: ReadonlySet<JobRun>): readonly PlanWorker[] => {
 	const {state, nowMs, isOrderable} = options;
 	const {placed} = state.index;
+	const kept = protectedParts(state);
 	return [...state.directory.values()].map((worker) => {
 		const record = recordOf(state, worker.id);
 		const here = placed.get(worker.id) ?? [];
@@ -90,7 +98,7 @@
 			free: subtractRoom(worker.capacity, used),
 			isUsable: worker.state === 'ready' && isOrderable(worker.id) && record.pausedUntilMs <= nowMs && !hasStrays,
 			isSuspect: record.suspectUntilMs > nowMs,
-			placements: here.map((one) => viewPlacement(state, one, nowMs, covered.has(one.run))),
+			placements: here.map((one) => viewPlacement(options, one, covered.has(one.run), !kept.has(one.part))),
 		};
 	});
 };
@@ -102,9 +110,9 @@
 const slackOf = (
 	{run, isGuaranteed, objectiveMs}: Expectation,
 	part: Part,
-	{state, todayMs, bounds}: PlanViewOptions,
+	{state, nowMs, todayMs, bounds}: PlanViewOptions,
 ): number => {
-	const ageMs = todayMs - dueMs(run.job, part.occurrence);
+	const ageMs = ageOf(run, part, {nowMs, todayMs});
 	const slackMs = objectiveMs - ageMs - expectedRunMs(state, run, part.step);
 	// Half of the bound is left for stops that are late.
 	return isGuaranteed ? Math.min(slackMs, bounds.reclaimMs / 2 - ageMs) : slackMs;
@@ -115,8 +123,8 @@
 	const {nowMs, todayMs, state} = options;
 	const step = stepOf(run, part);
 	const estimateMs = expectedRunMs(state, run, part.step);
-	const slackMs = slackOf(expectation, part, options);
 	part.waitingSinceMs ??= nowMs;
+	const slackMs = slackOf(expectation, part, options);
 	return {
 		id: partIdOf(run, part),
 		stepId: stepIdOf(run, part),
@@ -135,7 +143,14 @@
 		avoidedWorkers: part.avoided,
 		estimateMs,
 		waitedMs: nowMs - part.waitingSinceMs,
-		rank: rankOf(run, part, {objectiveMs, slackMs, todayMs}) - (isGuaranteed ? GUARANTEED_RANK : 0),
+		rank:
+			rankOf({
+				priority: run.job.priority,
+				objectiveMs,
+				ageMs: ageOf(run, part, {nowMs, todayMs}),
+				slackMs,
+				isEndless: step.longRunning,
+			}) - (isGuaranteed ? GUARANTEED_RANK : 0),
 	};
 };
 
--- a/packages/scheduler/src/plan/evict.ts
+++ b/packages/scheduler/src/plan/evict.ts
@@ -19,6 +19,7 @@
 
 const canGiveWay = (part: PlanPart, placement: PlanPlacement): boolean =>
 	!placement.isStopping &&
+	placement.isStoppable &&
 	(placement.priority > part.priority ||
 		(part.isGuaranteed && !placement.isGuaranteed && placement.customer !== part.customer));
 
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -9,6 +9,8 @@
 	customer: string;
 	/** Holds accelerators that its customer's guarantee covers. */
 	isGuaranteed: boolean;
+	/** May be stopped for other work; false where too many units of its step would be away. */
+	isStoppable: boolean;
 	/** Work of the whole part that a stop would throw away, in core-milliseconds. */
 	lossCoreMs: number;
 	/** Expected end. */
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,6 +1,6 @@
-import {LEAVING_MARGIN_MS, STALL_MIN_MS, STALL_SHARE} from './constants.js';
+import {ENDLESS_START_MS, LEAVING_MARGIN_MS, STALL_MIN_MS, STALL_SHARE} from './constants.js';
 import type {Term} from './election.js';
-import {addDueOccurrences, type JobRun, type Part} from './job-run.js';
+import {addDueOccurrences, stepOf, type JobRun, type Part} from './job-run.js';
 import {expectedRunMs, placedByWorker, recordOf, type LeaderState} from './leader-state.js';
 import {createPlanView, expectedEndMs, partIdOf} from './plan-view.js';
 import {plan} from './plan/plan.js';
@@ -33,10 +33,16 @@
 	const {metrics, bounds, declarations} = context;
 
 	const stopStalled = (run: JobRun, part: Part) => {
-		const limitMs = Math.max(STALL_MIN_MS, expectedRunMs(state, run, part.step) * STALL_SHARE);
+		const {longRunning} = stepOf(run, part);
+		const limitMs = longRunning
+			? ENDLESS_START_MS
+			: Math.max(STALL_MIN_MS, expectedRunMs(state, run, part.step) * STALL_SHARE);
 		const stalled = part.placements.find(
-			({phase, progressMs, workerId}) =>
-				phase === 'running' && now() - progressMs > limitMs && state.links.get(workerId)?.state() === 'synced',
+			({phase, percent, progressMs, workerId}) =>
+				phase === 'running' &&
+				percent < 100 &&
+				now() - progressMs > limitMs &&
+				state.links.get(workerId)?.state() === 'synced',
 		);
 		if (stalled) {
 			noteStall(state, stalled.workerId, now());
--- a/packages/scheduler/src/rank.ts
+++ b/packages/scheduler/src/rank.ts
@@ -1,5 +1,3 @@
-import {dueMs, type JobRun, type Part} from './job-run.js';
-
 /** Work later than this many times its objective counts for nobody any more. */
 const HOPELESS_FACTOR = 3;
 
@@ -12,16 +10,31 @@
 /** Added to the rank of work that is too late to be of use. */
 const HOPELESS_STEP = 1e11;
 
+export type RankInput = Readonly<{
+	/** Priority of the part's job; 0 comes first. */
+	priority: number;
+	/** Time within which the job should complete, in milliseconds. */
+	objectiveMs: number;
+	/** Time since the job was due; for work without end, since the part stopped running. */
+	ageMs: number;
+	/** Time for which the part can still wait; negative when its job will be late. */
+	slackMs: number;
+	/** The part runs until it is stopped. */
+	isEndless: boolean;
+}>;
+
 /**
 Order of service of a part, lower first: by priority, then by the time at which its job should be complete. Under overload that order alone would make all work a little late, so work that will miss its objective (`slackMs` below 0) lets work that can still meet it go first; work that is too late to be of use comes last.
+
+@example
+```ts
+rankOf({priority: 1, objectiveMs: 4000, ageMs: 500, slackMs: 1500, isEndless: false});
+```
 */
-export const rankOf = (
-	run: JobRun,
-	part: Part,
-	{objectiveMs, slackMs, todayMs}: Readonly<{objectiveMs: number; slackMs: number; todayMs: number}>,
-): number => {
-	const ageMs = todayMs - dueMs(run.job, part.occurrence);
-	const isHopeless = ageMs > HOPELESS_FACTOR * objectiveMs;
+export const rankOf = ({priority, objectiveMs, ageMs, slackMs, isEndless}: RankInput): number => {
+	// Work without end earns from the moment at which it runs again, however late that is.
+	const isHopeless = !isEndless && ageMs > HOPELESS_FACTOR * objectiveMs;
+	const isLate = !isEndless && slackMs < 0;
 	const leftMs = objectiveMs - ageMs;
-	return run.job.priority * PRIORITY_STEP + leftMs + (isHopeless ? HOPELESS_STEP : 0) + (slackMs < 0 ? LATE_STEP : 0);
+	return priority * PRIORITY_STEP + leftMs + (isHopeless ? HOPELESS_STEP : 0) + (isLate ? LATE_STEP : 0);
 };
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -3,7 +3,12 @@
 import type {EndedUnit, OrderReply, StartOrder, Worker, WorkerPort} from '../types.js';
 
 /** How units on the worker behave. */
-export type UnitBehaviour = Readonly<{runMs: number; how: RunEnd}>;
+export type UnitBehaviour = Readonly<{
+	runMs: number;
+	how: RunEnd;
+	/** For units without end: time after which the unit is at work. */
+	startupMs?: number;
+}>;
 
 export type WorkerFaults = {
 	/** No order arrives and no answer leaves. */
@@ -29,6 +34,11 @@
 	noted: () => number;
 }>;
 
+const percentOf = ({runMs, startupMs}: UnitBehaviour, ranMs: number): number =>
+	startupMs === undefined
+		? Math.min(99, Math.round((100 * ranMs) / runMs))
+		: Math.min(100, Math.round((100 * ranMs) / startupMs));
+
 /** Creates a worker on the clock of the runtime. */
 export const createModelWorker = (worker: Worker, behave: (unit: string) => UnitBehaviour): ModelWorker => {
 	const runs = new Map<string, Run>();
@@ -202,7 +212,7 @@
 						unit,
 						run,
 						checkpoint: '',
-						percent: Math.min(99, Math.round((100 * (performance.now() - startedMs)) / behaviour.runMs)),
+						percent: percentOf(behaviour, performance.now() - startedMs),
 					})),
 					ended: listEnded(noted),
 				};
--- a/packages/scheduler/src/test/plan-view.ts
+++ b/packages/scheduler/src/test/plan-view.ts
@@ -25,6 +25,7 @@
 	priority: 2,
 	customer: 'other',
 	isGuaranteed: false,
+	isStoppable: true,
 	lossCoreMs: 1000,
 	endMs: 60_000,
 	isStopping: false,
--- a/packages/scheduler/src/test/world.ts
+++ b/packages/scheduler/src/test/world.ts
@@ -53,7 +53,7 @@
 	copies: false,
 	longRunning: false,
 	usesLeftover: false,
-	maxAbsent: 0,
+	maxAbsent: undefined,
 	...change,
 });
 
