Judge units that stand still by reports only

Ruled out: a longer limit, since a pause has no upper bound; excluding workers that have not answered since the pause, which leaves the lost reports. Change: a unit stands still when reports that span the limit show the same percent. The store in memory pauses leases while it is away.

--- a/packages/scheduler/src/absences.test.ts
+++ b/packages/scheduler/src/absences.test.ts
@@ -17,6 +17,7 @@
 	percent,
 	isWhole: true,
 	progressMs: 0,
+	reportedMs: 0,
 });
 
 const newRun = (step: Step): JobRun => {
--- a/packages/scheduler/src/job-run.ts
+++ b/packages/scheduler/src/job-run.ts
@@ -20,6 +20,8 @@
 	readonly isWhole: boolean;
 	/** Time of the last progress that the worker reported. */
 	progressMs: number;
+	/** Time of the last report that lists the run. */
+	reportedMs: number;
 };
 
 /** What runs and ends as one: a unit, or all units of a gang. */
--- a/packages/scheduler/src/leader.test.ts
+++ b/packages/scheduler/src/leader.test.ts
@@ -273,3 +273,21 @@
 	t.equal(world.startsOf(unitOf(1)), 5);
 	t.equal(await scheduler.jobs.state(addressOf(1)), 'active');
 });
+
+// Load: a full pool while the store is away; all of its work was stopped as standing still when the store came back.
+await t.test('work goes on over a pause of the leader', async (t) => {
+	const world = createWorld(t, [newWorker('w1')], () => ({runMs: 20_000, how: 'done'}));
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1, newStep({count: 4}));
+	await world.clock.tickAsync(3000);
+	world.store.faults.isDown = true;
+	await world.clock.tickAsync(4500);
+	world.store.faults.isDown = false;
+	await world.clock.tickAsync(20_000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+	t.same(
+		[0, 1, 2, 3].map((index) => world.startsOf(unitOf(1, index))),
+		[1, 1, 1, 1],
+	);
+});
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -157,6 +157,7 @@
 			percent: row.percent,
 			isWhole: false,
 			progressMs: now(),
+			reportedMs: now(),
 		});
 		part.orderedRun = Math.max(part.orderedRun, row.run);
 		run.hasBegun = true;
@@ -168,6 +169,7 @@
 	const updatePlacement = (part: Part, placement: Placement, row: RunningUnit) => {
 		placement.acceptedMs ??= now();
 		placement.missedReports = 0;
+		placement.reportedMs = now();
 		if (row.percent !== placement.percent) {
 			placement.percent = row.percent;
 			placement.progressMs = now();
@@ -258,6 +260,7 @@
 				percent: 0,
 				isWhole: part.checkpoint === '',
 				progressMs: now(),
+				reportedMs: now(),
 			}));
 			log.info('part-start', {
 				job: run.job.id,
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -38,10 +38,11 @@
 			? ENDLESS_START_MS
 			: Math.max(STALL_MIN_MS, expectedRunMs(state, run, part.step) * STALL_SHARE);
 		const stalled = part.placements.find(
-			({phase, percent, progressMs, workerId}) =>
+			({phase, percent, progressMs, reportedMs, workerId}) =>
 				phase === 'running' &&
 				percent < 100 &&
-				now() - progressMs > limitMs &&
+				// Only reports show that a unit stands still; the time without them shows nothing.
+				reportedMs - progressMs > limitMs &&
 				state.links.get(workerId)?.state() === 'synced',
 		);
 		if (stalled) {
--- a/packages/scheduler/src/test/memory-key-value.ts
+++ b/packages/scheduler/src/test/memory-key-value.ts
@@ -3,7 +3,7 @@
 import Emittery from 'emittery';
 
 export type StoreFaults = {
-	/** Calls fail and nothing is done. */
+	/** Calls fail and nothing is done; leases pause. */
 	isDown: boolean;
 	/** The next transactions are carried out and their answers are lost. */
 	lostAnswers: number;
@@ -92,6 +92,13 @@
 
 	const startTimer = (lease: number, ttlMs: number): NodeJS.Timeout =>
 		setTimeout(() => {
+			const entry = leases.get(lease);
+			if (entry && faults.isDown) {
+				// Leases pause while the store is away.
+				entry.timer = startTimer(lease, ttlMs);
+				return;
+			}
+
 			endLease(lease);
 		}, ttlMs);
 
