--- a/packages/jobs/src/jobs.test.ts
+++ b/packages/jobs/src/jobs.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import type {Job, Step} from './types.js';
+import {newJob, newStep} from './test/fixtures.js';
 import {
 	checkSubmission,
 	decodeJob,
@@ -10,30 +10,10 @@
 	parseUnitName,
 } from './index.js';
 
-const step = (change: Partial<Step> = {}): Step => ({
-	count: 1,
-	cpuMillis: 1000,
-	memoryMb: 100,
-	accelerators: 0,
-	estimateMs: 1000,
-	after: [],
-	gang: false,
-	sameRack: false,
-	requiredLabel: undefined,
-	dataRack: undefined,
-	maxPerWorker: 0,
-	checkpoints: false,
-	copies: false,
-	longRunning: false,
-	usesLeftover: false,
-	maxAbsent: 0,
-	...change,
-});
-
 const submission = (change: Partial<Parameters<typeof checkSubmission>[0]> = {}) => ({
 	id: '5c0e7a21d94b36f8',
 	spec: '',
-	steps: [step()],
+	steps: [newStep()],
 	schedule: undefined,
 	...change,
 });
@@ -53,9 +33,9 @@
 		['id', {id: 'short'}],
 		['bytes', {spec: 'x'.repeat(4001)}],
 		['steps', {steps: []}],
-		['units', {steps: [step({count: 6000})]}],
-		['not an earlier step', {steps: [step({after: [0]})]}],
-		['not an earlier step', {steps: [step(), step({after: [2]}), step()]}],
+		['units', {steps: [newStep({count: 6000})]}],
+		['not an earlier step', {steps: [newStep({after: [0]})]}],
+		['not an earlier step', {steps: [newStep(), newStep({after: [2]}), newStep()]}],
 	] as const;
 	for (const [text, change] of cases) {
 		t.throws(
@@ -71,19 +51,9 @@
 });
 
 await t.test('the objective follows the longest chain', async (t) => {
-	const steps = [step({estimateMs: 500}), step({estimateMs: 3000}), step({estimateMs: 700, after: [0, 1]})];
+	const steps = [newStep({estimateMs: 500}), newStep({estimateMs: 3000}), newStep({estimateMs: 700, after: [0, 1]})];
 	t.equal(longestChainMs(steps), 3700);
-	const job: Job = {
-		...submission({steps}),
-		queue: 'q',
-		service: 's',
-		priority: 0,
-		attempts: 1,
-		stretch: 1.5,
-		targetLatencyMs: 250,
-		customer: 'acme',
-		acceptedMs: 0,
-	};
+	const job = newJob({steps, stretch: 1.5, targetLatencyMs: 250});
 	t.equal(objectiveMs(job), 5800);
 	t.same(decodeJob(encodeJob(job)), job);
 });
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -30,6 +30,10 @@
 	usesLeftover: boolean;
 	/** Units of a long-running step that the scheduler may keep from work at the same time; `undefined` sets no bound. */
 	maxAbsent: number | undefined;
+	/** Name of what the units run; units of one image behave alike. */
+	image: string;
+	/** Bound on the tail of the response times of units that serve users of their own, in milliseconds. */
+	tailTargetMs: number | undefined;
 }>;
 
 /** Times at which the steps run again. */
@@ -43,6 +47,15 @@
 	schedule: Schedule | undefined;
 }>;
 
+/** How the service that decides which workers may run a step answers. */
+export type AdviceTerms = Readonly<{
+	/** Time of each call, and for each worker that it names. */
+	decideMs: number;
+	eachMs: number;
+	/** Time for which a ticket can be used. */
+	validMs: number;
+}>;
+
 /** Terms of the queue that a job was accepted into. */
 export type QueueTerms = Readonly<{
 	queue: string;
@@ -54,6 +67,8 @@
 	/** Factor on the longest chain of work that gives the completion objective. */
 	stretch: number;
 	targetLatencyMs: number;
+	/** Set where units may run only on workers that the advice service approves. */
+	advice: AdviceTerms | undefined;
 }>;
 
 /** An accepted job. */
--- a/packages/model/src/service-error.ts
+++ b/packages/model/src/service-error.ts
@@ -20,6 +20,7 @@
 	| 'store-unavailable'
 	| 'peer-unavailable'
 	| 'worker-failed'
+	| 'advice-failed'
 	| 'stale-token'
 	| 'internal';
 
@@ -53,6 +54,7 @@
 	'store-unavailable': 503,
 	'peer-unavailable': 503,
 	'worker-failed': 502,
+	'advice-failed': 502,
 	'stale-token': 409,
 	internal: 500,
 };
--- a/packages/scheduler/src/absences.test.ts
+++ b/packages/scheduler/src/absences.test.ts
@@ -1,9 +1,9 @@
+import {newJob, newStep} from '@bergamotgauge/jobs/test/fixtures.js';
 import t from 'tap';
-import type {Job, Step} from '@bergamotgauge/jobs';
+import type {Step} from '@bergamotgauge/jobs';
 import {protectedParts} from './absences.js';
 import {createJobRun, type JobRun, type Placement} from './job-run.js';
 import {createLeaderState} from './leader-state.js';
-import {newStep, newSubmission, QUEUE} from './test/world.js';
 
 const place = (percent: number): Placement => ({
 	workerId: 'w',
@@ -18,12 +18,12 @@
 	isWhole: true,
 	progressMs: 0,
 	reportedMs: 0,
+	recentFigure: undefined,
+	pace: 100,
 });
 
 const newRun = (step: Step): JobRun => {
-	const {name: queue, service, attempts, stretch, targetLatencyMs} = QUEUE;
-	const terms = {queue, service, attempts, stretch, targetLatencyMs, priority: 1};
-	const job: Job = {...newSubmission(1, [step]), ...terms, customer: 'acme', acceptedMs: 0};
+	const job = newJob({steps: [step]});
 	return createJobRun({job, progress: undefined, progressRevision: 0, jobRevision: 1, isCancelled: false, nowMs: 0});
 };
 
--- /dev/null
+++ b/packages/scheduler/src/advice-wants.test.ts
@@ -0,0 +1,42 @@
+import t from 'tap';
+import {adviceWants} from './advice-wants.js';
+import {newFullWorker, newPlacement, newPlanPart, newPlanView, newPlanWorker} from './test/plan-view.js';
+import {plan} from './plan/plan.js';
+
+const TERMS = {decideMs: 20, eachMs: 1, validMs: 3000};
+
+const wantsOf = (...view: Parameters<typeof newPlanView>) => adviceWants(newPlanView(...view), () => TERMS);
+
+// Guards against starts on workers that the service has not approved.
+await t.test('a part starts only on a worker that is allowed', async (t) => {
+	const workers = [newPlanWorker('w0'), newPlanWorker('w1')];
+	const start = (allowed: readonly string[]) =>
+		plan(newPlanView(workers, [newPlanPart('a', {allowedWorkers: new Set(allowed)})])).starts;
+	t.same(start([]), []);
+	t.same(start(['w1']), [{partId: 'a', workerIds: ['w1']}]);
+});
+
+// Load: a full pool, in which a question about workers without room would only take time.
+await t.test('workers with room are asked about first', async (t) => {
+	const workers = [newFullWorker('full', [newPlacement('p')]), newPlanWorker('free')];
+	const [want] = wantsOf(workers, [newPlanPart('a', {allowedWorkers: new Set()})]);
+	t.same(want?.workerIds, ['free', 'full']);
+});
+
+await t.test('no question is asked while approved workers have room, or for parts that need none', async (t) => {
+	const workers = [newPlanWorker('w0'), newPlanWorker('w1')];
+	t.same(wantsOf(workers, [newPlanPart('a', {allowedWorkers: new Set(['w1'])})]), []);
+	t.same(wantsOf(workers, [newPlanPart('a')]), []);
+	t.equal(wantsOf(workers, [newPlanPart('a', {members: 2, allowedWorkers: new Set(['w1'])})]).length, 1);
+});
+
+await t.test('steps are asked about by rank', async (t) => {
+	const parts = [
+		newPlanPart('later', {rank: 2, allowedWorkers: new Set()}),
+		newPlanPart('first', {rank: 1, allowedWorkers: new Set()}),
+	];
+	t.same(
+		wantsOf([newPlanWorker('w0')], parts).map(({stepId}) => stepId),
+		['first', 'later'],
+	);
+});
--- /dev/null
+++ b/packages/scheduler/src/advice-wants.ts
@@ -0,0 +1,59 @@
+import type {AdviceTerms} from '@bergamotgauge/jobs';
+import type {AdviceWant} from './advisor.js';
+import {isEligible, isSuitable} from './plan/place-part.js';
+import {fits, shareOf} from './plan/room.js';
+import type {PlanPart, PlanView, PlanWorker} from './plan/types.js';
+
+/** Lower is better: workers with room, near the data, with the most room. */
+const costOf = (part: PlanPart, worker: PlanWorker): number =>
+	(fits(part.need, worker.free) ? 0 : 100) +
+	(worker.isSuspect ? 50 : 0) +
+	(part.dataRack === undefined || part.dataRack === worker.rack ? 0 : 10) -
+	shareOf(worker.free, worker.capacity);
+
+/** Whether the workers approved so far have room for all waiting parts of the step. */
+const hasRoom = (parts: readonly PlanPart[], workers: readonly PlanWorker[]): boolean => {
+	const [part] = parts;
+	if (!part) {
+		return true;
+	}
+
+	const members = parts.reduce((sum, one) => sum + one.members, 0);
+	const ready = workers.filter((worker) => isEligible(part, worker) && fits(part.need, worker.free));
+	return ready.length >= members;
+};
+
+/**
+Steps for which more workers have to be approved before their waiting parts can start, by rank. Workers with room come first, so that one question mostly does.
+
+@example
+```ts
+advisor.setWants(adviceWants(view, termsOf));
+```
+*/
+export const adviceWants = (
+	view: PlanView,
+	termsOf: (partId: string) => AdviceTerms | undefined,
+): readonly AdviceWant[] => {
+	const byStep = new Map<string, PlanPart[]>();
+	for (const part of view.parts.toSorted((a, b) => a.rank - b.rank)) {
+		if (part.allowedWorkers) {
+			byStep.set(part.stepId, [...(byStep.get(part.stepId) ?? []), part]);
+		}
+	}
+
+	const wants: AdviceWant[] = [];
+	for (const [stepId, parts] of byStep) {
+		const part = parts[0]!;
+		const terms = termsOf(part.id);
+		if (terms && !hasRoom(parts, view.workers)) {
+			const workerIds = view.workers
+				.filter((worker) => isSuitable(part, worker))
+				.toSorted((a, b) => costOf(part, a) - costOf(part, b))
+				.map(({id}) => id);
+			wants.push({stepId, terms, workerIds});
+		}
+	}
+
+	return wants;
+};
--- /dev/null
+++ b/packages/scheduler/src/advisor.test.ts
@@ -0,0 +1,121 @@
+import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import t, {type Test} from 'tap';
+import {createAdvisor, type Advisor, type AdviceWant} from './advisor.js';
+import type {Advice} from './types.js';
+
+const VALID_MS = 3000;
+
+const want = (stepId: string, workerIds: readonly string[]): AdviceWant => ({
+	stepId,
+	terms: {decideMs: 20, eachMs: 1, validMs: VALID_MS},
+	workerIds,
+});
+
+type Question = Readonly<{stepId: string; workerIds: readonly string[]}>;
+
+type Fixture = Readonly<{clock: Clock; advisor: Advisor; questions: Question[]; mostAtOnce: () => number}>;
+
+/** An advisor whose service approves workers that begin with `good`; `answer` may replace the answer. */
+const createFixture = (t: Test, answer: (index: number) => Advice | undefined = () => undefined): Fixture => {
+	const clock = FakeTimers.install({now: 1000});
+	const questions: Question[] = [];
+	let open = 0;
+	let mostAtOnce = 0;
+	const advisor = createAdvisor({
+		port: {
+			async ask(stepId, workerIds) {
+				open += 1;
+				mostAtOnce = Math.max(mostAtOnce, open);
+				questions.push({stepId, workerIds});
+				await new Promise((resolve) => {
+					setTimeout(resolve, 50);
+				});
+				open -= 1;
+				const tickets = new Map(
+					workerIds.filter((id) => id.startsWith('good')).map((id) => [id, `${stepId}/${id}`] as const),
+				);
+				return answer(questions.length - 1) ?? {tickets, validMs: VALID_MS};
+			},
+		},
+		log: createSilentLog(),
+		metrics: createMetrics(),
+		now: () => performance.now(),
+		onAdvice() {
+			// The test reads the tickets itself.
+		},
+	});
+	const controller = new AbortController();
+	const running = advisor.run(controller.signal);
+	t.teardown(async () => {
+		controller.abort();
+		await clock.tickAsync(1000);
+		await running;
+		clock.uninstall();
+	});
+	return {clock, advisor, questions, mostAtOnce: () => mostAtOnce};
+};
+
+// Guards against a second question about a worker whose verdict is known, each of which takes the service's time.
+await t.test('a worker is asked about once for each step', async (t) => {
+	const {clock, advisor, questions} = createFixture(t);
+	for (let turn = 0; turn < 10; turn += 1) {
+		advisor.setWants([want('s1', ['good-1', 'bad-1'])]);
+		await clock.tickAsync(100);
+	}
+
+	t.equal(questions.length, 1);
+	t.same([...advisor.allowedWorkers('s1')], ['good-1']);
+	t.equal(advisor.ticketOf('s1', 'good-1'), 's1/good-1');
+	t.equal(advisor.ticketOf('s1', 'bad-1'), undefined);
+	t.equal(advisor.allowedWorkers('s2').size, 0, 'a ticket holds for its step only');
+});
+
+// Guards against starts with a ticket that has run out, which workers refuse.
+await t.test('a ticket that runs out is asked for again, without the workers that were not approved', async (t) => {
+	const {clock, advisor, questions} = createFixture(t);
+	advisor.setWants([want('s1', ['good-1', 'bad-1'])]);
+	await clock.tickAsync(100);
+	await clock.tickAsync(VALID_MS);
+	t.equal(advisor.allowedWorkers('s1').size, 0);
+	advisor.setWants([want('s1', ['good-1', 'bad-1'])]);
+	await clock.tickAsync(100);
+	t.same(questions[1], {stepId: 's1', workerIds: ['good-1']});
+	t.equal(advisor.allowedWorkers('s1').size, 1);
+});
+
+await t.test('a ticket that a worker refuses is asked for again', async (t) => {
+	const {clock, advisor, questions} = createFixture(t);
+	advisor.setWants([want('s1', ['good-1'])]);
+	await clock.tickAsync(100);
+	advisor.dropTicket('s1', 'good-1');
+	t.equal(advisor.allowedWorkers('s1').size, 0);
+	advisor.setWants([want('s1', ['good-1'])]);
+	await clock.tickAsync(100);
+	t.equal(questions.length, 2);
+});
+
+// Load: many steps become ready at the same time, while the service handles one call of an instance at a time.
+await t.test('questions go out one at a time, the most urgent step first', async (t) => {
+	const {clock, advisor, questions, mostAtOnce} = createFixture(t);
+	advisor.setWants([want('urgent', ['good-1']), want('later', ['good-1']), want('last', ['good-2'])]);
+	await clock.tickAsync(500);
+	t.same(
+		questions.map(({stepId}) => stepId),
+		['urgent', 'later', 'last'],
+	);
+	t.equal(mostAtOnce(), 1);
+});
+
+await t.test('a question that fails is asked again', async (t) => {
+	const {clock, advisor} = createFixture(t, (index) => {
+		if (index === 0) {
+			throw new Error('busy');
+		}
+
+		return undefined;
+	});
+	advisor.setWants([want('s1', ['good-1'])]);
+	await clock.tickAsync(1000);
+	t.equal(advisor.allowedWorkers('s1').size, 1);
+});
--- /dev/null
+++ b/packages/scheduler/src/advisor.ts
@@ -0,0 +1,139 @@
+import type {AdviceTerms} from '@bergamotgauge/jobs';
+import {sleep} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import {LRUCache} from 'lru-cache';
+import {ADVICE_GRACE_MS, ADVICE_RETRY_MS, ADVICE_WORKERS, ADVISED_STEPS, TICKET_MARGIN_MS} from './constants.js';
+import type {AdvicePort} from './types.js';
+import {createWaker} from './waker.js';
+
+/** A step that waits for workers on which it may run. */
+export type AdviceWant = Readonly<{
+	stepId: string;
+	terms: AdviceTerms;
+	/** Workers that would do, the best first. */
+	workerIds: readonly string[];
+}>;
+
+type Ticket = Readonly<{ticket: string; untilMs: number}>;
+
+type StepAdvice = {
+	/** Workers that the service was asked about; its verdict on a worker does not change. */
+	readonly asked: Set<string>;
+	/** Newest ticket of each approved worker, valid or not. */
+	readonly approved: Map<string, Ticket>;
+};
+
+/** Asks the advice service which workers may run a step, one call at a time, and keeps its tickets. */
+export type Advisor = Readonly<{
+	/** Replaces the steps to ask about, the most urgent first. */
+	setWants: (wants: readonly AdviceWant[]) => void;
+	/** Workers with a ticket that is still valid. */
+	allowedWorkers: (stepId: string) => ReadonlySet<string>;
+	ticketOf: (stepId: string, workerId: string) => string | undefined;
+	/** A worker has refused the ticket. */
+	dropTicket: (stepId: string, workerId: string) => void;
+	run: (signal: AbortSignal) => Promise<void>;
+}>;
+
+export type AdvisorOptions = Readonly<{
+	port: AdvicePort;
+	log: Log;
+	metrics: Metrics;
+	now: () => number;
+	/** Called when tickets have come. */
+	onAdvice: () => void;
+}>;
+
+const newStepAdvice = (): StepAdvice => ({asked: new Set(), approved: new Map()});
+
+/**
+Creates the advisor of a term.
+
+@example
+```ts
+const advisor = createAdvisor({port, log, metrics, now, onAdvice: waker.wake});
+lifecycle.run('advice', advisor.run);
+advisor.setWants([{stepId: '5c0e7a21d94b36f8.0.1', terms, workerIds: ['i-1', 'i-2']}]);
+```
+*/
+export const createAdvisor = ({port, log, metrics, now, onAdvice}: AdvisorOptions): Advisor => {
+	const steps = new LRUCache<string, StepAdvice>({max: ADVISED_STEPS});
+	const waker = createWaker();
+	let wants: readonly AdviceWant[] = [];
+
+	const isValid = ({untilMs}: Ticket): boolean => untilMs - TICKET_MARGIN_MS > now();
+
+	/** Approved workers whose ticket has run out, then those not asked about yet. */
+	const openQuestions = ({stepId, workerIds}: AdviceWant): readonly string[] => {
+		const {asked, approved} = steps.get(stepId) ?? newStepAdvice();
+		const expired = workerIds.filter((id) => {
+			const ticket = approved.get(id);
+			return ticket && !isValid(ticket);
+		});
+		return [...expired, ...workerIds.filter((id) => !asked.has(id))].slice(0, ADVICE_WORKERS);
+	};
+
+	const ask = async ({stepId, terms}: AdviceWant, workerIds: readonly string[]) => {
+		const sentMs = now();
+		const deadlineMs = terms.decideMs + terms.eachMs * workerIds.length + ADVICE_GRACE_MS;
+		const {tickets, validMs} = await port.ask(stepId, workerIds, deadlineMs);
+		const advice = steps.get(stepId) ?? newStepAdvice();
+		for (const id of workerIds) {
+			const ticket = tickets.get(id);
+			advice.asked.add(id);
+			if (ticket === undefined) {
+				advice.approved.delete(id);
+			} else {
+				// Counted from the sending, since the time of the decision is not known.
+				advice.approved.set(id, {ticket, untilMs: sentMs + validMs});
+			}
+		}
+
+		steps.set(stepId, advice);
+		metrics.observe('advice_milliseconds', now() - sentMs);
+		log.info('advice', {
+			step: stepId,
+			asked: workerIds.length,
+			approved: tickets.size,
+			tookMs: Math.round(now() - sentMs),
+		});
+	};
+
+	return {
+		setWants(next) {
+			wants = next;
+			if (next.length > 0) {
+				waker.wake();
+			}
+		},
+		allowedWorkers: (stepId) =>
+			new Set([...(steps.get(stepId)?.approved ?? [])].filter(([, ticket]) => isValid(ticket)).map(([id]) => id)),
+		ticketOf: (stepId, workerId) => steps.get(stepId)?.approved.get(workerId)?.ticket,
+		dropTicket(stepId, workerId) {
+			const approved = steps.get(stepId)?.approved;
+			const ticket = approved?.get(workerId);
+			if (approved && ticket) {
+				approved.set(workerId, {...ticket, untilMs: now()});
+			}
+		},
+		async run(signal) {
+			while (!signal.aborted) {
+				const want = wants.find((one) => openQuestions(one).length > 0);
+				if (!want) {
+					await waker.wait(signal);
+					continue;
+				}
+
+				try {
+					await ask(want, openQuestions(want));
+					onAdvice();
+				} catch (error) {
+					metrics.count('advice_failures_total');
+					log.info('advice-failed', {step: want.stepId, error: toServiceError(error, 'may-have-run').message});
+					await sleep(ADVICE_RETRY_MS, signal);
+				}
+			}
+		},
+	};
+};
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -162,3 +162,39 @@
 
 /** Runs that this assumption counts for. */
 export const RUN_TIME_PRIOR_RUNS = 3;
+
+/** Workers in one question to the advice service; the objectives of jobs count one question on so many for each step. */
+export const ADVICE_WORKERS = 30;
+
+/** Time beyond its own after which a question to the advice service counts as lost. */
+export const ADVICE_GRACE_MS = 1000;
+
+/** Pause after a question that failed; the service refuses callers while many wait. */
+export const ADVICE_RETRY_MS = 200;
+
+/** Part of a ticket's time that is left for the start to arrive. */
+export const TICKET_MARGIN_MS = 150;
+
+/** Steps of which the tickets are remembered. */
+export const ADVISED_STEPS = 2000;
+
+/** Pace in percent of units that use what others leave when they meet units with users of their own. */
+export const FIRST_PACE = 50;
+
+/** Ratio of a response time to its target from which the pace is lowered; the figures are rough. */
+export const MAX_LOAD = 0.95;
+
+/** Ratio below which the pace rises. */
+export const RAISE_LOAD = 0.75;
+
+/** Percent by which the pace rises at a time. */
+export const PACE_STEP = 10;
+
+/** Time between two changes of a pace; the figures cover the last half second. */
+export const PACE_STEP_MS = 600;
+
+/** Share of the time for which units may be disturbed after which the others stand still. */
+export const PACE_PATIENCE_SHARE = 0.25;
+
+/** Longest wait for a report of a worker on which units disturb each other. */
+export const SHARED_HOLD_WAIT_MS = 500;
--- a/packages/scheduler/src/job-run.test.ts
+++ b/packages/scheduler/src/job-run.test.ts
@@ -1,4 +1,5 @@
-import type {Job, RunEnd} from '@bergamotgauge/jobs';
+import {newJob, newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import type {RunEnd} from '@bergamotgauge/jobs';
 import t from 'tap';
 import {
 	addDueOccurrences,
@@ -10,22 +11,10 @@
 	progressOf,
 	readyParts,
 } from './job-run.js';
-import {newStep, newSubmission, QUEUE} from './test/world.js';
 
-const newJob = (change: Partial<Job> = {}): Job => ({
-	...newSubmission(1, [newStep({count: 2}), newStep({after: [0]})]),
-	queue: QUEUE.name,
-	service: QUEUE.service,
-	priority: 1,
-	attempts: 2,
-	stretch: 3,
-	targetLatencyMs: 1000,
-	customer: 'acme',
-	acceptedMs: 0,
-	...change,
-});
+const TWO_STEPS = [newStep({count: 2}), newStep({after: [0]})];
 
-const newRun = (job = newJob()) =>
+const newRun = (job = newJob({steps: TWO_STEPS})) =>
 	createJobRun({job, progress: undefined, progressRevision: 0, jobRevision: 1, isCancelled: false, nowMs: 0});
 
 type Unit = readonly [step: number, index: number];
--- a/packages/scheduler/src/job-run.ts
+++ b/packages/scheduler/src/job-run.ts
@@ -22,6 +22,10 @@
 	progressMs: number;
 	/** Time of the last report that lists the run. */
 	reportedMs: number;
+	/** Newest figure of the worker about the run; see `RunningUnit`. */
+	recentFigure: number | undefined;
+	/** Share of its speed that was ordered last, in percent; `undefined` where it is not known. */
+	pace: number | undefined;
 };
 
 /** What runs and ends as one: a unit, or all units of a gang. */
--- a/packages/scheduler/src/job-service.test.ts
+++ b/packages/scheduler/src/job-service.test.ts
@@ -1,10 +1,11 @@
+import {newStep, newSubmission} from '@bergamotgauge/jobs/test/fixtures.js';
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import FakeTimers from '@sinonjs/fake-timers';
 import t, {type Test} from 'tap';
 import {createJobService} from './job-service.js';
 import {createStoreHealth, createSuspendClock} from './store-health.js';
 import {createMemoryKeyValue} from './test/memory-key-value.js';
-import {newStep, newSubmission, QUEUE} from './test/world.js';
+import {QUEUE} from './test/world.js';
 
 const createFixture = (t: Test) => {
 	const clock = FakeTimers.install({now: 1_000_000});
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -126,7 +126,7 @@
 	return {
 		async submit({queue, customer, submission}) {
 			checkSubmission(submission);
-			const {name, service, priority, attempts, stretch, targetLatencyMs} = queue;
+			const {name, service, priority, attempts, stretch, targetLatencyMs, advice} = queue;
 			const job: Job = {
 				...submission,
 				queue: name,
@@ -135,6 +135,7 @@
 				attempts,
 				stretch,
 				targetLatencyMs,
+				advice,
 				customer,
 				acceptedMs: Date.now(),
 			};
--- a/packages/scheduler/src/leader.test.ts
+++ b/packages/scheduler/src/leader.test.ts
@@ -1,6 +1,7 @@
+import {newStep, newSubmission} from '@bergamotgauge/jobs/test/fixtures.js';
 import t from 'tap';
 import type {JobService} from './job-service.js';
-import {createWorld, newStep, newSubmission, newWorker, QUEUE} from './test/world.js';
+import {createWorld, newWorker, QUEUE} from './test/world.js';
 
 const submit = async (jobs: JobService, id: number, step = newStep()) =>
 	jobs.submit({queue: QUEUE, customer: 'acme', submission: newSubmission(id, [step])});
@@ -291,3 +292,45 @@
 		[1, 1, 1, 1],
 	);
 });
+
+const ADVICE = {decideMs: 20, eachMs: 1, validMs: 3000};
+
+// Guards against a job of an advised queue that never starts, or starts where the service does not allow it.
+await t.test('a job that needs advice runs on an approved worker', async (t) => {
+	const asked: string[] = [];
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], undefined, {
+		async ask(stepId) {
+			asked.push(stepId);
+			return {tickets: new Map([['w2', 'pass']]), validMs: ADVICE.validMs};
+		},
+	});
+	world.workers.get('w2')!.faults.ticket = 'pass';
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await scheduler.jobs.submit({
+		queue: {...QUEUE, advice: ADVICE},
+		customer: 'acme',
+		submission: newSubmission(1, [newStep({count: 2})]),
+	});
+	await world.clock.tickAsync(3000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+	t.equal(world.workers.get('w2')!.starts.size, 2);
+	t.same(asked, [`${unitOf(1).slice(0, -2)}`], 'one question for the step');
+});
+
+// Guards against units that use what others leave and go on at full speed while users of the others wait.
+await t.test('a unit that disturbs others is slowed until they are well', async (t) => {
+	const world = createWorld(t, [newWorker('w1')], () => ENDLESS);
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1, newStep({longRunning: true, tailTargetMs: 100}));
+	await submit(scheduler.jobs, 2, newStep({longRunning: true, usesLeftover: true, accelerators: 0}));
+	const {paces, tails} = world.workers.get('w1')!;
+	tails.set(unitOf(1), 180);
+	await world.clock.tickAsync(4000);
+	t.equal(paces.get(unitOf(2)), 0);
+	tails.set(unitOf(1), 20);
+	await world.clock.tickAsync(15_000);
+	t.equal(paces.get(unitOf(2)), 100);
+	t.equal(world.startsOf(unitOf(2)), 1, 'a slowed unit does not count as one that stands still');
+});
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -14,12 +14,14 @@
 	WATCH_WAIT_MS,
 } from './constants.js';
 import type {Term} from './election.js';
+import {createAdvisor} from './advisor.js';
 import {cancelRun, createJobRun, type JobRun} from './job-run.js';
 import {createJobTable} from './job-table.js';
 import {JOBS_PREFIX} from './keys.js';
 import {createLeaderState} from './leader-state.js';
 import {publishPendingCounts} from './pending-counts.js';
 import {createPlacements} from './placements.js';
+import {stepIdOf} from './plan-view.js';
 import {createPlanner} from './planner.js';
 import {createProgressWriter} from './progress-writer.js';
 import {removeEndedJobs} from './retention.js';
@@ -73,6 +75,8 @@
 		},
 	});
 
+	const advisor = context.advice && createAdvisor({port: context.advice, log, metrics, now, onAdvice: waker.wake});
+
 	const placements = createPlacements({
 		state,
 		term: term.number,
@@ -83,10 +87,16 @@
 		signal: term.signal,
 		onFreed: waker.wake,
 		onBegun: writer.storeLater,
-		onRefused(workerId, {reason}) {
-			noteRefusal(state, workerId, reason, now());
+		onRefused({run, part, placement: {workerId}}, {reason}) {
+			if (reason === 'no-ticket') {
+				advisor?.dropTicket(stepIdOf(run, part), workerId);
+			} else {
+				noteRefusal(state, workerId, reason, now());
+			}
+
 			waker.wake();
 		},
+		ticketOf: (run, part, workerId) => run.job.advice && advisor?.ticketOf(stepIdOf(run, part), workerId),
 	});
 
 	const ends = createUnitEnds({state, placements, log, metrics, now});
@@ -110,7 +120,7 @@
 		onChanged: waker.wake,
 	});
 
-	const planner = createPlanner({context, term, state, fleet, placements, now});
+	const planner = createPlanner({context, term, state, fleet, placements, advisor, now});
 
 	const storeEnded = async (run: JobRun) => {
 		try {
@@ -238,6 +248,10 @@
 		lifecycle.run('directory', async (signal) => follow(workerPrefix, DIRECTORY_PAUSE_MS, fleet.takeDirectory, signal));
 		lifecycle.run('retention', async (signal) => removeEndedJobs({store, table, term, bounds, log, signal}));
 		lifecycle.run('pending', async (signal) => publishPendingCounts({store, table, term, log, signal}));
+		if (advisor) {
+			lifecycle.run('advice', advisor.run);
+		}
+
 		lifecycle.run('plan', planLoop);
 		await untilEnded();
 	} finally {
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -19,7 +19,9 @@
 	onFreed: () => void;
 	/** Called when the first unit of a job has started. */
 	onBegun: (run: JobRun) => void;
-	onRefused: (workerId: string, result: Extract<StartResult, {outcome: 'refused'}>) => void;
+	onRefused: (placed: Placed, result: Extract<StartResult, {outcome: 'refused'}>) => void;
+	/** Ticket of the advice service for the part on the worker; `undefined` where none is needed. */
+	ticketOf: (run: JobRun, part: Part, workerId: string) => string | undefined;
 }>;
 
 /** Starts and stops units and keeps account of where they are. */
@@ -27,6 +29,8 @@
 	start: (run: JobRun, part: Part, workerIds: readonly string[]) => void;
 	/** Stops all units of a part. */
 	stop: (run: JobRun, part: Part, reason: string) => void;
+	/** Has a unit work at a share of its speed, in percent. */
+	pace: (run: JobRun, part: Part, placement: Placement, percent: number) => void;
 	/** Compares what a worker reports with the account. */
 	reconcile: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
 	/** The life of a worker is over, or its leases are. */
@@ -41,12 +45,12 @@
 
 @example
 ```ts
-const placements = createPlacements({state, term: 3, bounds, log, metrics, now, signal, onFreed, onBegun, onRefused});
+const placements = createPlacements({state, term: 3, bounds, log, metrics, now, signal, onFreed, onBegun, onRefused, ticketOf});
 placements.start(run, part, ['i-1']);
 ```
 */
 export const createPlacements = (options: PlacementsOptions): Placements => {
-	const {state, term, bounds, log, metrics, now, signal, onFreed, onBegun, onRefused} = options;
+	const {state, term, bounds, log, metrics, now, signal, onFreed, onBegun, onRefused, ticketOf} = options;
 
 	const unitOf = (run: JobRun, part: Part, index: number): string =>
 		formatUnitName({jobId: run.job.id, occurrence: part.occurrence, step: part.step, index});
@@ -135,7 +139,7 @@
 		});
 		if (result.outcome === 'refused') {
 			drop(part, placement);
-			onRefused(placement.workerId, result);
+			onRefused({run, part, placement}, result);
 			// The other members of a gang would only wait for this one.
 			stop(run, part, 'gang-incomplete');
 		} else {
@@ -158,6 +162,9 @@
 			isWhole: false,
 			progressMs: now(),
 			reportedMs: now(),
+			recentFigure: row.recentFigure,
+			// An earlier leader may have changed it.
+			pace: undefined,
 		});
 		part.orderedRun = Math.max(part.orderedRun, row.run);
 		run.hasBegun = true;
@@ -170,6 +177,7 @@
 		placement.acceptedMs ??= now();
 		placement.missedReports = 0;
 		placement.reportedMs = now();
+		placement.recentFigure = row.recentFigure;
 		if (row.percent !== placement.percent) {
 			placement.percent = row.percent;
 			placement.progressMs = now();
@@ -243,8 +251,22 @@
 		}
 	};
 
+	const pacePlacement = async (run: JobRun, part: Part, placement: Placement, percent: number) => {
+		const unit = unitOf(run, part, placement.index);
+		placement.pace = percent;
+		const isDone = await state.links.get(placement.workerId)?.pace(unit, placement.run, percent);
+		log.info('unit-pace', {unit, run: placement.run, worker: placement.workerId, percent, isDone: isDone ?? false});
+		if (!isDone && placement.pace === percent) {
+			// The next pass orders it again.
+			placement.pace = undefined;
+		}
+	};
+
 	return {
 		stop,
+		pace(run, part, placement, percent) {
+			void pacePlacement(run, part, placement, percent);
+		},
 		start(run, part, workerIds) {
 			const runNumber = nextRun(part, term);
 			part.orderedRun = runNumber;
@@ -261,6 +283,8 @@
 				isWhole: part.checkpoint === '',
 				progressMs: now(),
 				reportedMs: now(),
+				recentFigure: undefined,
+				pace: 100,
 			}));
 			log.info('part-start', {
 				job: run.job.id,
@@ -276,7 +300,13 @@
 				const unit = unitOf(run, part, placement.index);
 				void (async () => {
 					const result: StartResult = link
-						? await link.start({unit, run: runNumber, spec: run.job.spec, checkpoint})
+						? await link.start({
+								unit,
+								run: runNumber,
+								spec: run.job.spec,
+								checkpoint,
+								ticket: ticketOf(run, part, placement.workerId),
+							})
 						: {outcome: 'refused', reason: 'other-life'};
 					takeStartResult(run, part, placement, result);
 				})();
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -27,12 +27,17 @@
 	isOrderable: (workerId: string) => boolean;
 	/** Whether an earlier run of the part may still be on a worker that has not answered. */
 	isBlocked: (run: JobRun, part: Part) => boolean;
+	/** Whether units with users of their own are short of room on the worker. */
+	isCrowded: (workerId: string) => boolean;
+	/** Workers that the advice service has approved for a step. */
+	allowedWorkers: (stepId: string) => ReadonlySet<string>;
 }>;
 
 /** Identifies a part among all jobs. */
 export const partIdOf = (run: JobRun, part: Part): string => `${run.job.id}.${part.key}`;
 
-const stepIdOf = (run: JobRun, part: Part): string => `${run.job.id}.${part.occurrence}.${part.step}`;
+/** Identifies the step and occurrence of a part among all jobs. */
+export const stepIdOf = (run: JobRun, part: Part): string => `${run.job.id}.${part.occurrence}.${part.step}`;
 
 const lossOf = ({run, part, placement}: Placed, nowMs: number): number => {
 	const step = stepOf(run, part);
@@ -81,7 +86,7 @@
 };
 
 const viewWorkers = (options: PlanViewOptions, covered: ReadonlySet<JobRun>): readonly PlanWorker[] => {
-	const {state, nowMs, isOrderable} = options;
+	const {state, nowMs, isOrderable, isCrowded} = options;
 	const {placed} = state.index;
 	const kept = protectedParts(state);
 	return [...state.directory.values()].map((worker) => {
@@ -98,6 +103,7 @@
 			free: subtractRoom(worker.capacity, used),
 			isUsable: worker.state === 'ready' && isOrderable(worker.id) && record.pausedUntilMs <= nowMs && !hasStrays,
 			isSuspect: record.suspectUntilMs > nowMs,
+			isCrowded: isCrowded(worker.id),
 			placements: here.map((one) => viewPlacement(options, one, covered.has(one.run), !kept.has(one.part))),
 		};
 	});
@@ -120,7 +126,7 @@
 
 const viewPart = (expectation: Expectation, part: Part, options: PlanViewOptions): PlanPart => {
 	const {run, isGuaranteed, objectiveMs} = expectation;
-	const {nowMs, todayMs, state} = options;
+	const {nowMs, todayMs, state, allowedWorkers} = options;
 	const step = stepOf(run, part);
 	const estimateMs = expectedRunMs(state, run, part.step);
 	part.waitingSinceMs ??= nowMs;
@@ -140,7 +146,9 @@
 		requiredLabel: step.requiredLabel,
 		dataRack: step.dataRack,
 		maxPerWorker: step.maxPerWorker,
+		usesLeftover: step.usesLeftover,
 		avoidedWorkers: part.avoided,
+		allowedWorkers: run.job.advice && allowedWorkers(stepIdOf(run, part)),
 		estimateMs,
 		waitedMs: nowMs - part.waitingSinceMs,
 		rank:
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -20,13 +20,16 @@
 	isPoolIdle: boolean;
 }>;
 
-/** Whether the worker could ever run a unit of the part. */
-export const isEligible = (part: PlanPart, worker: PlanWorker): boolean =>
+/** Whether the worker could ever run a unit of the part, if the part is allowed there. */
+export const isSuitable = (part: PlanPart, worker: PlanWorker): boolean =>
 	worker.isUsable &&
 	worker.service === part.service &&
 	(part.requiredLabel === undefined || worker.labels.includes(part.requiredLabel)) &&
 	fits(part.need, worker.capacity);
 
+export const isEligible = (part: PlanPart, worker: PlanWorker): boolean =>
+	(part.allowedWorkers?.has(worker.id) ?? true) && isSuitable(part, worker);
+
 const unitsOf = (part: PlanPart, slot: WorkerSlot, options: PlaceOptions): number =>
 	slot.units.get(part.stepId) ?? options.unitsOnWorker(part.stepId, slot.worker.id);
 
@@ -46,7 +49,7 @@
 	return count;
 };
 
-/** Lower is better: workers without suspicion, near the data, the fullest first. */
+/** Lower is better: workers without suspicion, without users that it would disturb, near the data, the fullest first. */
 const costOf = (part: PlanPart, slot: WorkerSlot, options: PlaceOptions): number => {
 	const {worker} = slot;
 	const isRemote = part.dataRack !== undefined && part.dataRack !== worker.rack;
@@ -54,6 +57,7 @@
 	const left = subtractRoom(slot.free, part.need);
 	return (
 		(isDoubtful ? 100 : 0) +
+		(part.usesLeftover && worker.isCrowded ? 50 : 0) +
 		10 * (isRemote ? options.remoteFactor : 1) +
 		// Filling up the fullest worker keeps others whole for large units.
 		shareOf(left, worker.capacity)
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -30,6 +30,8 @@
 	isUsable: boolean;
 	/** Under suspicion of failing or slow work; used only when no other worker fits. */
 	isSuspect: boolean;
+	/** Units with users of their own are short of room there. */
+	isCrowded: boolean;
 	placements: readonly PlanPlacement[];
 }>;
 
@@ -53,7 +55,11 @@
 	requiredLabel: string | undefined;
 	dataRack: string | undefined;
 	maxPerWorker: number;
+	/** Uses the cores that other units leave. */
+	usesLeftover: boolean;
 	avoidedWorkers: ReadonlySet<string>;
+	/** The only workers on which the part may run; `undefined` allows all. */
+	allowedWorkers: ReadonlySet<string> | undefined;
 	estimateMs: number;
 	waitedMs: number;
 	/** Order of service; lower comes first. */
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,7 +1,10 @@
 import {ENDLESS_START_MS, LEAVING_MARGIN_MS, STALL_MIN_MS, STALL_SHARE} from './constants.js';
+import {adviceWants} from './advice-wants.js';
+import type {Advisor} from './advisor.js';
 import type {Term} from './election.js';
 import {addDueOccurrences, stepOf, type JobRun, type Part} from './job-run.js';
 import {expectedRunMs, placedByWorker, recordOf, type LeaderState} from './leader-state.js';
+import {createPacer} from './pacer.js';
 import {createPlanView, expectedEndMs, partIdOf} from './plan-view.js';
 import {plan} from './plan/plan.js';
 import type {Placements} from './placements.js';
@@ -15,6 +18,8 @@
 	state: LeaderState;
 	fleet: WorkerFleet;
 	placements: Placements;
+	/** `undefined` where the deployment has no advice service. */
+	advisor: Advisor | undefined;
 	now: () => number;
 }>;
 
@@ -29,18 +34,23 @@
 	run.storedChanges === run.changes && [...run.parts.values()].every(({placements}) => placements.length === 0);
 
 /** Creates the planner of a term. */
-export const createPlanner = ({context, term, state, fleet, placements, now}: PlannerOptions): Planner => {
+export const createPlanner = (options: PlannerOptions): Planner => {
+	const {context, term, state, fleet, placements, advisor, now} = options;
 	const {metrics, bounds, declarations} = context;
 
+	const pacer = createPacer({state, placements, bounds, now});
+
 	const stopStalled = (run: JobRun, part: Part) => {
-		const {longRunning} = stepOf(run, part);
+		const {longRunning, usesLeftover} = stepOf(run, part);
 		const limitMs = longRunning
 			? ENDLESS_START_MS
 			: Math.max(STALL_MIN_MS, expectedRunMs(state, run, part.step) * STALL_SHARE);
 		const stalled = part.placements.find(
-			({phase, percent, progressMs, reportedMs, workerId}) =>
+			({phase, percent, progressMs, reportedMs, pace, workerId}) =>
 				phase === 'running' &&
 				percent < 100 &&
+				// A unit that was slowed stands still by order.
+				(pace === 100 || !usesLeftover) &&
 				// Only reports show that a unit stands still; the time without them shows nothing.
 				reportedMs - progressMs > limitMs &&
 				state.links.get(workerId)?.state() === 'synced',
@@ -109,7 +119,10 @@
 				todayMs: Date.now(),
 				isOrderable: fleet.isOrderable,
 				isBlocked,
+				isCrowded: pacer.isCrowded,
+				allowedWorkers: (stepId) => advisor?.allowedWorkers(stepId) ?? new Set(),
 			});
+			advisor?.setWants(adviceWants(view, (partId) => parts.get(partId)?.[0].job.advice));
 			const {starts, evictions} = plan(view);
 			for (const {partId, workerIds} of starts) {
 				const [run, part] = parts.get(partId)!;
@@ -127,6 +140,7 @@
 			}
 
 			state.index.placed = placedByWorker(state);
+			fleet.setShared(pacer.pass());
 			fleet.setInUse(new Set(state.index.placed.keys()));
 			metrics.gauge('parts_waiting', view.parts.length - starts.length);
 			metrics.observe('plan_milliseconds', performance.now() - startedMs);
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -1,3 +1,4 @@
+import {newJob, newStep} from '@bergamotgauge/jobs/test/fixtures.js';
 import {decodeProgress} from '@bergamotgauge/jobs';
 import {createSilentLog} from '@bergamotgauge/telemetry';
 import FakeTimers from '@sinonjs/fake-timers';
@@ -7,7 +8,6 @@
 import {jobKey, LEADER_KEY} from './keys.js';
 import {createProgressWriter} from './progress-writer.js';
 import {createMemoryKeyValue} from './test/memory-key-value.js';
-import {newStep, newSubmission, QUEUE} from './test/world.js';
 
 const createFixture = async (t: Test) => {
 	const clock = FakeTimers.install({now: 1_000_000});
@@ -39,19 +39,8 @@
 			cancelled.push(run);
 		},
 	});
-	const {name: queue, service, priority, attempts, stretch, targetLatencyMs} = QUEUE;
 	const run = createJobRun({
-		job: {
-			...newSubmission(1, [newStep({count: 2})]),
-			queue,
-			service,
-			priority,
-			attempts,
-			stretch,
-			targetLatencyMs,
-			customer: 'acme',
-			acceptedMs: 0,
-		},
+		job: newJob({steps: [newStep({count: 2})]}),
 		progress: undefined,
 		progressRevision: 0,
 		jobRevision: 1,
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -17,6 +17,8 @@
 	delayedStarts: number;
 	/** The next starts are carried out and their answers are lost. */
 	lostAnswers: number;
+	/** Starts need this ticket. */
+	ticket?: string;
 };
 
 type Run = {unit: string; run: number; timer: NodeJS.Timeout; startedMs: number; behaviour: UnitBehaviour};
@@ -30,6 +32,10 @@
 	/** Starts so far, by unit. */
 	starts: ReadonlyMap<string, number>;
 	running: () => ReadonlyArray<Readonly<{unit: string; run: number}>>;
+	/** Shares of their speed at which units were told to work. */
+	paces: ReadonlyMap<string, number>;
+	/** Tail of the response times to report for a unit. */
+	tails: Map<string, number>;
 	/** Ends that the scheduler has taken note of. */
 	noted: () => number;
 }>;
@@ -44,6 +50,8 @@
 	const runs = new Map<string, Run>();
 	const closedRuns = new Map<string, number>();
 	const starts = new Map<string, number>();
+	const paces = new Map<string, number>();
+	const tails = new Map<string, number>();
 	const delayed: StartOrder[] = [];
 	const faults: WorkerFaults = {isCutOff: false, delayedStarts: 0, lostAnswers: 0};
 	const ended: EndedUnit[] = [];
@@ -88,11 +96,15 @@
 		clockMs: clockMs(),
 	});
 
-	const start = ({unit, run, leaseUntilMs: untilMs, token: given}: StartOrder): OrderReply => {
+	const start = ({unit, run, leaseUntilMs: untilMs, token: given, ticket}: StartOrder): OrderReply => {
 		if (isStale(given)) {
 			return refuse('stale-token');
 		}
 
+		if (ticket !== faults.ticket) {
+			return refuse('no-ticket');
+		}
+
 		if (untilMs <= clockMs()) {
 			return refuse('late');
 		}
@@ -148,6 +160,8 @@
 		worker,
 		faults,
 		starts,
+		paces,
+		tails,
 		running: () => [...runs.values()].map(({unit, run}) => ({unit, run})),
 		noted: () => notedSequence,
 		release() {
@@ -189,6 +203,20 @@
 
 				return {outcome: 'accepted', clockMs: clockMs()};
 			},
+			async pace({unit, run, percent, token: given}) {
+				requireWay();
+				if (isStale(given)) {
+					return refuse('stale-token');
+				}
+
+				const found = runs.get(unit);
+				if (found?.run !== run) {
+					return refuse('old-run');
+				}
+
+				paces.set(unit, percent);
+				return {outcome: 'accepted', clockMs: clockMs()};
+			},
 			async hold({token: given, notedSequence: noted, leaseUntilMs: untilMs, waitMs}, signal) {
 				requireWay();
 				if (isStale(given)) {
@@ -212,6 +240,7 @@
 						unit,
 						run,
 						checkpoint: '',
+						recentFigure: tails.get(unit),
 						percent: percentOf(behaviour, performance.now() - startedMs),
 					})),
 					ended: listEnded(noted),
--- a/packages/scheduler/src/test/plan-view.ts
+++ b/packages/scheduler/src/test/plan-view.ts
@@ -10,6 +10,7 @@
 	free: {cpuMillis: 64_000, memoryMb: 64_000, accelerators: 8},
 	isUsable: true,
 	isSuspect: false,
+	isCrowded: false,
 	placements: [],
 	...change,
 });
@@ -48,7 +49,9 @@
 	requiredLabel: undefined,
 	dataRack: undefined,
 	maxPerWorker: 0,
+	usesLeftover: false,
 	avoidedWorkers: new Set(),
+	allowedWorkers: undefined,
 	estimateMs: 2500,
 	waitedMs: 0,
 	rank: 0,
--- a/packages/scheduler/src/test/world.ts
+++ b/packages/scheduler/src/test/world.ts
@@ -1,12 +1,11 @@
 import {Buffer} from 'node:buffer';
-import type {Step, Submission} from '@bergamotgauge/jobs';
 import {createLifecycle, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import type {Test} from 'tap';
 import {startScheduler, type Scheduler} from '../scheduler.js';
 import {createStoreHealth, createSuspendClock} from '../store-health.js';
-import type {Bounds, Declarations, Queue, Worker} from '../types.js';
+import type {AdvicePort, Bounds, Declarations, Queue, Worker} from '../types.js';
 import {createMemoryKeyValue, type MemoryKeyValue} from './memory-key-value.js';
 import {createModelWorker, type ModelWorker, type UnitBehaviour} from './model-worker.js';
 
@@ -18,6 +17,7 @@
 	revocationMs: 5000,
 	reclaimMs: 2900,
 	graceMs: 6000,
+	harmMs: 4000,
 };
 
 export const QUEUE: Queue = {
@@ -27,6 +27,7 @@
 	attempts: 2,
 	stretch: 3,
 	targetLatencyMs: 1000,
+	advice: undefined,
 	isPublic: false,
 };
 
@@ -36,34 +37,6 @@
 	customers: [{name: 'acme', guaranteedAccelerators: 16, priority: 1}],
 };
 
-/** A step of one unit with one accelerator, with changes. */
-export const newStep = (change: Partial<Step> = {}): Step => ({
-	count: 1,
-	cpuMillis: 1000,
-	memoryMb: 100,
-	accelerators: 1,
-	estimateMs: 1000,
-	after: [],
-	gang: false,
-	sameRack: false,
-	requiredLabel: undefined,
-	dataRack: undefined,
-	maxPerWorker: 0,
-	checkpoints: false,
-	copies: false,
-	longRunning: false,
-	usesLeftover: false,
-	maxAbsent: undefined,
-	...change,
-});
-
-export const newSubmission = (id: number, steps: readonly Step[]): Submission => ({
-	id: id.toString(16).padStart(16, '0'),
-	spec: 'spec',
-	steps,
-	schedule: undefined,
-});
-
 export const newWorker = (id: string, change: Partial<Worker> = {}): Worker => ({
 	id,
 	address: `${id}:80`,
@@ -98,6 +71,7 @@
 	t: Test,
 	workers: readonly Worker[],
 	behave: (unit: string) => UnitBehaviour = () => ({runMs: 1000, how: 'done'}),
+	advice?: AdvicePort,
 ): World => {
 	const clock = FakeTimers.install({now: 1_000_000});
 	const store = createMemoryKeyValue();
@@ -160,9 +134,16 @@
 					log: createSilentLog(),
 					metrics: createMetrics(),
 					declarations: () => DECLARATIONS,
+					advice,
 					connectWorker(worker) {
 						const port = models.get(worker.id)!.port();
-						return {start: guard(port.start), stop: guard(port.stop), hold: guard(port.hold), close: port.close};
+						return {
+							start: guard(port.start),
+							stop: guard(port.stop),
+							pace: guard(port.pace),
+							hold: guard(port.hold),
+							close: port.close,
+						};
 					},
 					decodeWorker: (_key, value) => JSON.parse(Buffer.from(value).toString()) as Worker,
 					workerPrefix: WORKER_PREFIX,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -1,4 +1,4 @@
-import type {RunEnd, Submission} from '@bergamotgauge/jobs';
+import type {AdviceTerms, RunEnd, Submission} from '@bergamotgauge/jobs';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import type {KeyValueStore} from '@bergamotgauge/store';
 
@@ -50,10 +50,21 @@
 	leaseUntilMs: number;
 	token: number;
 	checkpoint: string;
+	/** Approval of the advice service for the step on this worker, where its queue needs one. */
+	ticket?: string;
 }>;
 
 /** A run on a worker. */
-export type RunningUnit = Readonly<{unit: string; run: number; checkpoint: string; percent: number}>;
+export type RunningUnit = Readonly<{
+	unit: string;
+	run: number;
+	checkpoint: string;
+	percent: number;
+	/**
+	Rough figure for the last half second: for a unit with users of its own the tail of its response times in milliseconds, for any other the thousandths of a core in use.
+	*/
+	recentFigure?: number | undefined;
+}>;
 
 /** A run that has ended on a worker; `sequence` counts the ends of one life of the worker. */
 export type EndedUnit = Readonly<{sequence: number; unit: string; run: number; how: RunEnd; checkpoint: string}>;
@@ -80,11 +91,25 @@
 export type WorkerPort = Readonly<{
 	start: (order: StartOrder) => Promise<OrderReply>;
 	stop: (order: Readonly<{unit: string; run: number; token: number}>) => Promise<OrderReply>;
+	/** Lets a unit work at a share of its speed, in percent; it keeps its memory. */
+	pace: (order: Readonly<{unit: string; run: number; percent: number; token: number}>) => Promise<OrderReply>;
 	/** Extends the lease and reads what runs and what has ended. */
 	hold: (order: HoldOrder, signal: AbortSignal) => Promise<WorkerReport>;
 	close: () => void;
 }>;
 
+/** Workers that may run a step. */
+export type Advice = Readonly<{
+	/** Tickets for the approved workers, by worker. */
+	tickets: ReadonlyMap<string, string>;
+	validMs: number;
+}>;
+
+/** The service that decides which workers may run a step. */
+export type AdvicePort = Readonly<{
+	ask: (stepId: string, workerIds: readonly string[], deadlineMs: number) => Promise<Advice>;
+}>;
+
 /** A queue as the operators declare it. */
 export type Queue = Readonly<{
 	name: string;
@@ -93,6 +118,8 @@
 	attempts: number;
 	stretch: number;
 	targetLatencyMs: number;
+	/** Set where units may run only on workers that the advice service approves. */
+	advice: AdviceTerms | undefined;
 	/** Calls need no key. */
 	isPublic: boolean;
 }>;
@@ -119,6 +146,8 @@
 	revocationMs: number;
 	reclaimMs: number;
 	graceMs: number;
+	/** Time for which units may be kept over their response target by units that use what others leave. */
+	harmMs: number;
 }>;
 
 export type SchedulerContext = Readonly<{
@@ -132,6 +161,8 @@
 	declarations: () => Declarations | undefined;
 	/** Opens the orders to one life of a worker. */
 	connectWorker: (worker: Worker) => WorkerPort;
+	/** `undefined` where the deployment has no such service. */
+	advice: AdvicePort | undefined;
 	/** Decodes a worker's own report; `undefined` for one that names no usable worker. */
 	decodeWorker: (key: string, value: Uint8Array) => Worker | undefined;
 	/** Prefix of the workers' reports in the store. */
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -1,6 +1,12 @@
 import type {Lifecycle} from '@bergamotgauge/lifecycle';
 import type {KeyChanges} from '@bergamotgauge/store';
-import {CLOCK_RATE_ERROR, DEFAULT_REMAINING_MS, LEASE_EXPIRY_MARGIN_MS} from './constants.js';
+import {
+	CLOCK_RATE_ERROR,
+	DEFAULT_REMAINING_MS,
+	HOLD_WAIT_MS,
+	LEASE_EXPIRY_MARGIN_MS,
+	SHARED_HOLD_WAIT_MS,
+} from './constants.js';
 import type {Term} from './election.js';
 import {LEADER_KEY, ROSTER_KEY} from './keys.js';
 import {allPlaced, recordOf, type LeaderState} from './leader-state.js';
@@ -37,6 +43,8 @@
 	isOrderable: (workerId: string) => boolean;
 	/** Whether a run of an earlier leader may exist on a worker that has not answered yet. */
 	mayHoldRun: (partId: string) => boolean;
+	/** Tells which workers run units that disturb each other, so that their reports come often. */
+	setShared: (workerIds: ReadonlySet<string>) => void;
 	/** Tells which workers have placements, so that their reports are read. */
 	setInUse: (workerIds: ReadonlySet<string>) => void;
 }>;
@@ -72,6 +80,7 @@
 	let rostered: ReadonlyMap<string, RosterEntry> = new Map();
 	let rosterRevision = 0;
 	let inUse: ReadonlySet<string> = new Set();
+	let shared: ReadonlySet<string> = new Set();
 
 	const removeLink = (link: WorkerLink) => {
 		if (state.links.get(link.worker.id) === link) {
@@ -104,6 +113,7 @@
 				onStaleToken() {
 					term.abandon('a worker has seen a newer fencing token');
 				},
+				reportWaitMs: ({worker}) => (shared.has(worker.id) ? SHARED_HOLD_WAIT_MS : HOLD_WAIT_MS),
 				hasWork: (from) => state.strays.has(from.worker.id) || inUse.has(from.worker.id),
 			},
 		});
@@ -254,6 +264,9 @@
 
 			return [...unsynced].some((id) => rostered.get(id)?.partIds?.includes(partId) ?? true);
 		},
+		setShared(workerIds) {
+			shared = workerIds;
+		},
 		setInUse(workerIds) {
 			inUse = workerIds;
 			for (const workerId of workerIds) {
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -38,6 +38,8 @@
 	onGone: (link: WorkerLink, reason: 'other-life' | 'lease-ended') => void;
 	/** The worker has seen a newer fencing token. */
 	onStaleToken: () => void;
+	/** Longest time that the worker may wait for an end before it reports. */
+	reportWaitMs: (link: WorkerLink) => number;
 	/** Whether something may run there. */
 	hasWork: (link: WorkerLink) => boolean;
 }>;
@@ -47,10 +49,12 @@
 	worker: Worker;
 	readonly state: () => WorkerLinkState;
 	readonly start: (
-		order: Readonly<{unit: string; run: number; spec: string; checkpoint: string}>,
+		order: Readonly<{unit: string; run: number; spec: string; checkpoint: string; ticket: string | undefined}>,
 	) => Promise<StartResult>;
 	/** Resolves when the worker has accepted the stop, or its life is over. */
 	readonly stop: (unit: string, run: number) => Promise<boolean>;
+	/** Resolves to whether the worker has taken the order. */
+	readonly pace: (unit: string, run: number, percent: number) => Promise<boolean>;
 	/** Asks again at once instead of waiting for the next turn. */
 	readonly wake: () => void;
 	readonly run: (signal: AbortSignal) => Promise<void>;
@@ -125,7 +129,10 @@
 	};
 
 	/** Repeats an order that got no answer; the worker carries it out once. */
-	const order = async (kind: 'start' | 'stop', send: () => Promise<OrderReply>): Promise<OrderReply | undefined> => {
+	const order = async (
+		kind: 'start' | 'stop' | 'pace',
+		send: () => Promise<OrderReply>,
+	): Promise<OrderReply | undefined> => {
 		for (let attempt = 1; attempt <= ORDER_ATTEMPTS && mayOrder() && !isGone(); attempt += 1) {
 			const sentMs = now();
 			try {
@@ -169,7 +176,7 @@
 			clock.granted(leaseUntilMs);
 		}
 
-		const waitMs = isFirst || state === 'silent' ? 0 : HOLD_WAIT_MS;
+		const waitMs = isFirst || state === 'silent' ? 0 : events.reportWaitMs(link);
 		const report = await withDeadline(
 			waitMs + HOLD_GRACE_MS,
 			async (limit) =>
@@ -243,11 +250,19 @@
 		expiryMs: clock.expiryMs,
 		wake: waker.wake,
 		run,
-		async start({unit, run: runNumber, spec, checkpoint}) {
+		async start({unit, run: runNumber, spec, checkpoint, ticket}) {
 			const reply = await order('start', async () => {
 				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs()) ?? 0;
 				clock.granted(leaseUntilMs);
-				return port.start({unit, run: runNumber, spec, leaseUntilMs, token, checkpoint});
+				return port.start({
+					unit,
+					run: runNumber,
+					spec,
+					leaseUntilMs,
+					token,
+					checkpoint,
+					...(ticket !== undefined && {ticket}),
+				});
 			});
 			if (!reply) {
 				return {outcome: 'unknown'};
@@ -269,6 +284,14 @@
 
 			return reply !== undefined;
 		},
+		async pace(unit, runNumber, percent) {
+			const reply = await order('pace', async () => port.pace({unit, run: runNumber, percent, token}));
+			if (reply?.outcome === 'refused') {
+				judgeRefusal(reply.reason);
+			}
+
+			return reply?.outcome === 'accepted';
+		},
 	};
 	return link;
 };
