--- a/packages/model/src/service-error.ts
+++ b/packages/model/src/service-error.ts
@@ -21,6 +21,7 @@
 	| 'peer-unavailable'
 	| 'worker-failed'
 	| 'advice-failed'
+	| 'machines-unavailable'
 	| 'stale-token'
 	| 'internal';
 
@@ -55,6 +56,7 @@
 	'peer-unavailable': 503,
 	'worker-failed': 502,
 	'advice-failed': 502,
+	'machines-unavailable': 502,
 	'stale-token': 409,
 	internal: 500,
 };
--- a/packages/scheduler/src/absences.test.ts
+++ b/packages/scheduler/src/absences.test.ts
@@ -18,6 +18,7 @@
 	isWhole: true,
 	progressMs: 0,
 	reportedMs: 0,
+	window: undefined,
 	recentFigure: undefined,
 	pace: 100,
 });
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -28,11 +28,13 @@
 /** Added to a hold's wait; a hold that takes longer counts as lost. */
 export const HOLD_GRACE_MS = 1000;
 
-/** Deadline of a start or stop; a worker on the same site answers in a few milliseconds. */
-export const ORDER_DEADLINE_MS = 500;
+/**
+Deadlines of the tries of a start, stop or pace, which the worker carries out once. A worker on the same site answers in a few milliseconds, and the other members of a gang wait meanwhile; later tries leave room for a busy processor.
+*/
+export const ORDER_DEADLINES_MS = [200, 400, 600] as const;
 
-/** Times that an unanswered order is sent before the worker counts as silent. */
-export const ORDER_ATTEMPTS = 3;
+/** Deadline of a look at the progress of a worker's units. */
+export const LOOK_DEADLINE_MS = 500;
 
 /** Pause before a worker that does not answer is asked again. */
 export const WORKER_RETRY_MS = 100;
@@ -101,6 +103,9 @@
 /** Time for which a worker that refused a start gets no other. */
 export const REFUSAL_PAUSE_MS = 200;
 
+/** Work later than this many times its objective counts for nobody any more. */
+export const HOPELESS_FACTOR = 3;
+
 /** Cores that an accelerator counts for where work of different shapes is compared. */
 export const ACCELERATOR_CORES = 8;
 
@@ -198,3 +203,46 @@
 
 /** Longest wait for a report of a worker on which units disturb each other. */
 export const SHARED_HOLD_WAIT_MS = 500;
+
+/** Length of the window in which the speed of a run is judged. */
+export const PROGRESS_WINDOW_MS = 1500;
+
+/** Shortest window that tells a speed: a tenth of it is a late report. */
+export const MIN_WINDOW_MS = 600;
+
+/** Time by which a report may be newer than another that it is compared with. */
+export const REPORT_SPREAD_MS = 300;
+
+/** Run time against the expected one from which a unit is slow; units of a step differ by a fifth or so. */
+export const SLOW_RATIO = 2.5;
+
+/** Ratio up to which a unit shows that its worker is sound. */
+export const SOUND_RATIO = 1.5;
+
+/** Jobs whose units have to be slow on a worker where only estimates, which are often off, are there to compare with. */
+export const SLOW_JOBS_LIMIT = 2;
+
+/** Time for which a worker that was found slow gets work only when no other fits; doubles each time in a row.
+As long as a typical run, since a shorter one only tries the worker again while it is still slow. */
+export const SLOW_SUSPICION_MS = 6000;
+
+/** Times that a part is moved off slow workers; where all seem slow, moving helps nothing. */
+export const MAX_SLOW_RESTARTS = 2;
+
+/** Work is moved where the time to go is this many times that of a new start; a slow worker may recover. */
+export const RESTART_GAIN = 1.5;
+
+/** Time after its expected end from which a unit is asked about: the report that lists its end may be lost. */
+export const OVERDUE_MS = 400;
+
+/** Longest expected run for which a worker is asked about progress between its reports, which come every two seconds. */
+export const LOOK_RUN_MS = 5000;
+
+/** Pause between two looks at the machines while a wave of upkeep is under way. */
+export const UPKEEP_LOOK_MS = 700;
+
+/** Part of a machine's turn in a wave that is left for the calls around its upkeep. */
+export const UPKEEP_MARGIN_MS = 1500;
+
+/** Longest wait of the watch on waves, which have seconds to begin. */
+export const WAVE_WATCH_WAIT_MS = 5000;
--- a/packages/scheduler/src/job-run.ts
+++ b/packages/scheduler/src/job-run.ts
@@ -1,5 +1,6 @@
 import {partKey, type Job, type PartRecord, type Progress, type RunEnd, type Step} from '@bergamotgauge/jobs';
 import {RUNS_PER_TERM} from './constants.js';
+import type {ProgressWindow} from './progress-window.js';
 
 /** One run of a unit on a worker. */
 export type Placement = {
@@ -20,6 +21,8 @@
 	readonly isWhole: boolean;
 	/** Time of the last progress that the worker reported. */
 	progressMs: number;
+	/** Recent progress; `undefined` before the first report of a run that resumed or was taken over. */
+	window: ProgressWindow | undefined;
 	/** Time of the last report that lists the run. */
 	reportedMs: number;
 	/** Newest figure of the worker about the run; see `RunningUnit`. */
@@ -50,6 +53,8 @@
 	waitingSinceMs: number | undefined;
 	/** Workers on which the part failed or stood still. */
 	avoided: Set<string>;
+	/** Times that the part was moved off slow workers. */
+	slowRestarts: number;
 	/** Set while an earlier leader's run may still exist on a worker that has not answered. */
 	blockedUntilMs: number;
 };
@@ -101,6 +106,7 @@
 	placements: [],
 	waitingSinceMs: undefined,
 	avoided: new Set(),
+	slowRestarts: 0,
 	blockedUntilMs: 0,
 });
 
--- a/packages/scheduler/src/keys.ts
+++ b/packages/scheduler/src/keys.ts
@@ -17,6 +17,9 @@
 /** Jobs by queue of which no unit has started, as the leader last counted them. */
 export const PENDING_KEY = `${ROOT_PREFIX}pending`;
 
+/** What the leader has ordered for a wave of upkeep. */
+export const waveKey = (wave: number): string => `${ROOT_PREFIX}waves/${wave}`;
+
 /** Prefix of all records of a job. */
 export const jobPrefix = (id: string): string => `${JOBS_PREFIX}${id}/`;
 
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -15,6 +15,10 @@
 	pausedUntilMs: number;
 	/** Times in a row that it was put under suspicion; lengthens the next one. */
 	suspicions: number;
+	/** Time until which the worker counts as slow. */
+	slowUntilMs: number;
+	/** Times in a row that it was found slow. */
+	slowTimes: number;
 	/** Time until which a worker that leaves is sure to stay. */
 	staysUntilMs: number | undefined;
 };
@@ -31,6 +35,8 @@
 	runTimes: RunTimes;
 	/** Placements by worker as of the last planning pass; some may have ended since. */
 	index: {placed: ReadonlyMap<string, readonly Placed[]>};
+	/** Workers that are emptied for the upkeep of their machines, with the steady time by which they should be empty. */
+	emptying: {untilByWorker: ReadonlyMap<string, number>};
 }>;
 
 export const createLeaderState = (): LeaderState => ({
@@ -41,6 +47,7 @@
 	strays: new Map(),
 	runTimes: createRunTimes(),
 	index: {placed: new Map()},
+	emptying: {untilByWorker: new Map()},
 });
 
 /** The record of a worker, created on first use. */
@@ -52,6 +59,8 @@
 			suspectUntilMs: 0,
 			pausedUntilMs: 0,
 			suspicions: 0,
+			slowUntilMs: 0,
+			slowTimes: 0,
 			staysUntilMs: undefined,
 		};
 		state.records.set(workerId, record);
--- a/packages/scheduler/src/leader.test.ts
+++ b/packages/scheduler/src/leader.test.ts
@@ -1,6 +1,7 @@
 import {newStep, newSubmission} from '@bergamotgauge/jobs/test/fixtures.js';
 import t from 'tap';
 import type {JobService} from './job-service.js';
+import type {AdvicePort} from './types.js';
 import {createWorld, newWorker, QUEUE} from './test/world.js';
 
 const submit = async (jobs: JobService, id: number, step = newStep()) =>
@@ -298,12 +299,13 @@
 // Guards against a job of an advised queue that never starts, or starts where the service does not allow it.
 await t.test('a job that needs advice runs on an approved worker', async (t) => {
 	const asked: string[] = [];
-	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], undefined, {
+	const advice: AdvicePort = {
 		async ask(stepId) {
 			asked.push(stepId);
 			return {tickets: new Map([['w2', 'pass']]), validMs: ADVICE.validMs};
 		},
-	});
+	};
+	const world = createWorld(t, [newWorker('w1'), newWorker('w2')], undefined, {advice});
 	world.workers.get('w2')!.faults.ticket = 'pass';
 	const {scheduler} = world.startInstance('one');
 	await world.clock.tickAsync(500);
@@ -334,3 +336,24 @@
 	t.equal(paces.get(unitOf(2)), 100);
 	t.equal(world.startsOf(unitOf(2)), 1, 'a slowed unit does not count as one that stands still');
 });
+
+// Load: a tenth of the workers turns slow while each urgent gang spans several of them, so that most gangs wait for one.
+await t.test('work moves off a worker that has turned slow, and new work avoids it', async (t) => {
+	const world = createWorld(
+		t,
+		['w1', 'w2', 'w3', 'w4'].map((id) => newWorker(id)),
+		() => ({
+			runMs: 4000,
+			how: 'done',
+		}),
+	);
+	world.workers.get('w1')!.faults.slowness = 6;
+	const {scheduler} = world.startInstance('one');
+	await world.clock.tickAsync(500);
+	await submit(scheduler.jobs, 1, newStep({count: 3, maxPerWorker: 1, estimateMs: 4000}));
+	await world.clock.tickAsync(3000);
+	await submit(scheduler.jobs, 2, newStep({count: 4, estimateMs: 4000}));
+	await world.clock.tickAsync(5000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+	t.equal(world.workers.get('w1')!.starts.size, 1);
+});
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -21,7 +21,9 @@
 import {createLeaderState} from './leader-state.js';
 import {publishPendingCounts} from './pending-counts.js';
 import {createPlacements} from './placements.js';
-import {stepIdOf} from './plan-view.js';
+import {lossOf, stepIdOf} from './plan-view.js';
+import {runWaves} from './upkeep/run-waves.js';
+import {protectedParts} from './absences.js';
 import {createPlanner} from './planner.js';
 import {createProgressWriter} from './progress-writer.js';
 import {removeEndedJobs} from './retention.js';
@@ -111,6 +113,10 @@
 			placements.reconcile(link, running, sentMs);
 			waker.wake();
 		},
+		onProgress(link, running) {
+			placements.noteProgress(link, running);
+			waker.wake();
+		},
 		async onEnds(link, ended) {
 			const changed = new Set(ended.map((end) => ends.take(link, end)).filter((run) => run !== undefined));
 			waker.wake();
@@ -252,6 +258,33 @@
 			lifecycle.run('advice', advisor.run);
 		}
 
+		const {machines} = context;
+		if (machines) {
+			lifecycle.run('waves', async (signal) =>
+				runWaves({
+					port: machines,
+					records: context.waves,
+					store,
+					term,
+					log,
+					metrics,
+					now,
+					upkeepMs: () => bounds.upkeepMs,
+					lossOf: ({workerId = ''}) =>
+						(state.index.placed.get(workerId) ?? []).reduce((sum, placed) => sum + lossOf(placed, now()), 0),
+					isProtected({workerId = ''}) {
+						const kept = protectedParts(state);
+						return (state.index.placed.get(workerId) ?? []).some(({part}) => kept.has(part));
+					},
+					setEmptying(untilByWorker) {
+						state.emptying.untilByWorker = untilByWorker;
+						waker.wake();
+					},
+					signal,
+				}),
+			);
+		}
+
 		lifecycle.run('plan', planLoop);
 		await untilEnded();
 	} finally {
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -3,6 +3,7 @@
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {GANG_END_MS, STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
 import {nextRun, partOf, stepOf, type JobRun, type Part, type Placement} from './job-run.js';
+import {extendWindow, openWindow} from './progress-window.js';
 import {allPlaced, coresOf, type LeaderState, type Placed} from './leader-state.js';
 import type {Bounds, RunningUnit} from './types.js';
 import type {StartResult, WorkerLink} from './worker-link.js';
@@ -33,6 +34,8 @@
 	pace: (run: JobRun, part: Part, placement: Placement, percent: number) => void;
 	/** Compares what a worker reports with the account. */
 	reconcile: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	/** Takes note of progress only; what is missing from the rows means nothing. */
+	noteProgress: (link: WorkerLink, running: readonly RunningUnit[]) => void;
 	/** The life of a worker is over, or its leases are. */
 	dropWorker: (workerId: string) => void;
 }>;
@@ -162,6 +165,7 @@
 			isWhole: false,
 			progressMs: now(),
 			reportedMs: now(),
+			window: openWindow({atMs: now(), percent: row.percent}),
 			recentFigure: row.recentFigure,
 			// An earlier leader may have changed it.
 			pace: undefined,
@@ -176,6 +180,8 @@
 	const updatePlacement = (part: Part, placement: Placement, row: RunningUnit) => {
 		placement.acceptedMs ??= now();
 		placement.missedReports = 0;
+		const point = {atMs: now(), percent: row.percent};
+		placement.window = placement.window ? extendWindow(placement.window, point) : openWindow(point);
 		placement.reportedMs = now();
 		placement.recentFigure = row.recentFigure;
 		if (row.percent !== placement.percent) {
@@ -283,6 +289,7 @@
 				isWhole: part.checkpoint === '',
 				progressMs: now(),
 				reportedMs: now(),
+				window: part.checkpoint === '' ? openWindow({atMs: now(), percent: 0}) : undefined,
 				recentFigure: undefined,
 				pace: 100,
 			}));
@@ -312,6 +319,15 @@
 				})();
 			}
 		},
+		noteProgress(link, running) {
+			for (const {run, part, placement} of state.index.placed.get(link.worker.id) ?? []) {
+				const unit = unitOf(run, part, placement.index);
+				const row = running.find((one) => one.unit === unit && one.run === placement.run);
+				if (row && part.placements.includes(placement)) {
+					updatePlacement(part, placement, row);
+				}
+			}
+		},
 		reconcile(link, running, sentMs) {
 			state.strays.delete(link.worker.id);
 			const listed = new Set<Placement>();
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -39,7 +39,8 @@
 /** Identifies the step and occurrence of a part among all jobs. */
 export const stepIdOf = (run: JobRun, part: Part): string => `${run.job.id}.${part.occurrence}.${part.step}`;
 
-const lossOf = ({run, part, placement}: Placed, nowMs: number): number => {
+/** Work of a run that a stop would throw away, in core-milliseconds. */
+export const lossOf = ({run, part, placement}: Placed, nowMs: number): number => {
 	const step = stepOf(run, part);
 	// A unit that saves its progress does so when it is stopped, and one without end has none: they lose the restart.
 	const lostMs = step.checkpoints || step.longRunning ? RESTART_MS : nowMs - placement.startedMs;
@@ -101,8 +102,13 @@
 			labels: worker.labels,
 			capacity: worker.capacity,
 			free: subtractRoom(worker.capacity, used),
-			isUsable: worker.state === 'ready' && isOrderable(worker.id) && record.pausedUntilMs <= nowMs && !hasStrays,
-			isSuspect: record.suspectUntilMs > nowMs,
+			isUsable:
+				worker.state === 'ready' &&
+				isOrderable(worker.id) &&
+				record.pausedUntilMs <= nowMs &&
+				!hasStrays &&
+				!state.emptying.untilByWorker.has(worker.id),
+			isSuspect: Math.max(record.suspectUntilMs, record.slowUntilMs) > nowMs,
 			isCrowded: isCrowded(worker.id),
 			placements: here.map((one) => viewPlacement(options, one, covered.has(one.run), !kept.has(one.part))),
 		};
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,4 +1,5 @@
 import {ENDLESS_START_MS, LEAVING_MARGIN_MS, STALL_MIN_MS, STALL_SHARE} from './constants.js';
+import {protectedParts} from './absences.js';
 import {adviceWants} from './advice-wants.js';
 import type {Advisor} from './advisor.js';
 import type {Term} from './election.js';
@@ -8,6 +9,7 @@
 import {createPlanView, expectedEndMs, partIdOf} from './plan-view.js';
 import {plan} from './plan/plan.js';
 import type {Placements} from './placements.js';
+import {createSlowWorkers} from './slow-workers.js';
 import type {SchedulerContext} from './types.js';
 import {noteStall} from './worker-evidence.js';
 import type {WorkerFleet} from './worker-fleet.js';
@@ -38,6 +40,7 @@
 	const {context, term, state, fleet, placements, advisor, now} = options;
 	const {metrics, bounds, declarations} = context;
 
+	const slowWorkers = createSlowWorkers({state, placements, log: context.log, now});
 	const pacer = createPacer({state, placements, bounds, now});
 
 	const stopStalled = (run: JobRun, part: Part) => {
@@ -62,20 +65,29 @@
 		}
 	};
 
-	/** Moves work off workers that leave before it would end. */
+	/** Stops what would not end on the worker by the limit, so that it runs elsewhere. */
+	const moveOff = (workerId: string, limitMs: number, reason: string, kept: ReadonlySet<Part>) => {
+		for (const placed of state.index.placed.get(workerId) ?? []) {
+			const {run, part, placement} = placed;
+			if (placement.phase === 'running' && !kept.has(part) && expectedEndMs(state, placed, now()) > limitMs) {
+				placements.stop(run, part, reason);
+			}
+		}
+	};
+
+	/** Moves work off workers that leave, or whose machines go down, before it would end. */
 	const evacuate = () => {
 		for (const worker of state.directory.values()) {
 			const {staysUntilMs} = recordOf(state, worker.id);
-			if (worker.state !== 'draining' || staysUntilMs === undefined) {
-				continue;
+			if (worker.state === 'draining' && staysUntilMs !== undefined) {
+				moveOff(worker.id, Math.max(staysUntilMs, now()) - LEAVING_MARGIN_MS, 'worker-leaves', new Set());
 			}
+		}
 
-			const limitMs = Math.max(staysUntilMs, now()) - LEAVING_MARGIN_MS;
-			for (const placed of state.index.placed.get(worker.id) ?? []) {
-				if (placed.placement.phase === 'running' && expectedEndMs(state, placed, now()) > limitMs) {
-					placements.stop(placed.run, placed.part, 'worker-leaves');
-				}
-			}
+		const {untilByWorker} = state.emptying;
+		const kept = untilByWorker.size > 0 ? protectedParts(state) : new Set<Part>();
+		for (const [workerId, untilMs] of untilByWorker) {
+			moveOff(workerId, untilMs - LEAVING_MARGIN_MS, 'upkeep', kept);
 		}
 	};
 
@@ -111,6 +123,7 @@
 			const {parts, nextDueMs} = collectParts();
 			state.index.placed = placedByWorker(state);
 			evacuate();
+			slowWorkers.pass();
 			const view = createPlanView({
 				state,
 				declarations: declarations(),
--- a/packages/scheduler/src/rank.ts
+++ b/packages/scheduler/src/rank.ts
@@ -1,5 +1,4 @@
-/** Work later than this many times its objective counts for nobody any more. */
-const HOPELESS_FACTOR = 3;
+import {HOPELESS_FACTOR} from './constants.js';
 
 /** Steps between the ranks of two priorities; larger than any time within a day, in milliseconds. */
 const PRIORITY_STEP = 1e9;
--- /dev/null
+++ b/packages/scheduler/src/slow-units.test.ts
@@ -0,0 +1,103 @@
+import {newJob, newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import t from 'tap';
+import {createJobRun, partOf, type JobRun, type Placement} from './job-run.js';
+import {createLeaderState, type LeaderState} from './leader-state.js';
+import {extendWindow, openWindow, wholeRunMs} from './progress-window.js';
+import {isSlowWorker, unitSpeed, type UnitSpeed} from './slow-units.js';
+
+const place = (workerId: string, index: number, percent: number, atMs: number): Placement => ({
+	workerId,
+	index,
+	run: 1,
+	phase: 'running',
+	startedMs: 0,
+	acceptedMs: 0,
+	stopAcceptedMs: undefined,
+	missedReports: 0,
+	percent,
+	isWhole: true,
+	progressMs: atMs,
+	reportedMs: atMs,
+	window: {base: {atMs: 0, percent: 0}, newest: {atMs, percent}},
+	recentFigure: undefined,
+	pace: 100,
+});
+
+/** A gang with one unit on each worker at the percentages, as of one second after the start. */
+const newGang = (percents: readonly number[], estimateMs: number): Readonly<{state: LeaderState; run: JobRun}> => {
+	const job = newJob({steps: [newStep({count: percents.length, gang: true, estimateMs})]});
+	const run = createJobRun({
+		job,
+		progress: undefined,
+		progressRevision: 0,
+		jobRevision: 1,
+		isCancelled: false,
+		nowMs: 0,
+	});
+	const part = partOf(run, 0, 0, 0)!;
+	part.placements = percents.map((percent, index) => place(`w${index}`, index, percent, 1000));
+	const state = createLeaderState();
+	state.runs.set(job.id, run);
+	return {state, run};
+};
+
+const speedOf = ({state, run}: ReturnType<typeof newGang>, index: number): UnitSpeed | undefined => {
+	const part = partOf(run, 0, 0, 0)!;
+	return unitSpeed(state, {run, part, placement: part.placements[index]!});
+};
+
+const speed = (ratio: number, isCompared = false): UnitSpeed => ({ratio, expectedMs: 2500, isCompared});
+
+await t.test('the speed of a run comes from its recent reports', async (t) => {
+	let window = openWindow({atMs: 0, percent: 0});
+	for (let atMs = 500; atMs <= 5000; atMs += 500) {
+		// Slow for three seconds, then at full speed.
+		window = extendWindow(window, {atMs, percent: atMs <= 3000 ? atMs / 500 : 6 + (atMs - 3000) / 40});
+	}
+
+	t.ok(wholeRunMs(window) < 4500, 'the slow time at the start is forgotten');
+});
+
+// Load: urgent gangs over several workers, of which one in ten runs many times slower than the rest.
+await t.test('a unit is compared with the others of its step', async (t) => {
+	const gang = newGang([40, 42, 5], 60_000);
+	t.ok(speedOf(gang, 2)!.ratio > 5);
+	t.ok(speedOf(gang, 2)!.isCompared);
+	t.ok(speedOf(gang, 0)!.ratio < 1.5, 'a wrong estimate does not make the others slow');
+});
+
+// Guards against a gang that is slow as a whole, since its members wait for each other, being blamed on its workers.
+await t.test('units that are slow together are not slow against each other', async (t) => {
+	t.ok(speedOf(newGang([3, 3, 3], 1000), 0)!.ratio < 1.5);
+});
+
+await t.test('a unit without others like it is compared with what was estimated', async (t) => {
+	t.match(speedOf(newGang([4], 4000), 0), {isCompared: false});
+	t.ok(speedOf(newGang([4], 4000), 0)!.ratio > 4);
+});
+
+await t.test('a worker is slow by one comparison, by two estimates, and not beside a sound unit', async (t) => {
+	t.equal(isSlowWorker([{jobId: 'a', speed: speed(4, true)}]), true);
+	t.equal(isSlowWorker([{jobId: 'a', speed: speed(4)}]), false, 'one estimate may be wrong');
+	t.equal(
+		isSlowWorker([
+			{jobId: 'a', speed: speed(4)},
+			{jobId: 'a', speed: speed(4)},
+		]),
+		false,
+	);
+	t.equal(
+		isSlowWorker([
+			{jobId: 'a', speed: speed(4)},
+			{jobId: 'b', speed: speed(3)},
+		]),
+		true,
+	);
+	t.equal(
+		isSlowWorker([
+			{jobId: 'a', speed: speed(4, true)},
+			{jobId: 'b', speed: speed(1.1)},
+		]),
+		false,
+	);
+});
--- /dev/null
+++ b/packages/scheduler/src/slow-units.ts
@@ -0,0 +1,93 @@
+import {MIN_WINDOW_MS, REPORT_SPREAD_MS, SLOW_JOBS_LIMIT, SLOW_RATIO, SOUND_RATIO} from './constants.js';
+import {stepOf, type JobRun, type Part, type Placement} from './job-run.js';
+import {expectedRunMs, type LeaderState, type Placed} from './leader-state.js';
+import {wholeRunMs} from './progress-window.js';
+
+/** Whether the run has shown enough progress reports to judge its speed. */
+const isMeasured = ({phase, window, percent, pace}: Placement): boolean =>
+	phase === 'running' &&
+	(pace ?? 100) === 100 &&
+	percent < 100 &&
+	window !== undefined &&
+	window.newest.atMs - window.base.atMs >= MIN_WINDOW_MS;
+
+/** Time that the run's own progress gives for a whole run; the time until the report for one that has ended its work. */
+const shownRunMs = (placement: Placement): number | undefined => {
+	if (placement.percent >= 100) {
+		return placement.isWhole ? placement.progressMs - placement.startedMs : undefined;
+	}
+
+	return isMeasured(placement) && placement.window ? wholeRunMs(placement.window) : undefined;
+};
+
+/**
+What a unit of the step takes on other workers, judged by the faster quarter of them; `undefined` when none shows it. A gang begins when its last member is there, so only reports of about the same time compare.
+*/
+const siblingRunMs = (run: JobRun, {step, occurrence}: Part, {workerId, reportedMs}: Placement): number | undefined => {
+	const times: number[] = [];
+	for (const part of run.parts.values()) {
+		if (part.step === step && part.occurrence === occurrence) {
+			for (const placement of part.placements) {
+				const isLike = placement.workerId !== workerId && placement.reportedMs - reportedMs < REPORT_SPREAD_MS;
+				const shownMs = isLike ? shownRunMs(placement) : undefined;
+				if (shownMs !== undefined) {
+					times.push(shownMs);
+				}
+			}
+		}
+	}
+
+	times.sort((a, b) => a - b);
+	return times[Math.floor(times.length / 4)] ?? run.stepTimes.get(step);
+};
+
+/** Speed of one run against what is expected of it. */
+export type UnitSpeed = Readonly<{
+	/** How many times longer than expected the run takes. */
+	ratio: number;
+	/** Expected time of a whole run on a sound worker, in milliseconds. */
+	expectedMs: number;
+	/** Whether the expectation comes from units of the same step, which are alike, and not from an estimate. */
+	isCompared: boolean;
+}>;
+
+/**
+Speed of a run; `undefined` while its progress does not tell. A unit away from its data is slower for that reason and tells nothing about its worker.
+
+@example
+```ts
+unitSpeed(state, {run, part, placement})?.ratio; // 4 on a worker that is four times slower
+```
+*/
+export const unitSpeed = (state: LeaderState, {run, part, placement}: Placed): UnitSpeed | undefined => {
+	const {longRunning, dataRack} = stepOf(run, part);
+	const isRemote = dataRack !== undefined && state.directory.get(placement.workerId)?.rack !== dataRack;
+	if (longRunning || isRemote || !isMeasured(placement) || !placement.window) {
+		return undefined;
+	}
+
+	const comparedMs = siblingRunMs(run, part, placement);
+	const expectedMs = comparedMs ?? expectedRunMs(state, run, part.step);
+	return {
+		ratio: wholeRunMs(placement.window) / Math.max(1, expectedMs),
+		expectedMs,
+		isCompared: comparedMs !== undefined,
+	};
+};
+
+/**
+Whether a worker is slow, judged by the speeds of what runs there: one unit that is far slower than its like elsewhere, or units of two jobs far over their estimates, and none at its expected speed.
+
+@example
+```ts
+isSlowWorker([{jobId: 'a', speed: {ratio: 4, expectedMs: 2500, isCompared: true}}]); // true
+```
+*/
+export const isSlowWorker = (units: ReadonlyArray<Readonly<{jobId: string; speed: UnitSpeed}>>): boolean => {
+	if (units.some(({speed}) => speed.ratio < SOUND_RATIO)) {
+		return false;
+	}
+
+	const slow = units.filter(({speed}) => speed.ratio >= SLOW_RATIO);
+	return slow.some(({speed}) => speed.isCompared) || new Set(slow.map(({jobId}) => jobId)).size >= SLOW_JOBS_LIMIT;
+};
--- /dev/null
+++ b/packages/scheduler/src/test/model-machines.ts
@@ -0,0 +1,88 @@
+import {ServiceError} from '@bergamotgauge/model';
+import type {Machine, MachinePort} from '../upkeep/types.js';
+
+export type MachineFaults = {
+	/** The next orders get no answer and are carried out after this time. */
+	late: number[];
+};
+
+/** Machines that keep the rules of fencing tokens and repeated orders. */
+export type ModelMachines = Readonly<{
+	port: MachinePort;
+	faults: MachineFaults;
+	/** Upkeeps that have begun, in order. */
+	begun: readonly string[];
+	/** Most machines that were down for upkeep at the same time. */
+	mostDown: () => number;
+	remove: (machineId: string) => void;
+}>;
+
+/** Creates machines on the clock of the runtime, each with a worker `w-ID`. */
+export const createModelMachines = (ids: readonly string[], upkeepMs: number): ModelMachines => {
+	const machines = new Map<string, Machine>(
+		ids.map((id) => [id, {id, pool: 'matching', state: 'up', workerId: `w-${id}`} as const]),
+	);
+	const tokens = new Map<string, number>();
+	const done = new Set<string>();
+	const begun: string[] = [];
+	const faults: MachineFaults = {late: []};
+	let mostDown = 0;
+
+	const countDown = () => [...machines.values()].filter(({state}) => state === 'upkeep').length;
+
+	const begin = (id: string) => {
+		const machine = machines.get(id)!;
+		machines.set(id, {...machine, state: 'upkeep', workerId: undefined});
+		begun.push(id);
+		mostDown = Math.max(mostDown, countDown());
+		setTimeout(() => {
+			done.add(id);
+			machines.set(id, {...machine, workerId: `${machine.workerId}-next`});
+		}, upkeepMs);
+	};
+
+	const maintain: MachinePort['maintain'] = async ({machineId, token}) => {
+		const machine = machines.get(machineId);
+		if (!machine) {
+			return 'no-such-machine';
+		}
+
+		if (token < (tokens.get(machineId) ?? 0)) {
+			return 'stale-token';
+		}
+
+		tokens.set(machineId, token);
+		if (done.has(machineId) || machine.state === 'upkeep') {
+			return 'accepted';
+		}
+
+		begin(machineId);
+		return 'accepted';
+	};
+
+	return {
+		faults,
+		begun,
+		mostDown: () => mostDown,
+		remove(machineId) {
+			machines.delete(machineId);
+		},
+		port: {
+			list: async () => [...machines.values()],
+			async maintain(order) {
+				const lateMs = faults.late.shift();
+				if (lateMs === undefined) {
+					return maintain(order);
+				}
+
+				setTimeout(() => {
+					void maintain(order);
+				}, lateMs);
+				throw new ServiceError('no answer', {code: 'machines-unavailable', verdict: 'may-have-run'});
+			},
+			async move() {
+				throw new Error('the model moves no machines');
+			},
+		},
+	};
+};
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -17,6 +17,8 @@
 	delayedStarts: number;
 	/** The next starts are carried out and their answers are lost. */
 	lostAnswers: number;
+	/** Runs that start take this many times as long. */
+	slowness: number;
 	/** Starts need this ticket. */
 	ticket?: string;
 };
@@ -53,7 +55,7 @@
 	const paces = new Map<string, number>();
 	const tails = new Map<string, number>();
 	const delayed: StartOrder[] = [];
-	const faults: WorkerFaults = {isCutOff: false, delayedStarts: 0, lostAnswers: 0};
+	const faults: WorkerFaults = {isCutOff: false, delayedStarts: 0, lostAnswers: 0, slowness: 1};
 	const ended: EndedUnit[] = [];
 	const waiting = new Set<() => void>();
 	let sequence = 0;
@@ -118,7 +120,8 @@
 			return refuse('old-run');
 		}
 
-		const behaviour = behave(unit);
+		const usual = behave(unit);
+		const behaviour = {...usual, runMs: usual.runMs * faults.slowness};
 		const started: Run = {
 			unit,
 			run,
--- a/packages/scheduler/src/test/world.ts
+++ b/packages/scheduler/src/test/world.ts
@@ -6,6 +6,7 @@
 import {startScheduler, type Scheduler} from '../scheduler.js';
 import {createStoreHealth, createSuspendClock} from '../store-health.js';
 import type {AdvicePort, Bounds, Declarations, Queue, Worker} from '../types.js';
+import type {MachinePort, Wave, WaveRecords, WaveState} from '../upkeep/types.js';
 import {createMemoryKeyValue, type MemoryKeyValue} from './memory-key-value.js';
 import {createModelWorker, type ModelWorker, type UnitBehaviour} from './model-worker.js';
 
@@ -18,6 +19,7 @@
 	reclaimMs: 2900,
 	graceMs: 6000,
 	harmMs: 4000,
+	upkeepMs: 2000,
 };
 
 export const QUEUE: Queue = {
@@ -50,6 +52,16 @@
 	...change,
 });
 
+const WAVE_PREFIX = 'waves/';
+
+const WAVE_RECORDS: WaveRecords = {
+	prefix: WAVE_PREFIX,
+	decode: (_key, value) => JSON.parse(Buffer.from(value).toString()) as Wave,
+	stateKey: (wave) => `wave-states/${wave}`,
+	encodeState: (state) => Buffer.from(state),
+	decodeState: (value) => Buffer.from(value).toString() as WaveState,
+};
+
 export type Instance = Readonly<{scheduler: Scheduler; lifecycle: Lifecycle; die: () => void}>;
 
 /** A store and workers that several instances share. */
@@ -71,7 +83,7 @@
 	t: Test,
 	workers: readonly Worker[],
 	behave: (unit: string) => UnitBehaviour = () => ({runMs: 1000, how: 'done'}),
-	advice?: AdvicePort,
+	{advice, machines}: Readonly<{advice?: AdvicePort; machines?: MachinePort}> = {},
 ): World => {
 	const clock = FakeTimers.install({now: 1_000_000});
 	const store = createMemoryKeyValue();
@@ -135,6 +147,8 @@
 					metrics: createMetrics(),
 					declarations: () => DECLARATIONS,
 					advice,
+					machines,
+					waves: WAVE_RECORDS,
 					connectWorker(worker) {
 						const port = models.get(worker.id)!.port();
 						return {
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -1,6 +1,7 @@
 import type {AdviceTerms, RunEnd, Submission} from '@bergamotgauge/jobs';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import type {KeyValueStore} from '@bergamotgauge/store';
+import type {MachinePort, WaveRecords} from './upkeep/types.js';
 
 /** Room on a worker, or what a unit needs of it. */
 export type Room = Readonly<{cpuMillis: number; memoryMb: number; accelerators: number}>;
@@ -148,6 +149,8 @@
 	graceMs: number;
 	/** Time for which units may be kept over their response target by units that use what others leave. */
 	harmMs: number;
+	/** Time that the upkeep of a machine takes. */
+	upkeepMs: number;
 }>;
 
 export type SchedulerContext = Readonly<{
@@ -163,6 +166,9 @@
 	connectWorker: (worker: Worker) => WorkerPort;
 	/** `undefined` where the deployment has no such service. */
 	advice: AdvicePort | undefined;
+	/** Orders about the workers' machines; `undefined` where the deployment takes none. */
+	machines: MachinePort | undefined;
+	waves: WaveRecords;
 	/** Decodes a worker's own report; `undefined` for one that names no usable worker. */
 	decodeWorker: (key: string, value: Uint8Array) => Worker | undefined;
 	/** Prefix of the workers' reports in the store. */
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -4,7 +4,7 @@
 import {expectedObjectiveMs, type LeaderState} from './leader-state.js';
 import type {Placements} from './placements.js';
 import type {EndedUnit} from './types.js';
-import {noteFailure, noteSuccess} from './worker-evidence.js';
+import {isSlow, noteFailure, noteSuccess} from './worker-evidence.js';
 import type {WorkerLink} from './worker-link.js';
 
 export type UnitEndsOptions = Readonly<{
@@ -65,7 +65,8 @@
 			noteFailure(state, end.workerId, run.job.id, now());
 		} else if (end.how === 'done') {
 			noteSuccess(state, end.workerId);
-			if (effect === 'counted' && placement?.isWhole && ranMs !== undefined) {
+			const isTypical = placement?.isWhole && !isSlow(state, end.workerId, now());
+			if (effect === 'counted' && isTypical && ranMs !== undefined) {
 				state.runTimes.observe(run.job.queue, stepOf(run, part).estimateMs, ranMs);
 				run.stepTimes.set(part.step, ranMs);
 			}
--- /dev/null
+++ b/packages/scheduler/src/upkeep/run-waves.test.ts
@@ -0,0 +1,135 @@
+import {Buffer} from 'node:buffer';
+import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import t, {type Test} from 'tap';
+import {LEADER_KEY} from '../keys.js';
+import {createMemoryKeyValue, type MemoryKeyValue} from '../test/memory-key-value.js';
+import {createModelMachines, type ModelMachines} from '../test/model-machines.js';
+import {runWaves} from './run-waves.js';
+import type {Wave, WaveState} from './types.js';
+
+const UPKEEP_MS = 2000;
+
+const WAVE: Wave = {number: 1, machineIds: ['a', 'b', 'c', 'd', 'e'], durationMs: 30_000, maxDown: 2};
+
+type Fixture = Readonly<{
+	clock: Clock;
+	store: MemoryKeyValue;
+	machines: ModelMachines;
+	/** Starts a leader with the term; the result ends it. */
+	lead: (term: number) => Promise<() => void>;
+	state: () => Promise<string | undefined>;
+}>;
+
+const createFixture = async (t: Test): Promise<Fixture> => {
+	const clock = FakeTimers.install({now: 1_000_000});
+	const store = createMemoryKeyValue();
+	const machines = createModelMachines(WAVE.machineIds, UPKEEP_MS);
+	store.put(`waves/${WAVE.number}`, Buffer.from(JSON.stringify(WAVE)));
+	const running: Array<Promise<void>> = [];
+	const controllers: AbortController[] = [];
+	t.teardown(async () => {
+		for (const controller of controllers) {
+			controller.abort();
+		}
+
+		await clock.tickAsync(10_000);
+		await Promise.all(running);
+		clock.uninstall();
+	});
+	return {
+		clock,
+		store,
+		machines,
+		async lead(number) {
+			const controller = new AbortController();
+			controllers.push(controller);
+			store.put(LEADER_KEY, Buffer.from(String(number)));
+			const leader = await store.get(LEADER_KEY);
+			running.push(
+				runWaves({
+					port: machines.port,
+					records: {
+						prefix: 'waves/',
+						decode: (_key, value) => JSON.parse(Buffer.from(value).toString()) as Wave,
+						stateKey: (wave) => `states/${wave}`,
+						encodeState: (state) => Buffer.from(state),
+						decodeState: (value) => Buffer.from(value).toString() as WaveState,
+					},
+					store,
+					term: {
+						number,
+						leaderRevision: leader!.revision,
+						isValid: () => !controller.signal.aborted,
+						abandon() {
+							controller.abort();
+						},
+						signal: controller.signal,
+					},
+					log: createSilentLog(),
+					metrics: createMetrics(),
+					now: () => performance.now(),
+					upkeepMs: () => UPKEEP_MS,
+					lossOf: () => 0,
+					isProtected: () => false,
+					setEmptying() {
+						// The machines of the model run no work.
+					},
+					signal: controller.signal,
+				}),
+			);
+			return () => {
+				controller.abort();
+			};
+		},
+		async state() {
+			const item = await store.get(`states/${WAVE.number}`);
+			return item && Buffer.from(item.value).toString();
+		},
+	};
+};
+
+await t.test('a wave takes each machine down once and is then completed', async (t) => {
+	const {clock, machines, lead, state} = await createFixture(t);
+	await lead(1);
+	await clock.tickAsync(1000);
+	t.equal(await state(), 'active');
+	await clock.tickAsync(20_000);
+	t.same(machines.begun.toSorted(), WAVE.machineIds);
+	t.equal(machines.mostDown(), WAVE.maxDown);
+	t.equal(await state(), 'completed');
+});
+
+// Guards against an order that is carried out after it was given up, beside the machines ordered in its place.
+await t.test('an order without an answer counts as carried out until it is settled', async (t) => {
+	const {clock, machines, lead, state} = await createFixture(t);
+	machines.faults.late.push(6000, 4000, 5000);
+	await lead(1);
+	await clock.tickAsync(30_000);
+	t.ok(machines.mostDown() <= WAVE.maxDown);
+	t.same(machines.begun.toSorted(), WAVE.machineIds);
+	t.equal(await state(), 'completed');
+});
+
+// Guards against a new leader that does not know what the one before has ordered.
+await t.test('a new leader goes on with the wave', async (t) => {
+	const {clock, machines, lead, state} = await createFixture(t);
+	machines.faults.late.push(3000);
+	const end = await lead(1);
+	await clock.tickAsync(2500);
+	end();
+	await lead(2);
+	await clock.tickAsync(25_000);
+	t.ok(machines.mostDown() <= WAVE.maxDown);
+	t.same(machines.begun.toSorted(), WAVE.machineIds);
+	t.equal(await state(), 'completed');
+});
+
+await t.test('a machine that is taken away for good holds nothing up', async (t) => {
+	const {clock, machines, lead, state} = await createFixture(t);
+	machines.remove('c');
+	await lead(1);
+	await clock.tickAsync(20_000);
+	t.same(machines.begun.toSorted(), ['a', 'b', 'd', 'e']);
+	t.equal(await state(), 'completed');
+});
--- /dev/null
+++ b/packages/scheduler/src/upkeep/run-waves.ts
@@ -0,0 +1,273 @@
+import {sleep} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
+import {runKeyWatch, type KeyChanges, type KeyValueStore} from '@bergamotgauge/store';
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import {
+	UPKEEP_LOOK_MS,
+	WATCH_PAUSE_MS,
+	WATCH_RETRY_MAX_MS,
+	WATCH_RETRY_MIN_MS,
+	WAVE_WATCH_WAIT_MS,
+} from '../constants.js';
+import type {Term} from '../election.js';
+import {LEADER_KEY, waveKey} from '../keys.js';
+import {createWaker} from '../waker.js';
+import {planWave} from './plan-wave.js';
+import type {Machine, MachinePort, Wave, WaveRecord, WaveRecords, WaveState} from './types.js';
+
+export type WavesOptions = Readonly<{
+	port: MachinePort;
+	records: WaveRecords;
+	store: KeyValueStore;
+	term: Term;
+	log: Log;
+	metrics: Metrics;
+	now: () => number;
+	/** Time that one upkeep takes. */
+	upkeepMs: () => number;
+	lossOf: (machine: Machine) => number;
+	isProtected: (machine: Machine) => boolean;
+	/** Workers that get no new work, and from which work moves that would not end by the given steady time. */
+	setEmptying: (untilByWorker: ReadonlyMap<string, number>) => void;
+	signal: AbortSignal;
+}>;
+
+type ActiveWave = {
+	readonly wave: Wave;
+	record: WaveRecord;
+	/** Revision of the stored record; 0 before it is stored. */
+	revision: number;
+	/** Machines being emptied, with the time by which their upkeep should begin. */
+	emptying: ReadonlyMap<string, number>;
+	/** Machines whose upkeep was accepted, with the time of the answer. */
+	readonly acceptedMs: Map<string, number>;
+	isCompleted: boolean;
+};
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/**
+Carries out the operators' waves of upkeep until the signal aborts. An upkeep is recorded before it is ordered, so that a later leader counts it as down and orders it again first, which does nothing to a machine that has had it.
+
+@example
+```ts
+lifecycle.run('waves', async (signal) => runWaves({...options, signal}));
+```
+*/
+export const runWaves = async (options: WavesOptions): Promise<void> => {
+	const {port, records, store, term, log, metrics, now, lossOf, isProtected, setEmptying, signal} = options;
+	const waves = new Map<number, ActiveWave>();
+	const waker = createWaker();
+
+	const writeState = async (wave: Wave, state: WaveState) => {
+		await store.transact({
+			expected: [{key: LEADER_KEY, revision: term.leaderRevision}],
+			writes: [{key: records.stateKey(wave.number), value: records.encodeState(state)}],
+		});
+		log.info('wave-state', {wave: wave.number, state});
+	};
+
+	/** Stores the record; a conflict means that another instance leads or that an earlier write was carried out late. */
+	const storeRecord = async (active: ActiveWave, record: WaveRecord): Promise<boolean> => {
+		const key = waveKey(active.wave.number);
+		const result = await store.transact({
+			expected: [
+				{key: LEADER_KEY, revision: term.leaderRevision},
+				{key, revision: active.revision},
+			],
+			writes: [{key, value: encoder.encode(JSON.stringify(record))}],
+		});
+		if (result.outcome === 'applied') {
+			active.record = record;
+			active.revision = result.revision;
+			return true;
+		}
+
+		const current = result.outcome === 'conflict' ? result.current : [];
+		if (current.find((item) => item.key === LEADER_KEY)?.revision !== term.leaderRevision) {
+			term.abandon('another instance leads');
+		}
+
+		active.revision = current.find((item) => item.key === key)?.revision ?? 0;
+		return false;
+	};
+
+	const takeUp = async (wave: Wave) => {
+		const [item, state] = await Promise.all([
+			store.get(waveKey(wave.number)),
+			store.get(records.stateKey(wave.number)),
+		]);
+		const isCompleted = state !== undefined && records.decodeState(state.value) === 'completed';
+		const record = item
+			? (JSON.parse(decoder.decode(item.value)) as WaveRecord)
+			: {startedMs: Date.now(), ordered: [], done: []};
+		waves.set(wave.number, {
+			wave,
+			record,
+			revision: item?.revision ?? 0,
+			emptying: new Map(),
+			acceptedMs: new Map(),
+			isCompleted,
+		});
+		if (!isCompleted) {
+			log.info('wave-taken-up', {wave: wave.number, machines: wave.machineIds.length, maxDown: wave.maxDown});
+			if (!state) {
+				await writeState(wave, 'active');
+			}
+		}
+	};
+
+	const waiting = new Map<number, Wave>();
+	const takeChanges = (changes: KeyChanges) => {
+		for (const {key, value} of changes.items) {
+			const wave = records.decode(key, value);
+			if (wave && !waves.has(wave.number)) {
+				waiting.set(wave.number, wave);
+			}
+		}
+
+		waker.wake();
+	};
+
+	const markDone = async (active: ActiveWave, machineId: string) => {
+		const {record} = active;
+		const ordered = record.ordered.filter((id) => id !== machineId);
+		await storeRecord(active, {...record, ordered, done: [...new Set([...record.done, machineId])]});
+	};
+
+	const order = async (active: ActiveWave, machineId: string) => {
+		if (!term.isValid()) {
+			return;
+		}
+
+		const {wave} = active;
+		const reply = await port.maintain({machineId, wave: wave.number, token: term.number});
+		metrics.count('upkeep_orders_total', {reply});
+		log.info('upkeep-order', {wave: wave.number, machine: machineId, reply, term: term.number});
+		switch (reply) {
+			case 'accepted': {
+				active.acceptedMs.set(machineId, now());
+				break;
+			}
+
+			case 'stale-token': {
+				term.abandon('a newer leader has ordered an upkeep');
+				break;
+			}
+
+			case 'no-such-machine':
+			case 'not-in-wave': {
+				await markDone(active, machineId);
+				break;
+			}
+
+			case 'busy':
+			case 'limited': {
+				// The next step orders it again.
+				break;
+			}
+		}
+	};
+
+	/** Machines that are up again after their upkeep was accepted. */
+	const settle = async (active: ActiveWave, machines: ReadonlyMap<string, Machine>, listedMs: number) => {
+		for (const machineId of active.record.ordered) {
+			const acceptedMs = active.acceptedMs.get(machineId);
+			const machine = machines.get(machineId);
+			const isBack = acceptedMs !== undefined && machine?.state === 'up' && listedMs > acceptedMs;
+			if (isBack || !machine) {
+				await markDone(active, machineId);
+			} else if (acceptedMs === undefined) {
+				await order(active, machineId);
+			}
+		}
+	};
+
+	const advance = async (active: ActiveWave, machines: ReadonlyMap<string, Machine>, listedMs: number) => {
+		await settle(active, machines, listedMs);
+		const {empty, begin, isCompleted} = planWave({
+			wave: active.wave,
+			record: active.record,
+			machines,
+			emptying: active.emptying,
+			lossOf,
+			isProtected,
+			nowMs: now(),
+			todayMs: Date.now(),
+			upkeepMs: options.upkeepMs(),
+		});
+		active.emptying = empty;
+		for (const machineId of begin) {
+			const {record} = active;
+			if (await storeRecord(active, {...record, ordered: [...record.ordered, machineId]})) {
+				await order(active, machineId);
+			}
+		}
+
+		if (isCompleted) {
+			await writeState(active.wave, 'completed');
+			active.isCompleted = true;
+		}
+	};
+
+	const publishEmptying = (machines: ReadonlyMap<string, Machine>) => {
+		const untilByWorker = new Map<string, number>();
+		for (const {emptying, isCompleted} of waves.values()) {
+			for (const [machineId, untilMs] of isCompleted ? [] : emptying) {
+				const workerId = machines.get(machineId)?.workerId;
+				if (workerId !== undefined) {
+					untilByWorker.set(workerId, untilMs);
+				}
+			}
+		}
+
+		setEmptying(untilByWorker);
+	};
+
+	const step = async () => {
+		for (const [number, wave] of waiting) {
+			await takeUp(wave);
+			waiting.delete(number);
+		}
+
+		const active = [...waves.values()].filter(({isCompleted}) => !isCompleted);
+		if (active.length === 0 || !term.isValid()) {
+			return;
+		}
+
+		const listedMs = now();
+		const listed = await port.list();
+		const machines = new Map(listed.map((machine) => [machine.id, machine]));
+		for (const one of active) {
+			await advance(one, machines, listedMs);
+		}
+
+		publishEmptying(machines);
+	};
+
+	const following = runKeyWatch({
+		store,
+		prefix: records.prefix,
+		waitMs: WAVE_WATCH_WAIT_MS,
+		pauseMs: WATCH_PAUSE_MS,
+		retryMinMs: WATCH_RETRY_MIN_MS,
+		retryMaxMs: WATCH_RETRY_MAX_MS,
+		onChanges: takeChanges,
+		now,
+		signal,
+	});
+	while (!signal.aborted) {
+		try {
+			await step();
+		} catch (error) {
+			log.warn('wave-step-failed', {error: toServiceError(error, 'may-have-run').message});
+			await sleep(UPKEEP_LOOK_MS, signal);
+		}
+
+		const isBusy = waiting.size > 0 || [...waves.values()].some(({isCompleted}) => !isCompleted);
+		await waker.wait(signal, isBusy ? UPKEEP_LOOK_MS : undefined);
+	}
+
+	await following;
+};
--- a/packages/scheduler/src/worker-evidence.ts
+++ b/packages/scheduler/src/worker-evidence.ts
@@ -1,4 +1,10 @@
-import {FAILED_JOBS_LIMIT, REFUSAL_PAUSE_MS, SUSPICION_MAX_MS, SUSPICION_MIN_MS} from './constants.js';
+import {
+	FAILED_JOBS_LIMIT,
+	REFUSAL_PAUSE_MS,
+	SLOW_SUSPICION_MS,
+	SUSPICION_MAX_MS,
+	SUSPICION_MIN_MS,
+} from './constants.js';
 import {recordOf, type LeaderState, type WorkerRecord} from './leader-state.js';
 import type {StartRefusal} from './types.js';
 
@@ -39,3 +45,24 @@
 		suspect(record, nowMs);
 	}
 };
+
+/** Units on the worker take far longer than elsewhere. Called again while they do, which keeps up the suspicion. */
+export const noteSlow = (state: LeaderState, workerId: string, nowMs: number): void => {
+	const record = recordOf(state, workerId);
+	if (record.slowUntilMs <= nowMs) {
+		record.slowTimes += 1;
+	}
+
+	const lengthMs = Math.min(SUSPICION_MAX_MS, SLOW_SUSPICION_MS * 2 ** (record.slowTimes - 1));
+	record.slowUntilMs = nowMs + lengthMs;
+};
+
+/** Units on the worker run at their expected speed. */
+export const noteSound = (state: LeaderState, workerId: string): void => {
+	const record = recordOf(state, workerId);
+	record.slowUntilMs = 0;
+	record.slowTimes = 0;
+};
+
+export const isSlow = (state: LeaderState, workerId: string, nowMs: number): boolean =>
+	recordOf(state, workerId).slowUntilMs > nowMs;
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -22,6 +22,8 @@
 	now: () => number;
 	/** Called with all that runs on a worker. */
 	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	/** Called with the progress of what runs on a worker. */
+	onProgress: (link: WorkerLink, running: readonly RunningUnit[]) => void;
 	/** Called with new ends; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when nothing runs on a worker any more. */
@@ -64,12 +66,12 @@
 
 @example
 ```ts
-const fleet = createWorkerFleet({context, term, state, lifecycle, now, onReport, onEnds, onGone, onChanged});
+const fleet = createWorkerFleet({context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onChanged});
 await fleet.openRoster();
 ```
 */
 export const createWorkerFleet = (options: WorkerFleetOptions): WorkerFleet => {
-	const {context, term, state, lifecycle, now, onReport, onEnds, onGone, onChanged} = options;
+	const {context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onChanged} = options;
 	const {store, log, bounds, decodeWorker, workerPrefix} = context;
 	// Leases that an earlier leader gave end by then, whether or not their workers can be reached.
 	const earlierLeasesEndMs =
@@ -105,6 +107,7 @@
 					unsynced.delete(from.worker.id);
 					onReport(from, running, sentMs);
 				},
+				onProgress,
 				onEnds,
 				onGone(from, reason) {
 					log.info('worker-gone', {worker: from.worker.id, reason});
--- /dev/null
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -0,0 +1,171 @@
+import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import {ServiceError} from '@bergamotgauge/model';
+import t, {type Test} from 'tap';
+import {BOUNDS, newWorker} from './test/world.js';
+import type {EndedUnit, HoldOrder, OrderReply, RunningUnit, WorkerPort} from './types.js';
+import {createWorkerLink, type WorkerLink} from './worker-link.js';
+
+type Script = {
+	/** Ends that the worker lists until they are noted. */
+	ended: EndedUnit[];
+	running: RunningUnit[];
+	/** The next holds that get no answer. */
+	lostHolds: number;
+	/** The next starts that get no answer. */
+	lostStarts: number;
+};
+
+type Fixture = Readonly<{
+	clock: Clock;
+	link: WorkerLink;
+	script: Script;
+	holds: HoldOrder[];
+	/** Times of the starts that were sent. */
+	starts: number[];
+	/** Ends that were handed on, each with what stores it. */
+	taken: Array<Readonly<{sequences: readonly number[]; stored: () => void}>>;
+}>;
+
+const newEnd = (sequence: number): EndedUnit => ({
+	sequence,
+	unit: `j.0.0.${sequence}`,
+	run: 1,
+	how: 'done',
+	checkpoint: '',
+});
+
+const silence = async () =>
+	new Promise<never>((_resolve, reject) => {
+		setTimeout(() => {
+			reject(new ServiceError('no answer', {code: 'worker-failed', verdict: 'may-have-run'}));
+		}, 10_000);
+	});
+
+const createFixture = (t: Test): Fixture => {
+	const clock = FakeTimers.install({now: 1000});
+	const script: Script = {ended: [], running: [], lostHolds: 0, lostStarts: 0};
+	const holds: HoldOrder[] = [];
+	const starts: number[] = [];
+	const taken: Fixture['taken'] = [];
+	const clockMs = () => Math.round(performance.now());
+	const accept = async (): Promise<OrderReply> => ({outcome: 'accepted', clockMs: clockMs()});
+	const port: WorkerPort = {
+		async start() {
+			starts.push(performance.now());
+			if (script.lostStarts > 0) {
+				script.lostStarts -= 1;
+				return silence();
+			}
+
+			return accept();
+		},
+		stop: accept,
+		pace: accept,
+		async hold(order) {
+			holds.push(order);
+			if (script.lostHolds > 0) {
+				script.lostHolds -= 1;
+				return silence();
+			}
+
+			const ended = script.ended.filter(({sequence}) => sequence > order.notedSequence);
+			await new Promise((resolve) => {
+				setTimeout(resolve, ended.length > 0 ? 1 : order.waitMs);
+			});
+			return {outcome: 'accepted', clockMs: clockMs(), running: script.running, ended};
+		},
+		close() {
+			// The script has no connections.
+		},
+	};
+	const controller = new AbortController();
+	const worker = newWorker('w1');
+	const link = createWorkerLink({
+		context: {
+			connectWorker: () => port,
+			log: createSilentLog(),
+			metrics: createMetrics(),
+			bounds: BOUNDS,
+		},
+		worker,
+		token: 1,
+		now: () => performance.now(),
+		earlierLeasesEndMs: 0,
+		mayOrder: () => true,
+		events: {
+			onReport() {
+				// The tests look at ends and orders only.
+			},
+			onProgress() {
+				// The same.
+			},
+			onEnds: async (_link, ended) =>
+				new Promise((resolve) => {
+					taken.push({sequences: ended.map(({sequence}) => sequence), stored: resolve});
+				}),
+			onGone() {
+				t.fail('the worker is not gone');
+			},
+			onStaleToken() {
+				t.fail('there is no newer token');
+			},
+			reportWaitMs: () => 2000,
+			hasWork: () => true,
+		},
+	});
+	const running = link.run(controller.signal);
+	t.teardown(async () => {
+		controller.abort();
+		await clock.tickAsync(20_000);
+		await running;
+		clock.uninstall();
+	});
+	return {clock, link, script, holds, starts, taken};
+};
+
+// Guards against an end that its worker forgets before it is stored: after a change of leader the unit ran again, or a
+// failed run was not counted.
+await t.test('ends that are stored early wait for those before them', async (t) => {
+	const {clock, script, holds, taken} = createFixture(t);
+	script.ended.push(newEnd(1));
+	await clock.tickAsync(10);
+	t.same(taken[0]?.sequences, [1]);
+	script.ended.push(newEnd(2));
+	await clock.tickAsync(2000);
+	t.same(taken[1]?.sequences, [2]);
+	taken[1]!.stored();
+	await clock.tickAsync(3000);
+	t.equal(Math.max(...holds.map(({notedSequence}) => notedSequence)), 0);
+	taken[0]!.stored();
+	await clock.tickAsync(3000);
+	t.equal(holds.at(-1)?.notedSequence, 2);
+});
+
+// Load: a share of the orders gets no answer while the other members of each gang wait at their workers.
+await t.test('a start without an answer is sent again soon', async (t) => {
+	const {clock, link, script, starts} = createFixture(t);
+	await clock.tickAsync(10);
+	script.lostStarts = 1;
+	const sentMs = performance.now();
+	const started = link.start({unit: 'j.0.0.0', run: 1, spec: '', checkpoint: '', ticket: undefined});
+	await clock.tickAsync(1000);
+	t.same(await started, {outcome: 'accepted'});
+	t.ok(starts[1]! - sentMs <= 250);
+});
+
+// Load: a share of the reports gets no answer; an end that is listed in one was known three seconds later.
+await t.test('a look learns of ends while a report is outstanding', async (t) => {
+	const {clock, link, script, taken} = createFixture(t);
+	await clock.tickAsync(10);
+	script.lostHolds = 1;
+	await clock.tickAsync(2500);
+	script.ended.push(newEnd(1));
+	const look = link.look();
+	await clock.tickAsync(10);
+	await look;
+	t.same(
+		taken.map(({sequences}) => sequences),
+		[[1]],
+	);
+});
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -5,8 +5,8 @@
 	HOLD_GRACE_MS,
 	HOLD_WAIT_MS,
 	LEASE_SHARE,
-	ORDER_ATTEMPTS,
-	ORDER_DEADLINE_MS,
+	LOOK_DEADLINE_MS,
+	ORDER_DEADLINES_MS,
 	WORKER_RETRY_MAX_MS,
 	WORKER_RETRY_MS,
 } from './constants.js';
@@ -32,6 +32,8 @@
 export type WorkerLinkEvents = Readonly<{
 	/** First answer to this leader, or any later one: all that runs there. */
 	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	/** Answer to a look: progress of what runs there. */
+	onProgress: (link: WorkerLink, running: readonly RunningUnit[]) => void;
 	/** New ends; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Nothing that this leader knows of runs there any more. */
@@ -53,6 +55,8 @@
 	) => Promise<StartResult>;
 	/** Resolves when the worker has accepted the stop, or its life is over. */
 	readonly stop: (unit: string, run: number) => Promise<boolean>;
+	/** Asks for the progress of what runs there, beside the reporting loop. */
+	readonly look: () => Promise<void>;
 	/** Resolves to whether the worker has taken the order. */
 	readonly pace: (unit: string, run: number, percent: number) => Promise<boolean>;
 	/** Asks again at once instead of waiting for the next turn. */
@@ -63,7 +67,7 @@
 };
 
 export type WorkerLinkOptions = Readonly<{
-	context: SchedulerContext;
+	context: Pick<SchedulerContext, 'connectWorker' | 'log' | 'metrics' | 'bounds'>;
 	worker: Worker;
 	token: number;
 	now: () => number;
@@ -98,7 +102,9 @@
 	let seenSequence = 0;
 	/** Ends up to here are stored. */
 	let notedSequence = 0;
-	let storing: Promise<void> | undefined;
+	let isLooking = false;
+	/** Resolves to whether all ends so far are stored. */
+	let storing: Promise<boolean> | undefined;
 
 	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
 		if (state !== next) {
@@ -133,10 +139,14 @@
 		kind: 'start' | 'stop' | 'pace',
 		send: () => Promise<OrderReply>,
 	): Promise<OrderReply | undefined> => {
-		for (let attempt = 1; attempt <= ORDER_ATTEMPTS && mayOrder() && !isGone(); attempt += 1) {
+		for (const deadlineMs of ORDER_DEADLINES_MS) {
+			if (!mayOrder() || isGone()) {
+				break;
+			}
+
 			const sentMs = now();
 			try {
-				const reply = await withDeadline(ORDER_DEADLINE_MS, async () => send());
+				const reply = await withDeadline(deadlineMs, async () => send());
 				metrics.observe('worker_order_milliseconds', now() - sentMs, {kind});
 				observeReply(reply, sentMs);
 				return reply;
@@ -153,17 +163,44 @@
 		return undefined;
 	};
 
-	const storeEnds = async (ended: readonly EndedUnit[], lastSequence: number) => {
+	/**
+	Stores ends and then lets the worker forget them. Ends of a later report may be stored first, so each waits for those before it: the worker forgets all up to a sequence.
+	*/
+	const storeEnds = async (ended: readonly EndedUnit[], lastSequence: number, earlier: Promise<boolean>) => {
+		let isStored = false;
 		try {
 			await events.onEnds(link, ended);
-			notedSequence = Math.max(notedSequence, lastSequence);
+			isStored = true;
 		} catch (error) {
 			// The term is over; the next leader reads the ends again.
 			log.info('ends-not-stored', {worker: options.worker.id, error: toServiceError(error, 'not-run').message});
 		}
 
-		storing = undefined;
-		waker.wake();
+		if ((await earlier) && isStored) {
+			notedSequence = lastSequence;
+			return true;
+		}
+
+		return false;
+	};
+
+	const takeEnds = (ended: readonly EndedUnit[]) => {
+		const fresh = ended.filter(({sequence}) => sequence > seenSequence);
+		if (fresh.length === 0) {
+			return;
+		}
+
+		seenSequence = Math.max(...fresh.map(({sequence}) => sequence));
+		const stored = storeEnds(fresh, seenSequence, storing ?? Promise.resolve(true));
+		storing = stored;
+		void (async () => {
+			await stored;
+			if (storing === stored) {
+				storing = undefined;
+			}
+
+			waker.wake();
+		})();
 	};
 
 	const takeReport = async (signal: AbortSignal) => {
@@ -190,12 +227,7 @@
 
 		observeReply(report, sentMs);
 		setState('synced', isFirst ? {running: report.running.length, ended: report.ended.length} : {});
-		const fresh = report.ended.filter(({sequence}) => sequence > seenSequence);
-		if (fresh.length > 0) {
-			seenSequence = Math.max(...fresh.map(({sequence}) => sequence));
-			storing = storeEnds(fresh, seenSequence);
-		}
-
+		takeEnds(report.ended);
 		events.onReport(link, report.running, sentMs);
 	};
 
@@ -284,6 +316,30 @@
 
 			return reply !== undefined;
 		},
+		async look() {
+			if (isLooking || state !== 'synced' || !mayOrder()) {
+				return;
+			}
+
+			isLooking = true;
+			try {
+				const report = await withDeadline(LOOK_DEADLINE_MS, async (limit) =>
+					port.hold({token, notedSequence, waitMs: 0}, limit),
+				);
+				if (report.outcome === 'refused') {
+					judgeRefusal(report.reason);
+				} else {
+					// A report that got no answer may have listed ends.
+					takeEnds(report.ended);
+					events.onProgress(link, report.running);
+				}
+			} catch (error) {
+				// The reporting loop tells whether the worker is silent.
+				log.debug('look-unanswered', {worker: options.worker.id, error: toServiceError(error, 'may-have-run').message});
+			}
+
+			isLooking = false;
+		},
 		async pace(unit, runNumber, percent) {
 			const reply = await order('pace', async () => port.pace({unit, run: runNumber, percent, token}));
 			if (reply?.outcome === 'refused') {
