Bound the log and never wait for its reader

Cause: each line was one write to standard output, which blocks on a pipe whose reader is slow, and nothing bounded the lines of a kind under load.

--- a/packages/cli/src/serve-command.ts
+++ b/packages/cli/src/serve-command.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {createLog} from '@bergamotgauge/telemetry';
+import {createLog, openLogOutput} from '@bergamotgauge/telemetry';
 import {Command} from 'commander';
 import {environmentOption} from './options.js';
 
@@ -31,7 +31,9 @@
 			// The other commands start faster without the instance's modules.
 			const {checkSettings, startInstance} = await import('@bergamotgauge/instance');
 			const settings = checkSettings(options);
-			const log = createLog({level: settings.logLevel, output: process.stdout}).with({instance: settings.id});
+			const output = openLogOutput();
+			process.on('exit', output.flush);
+			const log = createLog({level: settings.logLevel, output}).with({instance: settings.id});
 			const instance = await startInstance(settings, log);
 			const stop = async () => {
 				// A second signal ends the process at once.
--- /dev/null
+++ b/packages/telemetry/src/log-output.test.ts
@@ -0,0 +1,42 @@
+import {spawn} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import process from 'node:process';
+import FakeTimers from '@sinonjs/fake-timers';
+import t from 'tap';
+import {MAX_LINES_PER_SECOND} from './constants.js';
+import {createLog} from './index.js';
+
+// Guards against a process that stands still because nobody reads its log.
+await t.test('a reader that does not read costs lines and no time', async (t) => {
+	const script = fileURLToPath(new URL('test/write-many-lines.js', import.meta.url));
+	const child = spawn(process.execPath, [script], {stdio: ['ignore', 'pipe', 'pipe']});
+	t.teardown(() => {
+		child.kill('SIGKILL');
+	});
+	const line = await new Promise<string>((resolve) => {
+		child.stderr.once('data', (data) => {
+			resolve(String(data));
+		});
+	});
+	t.equal(line.trim(), 'through dropped=some');
+});
+
+// Load: a fault that logs one line for each of thousands of units at the same time.
+await t.test('lines of one kind are bounded, and what was left out is counted', async (t) => {
+	const clock = FakeTimers.install({now: 0});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const lines: string[] = [];
+	const log = createLog({level: 'info', output: {write: (text: string) => lines.push(text)}});
+	for (let index = 0; index < MAX_LINES_PER_SECOND + 70; index += 1) {
+		log.info('unit-ended', {index});
+	}
+
+	log.info('job-ended');
+	t.equal(lines.length, MAX_LINES_PER_SECOND + 1, 'other kinds are not affected');
+	await clock.tickAsync(1000);
+	log.info('unit-ended', {index: 0});
+	t.match(lines.at(-2), /event=lines-omitted kind=unit-ended lines=70/v);
+	t.match(lines.at(-1), /event=unit-ended index=0/v);
+});
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,6 +1,6 @@
-import type {Writable} from 'node:stream';
 import bunyan from 'bunyan';
-import type {Fields, Log, LogLevel} from './types.js';
+import {limitLines} from './limit-lines.js';
+import type {Fields, Log, LogLevel, LogOutput} from './types.js';
 
 /** Fields that bunyan adds and that a line does not repeat. */
 const OMITTED_FIELDS = new Set(['name', 'hostname', 'pid', 'v', 'msg', 'level', 'time']);
@@ -44,18 +44,24 @@
 };
 
 /**
-A log that writes one key=value line for each event.
+A log that writes one key=value line for each event. Events of one kind beyond a number a second are counted instead of written.
 
 @example
 ```ts
-const log = createLog({level: 'info', output: process.stdout});
+const log = createLog({level: 'info', output: openLogOutput()});
 log.info('job-accepted', {job: id, customer: 'acme'});
 ```
 */
-export const createLog = ({level, output}: Readonly<{level: LogLevel; output: Writable}>): Log => {
+export const createLog = ({level, output}: Readonly<{level: LogLevel; output: LogOutput}>): Log => {
+	const isWithinLimit = limitLines((event, omitted) => {
+		const record = {time: new Date(), level: bunyan.INFO, msg: 'lines-omitted', kind: event, lines: omitted};
+		output.write(`${formatRecord(record)}\n`);
+	});
 	const stream = {
 		write(record: Record<string, unknown>) {
-			output.write(`${formatRecord(record)}\n`);
+			if (isWithinLimit(String(record.msg))) {
+				output.write(`${formatRecord(record)}\n`);
+			}
 		},
 	};
 	const logger = bunyan.createLogger({
--- a/packages/telemetry/src/types.ts
+++ b/packages/telemetry/src/types.ts
@@ -6,6 +6,9 @@
 export type Log = Readonly<Record<LogLevel, (event: string, fields?: Fields) => void>> &
 	Readonly<{with: (fields: Fields) => Log}>;
 
+/** Where lines go; `write` returns at once. */
+export type LogOutput = Readonly<{write: (text: string) => unknown}>;
+
 export type MetricLabels = Readonly<Record<string, string>>;
 
 /** Counters, gauges and histograms of one process. */
