--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -6,6 +6,7 @@
 import {hashTokenCommand} from './hash-token-command.js';
 import {serveCommand} from './serve-command.js';
 import {cancelCommand, drainCommand, jobsCommand, statusCommand, submitCommand} from './service-commands.js';
+import {traceCommand} from './trace-command.js';
 
 const COMMANDS = [
 	serveCommand,
@@ -17,6 +18,7 @@
 	submitCommand,
 	cancelCommand,
 	explainCommand,
+	traceCommand,
 	drainCommand,
 	hashTokenCommand,
 ] as const;
--- /dev/null
+++ b/packages/telemetry/src/parse-line.ts
@@ -0,0 +1,46 @@
+/** One line of a log, as its key=value pairs say it. */
+export type LogLine = Readonly<{
+	/** Text before the line, as collectors of logs add it; often the name of the instance. */
+	prefix: string;
+	/** Time of day of the instance that wrote the line, in milliseconds. */
+	timeMs: number;
+	level: string;
+	event: string;
+	fields: Readonly<Record<string, string>>;
+}>;
+
+const PAIR = /(?<key>[^\s=]+)=(?:"(?<quoted>(?:[^"\\]|\\.)*)"|(?<plain>\S*))/gv;
+
+const unquote = (text: string): string => {
+	try {
+		return JSON.parse(`"${text}"`) as string;
+	} catch {
+		// A line cut off in the middle of an escape is shown as it stands.
+		return text;
+	}
+};
+
+/**
+Parses a line that `formatRecord` wrote; `undefined` for other text.
+
+@example
+```ts
+parseLine('edge-1 time=2026-02-14T06:57:01.975Z level=info event=job-accepted job=5c0e7a21d94b36f8')?.fields.job;
+```
+*/
+export const parseLine = (text: string): LogLine | undefined => {
+	const start = /(?:^|\s)time=/v.exec(text);
+	if (!start) {
+		return undefined;
+	}
+
+	const at = text.indexOf('time=', start.index);
+	const pairs: Record<string, string> = {};
+	for (const {groups} of text.slice(at).matchAll(PAIR)) {
+		pairs[groups!.key!] = groups!.quoted === undefined ? (groups!.plain ?? '') : unquote(groups!.quoted);
+	}
+
+	const {time = '', level = '', event = '', ...fields} = pairs;
+	const timeMs = Date.parse(time);
+	return Number.isNaN(timeMs) ? undefined : {prefix: text.slice(0, at).trim(), timeMs, level, event, fields};
+};
