--- /dev/null
+++ b/packages/scheduler/src/decision-log.test.ts
@@ -0,0 +1,70 @@
+import {newStep, newSubmission} from '@bergamotgauge/jobs/test/fixtures.js';
+import {createLog, parseLine, type LogLine} from '@bergamotgauge/telemetry';
+import t from 'tap';
+import {createWorld, newWorker, QUEUE} from './test/world.js';
+
+const idOf = (id: number): string => id.toString(16).padStart(16, '0');
+
+// Guards against a job that is shown as failed or cancelled and whose cause is in no log, or in two that differ. The
+// faults: units that fail by themselves, a worker that is cut off, a leader that dies, a store that is away.
+await t.test(
+	'each job that ends without its work has one line that says so, and its failed runs are named',
+	async (t) => {
+		const lines: LogLine[] = [];
+		const log = createLog({
+			level: 'info',
+			output: {
+				write(text: string) {
+					const line = parseLine(text);
+					if (line) {
+						lines.push(line);
+					}
+				},
+			},
+		});
+		const world = createWorld(
+			t,
+			['w1', 'w2', 'w3'].map((id) => newWorker(id)),
+			(unit) => (unit.startsWith(idOf(2)) ? {runMs: 700, how: 'failed'} : {runMs: 6000, how: 'done'}),
+			{log},
+		);
+		const one = world.startInstance('one');
+		await world.clock.tickAsync(500);
+		for (const id of [1, 2, 3, 4]) {
+			await one.scheduler.jobs.submit({
+				queue: QUEUE,
+				customer: 'acme',
+				submission: newSubmission(id, [newStep({count: 2})]),
+			});
+		}
+
+		await world.clock.tickAsync(300);
+		world.workers.get('w1')!.faults.isCutOff = true;
+		await one.scheduler.jobs.cancel({queue: QUEUE, customer: 'acme', id: idOf(3)});
+		await world.clock.tickAsync(200);
+		world.store.faults.isDown = true;
+		await world.clock.tickAsync(700);
+		world.store.faults.isDown = false;
+		await world.clock.tickAsync(500);
+		one.die();
+		const two = world.startInstance('two');
+		await world.clock.tickAsync(40_000);
+		const states = new Map<number, string>();
+		for (const id of [1, 2, 3, 4]) {
+			states.set(id, await two.scheduler.jobs.state({queue: QUEUE, customer: 'acme', id: idOf(id)}));
+		}
+
+		t.same([...states.values()], ['completed', 'failed', 'cancelled', 'completed']);
+		const endsOf = (id: number) => lines.filter(({event, fields}) => event === 'job-ended' && fields.job === idOf(id));
+		t.same(
+			[2, 3].map((id) => endsOf(id).map(({fields}) => fields.outcome)),
+			[['failed'], ['cancelled']],
+		);
+		const failures = lines.filter(
+			({event, fields}) => event === 'unit-ended' && fields.how === 'failed' && fields.unit?.startsWith(idOf(2)),
+		);
+		t.ok(failures.length >= QUEUE.attempts);
+		t.ok(failures.every(({fields}) => fields.worker !== undefined && fields.failures !== undefined));
+		t.ok(lines.some(({event}) => event === 'taken-over'));
+	},
+);
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -141,7 +141,6 @@
 			};
 			if (health.isLost()) {
 				metrics.count('jobs_refused_total', {queue: name, reason: 'store-lost'});
-				log.info('job-refused', {job: job.id, queue: name, reason: 'store-lost', retryAfterMs: STORE_RETRY_AFTER_MS});
 				throw storeLost();
 			}
 
--- a/packages/scheduler/src/plan/evict.ts
+++ b/packages/scheduler/src/plan/evict.ts
@@ -15,7 +15,17 @@
 type Draft = {readonly slot: WorkerSlot; room: Room; limit: number};
 
 /** Stops that make room for one more member on a slot. */
-type Option = Readonly<{draft: Draft; victims: readonly PlanPlacement[]; lossCoreMs: number}>;
+type Option = Readonly<{
+	draft: Draft;
+	victims: readonly PlanPlacement[];
+	lossCoreMs: number;
+	/** What decides between options: the work lost, and more for work as urgent as the part itself. */
+	cost: number;
+}>;
+
+/** Work of the same priority then misses what it was promised, as the part would without the stop. */
+const costOf = (part: PlanPart, {priority, lossCoreMs}: PlanPlacement): number =>
+	lossCoreMs + (priority <= part.priority ? part.workCoreMs : 0);
 
 const canGiveWay = (part: PlanPart, placement: PlanPlacement): boolean =>
 	!placement.isStopping &&
@@ -34,10 +44,11 @@
 
 	let {room} = draft;
 	let lossCoreMs = 0;
+	let cost = 0;
 	const victims: PlanPlacement[] = [];
 	const possible = draft.slot.worker.placements
 		.filter((placement) => canGiveWay(part, placement) && !chosen.has(placement.partId))
-		.toSorted((a, b) => a.lossCoreMs - b.lossCoreMs);
+		.toSorted((a, b) => costOf(part, a) - costOf(part, b));
 	for (const placement of possible) {
 		if (fits(part.need, room)) {
 			break;
@@ -45,10 +56,11 @@
 
 		room = addRoom(room, placement.need);
 		lossCoreMs += placement.lossCoreMs;
+		cost += costOf(part, placement);
 		victims.push(placement);
 	}
 
-	return fits(part.need, room) ? {draft, victims, lossCoreMs} : undefined;
+	return fits(part.need, room) ? {draft, victims, lossCoreMs, cost} : undefined;
 };
 
 const search = (
@@ -85,7 +97,7 @@
 		let best: Option | undefined;
 		for (const draft of drafts) {
 			const option = optionOn(part, draft, victims);
-			if (option && (!best || option.lossCoreMs < best.lossCoreMs)) {
+			if (option && (!best || option.cost < best.cost)) {
 				best = option;
 			}
 		}
--- a/packages/scheduler/src/plan/plan.test.ts
+++ b/packages/scheduler/src/plan/plan.test.ts
@@ -126,3 +126,16 @@
 	t.same(plan(newPlanView(busy, [{...gang, waitedMs: 2000}])).starts, [], 'in a busy pool it waits longer');
 	t.equal(plan(newPlanView(busy, [{...gang, waitedMs: 19_000}])).starts.length, 1);
 });
+
+// Load: a burst of urgent gangs of several customers, where young urgent gangs had the least work to lose.
+await t.test('a guarantee takes the place of less urgent work before that of urgent work', async (t) => {
+	const workers = [
+		newFullWorker('w0', [newPlacement('urgent', {priority: 0, lossCoreMs: 100})]),
+		newFullWorker('w1', [newPlacement('batch', {priority: 2, lossCoreMs: 20_000})]),
+	];
+	const {evictions} = plan(newPlanView(workers, [newPlanPart('a', {isGuaranteed: true, slackMs: 0})]));
+	t.same(
+		evictions.map(({partId}) => partId),
+		['batch'],
+	);
+});
--- a/packages/scheduler/src/test/world.ts
+++ b/packages/scheduler/src/test/world.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createLifecycle, type Lifecycle} from '@bergamotgauge/lifecycle';
-import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import {createMetrics, createSilentLog, type Log} from '@bergamotgauge/telemetry';
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import type {Test} from 'tap';
 import {startScheduler, type Scheduler} from '../scheduler.js';
@@ -83,7 +83,7 @@
 	t: Test,
 	workers: readonly Worker[],
 	behave: (unit: string) => UnitBehaviour = () => ({runMs: 1000, how: 'done'}),
-	{advice, machines}: Readonly<{advice?: AdvicePort; machines?: MachinePort}> = {},
+	{advice, machines, log}: Readonly<{advice?: AdvicePort; machines?: MachinePort; log?: Log}> = {},
 ): World => {
 	const clock = FakeTimers.install({now: 1_000_000});
 	const store = createMemoryKeyValue();
@@ -143,7 +143,7 @@
 						endLease: guard(store.endLease),
 					},
 					bounds: BOUNDS,
-					log: createSilentLog(),
+					log: log ?? createSilentLog(),
 					metrics: createMetrics(),
 					declarations: () => DECLARATIONS,
 					advice,
