Start gangs across racks where no rack can hold them

Cause: a gang that is slower across racks was placed in one rack or not at all. What was reserved for such a gang were the earliest workers of any rack, which helps it little. Change: such a gang starts across racks when no rack could hold it even if empty, counting workers that take no orders just now, or when it has waited longer than its slower run takes; a guarantee may take its place across racks too; workers are reserved in the rack that opens first.

--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -108,6 +108,7 @@
 				record.pausedUntilMs <= nowMs &&
 				!hasStrays &&
 				!state.emptying.untilByWorker.has(worker.id),
+			isLeaving: worker.state !== 'ready',
 			isSuspect: Math.max(record.suspectUntilMs, record.slowUntilMs) > nowMs,
 			isCrowded: isCrowded(worker.id),
 			placements: here.map((one) => viewPlacement(options, one, covered.has(one.run), !kept.has(one.part))),
--- a/packages/scheduler/src/plan/evict.ts
+++ b/packages/scheduler/src/plan/evict.ts
@@ -1,5 +1,5 @@
 import type {Room} from '../types.js';
-import {isEligible, type PlaceOptions, type WorkerSlot} from './place-part.js';
+import {isEligible, slotsByRack, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {addRoom, fits, subtractRoom, sumRoom} from './room.js';
 import type {PlanPart, PlanPlacement} from './types.js';
 
@@ -119,6 +119,23 @@
 	return {chosen, victims: [...victims].filter((partId) => !given.has(partId)), lossCoreMs};
 };
 
+const findInOneRack = (
+	part: PlanPart,
+	slots: readonly WorkerSlot[],
+	options: PlaceOptions,
+	given: ReadonlySet<string>,
+): Eviction | undefined => {
+	let best: Eviction | undefined;
+	for (const rackSlots of slotsByRack(slots).values()) {
+		const found = search(part, rackSlots, options, given);
+		if (found && (!best || found.lossCoreMs < best.lossCoreMs)) {
+			best = found;
+		}
+	}
+
+	return best;
+};
+
 /**
 Finds room for a part by letting other work give way, with the least work thrown away; `undefined` when even that does not help. Room that is already being freed needs no victim.
 
@@ -133,26 +150,10 @@
 	options: PlaceOptions,
 	given: ReadonlySet<string>,
 ): Eviction | undefined => {
-	const eligible = slots.filter(
-		({worker}) =>
-			isEligible(part, worker) && !worker.isSuspect && (part.dataRack === undefined || worker.rack === part.dataRack),
-	);
-	if (!part.sameRack || part.members === 1) {
-		return search(part, eligible, options, given);
-	}
-
-	let best: Eviction | undefined;
-	for (const rack of new Set(eligible.map(({worker}) => worker.rack))) {
-		const found = search(
-			part,
-			eligible.filter(({worker}) => worker.rack === rack),
-			options,
-			given,
-		);
-		if (found && (!best || found.lossCoreMs < best.lossCoreMs)) {
-			best = found;
-		}
-	}
-
-	return best;
+	const eligible = slots.filter(({worker}) => isEligible(part, worker) && !worker.isSuspect);
+	const near = eligible.filter(({worker}) => part.dataRack === undefined || worker.rack === part.dataRack);
+	const found =
+		part.sameRack && part.members > 1 ? findInOneRack(part, near, options, given) : search(part, near, options, given);
+	// A guarantee holds also where no rack, or not that of the data, can hold the part.
+	return found ?? (part.isGuaranteed ? search(part, eligible, options, given) : undefined);
 };
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -16,17 +16,21 @@
 export type PlaceOptions = Readonly<{
 	unitsOnWorker: (stepId: string, workerId: string) => number;
 	remoteFactor: number;
+	/** All workers that are listed. */
+	workers: readonly PlanWorker[];
 	/** Less than half of the workers' room is in use. */
 	isPoolIdle: boolean;
 }>;
 
-/** Whether the worker could ever run a unit of the part, if the part is allowed there. */
-export const isSuitable = (part: PlanPart, worker: PlanWorker): boolean =>
-	worker.isUsable &&
+/** Whether the worker could ever hold a unit of the part, whether or not it takes work now. */
+const isMatch = (part: PlanPart, worker: PlanWorker): boolean =>
 	worker.service === part.service &&
 	(part.requiredLabel === undefined || worker.labels.includes(part.requiredLabel)) &&
 	fits(part.need, worker.capacity);
 
+/** Whether the worker takes units like those of the part, if the part is allowed there. */
+export const isSuitable = (part: PlanPart, worker: PlanWorker): boolean => worker.isUsable && isMatch(part, worker);
+
 export const isEligible = (part: PlanPart, worker: PlanWorker): boolean =>
 	(part.allowedWorkers?.has(worker.id) ?? true) && isSuitable(part, worker);
 
@@ -65,13 +69,15 @@
 };
 
 /**
-A unit away from its data takes longer than waiting for a worker near it, unless it has waited that long. In a pool that is mostly idle it waits only briefly: its data may be in a rack that cannot hold it.
+Work away from its data, or spread over racks, takes longer than waiting for a better place, unless it has waited that long. In a pool that is mostly idle it waits only briefly: no rack may be able to hold it.
 */
-const acceptsRemote = (part: PlanPart, options: PlaceOptions): boolean =>
-	part.dataRack === undefined ||
+const hasWaitedEnough = (part: PlanPart, options: PlaceOptions): boolean =>
 	part.waitedMs > (options.remoteFactor - 1) * part.estimateMs ||
 	(options.isPoolIdle && part.waitedMs > MAX_IDLE_DATA_WAIT_MS);
 
+const acceptsRemote = (part: PlanPart, options: PlaceOptions): boolean =>
+	part.dataRack === undefined || hasWaitedEnough(part, options);
+
 const isCandidate = (part: PlanPart, slot: WorkerSlot, isRemoteAccepted: boolean): boolean =>
 	!slot.isReserved && isEligible(part, slot.worker) && (isRemoteAccepted || slot.worker.rack === part.dataRack);
 
@@ -126,12 +132,57 @@
 	return undefined;
 };
 
+export const slotsByRack = (slots: readonly WorkerSlot[]): ReadonlyMap<string, readonly WorkerSlot[]> => {
+	const byRack = new Map<string, WorkerSlot[]>();
+	for (const slot of slots) {
+		const rackSlots = byRack.get(slot.worker.rack);
+		if (rackSlots) {
+			rackSlots.push(slot);
+		} else {
+			byRack.set(slot.worker.rack, [slot]);
+		}
+	}
+
+	return byRack;
+};
+
+/** Members that an empty worker holds. */
+export const membersOn = (part: PlanPart, {capacity}: PlanWorker): number => {
+	const limits = [
+		part.need.accelerators > 0 ? capacity.accelerators / part.need.accelerators : Number.POSITIVE_INFINITY,
+		part.need.cpuMillis > 0 ? capacity.cpuMillis / part.need.cpuMillis : Number.POSITIVE_INFINITY,
+		part.need.memoryMb > 0 ? capacity.memoryMb / part.need.memoryMb : Number.POSITIVE_INFINITY,
+		part.maxPerWorker > 0 ? part.maxPerWorker : Number.POSITIVE_INFINITY,
+		part.members,
+	];
+	return Math.floor(Math.min(...limits));
+};
+
+/**
+Whether a rack could hold the whole part if it were empty; racks shrink as workers leave. Workers that take no work just now count: right after a change of leader that is most of them.
+*/
+const hasRackFor = (part: PlanPart, workers: readonly PlanWorker[]): boolean => {
+	if (part.allowedWorkers) {
+		// More workers may be approved.
+		return true;
+	}
+
+	const held = new Map<string, number>();
+	for (const worker of workers) {
+		if (!worker.isLeaving && isMatch(part, worker)) {
+			held.set(worker.rack, (held.get(worker.rack) ?? 0) + membersOn(part, worker));
+		}
+	}
+
+	return [...held.values()].some((count) => count >= part.members);
+};
+
 /**
-Finds workers for all members of a part, or none; changes nothing.
+Finds workers for all members of a part, or none; changes nothing. A gang that is slower across racks gets one rack, unless no rack can hold it or it has waited longer than the slower run takes.
 
 @example
 ```ts
-const slots = findPlace(part, allSlots, {unitsOnWorker, remoteFactor: 3, isPoolIdle: false});
+const slots = findPlace(part, allSlots, {unitsOnWorker, remoteFactor: 3, workers, isPoolIdle: false});
 ```
 */
 export const findPlace = (
@@ -150,14 +201,9 @@
 	}
 
 	// The best rack is the one with the least room to spare.
-	const byRack = new Map<string, WorkerSlot[]>();
-	for (const slot of sorted) {
-		byRack.set(slot.worker.rack, [...(byRack.get(slot.worker.rack) ?? []), slot]);
-	}
-
 	let best: readonly WorkerSlot[] | undefined;
 	let bestSpare = Number.POSITIVE_INFINITY;
-	for (const rackSlots of byRack.values()) {
+	for (const rackSlots of slotsByRack(sorted).values()) {
 		const chosen = fill(part, rackSlots, options);
 		const spare = rackSlots.reduce((sum, slot) => sum + slot.free.accelerators, 0);
 		if (chosen && spare < bestSpare) {
@@ -166,6 +212,10 @@
 		}
 	}
 
+	if (best === undefined && (hasWaitedEnough(part, options) || !hasRackFor(part, options.workers))) {
+		return fill(part, sorted, options);
+	}
+
 	return best;
 };
 
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -10,7 +10,7 @@
 	RESERVED_SHARE,
 } from './constants.js';
 import {findEviction} from './evict.js';
-import {findPlace, isEligible, takePlace, type PlaceOptions, type WorkerSlot} from './place-part.js';
+import {findPlace, isEligible, membersOn, takePlace, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {addRoom, fits, shareOf, subtractRoom, sumRoom} from './room.js';
 import type {Plan, PlanPart, PlanStart, PlanView, PlanWorker} from './types.js';
 
@@ -31,6 +31,42 @@
 	return fits(part.need, free) ? nowMs : Number.POSITIVE_INFINITY;
 };
 
+/** A worker that could be kept free, with the time at which it has room for a member. */
+type Opening = Readonly<{slot: WorkerSlot; atMs: number}>;
+
+/** The earliest of the openings that hold all members; all of them when they do not. */
+const enoughFor = (part: PlanPart, openings: readonly Opening[]): readonly Opening[] => {
+	let held = 0;
+	const count = openings.findIndex(({slot}) => {
+		held += membersOn(part, slot.worker);
+		return held >= part.members;
+	});
+	return count === -1 ? openings : openings.slice(0, count + 1);
+};
+
+/** Openings in the rack that can hold all members first; in several racks they would help the part little. */
+const earliestRack = (part: PlanPart, openings: readonly Opening[]): readonly Opening[] => {
+	const byRack = new Map<string, Opening[]>();
+	for (const opening of openings) {
+		const {rack} = opening.slot.worker;
+		byRack.set(rack, [...(byRack.get(rack) ?? []), opening]);
+	}
+
+	let best: readonly Opening[] = [];
+	let bestMs = Number.POSITIVE_INFINITY;
+	for (const rackOpenings of byRack.values()) {
+		const chosen = enoughFor(part, rackOpenings);
+		const held = chosen.reduce((sum, {slot}) => sum + membersOn(part, slot.worker), 0);
+		const atMs = chosen.at(-1)?.atMs ?? Number.POSITIVE_INFINITY;
+		if (held >= part.members && atMs < bestMs) {
+			best = chosen;
+			bestMs = atMs;
+		}
+	}
+
+	return best;
+};
+
 /**
 Keeps workers free for a part that found no room, so that smaller parts behind it cannot take each gap before it does.
 */
@@ -41,12 +77,13 @@
 		.map((slot) => ({slot, atMs: freeAtMs(part, slot.worker, nowMs)}))
 		.filter(({atMs}) => atMs < Number.POSITIVE_INFINITY)
 		.toSorted((a, b) => a.atMs - b.atMs);
-	const count = Math.min(part.members, open.length, budget);
-	for (const {slot} of open.slice(0, count)) {
+	const chosen = part.sameRack && part.members > 1 ? earliestRack(part, open) : enoughFor(part, open);
+	const kept = chosen.slice(0, budget);
+	for (const {slot} of kept) {
 		slot.isReserved = true;
 	}
 
-	return count;
+	return kept.length;
 };
 
 /** Earliest time at which all members could start if nothing is stopped, judged by the expected ends. */
@@ -86,6 +123,7 @@
 	const options: PlaceOptions = {
 		unitsOnWorker: view.unitsOnWorker,
 		remoteFactor: view.remoteFactor,
+		workers,
 		isPoolIdle: isPoolIdle(workers),
 	};
 	const parts = view.parts.toSorted((a, b) => a.rank - b.rank).slice(0, MAX_PLANNED_PARTS);
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -28,6 +28,8 @@
 	free: Room;
 	/** Takes new work. */
 	isUsable: boolean;
+	/** Takes no new work for good. */
+	isLeaving: boolean;
 	/** Under suspicion of failing or slow work; used only when no other worker fits. */
 	isSuspect: boolean;
 	/** Units with users of their own are short of room there. */
