--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -116,3 +116,11 @@
 		...run.job,
 		steps: run.job.steps.map((step, index) => ({...step, estimateMs: expectedRunMs(state, run, index)})),
 	});
+
+/** Whether the part runs in the rack of its data, and in one rack where it asks for one; else it takes longer than usual. */
+export const isNearData = ({directory}: LeaderState, run: JobRun, part: Part): boolean => {
+	const {dataRack, sameRack} = stepOf(run, part);
+	const racks = new Set(part.placements.map(({workerId}) => directory.get(workerId)?.rack));
+	const isOneRack = racks.size <= 1 || !sameRack;
+	return isOneRack && (dataRack === undefined || [...racks].every((rack) => rack === dataRack));
+};
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -1,7 +1,7 @@
 import {parseUnitName, type UnitName} from '@bergamotgauge/jobs';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {noteEnd, partOf, stepOf, type JobRun, type Part} from './job-run.js';
-import {expectedObjectiveMs, type LeaderState} from './leader-state.js';
+import {expectedObjectiveMs, isNearData, type LeaderState} from './leader-state.js';
 import type {Placements} from './placements.js';
 import type {EndedUnit} from './types.js';
 import {isSlow, noteFailure, noteSuccess} from './worker-evidence.js';
@@ -50,6 +50,7 @@
 		const placement = part.placements.find(
 			({workerId, index, run: placed}) => workerId === end.workerId && index === name.index && placed === end.run,
 		);
+		const isNear = isNearData(state, run, part);
 		const ranMs = placement && Math.round(now() - placement.startedMs);
 		const effect = noteEnd(run, part, {...end, index: name.index}, Date.now());
 		log.info('unit-ended', {
@@ -65,7 +66,7 @@
 			noteFailure(state, end.workerId, run.job.id, now());
 		} else if (end.how === 'done') {
 			noteSuccess(state, end.workerId);
-			const isTypical = placement?.isWhole && !isSlow(state, end.workerId, now());
+			const isTypical = placement?.isWhole && isNear && !isSlow(state, end.workerId, now());
 			if (effect === 'counted' && isTypical && ranMs !== undefined) {
 				state.runTimes.observe(run.job.queue, stepOf(run, part).estimateMs, ranMs);
 				run.stepTimes.set(part.step, ranMs);
