--- a/packages/scheduler/src/absences.test.ts
+++ b/packages/scheduler/src/absences.test.ts
@@ -1,39 +1,16 @@
-import {newJob, newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
 import t from 'tap';
 import type {Step} from '@bergamotgauge/jobs';
 import {protectedParts} from './absences.js';
-import {createJobRun, type JobRun, type Placement} from './job-run.js';
 import {createLeaderState} from './leader-state.js';
-
-const place = (percent: number): Placement => ({
-	workerId: 'w',
-	index: 0,
-	run: 1,
-	phase: 'running',
-	startedMs: 0,
-	acceptedMs: 0,
-	stopAcceptedMs: undefined,
-	missedReports: 0,
-	percent,
-	isWhole: true,
-	progressMs: 0,
-	reportedMs: 0,
-	window: undefined,
-	recentFigure: undefined,
-	pace: 100,
-});
-
-const newRun = (step: Step): JobRun => {
-	const job = newJob({steps: [step]});
-	return createJobRun({job, progress: undefined, progressRevision: 0, jobRevision: 1, isCancelled: false, nowMs: 0});
-};
+import {newJobRun, newPlacementOn} from './test/job-run.js';
 
 /** Number of the step's units that may not be stopped, when they are at the given percentages; `undefined` is absent. */
 const countProtected = (percents: ReadonlyArray<number | undefined>, change: Partial<Step>): number => {
-	const run = newRun(newStep({count: percents.length, longRunning: true, ...change}));
+	const run = newJobRun({steps: [newStep({count: percents.length, longRunning: true, ...change})]});
 	for (const [index, part] of [...run.parts.values()].entries()) {
 		const percent = percents[index];
-		part.placements = percent === undefined ? [] : [place(percent)];
+		part.placements = percent === undefined ? [] : [newPlacementOn('w', {percent})];
 	}
 
 	const state = createLeaderState();
--- a/packages/scheduler/src/job-run.test.ts
+++ b/packages/scheduler/src/job-run.test.ts
@@ -1,6 +1,7 @@
-import {newJob, newStep} from '@bergamotgauge/jobs/test/fixtures.js';
-import type {RunEnd} from '@bergamotgauge/jobs';
+import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import type {Job, RunEnd} from '@bergamotgauge/jobs';
 import t from 'tap';
+import {newJobRun} from './test/job-run.js';
 import {
 	addDueOccurrences,
 	cancelRun,
@@ -14,8 +15,7 @@
 
 const TWO_STEPS = [newStep({count: 2}), newStep({after: [0]})];
 
-const newRun = (job = newJob({steps: TWO_STEPS})) =>
-	createJobRun({job, progress: undefined, progressRevision: 0, jobRevision: 1, isCancelled: false, nowMs: 0});
+const newRun = (change?: Partial<Job>) => newJobRun(change ?? {steps: TWO_STEPS});
 
 type Unit = readonly [step: number, index: number];
 
@@ -75,7 +75,7 @@
 
 // Guards against a member that ended with its gang hiding the failure of the one that caused it.
 await t.test('a gang counts one failure a run, in any order of its ends', async (t) => {
-	const run = newRun(newJob({steps: [newStep({count: 3, gang: true})]}));
+	const run = newRun({steps: [newStep({count: 3, gang: true})]});
 	end(run, [0, 0], 'broken');
 	end(run, [0, 1], 'failed');
 	end(run, [0, 2], 'failed');
@@ -104,7 +104,7 @@
 
 // Guards against occurrences that start before they are due, or a job that ends before its last one.
 await t.test('occurrences become ready when they are due', async (t) => {
-	const run = newRun(newJob({steps: [newStep()], schedule: {repeats: 3, firstMs: 100, intervalMs: 50}}));
+	const run = newRun({steps: [newStep()], schedule: {repeats: 3, firstMs: 100, intervalMs: 50}});
 	t.same(readyParts(run), []);
 	t.equal(addDueOccurrences(run, 150), 200);
 	t.equal(readyParts(run).length, 2);
--- a/packages/scheduler/src/slow-units.test.ts
+++ b/packages/scheduler/src/slow-units.test.ts
@@ -1,43 +1,26 @@
-import {newJob, newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
 import t from 'tap';
-import {createJobRun, partOf, type JobRun, type Placement} from './job-run.js';
+import {partOf, type JobRun} from './job-run.js';
 import {createLeaderState, type LeaderState} from './leader-state.js';
 import {extendWindow, openWindow, wholeRunMs} from './progress-window.js';
+import {newJobRun, newPlacementOn} from './test/job-run.js';
 import {isSlowWorker, unitSpeed, type UnitSpeed} from './slow-units.js';
 
-const place = (workerId: string, index: number, percent: number, atMs: number): Placement => ({
-	workerId,
-	index,
-	run: 1,
-	phase: 'running',
-	startedMs: 0,
-	acceptedMs: 0,
-	stopAcceptedMs: undefined,
-	missedReports: 0,
-	percent,
-	isWhole: true,
-	progressMs: atMs,
-	reportedMs: atMs,
-	window: {base: {atMs: 0, percent: 0}, newest: {atMs, percent}},
-	recentFigure: undefined,
-	pace: 100,
-});
-
 /** A gang with one unit on each worker at the percentages, as of one second after the start. */
 const newGang = (percents: readonly number[], estimateMs: number): Readonly<{state: LeaderState; run: JobRun}> => {
-	const job = newJob({steps: [newStep({count: percents.length, gang: true, estimateMs})]});
-	const run = createJobRun({
-		job,
-		progress: undefined,
-		progressRevision: 0,
-		jobRevision: 1,
-		isCancelled: false,
-		nowMs: 0,
-	});
+	const run = newJobRun({steps: [newStep({count: percents.length, gang: true, estimateMs})]});
 	const part = partOf(run, 0, 0, 0)!;
-	part.placements = percents.map((percent, index) => place(`w${index}`, index, percent, 1000));
+	part.placements = percents.map((percent, index) =>
+		newPlacementOn(`w${index}`, {
+			index,
+			percent,
+			progressMs: 1000,
+			reportedMs: 1000,
+			window: {base: {atMs: 0, percent: 0}, newest: {atMs: 1000, percent}},
+		}),
+	);
 	const state = createLeaderState();
-	state.runs.set(job.id, run);
+	state.runs.set(run.job.id, run);
 	return {state, run};
 };
 
--- /dev/null
+++ b/packages/scheduler/src/test/job-run.ts
@@ -0,0 +1,34 @@
+import {newJob} from '@bergamotgauge/jobs/test/fixtures.js';
+import type {Job} from '@bergamotgauge/jobs';
+import {createJobRun, type JobRun, type Placement} from '../job-run.js';
+
+/** The run of a job that has not begun, with changes to the job. */
+export const newJobRun = (change: Partial<Job> = {}): JobRun =>
+	createJobRun({
+		job: newJob(change),
+		progress: undefined,
+		progressRevision: 0,
+		jobRevision: 1,
+		isCancelled: false,
+		nowMs: 0,
+	});
+
+/** A run on a worker that has reported nothing yet, with changes. */
+export const newPlacementOn = (workerId: string, change: Partial<Placement> = {}): Placement => ({
+	workerId,
+	index: 0,
+	run: 1,
+	phase: 'running',
+	startedMs: 0,
+	acceptedMs: 0,
+	stopAcceptedMs: undefined,
+	missedReports: 0,
+	percent: 0,
+	isWhole: true,
+	progressMs: 0,
+	reportedMs: 0,
+	window: undefined,
+	recentFigure: undefined,
+	pace: 100,
+	...change,
+});
