--- a/packages/scheduler/src/test/world.ts
+++ b/packages/scheduler/src/test/world.ts
@@ -1,8 +1,10 @@
 import {Buffer} from 'node:buffer';
+import {newStep, newSubmission} from '@bergamotgauge/jobs/test/fixtures.js';
 import {createLifecycle, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {createMetrics, createSilentLog, type Log} from '@bergamotgauge/telemetry';
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import type {Test} from 'tap';
+import type {JobAddress, JobService} from '../job-service.js';
 import {startScheduler, type Scheduler} from '../scheduler.js';
 import {createStoreHealth, createSuspendClock} from '../store-health.js';
 import type {AdvicePort, Bounds, Declarations, Queue, Worker} from '../types.js';
@@ -175,3 +177,15 @@
 		},
 	};
 };
+
+/** Hands in a job of one step for the customer of the declarations. */
+export const submitStep = async (jobs: JobService, id: number, step = newStep()): Promise<void> =>
+	jobs.submit({queue: QUEUE, customer: 'acme', submission: newSubmission(id, [step])});
+
+export const unitOf = (id: number, index = 0): string => `${id.toString(16).padStart(16, '0')}.0.0.${index}`;
+
+export const addressOf = (id: number): JobAddress => ({
+	queue: QUEUE,
+	customer: 'acme',
+	id: id.toString(16).padStart(16, '0'),
+});
