End in time when nobody reads the log

Cause: at its end the process wrote its last lines synchronously, and sonic-boom repeats a write to a pipe without a reader for good; 25 processes of soak runs whose parent had ended were still there half a minute after SIGTERM. Ruled out: bounding the library's retries, which its synchronous flush asks about for a full pipe only, not for a broken one. Change: the last lines are flushed in the background for at most 200 ms before the process exits.

--- a/packages/cli/src/serve-command.ts
+++ b/packages/cli/src/serve-command.ts
@@ -32,7 +32,6 @@
 			const {checkSettings, startInstance} = await import('@bergamotgauge/instance');
 			const settings = checkSettings(options);
 			const output = openLogOutput();
-			process.on('exit', output.flush);
 			const log = createLog({level: settings.logLevel, output}).with({instance: settings.id});
 			const instance = await startInstance(settings, log);
 			const stop = async () => {
@@ -41,6 +40,7 @@
 					process.exit(1);
 				});
 				await instance.drain();
+				await output.flush();
 				process.exit(0);
 			};
 
--- a/packages/telemetry/src/constants.ts
+++ b/packages/telemetry/src/constants.ts
@@ -19,3 +19,6 @@
 
 /** Text that waits for a slow reader, in bytes; what comes beyond is dropped. */
 export const MAX_LOG_BACKLOG_BYTES = 1_048_576;
+
+/** Longest time that a process which ends waits for its last lines to be written. */
+export const MAX_LOG_FLUSH_MS = 200;
--- a/packages/telemetry/src/log-output.ts
+++ b/packages/telemetry/src/log-output.ts
@@ -1,5 +1,6 @@
+import {sleep} from '@bergamotgauge/lifecycle';
 import sonicBoom from 'sonic-boom';
-import {LOG_BUFFER_BYTES, LOG_FLUSH_MS, MAX_LOG_BACKLOG_BYTES} from './constants.js';
+import {LOG_BUFFER_BYTES, LOG_FLUSH_MS, MAX_LOG_BACKLOG_BYTES, MAX_LOG_FLUSH_MS} from './constants.js';
 import type {LogOutput} from './types.js';
 
 /** Standard output for log lines. */
@@ -7,8 +8,8 @@
 	Readonly<{
 		/** Lines that a slow reader has cost. */
 		dropped: () => number;
-		/** Writes out what is collected, before the process ends. */
-		flush: () => void;
+		/** Resolves when what is collected is written, or after a short time: a reader that is gone must not hold up the end. */
+		flush: () => Promise<void>;
 	}>;
 
 /**
@@ -18,7 +19,7 @@
 ```ts
 const output = openLogOutput();
 const log = createLog({level: 'info', output});
-process.on('exit', output.flush);
+await output.flush();
 ```
 */
 export const openLogOutput = (descriptor = 1): LogStream => {
@@ -40,13 +41,14 @@
 	return {
 		write: (text) => stream.write(text),
 		dropped: () => dropped,
-		flush() {
-			try {
-				stream.flushSync();
-			} catch {
-				// The reader is gone, or reads too slowly to be waited for.
-				dropped += 1;
-			}
-		},
+		flush: async () =>
+			Promise.race([
+				new Promise<void>((resolve) => {
+					stream.flush(() => {
+						resolve();
+					});
+				}),
+				sleep(MAX_LOG_FLUSH_MS),
+			]),
 	};
 };
