Keep the clock that counts suspensions from running fast

Date.now() has a resolution of 1 ms, so readings within a millisecond gain up to a millisecond whenever it ticks: 40,000 readings in 10 s show 17.5 s. Expiry of own leases, run times and stall limits used the same clock.

Ruled out: late or lost writes of the leader key, roster entries with parts, adoption (read; 60 random schedules over lost, paused and new terms, one-way partitions, drains and late writes on a worker clock that is 2% slow, no overlap on the old code, whose clock does not run fast on the fake timers).

Change: the clock follows the monotonic one and counts a gain of the wall clock from 100 ms on; smaller gains add up. Also, found by reading: a renewal that waited for ends to be stored is not sent when the term has lapsed meanwhile, and a short lease of a draining worker does not hide the longer lease of an earlier leader.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -4,6 +4,9 @@
 /** Lease of the leader key; the leadership of a dead instance ends after this time. Several missed renewals fit into it. */
 export const LEADER_TTL_MS = 1500;
 
+/** Gain of the wall clock on the monotonic one that counts as a suspension; longer than a process may wait for its processor between two readings, and shorter than the margins of leases. */
+export const SUSPENSION_MIN_MS = 100;
+
 /** Interval between renewals of the leader lease; four fit into the lease. */
 export const LEADER_RENEW_MS = 350;
 
--- a/packages/scheduler/src/store-health.test.ts
+++ b/packages/scheduler/src/store-health.test.ts
@@ -19,6 +19,56 @@
 	t.equal(now(), 6150, 'a wall clock that jumps back does not reduce the total');
 });
 
+// Guards against a clock that runs fast while its instance is busy: a leader then took leases for expired before they were.
+await t.test('readings within a millisecond do not advance the clock faster than time', async (t) => {
+	let elapsedMs = 0;
+	const now = createSuspendClock(
+		() => elapsedMs,
+		// The wall clock has a resolution of one millisecond.
+		() => Math.floor(1000 + elapsedMs),
+	);
+	for (let reading = 1; reading <= 40_000; reading += 1) {
+		elapsedMs = reading / 4;
+		now();
+	}
+
+	t.ok(Math.abs(now() - 10_000) < 1, `the clock shows ${now()} ms after 10 s`);
+});
+
+// Guards against a wall clock that is slewed, or read late, being taken for a suspension.
+await t.test('small differences between the clocks do not count as suspensions', async (t) => {
+	let elapsedMs = 0;
+	let aheadMs = 0;
+	const now = createSuspendClock(
+		() => elapsedMs,
+		() => elapsedMs + aheadMs,
+	);
+	for (let reading = 1; reading <= 1000; reading += 1) {
+		elapsedMs += 10;
+		aheadMs = reading % 2 === 0 ? 0 : 60;
+		now();
+	}
+
+	t.equal(now(), 10_000);
+});
+
+// Guards against many short suspensions that add up to more than the safety margins.
+await t.test('short suspensions add up', async (t) => {
+	let monotonicMs = 0;
+	let wallClockMs = 0;
+	const now = createSuspendClock(
+		() => monotonicMs,
+		() => wallClockMs,
+	);
+	for (let suspension = 0; suspension < 20; suspension += 1) {
+		monotonicMs += 100;
+		wallClockMs += 140;
+		now();
+	}
+
+	t.ok(now() > 2600, `the clock shows ${now()} ms after 2.8 s`);
+});
+
 await t.test('contact with the store counts as lost only after failures without a response', async (t) => {
 	let nowMs = 0;
 	const health = createStoreHealth(() => nowMs);
--- a/packages/scheduler/src/store-health.ts
+++ b/packages/scheduler/src/store-health.ts
@@ -1,5 +1,5 @@
 import {performance} from 'node:perf_hooks';
-import {STORE_LOST_MS} from './constants.js';
+import {STORE_LOST_MS, SUSPENSION_MIN_MS} from './constants.js';
 
 /** Tracks whether the store is reachable and how current the configuration is. */
 export type StoreHealth = Readonly<{
@@ -16,19 +16,25 @@
 }>;
 
 /**
-A clock that includes the time for which the machine was suspended. The monotonic clock stops during a suspension and the wall clock may jump, so each step advances by the larger of both.
+A clock that includes the time for which the machine was suspended. The monotonic clock stops during a suspension and the wall clock may jump, so the clock follows the monotonic one and adds what the wall clock gains on it.
+
+Gains count from `SUSPENSION_MIN_MS` on. The wall clock has a coarser resolution than the monotonic one, so counting each gain would make the clock run fast on a busy instance, and leases would seem to expire early.
 */
 export const createSuspendClock = (monotonic = () => performance.now(), wallClock = () => Date.now()) => {
-	let lastMonotonic = monotonic();
-	let lastWallClock = wallClock();
-	let total = 0;
+	const startMs = monotonic();
+	let offsetMs = wallClock() - startMs;
+	let suspendedMs = 0;
 	return (): number => {
-		const monotonicNow = monotonic();
-		const wallClockNow = wallClock();
-		total += Math.max(0, monotonicNow - lastMonotonic, wallClockNow - lastWallClock);
-		lastMonotonic = monotonicNow;
-		lastWallClock = wallClockNow;
-		return total;
+		const monotonicMs = monotonic();
+		const gainMs = wallClock() - monotonicMs - offsetMs;
+		if (gainMs >= SUSPENSION_MIN_MS) {
+			suspendedMs += gainMs;
+			offsetMs += gainMs;
+		} else if (gainMs < 0) {
+			offsetMs += gainMs;
+		}
+
+		return monotonicMs - startMs + suspendedMs;
 	};
 };
 
--- a/packages/scheduler/src/test/memory-key-value.ts
+++ b/packages/scheduler/src/test/memory-key-value.ts
@@ -3,8 +3,10 @@
 import Emittery from 'emittery';
 
 export type StoreFaults = {
-	/** Calls fail without taking effect; leases are paused. */
+	/** Calls fail without taking effect; leases are paused unless `isLapsing`. */
 	isDown: boolean;
+	/** Leases expire while the store is down. */
+	isLapsing: boolean;
 	/** Number of following transactions that are applied but whose responses are lost. */
 	lostResponses: number;
 	/** Number of following transactions that get no response and are applied by `release`. */
@@ -45,7 +47,14 @@
 	const changed = new Emittery<{changed: undefined}>();
 	const leases = new Map<number, {ttlMs: number; timer: NodeJS.Timeout}>();
 	const delayed: Transaction[] = [];
-	const faults: StoreFaults = {isDown: false, lostResponses: 0, delayed: 0, silentRenewals: 0, isCompacted: false};
+	const faults: StoreFaults = {
+		isDown: false,
+		isLapsing: false,
+		lostResponses: 0,
+		delayed: 0,
+		silentRenewals: 0,
+		isCompacted: false,
+	};
 	let revision = 1;
 	let nextLease = 1;
 	let compactedRevision = 0;
@@ -93,7 +102,7 @@
 	const startTimer = (lease: number, ttlMs: number): NodeJS.Timeout =>
 		setTimeout(() => {
 			const entry = leases.get(lease);
-			if (entry && faults.isDown) {
+			if (entry && faults.isDown && !faults.isLapsing) {
 				// Leases are paused while the store is unavailable.
 				entry.timer = startTimer(lease, ttlMs);
 				return;
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -33,6 +33,10 @@
 export type WorkerFaults = {
 	/** Network partition: no order arrives and no response leaves. */
 	isCutOff: boolean;
+	/** One-way network partition: orders arrive and are carried out, and no response leaves. */
+	isMute: boolean;
+	/** Speed of the worker's clock. */
+	clockRate: number;
 	/** Number of following starts that get no response and are carried out by `release`. */
 	delayedStarts: number;
 	/** Number of following starts that are carried out but whose responses are lost. */
@@ -82,7 +86,14 @@
 	const throttles = new Map<string, number>();
 	const tailLatencies = new Map<string, number>();
 	const delayed: StartOrder[] = [];
-	const faults: WorkerFaults = {isCutOff: false, delayedStarts: 0, lostResponses: 0, slowness: 1};
+	const faults: WorkerFaults = {
+		isCutOff: false,
+		isMute: false,
+		clockRate: 1,
+		delayedStarts: 0,
+		lostResponses: 0,
+		slowness: 1,
+	};
 	const ended: EndedUnit[] = [];
 	const waiting = new Set<() => void>();
 	let sequence = 0;
@@ -91,7 +102,7 @@
 	let leaseUntilMs = 0;
 	let leaseTimer: NodeJS.Timeout | undefined;
 
-	const clockMs = () => Math.round(performance.now()) + 50_000;
+	const clockMs = () => Math.round(performance.now() * faults.clockRate) + 50_000;
 
 	const end = (run: Run, how: RunEnd) => {
 		clearTimeout(run.timer);
@@ -109,11 +120,14 @@
 	const extendLease = (untilMs: number) => {
 		leaseUntilMs = Math.max(leaseUntilMs, untilMs);
 		clearTimeout(leaseTimer);
-		leaseTimer = setTimeout(() => {
-			for (const run of runs.values()) {
-				end(run, 'lapsed');
-			}
-		}, leaseUntilMs - clockMs());
+		leaseTimer = setTimeout(
+			() => {
+				for (const run of runs.values()) {
+					end(run, 'lapsed');
+				}
+			},
+			(leaseUntilMs - clockMs()) / faults.clockRate,
+		);
 	};
 
 	const isStale = (given: number): boolean => {
@@ -175,6 +189,12 @@
 		}
 	};
 
+	const requireResponse = () => {
+		if (faults.isCutOff || faults.isMute) {
+			throw noResponse();
+		}
+	};
+
 	const listEnded = (limit: number) => ended.filter((endedUnit) => endedUnit.sequence > limit);
 
 	const waitForEnd = async (waitMs: number, signal: AbortSignal) =>
@@ -224,6 +244,7 @@
 				}
 
 				const reply = start(order);
+				requireResponse();
 				if (faults.lostResponses > 0) {
 					faults.lostResponses -= 1;
 					throw noResponse();
@@ -243,6 +264,8 @@
 					end(found, 'stopped');
 				}
 
+				requireResponse();
+
 				return {outcome: 'accepted', clockMs: clockMs()};
 			},
 			async throttle({unit, run, percent, token: given}) {
@@ -275,7 +298,7 @@
 					await waitForEnd(waitMs, signal);
 				}
 
-				requireReachable();
+				requireResponse();
 				return {
 					outcome: 'accepted',
 					clockMs: clockMs(),
--- a/packages/scheduler/src/worker-clock.test.ts
+++ b/packages/scheduler/src/worker-clock.test.ts
@@ -31,3 +31,13 @@
 	t.equal(clock.expiryMs(), 12_345);
 	t.equal(clock.leaseUntil(0, 1000), undefined);
 });
+
+// Guards against work of a draining worker that starts elsewhere while the longer lease of an earlier leader is valid.
+await t.test('a short lease does not hide a longer one of an earlier leader', async (t) => {
+	const clock = createWorkerClock(10_000);
+	clock.observe(50_000, 0, 10);
+	clock.recordLease(53_500);
+	t.equal(clock.expiryMs(), 10_000);
+	clock.recordLease(65_000);
+	t.ok(clock.expiryMs() > 15_000);
+});
--- a/packages/scheduler/src/worker-clock.ts
+++ b/packages/scheduler/src/worker-clock.ts
@@ -8,12 +8,12 @@
 	leaseUntil: (nowMs: number, lengthMs: number) => number | undefined;
 	/** Records that an order with this lease end was sent, whether or not a response came. */
 	recordLease: (leaseUntilMs: number) => void;
-	/** Time, on this instance's clock, after which no lease granted here can be valid. */
+	/** Time, on this instance's clock, after which no lease granted here or by an earlier leader can be valid. */
 	expiryMs: () => number;
 }>;
 
 /**
-Creates the estimate of a worker's clock. Leases expire by that clock, which may run slower than this instance's, so the expiry of granted leases is estimated late and that of new ones early.
+Creates the estimate of a worker's clock; `initialExpiryMs` is the time at which leases of earlier leaders have expired. Leases expire by that clock, which may run slower than this instance's, so the expiry of granted leases is estimated late and that of new ones early.
 
 @example
 ```ts
@@ -35,11 +35,16 @@
 		recordLease(leaseUntilMs) {
 			latestLeaseMs = Math.max(latestLeaseMs, leaseUntilMs);
 		},
-		expiryMs: () =>
-			reading && latestLeaseMs > 0
-				? reading.receivedMs +
-					Math.max(0, latestLeaseMs - reading.workerMs) * (1 + CLOCK_RATE_ERROR + CLOCK_RATE_ERROR ** 2) +
-					LEASE_EXPIRY_MARGIN_MS
-				: initialExpiryMs,
+		expiryMs() {
+			if (!reading || latestLeaseMs === 0) {
+				return initialExpiryMs;
+			}
+
+			const lengthMs = Math.max(0, latestLeaseMs - reading.workerMs);
+			const grantedEndMs =
+				reading.receivedMs + lengthMs * (1 + CLOCK_RATE_ERROR + CLOCK_RATE_ERROR ** 2) + LEASE_EXPIRY_MARGIN_MS;
+			// A lease granted here may be shorter than one that an earlier leader granted.
+			return Math.max(initialExpiryMs, grantedEndMs);
+		},
 	};
 };
--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -23,6 +23,8 @@
 	renewals: LeaseRenewal[];
 	/** Times at which starts were sent. */
 	starts: number[];
+	/** Whether the term of the leader is valid. */
+	term: {isValid: boolean};
 	/** Ends passed to `onEnds`, each with a callback that completes its store. */
 	endBatches: Array<Readonly<{sequences: readonly number[]; completeStore: () => void}>>;
 }>;
@@ -47,6 +49,7 @@
 	const script: WorkerScript = {ended: [], running: [], lostRenewals: 0, lostStarts: 0};
 	const renewals: LeaseRenewal[] = [];
 	const starts: number[] = [];
+	const term = {isValid: true};
 	const endBatches: Fixture['endBatches'] = [];
 	const clockMs = () => Math.round(performance.now());
 	const accept = async (): Promise<OrderReply> => ({outcome: 'accepted', clockMs: clockMs()});
@@ -92,7 +95,7 @@
 		token: 1,
 		now: () => performance.now(),
 		earlierLeasesEndMs: 0,
-		mayOrder: () => true,
+		mayOrder: () => term.isValid,
 		events: {
 			onReport() {
 				// The tests check only ends and orders.
@@ -121,7 +124,7 @@
 		await running;
 		clock.uninstall();
 	});
-	return {clock, link, script, renewals, starts, endBatches};
+	return {clock, link, script, renewals, starts, term, endBatches};
 };
 
 // Guards against an end that its worker forgets before it is stored. After a change of leader the unit would run again,
@@ -169,3 +172,18 @@
 		[[1]],
 	);
 });
+
+// Guards against a lease that is granted after the term has lapsed, which a later leader does not wait for.
+await t.test('no lease is granted while the term is paused, even if ends are being stored', async (t) => {
+	const {clock, script, renewals, term} = createFixture(t);
+	await clock.tickAsync(10);
+	script.ended.push(newEnd(1));
+	await clock.tickAsync(2100);
+	const before = renewals.length;
+	term.isValid = false;
+	await clock.tickAsync(5000);
+	t.equal(renewals.length, before);
+	term.isValid = true;
+	await clock.tickAsync(2000);
+	t.ok(renewals.length > before, 'renewals continue with the term');
+});
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -247,6 +247,10 @@
 			if (pendingStore) {
 				// A worker responds at once while it has unacknowledged ends, so until these are stored, renewals only extend the lease.
 				await Promise.race([pendingStore, sleep(RENEWAL_WAIT_MS / 2, signal)]);
+				// The term may have lapsed meanwhile, and a later leader does not wait for leases that are granted after it.
+				if (!mayOrder()) {
+					continue;
+				}
 			}
 
 			const hasUnacknowledgedEnds = acknowledgedSequence > sentSequence;
