Count the rest of a run from the report that its percentage came with

A run that resumed or was taken over at 60% was expected to end almost at once.

Ruled out: the drain deadline itself (2 s as reported, 0.3 s in reserve).

Change: run-forecast.ts projects the end from the time of the report, from the recent window where there is one, and from the estimate for the rest of a run that was taken over. run-forecast.test.ts guards the three cases.

--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -13,6 +13,7 @@
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractResources, sumResources} from './plan/resources.js';
 import {rankOf} from './rank.js';
+import {expectedEndMs} from './run-forecast.js';
 import type {Bounds, Declarations} from './types.js';
 
 export type PlanViewOptions = Readonly<{
@@ -48,24 +49,6 @@
 	return lostMs * coreEquivalentsOf(step) * part.indexes.length;
 };
 
-/** Percentage from which the progress of a run predicts its end better than the caller's estimate. */
-const MIN_MEASURED_PERCENT = 5;
-
-/** Expected end of a run. */
-export const expectedEndMs = (state: LeaderState, {activeJob, part, placement}: PlacedUnit, nowMs: number): number => {
-	const step = stepOf(activeJob, part);
-	const ranMs = nowMs - placement.startedMs;
-	if (step.longRunning) {
-		return Number.POSITIVE_INFINITY;
-	}
-
-	const isMeasured = placement.percent >= MIN_MEASURED_PERCENT;
-	const totalMs = isMeasured
-		? (ranMs * 100) / placement.percent
-		: Math.max(expectedRunMs(state, activeJob, part.step), ranMs * 1.2);
-	return placement.startedMs + totalMs;
-};
-
 const viewPlacement = (
 	{state, nowMs}: PlanViewOptions,
 	placed: PlacedUnit,
