Tell hanging runs by their own speed, and poll short urgent runs

A run counted as stalled after 3.5 s without progress at the earliest, and reports come every 2 s; an urgent run of 2.5 s has 1.5 s to spare.

Change: stalled-units.ts judges a run by the time that it took for a percent itself (ten of these, at least 0.7 s), or from its begin by a quarter of the expected time (at least 1.2 s).

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -133,11 +133,19 @@
 /** Time within which the other members of a gang report the end of their work. */
 export const GANG_END_MS = 1000;
 
-/** Time without progress after which a unit counts as stalled; workers are polled at least every two seconds. */
-export const STALL_MIN_MS = 3500;
+/** Shortest time without progress after which a run that has progressed counts as stalled; longer than a short stop of its worker. */
+export const MIN_STALL_MS = 700;
 
-/** The limit is at least this share of the expected run time, for units whose percentage changes slowly. */
-export const STALL_SHARE = 0.5;
+/** Number of times that a run takes for one percent after which it counts as stalled if its percentage has not changed. */
+export const STALL_PERCENT_STEPS = 10;
+
+/** Time without any progress after which a run counts as stalled at its begin, as a least time and as a share of the expected run time, which may be far off. */
+export const BEGIN_STALL_MS = 1200;
+export const BEGIN_STALL_SHARE = 0.25;
+
+/** The same for best-effort units, which may get no CPU for a while. */
+export const BEST_EFFORT_STALL_MS = 3500;
+export const BEST_EFFORT_STALL_SHARE = 0.5;
 
 /** Time without progress after which a long-running unit that is not serving yet is restarted on another worker. */
 export const LONG_RUNNING_START_MS = 6000;
@@ -241,6 +249,9 @@
 /** A unit is polled this long after its expected end, since the report that lists its end may be lost. */
 export const OVERDUE_MS = 400;
 
+/** Interval between progress polls of short urgent units, which have no time to spare for a worker that hangs. */
+export const URGENT_POLL_MS = 400;
+
 /** Longest expected run that is polled for progress between lease renewals, which come every two seconds. */
 export const MAX_POLLED_RUN_MS = 5000;
 
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,4 +1,4 @@
-import {LONG_RUNNING_START_MS, EVACUATION_MARGIN_MS, STALL_MIN_MS, STALL_SHARE} from './constants.js';
+import {EVACUATION_MARGIN_MS} from './constants.js';
 import {protectedParts} from './disruption-budget.js';
 import {pendingAdviceRequests} from './advice-requests.js';
 import type {Advisor} from './advisor.js';
@@ -11,6 +11,7 @@
 import {plan} from './plan/plan.js';
 import type {Placements} from './placements.js';
 import {createSlowWorkers} from './slow-workers.js';
+import {findStalled} from './stalled-units.js';
 import type {SchedulerContext} from './types.js';
 import {recordStall} from './worker-evidence.js';
 import type {WorkerFleet} from './worker-fleet.js';
@@ -46,21 +47,13 @@
 	const throttler = createThrottler({state, placements, bounds, now});
 
 	const stopStalled = (activeJob: ActiveJob, part: Part) => {
-		const {longRunning, usesLeftover: isBestEffort} = stepOf(activeJob, part);
-		const limitMs = longRunning
-			? LONG_RUNNING_START_MS
-			: Math.max(STALL_MIN_MS, expectedRunMs(state, activeJob, part.step) * STALL_SHARE);
-		const stalled = part.placements.find(
-			({phase, percent, progressMs, reportedMs, throttlePercent, workerId}) =>
-				phase === 'running' &&
-				percent < 100 &&
-				// A throttled unit may make no progress without being stalled.
-				(throttlePercent === 100 || !isBestEffort) &&
-				// Only reports show that a unit is stalled; time without reports does not count.
-				reportedMs - progressMs > limitMs &&
-				state.links.get(workerId)?.state() === 'synced',
-		);
-		if (stalled) {
+		const {longRunning, usesLeftover} = stepOf(activeJob, part);
+		const stalled = findStalled(part, {
+			expectedMs: expectedRunMs(state, activeJob, part.step),
+			isLongRunning: longRunning,
+			isBestEffort: usesLeftover,
+		});
+		if (stalled && state.links.get(stalled.workerId)?.state() === 'synced') {
 			recordStall(state, stalled.workerId, now());
 			part.avoided.add(stalled.workerId);
 			placements.stop(activeJob, part, 'stalled');
--- a/packages/scheduler/src/slow-workers.ts
+++ b/packages/scheduler/src/slow-workers.ts
@@ -5,6 +5,7 @@
 	MAX_SLOW_RESTARTS,
 	MIN_WINDOW_MS,
 	OVERDUE_MS,
+	URGENT_POLL_MS,
 	RESTART_GAIN,
 	RESTART_MS,
 	NORMAL_SPEED_RATIO,
@@ -93,6 +94,12 @@
 		now() - Math.max(startedMs, reportedMs) >= MIN_WINDOW_MS &&
 		expectedRunMs(state, activeJob, part.step) < MAX_POLLED_RUN_MS;
 
+	/** Whether the regular reports may show too late that an urgent run hangs. */
+	const isUrgentPollDue = ({activeJob, part, placement: {startedMs, reportedMs}}: PlacedUnit): boolean =>
+		activeJob.job.priority === 0 &&
+		now() - Math.max(startedMs, reportedMs) >= URGENT_POLL_MS &&
+		expectedRunMs(state, activeJob, part.step) < MAX_POLLED_RUN_MS;
+
 	/** Whether the unit should have ended by its progress and has not been reported since. */
 	const isOverdue = ({placement: {window, percent, reportedMs}}: PlacedUnit): boolean => {
 		if (!window || window.newest.atMs - window.base.atMs < MIN_WINDOW_MS) {
@@ -109,7 +116,7 @@
 				placedUnit.placement.phase === 'running' &&
 				placedUnit.placement.percent < 100 &&
 				!stepOf(placedUnit.activeJob, placedUnit.part).longRunning &&
-				(isUnmeasured(placedUnit) || isOverdue(placedUnit)),
+				(isUnmeasured(placedUnit) || isUrgentPollDue(placedUnit) || isOverdue(placedUnit)),
 		);
 		if (isDue) {
 			void state.links.get(workerId)?.pollProgress();
