--- a/packages/scheduler/src/disruption-budget.test.ts
+++ b/packages/scheduler/src/disruption-budget.test.ts
@@ -3,6 +3,7 @@
 import type {Step} from '@bergamotgauge/jobs';
 import {protectedParts} from './disruption-budget.js';
 import {createLeaderState} from './leader-state.js';
+import {DEFAULT_POLICY} from './policy.js';
 import {newActiveJob, newPlacementOn} from './test/active-job.js';
 
 /** Number of protected units of a step whose units are at the given percentages; `undefined` stands for an absent unit. */
@@ -13,7 +14,7 @@
 		part.placements = percent === undefined ? [] : [newPlacementOn('w', {percent})];
 	}
 
-	const state = createLeaderState();
+	const state = createLeaderState(DEFAULT_POLICY);
 	state.activeJobs.set(activeJob.job.id, activeJob);
 	return protectedParts(state).size;
 };
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -5,3 +5,4 @@
 export {plan} from './plan/plan.js';
 export type * from './plan/types.js';
 export {startScheduler, type Scheduler} from './scheduler.js';
+export {DEFAULT_POLICY, isMechanism, MECHANISMS, policyWithout, type Mechanism, type Policy} from './policy.js';
--- a/packages/scheduler/src/leader-state.test.ts
+++ b/packages/scheduler/src/leader-state.test.ts
@@ -3,13 +3,14 @@
 import t from 'tap';
 import {partOf} from './active-job.js';
 import {createLeaderState, isDataLocal} from './leader-state.js';
+import {DEFAULT_POLICY} from './policy.js';
 import {newActiveJob, newPlacementOn} from './test/active-job.js';
 import {newWorker} from './test/cluster.js';
 
 /** Whether a gang of two, with one unit in each of the racks, has data locality and so runs at its usual speed. */
 const isLocal = (racks: readonly string[], change: Partial<Step>): boolean => {
 	const activeJob = newActiveJob({steps: [newStep({count: 2, gang: true, ...change})]});
-	const state = createLeaderState();
+	const state = createLeaderState(DEFAULT_POLICY);
 	const part = partOf(activeJob, 0, 0, 0)!;
 	for (const [index, rack] of racks.entries()) {
 		const id = `w${index}`;
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -1,6 +1,7 @@
 import {objectiveMs, type Step} from '@bergamotgauge/jobs';
 import {ACCELERATOR_CORES} from './constants.js';
 import {stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
+import type {Policy} from './policy.js';
 import {createRunTimes, type RunTimes} from './run-times.js';
 import type {Resources, Worker} from './types.js';
 import type {WorkerLink} from './worker-link.js';
@@ -33,13 +34,15 @@
 	/** Orphaned runs, which belong to no active job: run numbers by worker and unit. */
 	orphanedRuns: Map<string, Map<string, number>>;
 	runTimes: RunTimes;
+	policy: Policy;
 	/** Placements as of the last planning pass; some may have ended since. */
 	placementIndex: {byWorker: ReadonlyMap<string, readonly PlacedUnit[]>};
 	/** Workers that are drained for the maintenance of their machines, with their drain deadlines in monotonic time. */
 	maintenanceDrains: {deadlineByWorker: ReadonlyMap<string, number>};
 }>;
 
-export const createLeaderState = (): LeaderState => ({
+export const createLeaderState = (policy: Policy): LeaderState => ({
+	policy,
 	activeJobs: new Map(),
 	links: new Map(),
 	directory: new Map(),
@@ -108,8 +111,9 @@
 	cpuMillis / 1000 + accelerators * ACCELERATOR_CORES;
 
 /** Expected run time of a unit: as measured on its step's other units, otherwise derived from the run times of its queue and the estimate. */
-export const expectedRunMs = ({runTimes}: LeaderState, activeJob: ActiveJob, step: number): number =>
-	activeJob.stepTimes.get(step) ?? runTimes.expectMs(activeJob.job.queue, activeJob.job.steps[step]?.estimateMs ?? 0);
+export const expectedRunMs = ({runTimes, policy}: LeaderState, activeJob: ActiveJob, step: number): number =>
+	activeJob.stepTimes.get(step) ??
+	policy.expectRunMs(runTimes, activeJob.job.queue, activeJob.job.steps[step]?.estimateMs ?? 0);
 
 /** Time within which the job should complete, based on the expected run times. */
 export const expectedObjectiveMs = (state: LeaderState, activeJob: ActiveJob): number =>
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -53,7 +53,7 @@
 export const runLeader = async ({context, health, term}: LeaderOptions): Promise<void> => {
 	const {store, log, metrics, bounds, workerPrefix} = context;
 	const {now} = health;
-	const state = createLeaderState();
+	const state = createLeaderState(context.policy);
 	const table = createJobTable(log);
 	/** Woken when the next planning pass may find something to do. */
 	const waker = createWaker();
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -12,7 +12,6 @@
 } from './leader-state.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractResources, sumResources} from './plan/resources.js';
-import {rankOf} from './rank.js';
 import {expectedEndMs} from './run-forecast.js';
 import type {Bounds, Declarations} from './types.js';
 
@@ -145,7 +144,7 @@
 		estimateMs,
 		waitedMs: nowMs - part.waitingSinceMs,
 		rank:
-			rankOf({
+			state.policy.rank({
 				priority: activeJob.job.priority,
 				objectiveMs,
 				ageMs: ageOf(activeJob, part, {nowMs, wallClockMs}),
@@ -220,5 +219,6 @@
 		unitsOnWorker: (stepId, workerId) => units.get(`${stepId} ${workerId}`) ?? 0,
 		nowMs,
 		remoteFactor: bounds.remoteFactor,
+		policy: state.policy.plan,
 	};
 };
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -1,5 +1,5 @@
 import type {Resources} from '../types.js';
-import {MAX_IDLE_DATA_WAIT_MS} from './constants.js';
+import type {PlanPolicy} from './policy.js';
 import {fits, shareOf, subtractResources} from './resources.js';
 import type {PlanPart, PlanWorker} from './types.js';
 
@@ -20,6 +20,7 @@
 	workers: readonly PlanWorker[];
 	/** Less than half of the workers' resources is in use. */
 	isPoolIdle: boolean;
+	mayLeaveRack: PlanPolicy['mayLeaveRack'];
 }>;
 
 /** Whether the worker could hold a unit of the part when empty, even if it accepts no work now. */
@@ -68,15 +69,8 @@
 	);
 };
 
-/**
-Whether the part has waited long enough to run in another rack than its data or spread over racks. Such a run is slower, so waiting for a better placement pays off for up to the extra run time. In an idle pool the part waits only briefly, because there its wait may mean that no suitable rack can hold it at all.
-*/
-const hasWaitedEnough = (part: PlanPart, options: PlaceOptions): boolean =>
-	part.waitedMs > (options.remoteFactor - 1) * part.estimateMs ||
-	(options.isPoolIdle && part.waitedMs > MAX_IDLE_DATA_WAIT_MS);
-
 const acceptsRemote = (part: PlanPart, options: PlaceOptions): boolean =>
-	part.dataRack === undefined || hasWaitedEnough(part, options);
+	part.dataRack === undefined || options.mayLeaveRack(part, options);
 
 const isCandidate = (part: PlanPart, slot: WorkerSlot, isRemoteAccepted: boolean): boolean =>
 	!slot.isReserved && isEligible(part, slot.worker) && (isRemoteAccepted || slot.worker.rack === part.dataRack);
@@ -182,7 +176,7 @@
 
 @example
 ```ts
-const chosen = findPlacement(part, slots, {unitsOnWorker, remoteFactor: 3, workers, isPoolIdle: false});
+const chosen = findPlacement(part, slots, {unitsOnWorker, remoteFactor: 3, workers, isPoolIdle: false, mayLeaveRack});
 ```
 */
 export const findPlacement = (
@@ -212,7 +206,7 @@
 		}
 	}
 
-	if (best === undefined && (hasWaitedEnough(part, options) || !canAnyRackHold(part, options.workers))) {
+	if (best === undefined && (options.mayLeaveRack(part, options) || !canAnyRackHold(part, options.workers))) {
 		return fillSlots(part, sorted, options);
 	}
 
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -1,5 +1,4 @@
 import {
-	CHEAP_EVICTION_RATIO,
 	EVICTION_LOSS_RATIO,
 	EVICTION_TIME_MS,
 	IDLE_POOL_SHARE,
@@ -10,82 +9,11 @@
 	RESERVED_SHARE,
 } from './constants.js';
 import {findEviction} from './evict.js';
-import {findPlacement, isEligible, membersOn, allocate, type PlaceOptions, type WorkerSlot} from './place-part.js';
-import {addResources, fits, shareOf, subtractResources, sumResources} from './resources.js';
+import {findPlacement, isEligible, allocate, type PlaceOptions, type WorkerSlot} from './place-part.js';
+import {freeAtMs} from './reservation.js';
+import {shareOf, subtractResources, sumResources} from './resources.js';
 import type {Plan, PlanPart, PlanStart, PlanView, PlanWorker} from './types.js';
 
-/** Time at which the worker has enough free resources for one member if nothing new starts on it. */
-const freeAtMs = (part: PlanPart, worker: PlanWorker, nowMs: number): number => {
-	let {free} = worker;
-	for (const {need, endMs} of worker.placements.toSorted((a, b) => a.endMs - b.endMs)) {
-		if (fits(part.need, free)) {
-			break;
-		}
-
-		free = addResources(free, need);
-		if (fits(part.need, free)) {
-			return Math.max(nowMs, endMs);
-		}
-	}
-
-	return fits(part.need, free) ? nowMs : Number.POSITIVE_INFINITY;
-};
-
-/** A worker that could be reserved, with the expected time at which it has enough free resources for a member. */
-type ExpectedOpening = Readonly<{slot: WorkerSlot; atMs: number}>;
-
-/** The shortest prefix of the openings that holds all members, or all openings when they don't suffice. */
-const earliestSufficient = (part: PlanPart, openings: readonly ExpectedOpening[]): readonly ExpectedOpening[] => {
-	let held = 0;
-	const count = openings.findIndex(({slot}) => {
-		held += membersOn(part, slot.worker);
-		return held >= part.members;
-	});
-	return count === -1 ? openings : openings.slice(0, count + 1);
-};
-
-/** Openings in the rack that can hold all members earliest; openings spread over several racks would be of little use to the part. */
-const earliestRackFor = (part: PlanPart, openings: readonly ExpectedOpening[]): readonly ExpectedOpening[] => {
-	const byRack = new Map<string, ExpectedOpening[]>();
-	for (const opening of openings) {
-		const {rack} = opening.slot.worker;
-		byRack.set(rack, [...(byRack.get(rack) ?? []), opening]);
-	}
-
-	let best: readonly ExpectedOpening[] = [];
-	let bestMs = Number.POSITIVE_INFINITY;
-	for (const rackOpenings of byRack.values()) {
-		const chosen = earliestSufficient(part, rackOpenings);
-		const held = chosen.reduce((sum, {slot}) => sum + membersOn(part, slot.worker), 0);
-		const atMs = chosen.at(-1)?.atMs ?? Number.POSITIVE_INFINITY;
-		if (held >= part.members && atMs < bestMs) {
-			best = chosen;
-			bestMs = atMs;
-		}
-	}
-
-	return best;
-};
-
-/**
-Reserves workers for a part that can't be placed yet, so that smaller parts behind it don't use up all resources that become free. Returns the number of reserved workers.
-*/
-const reserve = (part: PlanPart, slots: readonly WorkerSlot[], budget: number, nowMs: number): number => {
-	const open = slots
-		.filter(({worker, isReserved}) => !isReserved && isEligible(part, worker) && !worker.isSuspect)
-		.filter(({worker}) => !part.dataRack || worker.rack === part.dataRack)
-		.map((slot) => ({slot, atMs: freeAtMs(part, slot.worker, nowMs)}))
-		.filter(({atMs}) => atMs < Number.POSITIVE_INFINITY)
-		.toSorted((a, b) => a.atMs - b.atMs);
-	const chosen = part.sameRack && part.members > 1 ? earliestRackFor(part, open) : earliestSufficient(part, open);
-	const reserved = chosen.slice(0, budget);
-	for (const {slot} of reserved) {
-		slot.isReserved = true;
-	}
-
-	return reserved.length;
-};
-
 /** Earliest time at which all members could start without evictions, by the expected ends of running work. */
 const earliestStartMs = (part: PlanPart, slots: readonly WorkerSlot[], nowMs: number): number => {
 	const times = slots
@@ -112,11 +40,11 @@
 
 @example
 ```ts
-const {starts, evictions} = plan({workers, parts, unitsOnWorker, nowMs, remoteFactor: 3});
+const {starts, evictions} = plan({workers, parts, unitsOnWorker, nowMs, remoteFactor: 3, policy: DEFAULT_PLAN_POLICY});
 ```
 */
 export const plan = (view: PlanView): Plan => {
-	const {workers, nowMs} = view;
+	const {workers, nowMs, policy} = view;
 	const slots: WorkerSlot[] = workers
 		.filter(({isUsable}) => isUsable)
 		.map((worker) => ({worker, free: worker.free, isReserved: false, units: new Map()}));
@@ -125,6 +53,7 @@
 		remoteFactor: view.remoteFactor,
 		workers,
 		isPoolIdle: isPoolIdle(workers),
+		mayLeaveRack: policy.mayLeaveRack,
 	};
 	const parts = view.parts.toSorted((a, b) => a.rank - b.rank).slice(0, MAX_PLANNED_PARTS);
 	const starts: PlanStart[] = [];
@@ -137,11 +66,11 @@
 	const mayEvict = (part: PlanPart): boolean =>
 		evictions.size < MAX_EVICTIONS &&
 		evictionSearches < MAX_EVICTION_SEARCHES &&
-		(part.isGuaranteed || (part.priority === 0 && part.slackMs > 0));
+		(part.isGuaranteed || policy.mayEvictUncovered(part));
 
 	/** Evictions that lose little work may happen at once; others only when no running work is expected to end in time. */
 	const isWorthwhile = (part: PlanPart, lostWorkCoreMs: number): boolean => {
-		if (lostWorkCoreMs <= part.workCoreMs * CHEAP_EVICTION_RATIO) {
+		if (policy.isCheapEviction(part, lostWorkCoreMs)) {
 			return true;
 		}
 
@@ -194,7 +123,7 @@
 		failedShapes.add(shape);
 		if (reservingParts < MAX_RESERVING_PARTS && reservationBudget > 0) {
 			reservingParts += 1;
-			reservationBudget -= reserve(part, slots, reservationBudget, nowMs);
+			reservationBudget -= policy.reserve(part, slots, reservationBudget, nowMs);
 		}
 	}
 
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '../types.js';
+import type {PlanPolicy} from './policy.js';
 
 /** A run on a worker, as a candidate for eviction. */
 export type PlanPlacement = Readonly<{
@@ -75,6 +76,7 @@
 	unitsOnWorker: (stepId: string, workerId: string) => number;
 	nowMs: number;
 	remoteFactor: number;
+	policy: PlanPolicy;
 }>;
 
 export type PlanStart = Readonly<{partId: string; workerIds: readonly string[]}>;
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -11,7 +11,6 @@
 import {plan} from './plan/plan.js';
 import type {Placements} from './placements.js';
 import {createSlowWorkers} from './slow-workers.js';
-import {findStalled} from './stalled-units.js';
 import type {SchedulerContext} from './types.js';
 import {recordStall} from './worker-evidence.js';
 import type {WorkerFleet} from './worker-fleet.js';
@@ -48,7 +47,7 @@
 
 	const stopStalled = (activeJob: ActiveJob, part: Part) => {
 		const {longRunning, usesLeftover} = stepOf(activeJob, part);
-		const stalled = findStalled(part, {
+		const stalled = state.policy.findStalled(part, {
 			expectedMs: expectedRunMs(state, activeJob, part.step),
 			isLongRunning: longRunning,
 			isBestEffort: usesLeftover,
@@ -67,7 +66,7 @@
 			if (
 				placement.phase === 'running' &&
 				!protectedNow.has(part) &&
-				expectedEndMs(state, placed, now()) > deadlineMs
+				state.policy.mustMove(expectedEndMs(state, placed, now()), deadlineMs)
 			) {
 				placements.stop(activeJob, part, reason);
 			}
--- a/packages/scheduler/src/rank.ts
+++ b/packages/scheduler/src/rank.ts
@@ -22,6 +22,10 @@
 	isLongRunning: boolean;
 }>;
 
+/** Rank by priority, then by earliest deadline. */
+export const rankByUrgency = ({priority, objectiveMs, ageMs}: RankInput): number =>
+	priority * PRIORITY_OFFSET + objectiveMs - ageMs;
+
 /**
 Rank of a part, lower first: by priority, then by earliest deadline. Under overload, earliest deadline first alone would make all work slightly late, so work that will miss its objective (`slackMs` below 0) ranks after work that can still meet it, and work that has no value left ranks last.
 
@@ -30,10 +34,10 @@
 rankOf({priority: 1, objectiveMs: 4000, ageMs: 500, slackMs: 1500, isLongRunning: false});
 ```
 */
-export const rankOf = ({priority, objectiveMs, ageMs, slackMs, isLongRunning}: RankInput): number => {
+export const rankOf = (input: RankInput): number => {
+	const {objectiveMs, ageMs, slackMs, isLongRunning} = input;
 	// Long-running work has value from the moment at which it runs again, however late that is.
 	const isExpired = !isLongRunning && ageMs > OBJECTIVE_EXPIRY_FACTOR * objectiveMs;
 	const isLate = !isLongRunning && slackMs < 0;
-	const remainingMs = objectiveMs - ageMs;
-	return priority * PRIORITY_OFFSET + remainingMs + (isExpired ? EXPIRED_OFFSET : 0) + (isLate ? LATE_OFFSET : 0);
+	return rankByUrgency(input) + (isExpired ? EXPIRED_OFFSET : 0) + (isLate ? LATE_OFFSET : 0);
 };
--- a/packages/scheduler/src/run-forecast.test.ts
+++ b/packages/scheduler/src/run-forecast.test.ts
@@ -2,10 +2,11 @@
 import t from 'tap';
 import {partOf, type Placement} from './active-job.js';
 import {createLeaderState, type PlacedUnit} from './leader-state.js';
+import {DEFAULT_POLICY} from './policy.js';
 import {expectedEndMs} from './run-forecast.js';
 import {newActiveJob, newPlacementOn} from './test/active-job.js';
 
-const state = createLeaderState();
+const state = createLeaderState(DEFAULT_POLICY);
 
 const newRun = (estimateMs: number, change: Partial<Placement>): PlacedUnit => {
 	const activeJob = newActiveJob({steps: [newStep({estimateMs})]});
--- a/packages/scheduler/src/slow-units.test.ts
+++ b/packages/scheduler/src/slow-units.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import {partOf, type ActiveJob} from './active-job.js';
 import {createLeaderState, type LeaderState} from './leader-state.js';
+import {DEFAULT_POLICY} from './policy.js';
 import {extendWindow, openWindow, projectedRunMs} from './progress-window.js';
 import {newActiveJob, newPlacementOn} from './test/active-job.js';
 import {isSlowWorker, unitSpeed, type UnitSpeed} from './slow-units.js';
@@ -22,7 +23,7 @@
 			window: {base: {atMs: 0, percent: 0}, newest: {atMs: 1000, percent}},
 		}),
 	);
-	const state = createLeaderState();
+	const state = createLeaderState(DEFAULT_POLICY);
 	state.activeJobs.set(activeJob.job.id, activeJob);
 	return {state, activeJob};
 };
--- a/packages/scheduler/src/slow-workers.ts
+++ b/packages/scheduler/src/slow-workers.ts
@@ -14,7 +14,7 @@
 import {expectedObjectiveMs, expectedRunMs, type LeaderState, type PlacedUnit} from './leader-state.js';
 import type {Placements} from './placements.js';
 import {projectedRunMs} from './progress-window.js';
-import {isSlowWorker, unitSpeed, type UnitSpeed} from './slow-units.js';
+import {unitSpeed, type UnitSpeed} from './slow-units.js';
 import {isSlow, recordSlow, recordNormalSpeed} from './worker-evidence.js';
 
 export type SlowWorkersOptions = Readonly<{
@@ -96,6 +96,7 @@
 
 	/** Whether the regular reports may show too late that an urgent run hangs. */
 	const isUrgentPollDue = ({activeJob, part, placement: {startedMs, reportedMs}}: PlacedUnit): boolean =>
+		state.policy.pollsUrgentRuns() &&
 		activeJob.job.priority === 0 &&
 		now() - Math.max(startedMs, reportedMs) >= URGENT_POLL_MS &&
 		expectedRunMs(state, activeJob, part.step) < MAX_POLLED_RUN_MS;
@@ -133,7 +134,7 @@
 				const units = measure(placed);
 				if (units.some(({speed}) => speed.ratio < NORMAL_SPEED_RATIO)) {
 					recordNormalSpeed(state, workerId);
-				} else if (isSlowWorker(units)) {
+				} else if (state.policy.isSlowWorker(units)) {
 					if (!isSlow(state, workerId, now())) {
 						log.info('worker-slow', {worker: workerId, units: units.length, ratio: maxRatio(units).toFixed(1)});
 					}
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -5,6 +5,7 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import type {Test} from 'tap';
 import type {JobAddress, JobService} from '../job-service.js';
+import {DEFAULT_POLICY} from '../policy.js';
 import {startScheduler, type Scheduler} from '../scheduler.js';
 import {createStoreHealth, createSuspendClock} from '../store-health.js';
 import type {AdvicePort, Bounds, Declarations, Queue, Worker} from '../types.js';
@@ -148,6 +149,7 @@
 					log: log ?? createSilentLog(),
 					metrics: createMetrics(),
 					declarations: () => DECLARATIONS,
+					policy: DEFAULT_POLICY,
 					advice,
 					machines,
 					waves: WAVE_RECORDS,
--- a/packages/scheduler/src/test/plan-view.ts
+++ b/packages/scheduler/src/test/plan-view.ts
@@ -1,3 +1,4 @@
+import {DEFAULT_PLAN_POLICY} from '../plan/policy.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from '../plan/types.js';
 
 /** An idle worker with 8 accelerators, with changes. */
@@ -65,4 +66,5 @@
 	unitsOnWorker: () => 0,
 	nowMs: 0,
 	remoteFactor: 3,
+	policy: DEFAULT_PLAN_POLICY,
 });
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -2,6 +2,7 @@
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import type {KeyValueStore} from '@bergamotgauge/store';
 import type {MachinePort, WaveRecords} from './maintenance/types.js';
+import type {Policy} from './policy.js';
 
 /** Resources of a worker, or those that a unit needs. */
 export type Resources = Readonly<{cpuMillis: number; memoryMb: number; accelerators: number}>;
@@ -172,6 +173,8 @@
 	log: Log;
 	metrics: Metrics;
 	declarations: () => Declarations | undefined;
+	/** Decisions that can be replaced for experiments. */
+	policy: Policy;
 	/** Opens a client for one worker incarnation. */
 	connectWorker: (worker: Worker) => WorkerPort;
 	/** `undefined` if the deployment has no advice service. */
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -67,7 +67,7 @@
 			failures: part.failures,
 			ranMs,
 		});
-		if (end.how === 'failed' && effect === 'counted') {
+		if (end.how === 'failed' && effect === 'counted' && state.policy.countsFailures()) {
 			recordFailure(state, end.workerId, activeJob.job.id, now());
 		} else if (end.how === 'done') {
 			recordSuccess(state, end.workerId);
