Judge failing workers by their recent outcomes

A worker was suspected after failures of two different jobs, and one success cleared it.

Ruled out: overload (half of the starts within 0.16 s) and refused submissions (none).

Change: failing-workers.ts keeps the outcomes of a worker with a half-life of 10 s; one failure without successes suffices for suspicion, a success does not clear it, and at most 40% of the workers are suspected, so that guarantees find room when many jobs fail by their own fault.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -97,8 +97,21 @@
 /** Records are kept this much longer than promised, since the clocks of instances differ. */
 export const RETENTION_MARGIN_MS = 30_000;
 
-/** Different jobs that fail in a row on a worker before it is suspected. */
-export const FAILED_JOBS_LIMIT = 2;
+/** Usual share of runs that fail by their own fault, and the number of runs that this prior counts as. */
+export const PRIOR_RUNS = 4;
+export const PRIOR_FAILURES = 0.02 * PRIOR_RUNS;
+
+/** Time after which an outcome counts half. */
+export const OUTCOME_HALF_LIFE_MS = 10_000;
+
+/** Estimated share of failing runs above which a worker gets work only when no other fits. */
+export const FAILING_SHARE = 0.15;
+
+/** Largest share of the workers that is suspected because of failures. */
+export const MAX_FAILING_WORKER_SHARE = 0.4;
+
+/** Time for which a success speaks for a worker. */
+export const PROVEN_MS = 10_000;
 
 export const SUSPICION_MIN_MS = 4000;
 export const SUSPICION_MAX_MS = 30_000;
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -1,5 +1,6 @@
 import {objectiveMs, type Step} from '@bergamotgauge/jobs';
 import {ACCELERATOR_CORES} from './constants.js';
+import {NO_OUTCOMES, type Outcomes} from './failing-workers.js';
 import {stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import type {Policy} from './policy.js';
 import {createRunTimes, type RunTimes} from './run-times.js';
@@ -8,8 +9,9 @@
 
 /** Health of a worker, derived from its runs. */
 export type WorkerHealth = {
-	/** Jobs that have failed on the worker since the last success. */
+	/** Jobs that have failed on the worker. */
 	failedJobs: Set<string>;
+	outcomes: Outcomes;
 	/** Time until which the worker gets work only when no other fits. */
 	suspectUntilMs: number;
 	/** Time until which the worker gets no work, after it has refused a start. */
@@ -59,6 +61,7 @@
 	if (!health) {
 		health = {
 			failedJobs: new Set(),
+			outcomes: NO_OUTCOMES,
 			suspectUntilMs: 0,
 			pausedUntilMs: 0,
 			suspicions: 0,
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -1,6 +1,7 @@
 import {protectedParts} from './disruption-budget.js';
 import {GUARANTEED_RANK_OFFSET, RESTART_MS} from './constants.js';
 import {ageOf, readyParts, stepOf, type ActiveJob, type Part} from './active-job.js';
+import {failureShare, suspicionLimit, unprovenShare} from './failing-workers.js';
 import {
 	coreEquivalentsOf,
 	expectedObjectiveMs,
@@ -73,6 +74,10 @@
 	const {state, nowMs, isOrderable, isContended} = options;
 	const {byWorker: placed} = state.placementIndex;
 	const protectedNow = protectedParts(state);
+	const failureShares = new Map(
+		[...state.directory.keys()].map((id) => [id, failureShare(workerHealthOf(state, id).outcomes, nowMs)]),
+	);
+	const failureLimit = suspicionLimit([...failureShares.values()]);
 	return [...state.directory.values()].map((worker) => {
 		const health = workerHealthOf(state, worker.id);
 		const placedUnits = placed.get(worker.id) ?? [];
@@ -92,7 +97,10 @@
 				!hasOrphanedRuns &&
 				!state.maintenanceDrains.deadlineByWorker.has(worker.id),
 			isDraining: worker.state !== 'ready',
-			isSuspect: Math.max(health.suspectUntilMs, health.slowUntilMs) > nowMs,
+			isSuspect:
+				Math.max(health.suspectUntilMs, health.slowUntilMs) > nowMs ||
+				(failureShares.get(worker.id) ?? 0) > failureLimit,
+			unprovenShare: unprovenShare(health.outcomes, nowMs),
 			isContended: isContended(worker.id),
 			placements: placedUnits.map((placedUnit) =>
 				viewPlacement(options, placedUnit, covered.has(placedUnit.activeJob), !protectedNow.has(placedUnit.part)),
@@ -140,6 +148,7 @@
 		maxPerWorker: step.maxPerWorker,
 		isBestEffort: step.usesLeftover,
 		avoidedWorkers: part.avoided,
+		isLastAttempt: part.failures > 0 && part.failures >= activeJob.job.attempts - 1,
 		allowedWorkers: activeJob.job.advice && allowedWorkers(stepIdOf(activeJob, part)),
 		estimateMs,
 		waitedMs: nowMs - part.waitingSinceMs,
--- a/packages/scheduler/src/plan/constants.ts
+++ b/packages/scheduler/src/plan/constants.ts
@@ -27,3 +27,6 @@
 
 /** A pool counts as idle when less than this share of its resources is in use. */
 export const IDLE_POOL_SHARE = 0.5;
+
+/** Time for which the last attempt of a job waits for workers that are not suspected. */
+export const LAST_ATTEMPT_WAIT_MS = 4000;
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '../types.js';
+import {LAST_ATTEMPT_WAIT_MS} from './constants.js';
 import type {PlanPolicy} from './policy.js';
 import {fits, shareOf, subtractResources} from './resources.js';
 import type {PlanPart, PlanWorker} from './types.js';
@@ -54,7 +55,7 @@
 	return count;
 };
 
-/** Lower is better. Prefers, in this order: workers that are neither suspected nor avoided, for best-effort units workers without contention, workers near the data, and the fullest workers. */
+/** Lower is better. Prefers, in this order: workers that are neither suspected nor avoided, for best-effort units workers without contention, workers near the data, for a last attempt workers with a recent success, and the fullest workers. */
 const costOf = (part: PlanPart, slot: WorkerSlot, options: PlaceOptions): number => {
 	const {worker} = slot;
 	const isRemote = part.dataRack !== undefined && part.dataRack !== worker.rack;
@@ -63,6 +64,7 @@
 	return (
 		(isDeprioritized ? 100 : 0) +
 		(part.isBestEffort && worker.isContended ? 50 : 0) +
+		(part.isLastAttempt ? 5 * worker.unprovenShare : 0) +
 		10 * (isRemote ? options.remoteFactor : 1) +
 		// Filling the fullest worker first keeps other workers empty for large units.
 		shareOf(remaining, worker.capacity)
@@ -72,8 +74,15 @@
 const acceptsRemote = (part: PlanPart, options: PlaceOptions): boolean =>
 	part.dataRack === undefined || options.mayLeaveRack(part, options);
 
+/** A last attempt waits for a while for workers that are not suspected. */
+const isTooRisky = (part: PlanPart, {isSuspect}: PlanWorker): boolean =>
+	isSuspect && part.isLastAttempt && part.waitedMs < LAST_ATTEMPT_WAIT_MS;
+
 const isCandidate = (part: PlanPart, slot: WorkerSlot, isRemoteAccepted: boolean): boolean =>
-	!slot.isReserved && isEligible(part, slot.worker) && (isRemoteAccepted || slot.worker.rack === part.dataRack);
+	!slot.isReserved &&
+	!isTooRisky(part, slot.worker) &&
+	isEligible(part, slot.worker) &&
+	(isRemoteAccepted || slot.worker.rack === part.dataRack);
 
 const sortedCandidates = (part: PlanPart, slots: readonly WorkerSlot[], options: PlaceOptions): WorkerSlot[] => {
 	const isRemoteAccepted = acceptsRemote(part, options);
--- a/packages/scheduler/src/plan/plan.test.ts
+++ b/packages/scheduler/src/plan/plan.test.ts
@@ -202,3 +202,20 @@
 	);
 	t.equal(plan(newPlanView(free, [small])).starts.length, 1);
 });
+
+// Guards against a job whose last attempt is spent on a worker that fails what it starts.
+await t.test(
+	'a last attempt goes to workers that are not suspected, first to those with a recent success',
+	async (t) => {
+		const workers = [
+			newPlanWorker('failing', {isSuspect: true}),
+			newPlanWorker('unproven'),
+			newPlanWorker('proven', {unprovenShare: 0.1}),
+		];
+		const part = newPlanPart('a', {isLastAttempt: true});
+		t.same(plan(newPlanView(workers, [part])).starts[0]?.workerIds, ['proven']);
+		const alone = newPlanView(workers.slice(0, 1), [part]);
+		t.equal(plan(alone).starts.length, 0);
+		t.equal(plan({...alone, parts: [{...part, waitedMs: 5000}]}).starts.length, 1, 'it does not wait forever');
+	},
+);
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -33,6 +33,8 @@
 	isDraining: boolean;
 	/** Suspected of failing or slow work; used only when no other worker fits. */
 	isSuspect: boolean;
+	/** From 0 for a worker that has just completed a run to 1 for one without a recent success. */
+	unprovenShare: number;
 	/** Latency-sensitive units on the worker suffer from contention. */
 	isContended: boolean;
 	placements: readonly PlanPlacement[];
@@ -61,6 +63,8 @@
 	/** Best-effort unit: uses only spare cores. */
 	isBestEffort: boolean;
 	avoidedWorkers: ReadonlySet<string>;
+	/** Another failed run would use up the attempts of the job. */
+	isLastAttempt: boolean;
 	/** The only workers on which the part may run; `undefined` allows all. */
 	allowedWorkers: ReadonlySet<string> | undefined;
 	estimateMs: number;
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -70,7 +70,7 @@
 		if (end.how === 'failed' && effect === 'counted' && state.policy.countsFailures()) {
 			recordFailure(state, end.workerId, activeJob.job.id, now());
 		} else if (end.how === 'done') {
-			recordSuccess(state, end.workerId);
+			recordSuccess(state, end.workerId, now());
 			const isTypical = placement?.isFullRun && isLocal && !isSlow(state, end.workerId, now());
 			if (effect === 'counted' && isTypical && ranMs !== undefined) {
 				state.runTimes.observe(activeJob.job.queue, stepOf(activeJob, part).estimateMs, ranMs);
--- a/packages/scheduler/src/worker-evidence.ts
+++ b/packages/scheduler/src/worker-evidence.ts
@@ -1,10 +1,5 @@
-import {
-	FAILED_JOBS_LIMIT,
-	REFUSAL_PAUSE_MS,
-	SLOW_SUSPICION_MS,
-	SUSPICION_MAX_MS,
-	SUSPICION_MIN_MS,
-} from './constants.js';
+import {REFUSAL_PAUSE_MS, SLOW_SUSPICION_MS, SUSPICION_MAX_MS, SUSPICION_MIN_MS} from './constants.js';
+import {withFailure, withSuccess} from './failing-workers.js';
 import {workerHealthOf, type LeaderState, type WorkerHealth} from './leader-state.js';
 import type {StartRefusal} from './types.js';
 
@@ -14,19 +9,18 @@
 	health.suspicions += 1;
 };
 
-/** Counts a failed run against the worker, once for each job: a job that can never succeed fails on every worker. */
+/** Counts a failed run against the worker, once for each job, since units of a job often fail for the same reason. */
 export const recordFailure = (state: LeaderState, workerId: string, jobId: string, nowMs: number): void => {
 	const health = workerHealthOf(state, workerId);
-	health.failedJobs.add(jobId);
-	if (health.failedJobs.size >= FAILED_JOBS_LIMIT) {
-		health.failedJobs.clear();
-		suspect(health, nowMs);
+	if (!health.failedJobs.has(jobId)) {
+		health.failedJobs.add(jobId);
+		health.outcomes = withFailure(health.outcomes, nowMs);
 	}
 };
 
-export const recordSuccess = (state: LeaderState, workerId: string): void => {
+export const recordSuccess = (state: LeaderState, workerId: string, nowMs: number): void => {
 	const health = workerHealthOf(state, workerId);
-	health.failedJobs.clear();
+	health.outcomes = withSuccess(health.outcomes, nowMs);
 	health.suspicions = 0;
 	health.suspectUntilMs = 0;
 };
