--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -2,13 +2,13 @@
 export const ROOT_PREFIX = 'bergamotgauge/';
 
 /** Lease of the leader key; the leadership of a dead instance ends after this time. Several missed renewals fit into it. */
-export const LEADER_TTL_MS = 1000;
+export const LEADER_TTL_MS = 1500;
 
 /** Gain of the wall clock on the monotonic one that counts as a suspension; longer than a process may wait for its processor between two readings, and shorter than the margins of leases. */
 export const SUSPENSION_MIN_MS = 100;
 
-/** Interval between renewals of the leader lease; five fit into the lease. */
-export const LEADER_RENEW_MS = 200;
+/** Interval between renewals of the leader lease; four fit into the lease. */
+export const LEADER_RENEW_MS = 350;
 
 /** The leader stops sending orders this long before its lease ends at the store, so that its last orders have left. */
 export const LEADER_MARGIN_MS = 250;
@@ -172,7 +172,7 @@
 export const MAX_CLAIM_DELAY_MS = 400;
 
 /** Claim delay per missing core, for an instance with less than one core. */
-export const CLAIM_DELAY_PER_CORE_MS = 200;
+export const CLAIM_DELAY_PER_CORE_MS = 500;
 
 /** Lease of a draining worker; longer than the time between two reports. */
 export const DRAINING_LEASE_MS = 3500;
