--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -55,8 +55,8 @@
 	avoided: Set<string>;
 	/** Times that the part was moved off slow workers. */
 	slowRestarts: number;
-	/** Times that the part was evicted for more urgent work. */
-	evictions: number;
+	/** Set while a run of an earlier leader may still exist on a worker that has not responded. */
+	blockedUntilMs: number;
 };
 
 /** In-memory state of a job on the leader, kept until its outcome is stored and none of its units is placed any more. */
@@ -114,7 +114,7 @@
 	waitingSinceMs: undefined,
 	avoided: new Set(),
 	slowRestarts: 0,
-	evictions: 0,
+	blockedUntilMs: 0,
 });
 
 /** Adds the parts of the next occurrence. */
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -64,7 +64,6 @@
 		isGuaranteed,
 		isStoppable,
 		lostWorkCoreMs: lostWorkOf(placed, nowMs),
-		evictions: part.evictions,
 		endMs: expectedEndMs(state, placed, nowMs),
 		// A finished run frees its resources without a stop.
 		isStopping: placement.phase === 'stopping' || part.isDone || activeJob.outcome !== undefined,
--- a/packages/scheduler/src/plan/evict.ts
+++ b/packages/scheduler/src/plan/evict.ts
@@ -23,9 +23,9 @@
 	cost: number;
 }>;
 
-/** Cost of an eviction. Evicting work of the same priority, or work that was evicted before, makes it miss its objective, as the part would without the eviction; so each costs the part's own work in addition. */
-const costOf = (part: PlanPart, {priority, lostWorkCoreMs, evictions}: PlanPlacement): number =>
-	lostWorkCoreMs + (evictions + (priority <= part.priority ? 1 : 0)) * part.workCoreMs;
+/** Evicting work of the same priority makes it miss its objective, as the part would without the eviction; so it costs the part's own work in addition. */
+const costOf = (part: PlanPart, {priority, lostWorkCoreMs}: PlanPlacement): number =>
+	lostWorkCoreMs + (priority <= part.priority ? part.workCoreMs : 0);
 
 const canBeEvictedFor = (part: PlanPart, placement: PlanPlacement): boolean =>
 	!placement.isStopping &&
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -14,8 +14,6 @@
 	isStoppable: boolean;
 	/** Work of the whole part that would be lost by a stop, in core-milliseconds. */
 	lostWorkCoreMs: number;
-	/** Times that the part was evicted before. */
-	evictions: number;
 	/** Expected end. */
 	endMs: number;
 	/** Its resources are being freed: it was ordered to stop, or has ended already. */
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -147,7 +147,6 @@
 				}
 
 				const [activeJob, part] = victim;
-				part.evictions += 1;
 				placements.stop(activeJob, part, `evicted-for-${forPartId.split('.')[0]}`);
 			}
 
