Split the job's outcome and the sending of orders from large files, and mend late rejections

A resource that is added to a closed lifecycle and fails to close, and an event handler of the peer server that throws, no longer end in an unhandled rejection (lifecycle.test.ts).

--- a/packages/lifecycle/src/lifecycle.ts
+++ b/packages/lifecycle/src/lifecycle.ts
@@ -68,7 +68,14 @@
 		signal: controller.signal,
 		add(closerName, closer) {
 			if (closing) {
-				void (async () => closer())();
+				// Nobody waits for a resource that was added too late, so its failure is only reported.
+				void (async () => {
+					try {
+						await closer();
+					} catch (error) {
+						onFailure?.(`${name}/${closerName}`, error instanceof Error ? error : new Error(String(error)), 0);
+					}
+				})();
 				return;
 			}
 
--- a/packages/peer/src/peer-server.ts
+++ b/packages/peer/src/peer-server.ts
@@ -52,15 +52,28 @@
 		}
 	};
 
+	/** Closes the connection of a frame that can't be read, handled or answered; the peer opens a new one. */
+	const refuseFrame = (error: unknown) => {
+		log.warn('peer-frame-refused', {from, error: String(error)});
+		socket.destroy();
+	};
+
+	const tryHandleFrame = async (frame: Frame) => {
+		try {
+			await handleFrame(frame);
+		} catch (error) {
+			refuseFrame(error);
+		}
+	};
+
 	socket.setNoDelay(true);
 	socket.on('data', (chunk) => {
 		try {
 			for (const frame of reader.push(chunk)) {
-				void handleFrame(frame);
+				void tryHandleFrame(frame);
 			}
 		} catch (error) {
-			log.warn('peer-frame-refused', {from, error: String(error)});
-			socket.destroy();
+			refuseFrame(error);
 		}
 	});
 	socket.on('error', () => {
--- a/packages/scheduler/src/active-job.test.ts
+++ b/packages/scheduler/src/active-job.test.ts
@@ -2,16 +2,8 @@
 import type {Job, RunEnd} from '@bergamotgauge/jobs';
 import t from 'tap';
 import {newActiveJob} from './test/active-job.js';
-import {
-	addDueOccurrences,
-	cancelJob,
-	createActiveJob,
-	nextRun,
-	recordEnd,
-	partOf,
-	progressOf,
-	readyParts,
-} from './active-job.js';
+import {addDueOccurrences, createActiveJob, nextRun, partOf, readyParts} from './active-job.js';
+import {cancelJob, recordEnd, progressOf} from './job-outcome.js';
 
 const TWO_STEPS = [newStep({count: 2}), newStep({after: [0]})];
 
--- /dev/null
+++ b/packages/scheduler/src/job-outcome.ts
@@ -0,0 +1,93 @@
+import type {Progress, RunEnd} from '@bergamotgauge/jobs';
+import {occurrencesOf, stepOf, type ActiveJob, type Part} from './active-job.js';
+
+const updateOutcome = (activeJob: ActiveJob, nowMs: number) => {
+	if (activeJob.outcome) {
+		return;
+	}
+
+	const parts = [...activeJob.parts.values()];
+	const hasFailed = parts.some(
+		(part) => !part.isDone && part.failures >= activeJob.job.attempts && !stepOf(activeJob, part).longRunning,
+	);
+	const isComplete = activeJob.occurrences === occurrencesOf(activeJob.job) && parts.every(({isDone}) => isDone);
+	if (activeJob.isCancelled || hasFailed || isComplete) {
+		activeJob.outcome = isComplete ? 'completed' : activeJob.isCancelled ? 'cancelled' : 'failed';
+		activeJob.endedMs = nowMs;
+		activeJob.changes += 1;
+	}
+};
+
+/** Cancels the job at the request of a caller; an outcome that is already set stays. */
+export const cancelJob = (activeJob: ActiveJob, nowMs: number): void => {
+	activeJob.isCancelled = true;
+	updateOutcome(activeJob, nowMs);
+};
+
+/** Makes `cancelled` the outcome of a job whose cancellation was stored before any other outcome. */
+export const overruleOutcome = (activeJob: ActiveJob, nowMs: number): void => {
+	activeJob.isCancelled = true;
+	activeJob.outcome = 'cancelled';
+	activeJob.endedMs ??= nowMs;
+	activeJob.changes += 1;
+};
+
+/** Whether an end changed its part or had been recorded before. */
+export type EndEffect = 'counted' | 'repeated';
+
+/**
+Records the end of a run of one unit. Idempotent, since a worker may report an end again.
+*/
+export const recordEnd = (
+	activeJob: ActiveJob,
+	part: Part,
+	end: Readonly<{workerId: string; index: number; run: number; how: RunEnd; checkpoint: string}>,
+	nowMs: number,
+): EndEffect => {
+	part.placements = part.placements.filter(
+		(placement) => placement.workerId !== end.workerId || placement.index !== end.index || placement.run !== end.run,
+	);
+	const isFailure = end.how === 'failed' && end.run > part.failedRun;
+	// A run that was started after this one's lease had expired takes precedence over its late result.
+	const isResult = end.how === 'done' && part.placements.every((placement) => placement.run <= end.run);
+	if (part.isDone || (end.run <= part.run && !isFailure && !isResult)) {
+		return 'repeated';
+	}
+
+	activeJob.hasBegun = true;
+	activeJob.changes += 1;
+	if (isResult && !stepOf(activeJob, part).longRunning) {
+		part.isDone = true;
+		part.doneMs = nowMs;
+	}
+
+	if (isFailure) {
+		part.failures += 1;
+		part.failedRun = end.run;
+		part.avoided.add(end.workerId);
+	}
+
+	if (end.checkpoint && end.run >= part.run) {
+		part.checkpoint = end.checkpoint;
+	}
+
+	part.run = Math.max(part.run, end.run);
+	part.orderedRun = Math.max(part.orderedRun, part.run);
+	updateOutcome(activeJob, nowMs);
+	return 'counted';
+};
+
+/** Progress record of a job for the store. */
+export const progressOf = (activeJob: ActiveJob): Progress => ({
+	hasBegun: activeJob.hasBegun,
+	outcome: activeJob.outcome,
+	endedMs: activeJob.endedMs,
+	parts: Object.fromEntries(
+		[...activeJob.parts.values()]
+			.filter(({run: ended}) => ended > 0)
+			.map(({key, isDone, run: ended, failures, failedRun, checkpoint}) => [
+				key,
+				{isDone, run: ended, failures, failedRun, checkpoint: isDone ? '' : checkpoint},
+			]),
+	),
+});
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -15,7 +15,8 @@
 } from './constants.js';
 import type {Term} from './election.js';
 import {createAdvisor} from './advisor.js';
-import {cancelJob, createActiveJob, type ActiveJob} from './active-job.js';
+import {createActiveJob, type ActiveJob} from './active-job.js';
+import {cancelJob} from './job-outcome.js';
 import {createJobTable} from './job-table.js';
 import {JOBS_PREFIX} from './keys.js';
 import {createLeaderState} from './leader-state.js';
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -4,7 +4,8 @@
 import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
 import {COMMIT_BATCH, LAZY_COMMIT_MS, WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
-import {overruleOutcome, progressOf, type ActiveJob} from './active-job.js';
+import {type ActiveJob} from './active-job.js';
+import {overruleOutcome, progressOf} from './job-outcome.js';
 import type {Term} from './election.js';
 import {jobKey, LEADER_KEY} from './keys.js';
 
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -1,6 +1,7 @@
 import {parseUnitName, type UnitName} from '@bergamotgauge/jobs';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
-import {recordEnd, partOf, stepOf, type ActiveJob, type Part} from './active-job.js';
+import {partOf, stepOf, type ActiveJob, type Part} from './active-job.js';
+import {recordEnd} from './job-outcome.js';
 import {expectedObjectiveMs, isDataLocal, type LeaderState} from './leader-state.js';
 import type {Placements} from './placements.js';
 import type {EndedUnit} from './types.js';
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -6,13 +6,13 @@
 	RENEWAL_WAIT_MS,
 	LEASE_SHARE,
 	PROGRESS_POLL_DEADLINE_MS,
-	ORDER_DEADLINES_MS,
 	WORKER_RETRY_MAX_MS,
 	WORKER_RETRY_MS,
 } from './constants.js';
-import type {EndedUnit, OrderReply, RunningUnit, SchedulerContext, StartRefusal, Worker, WorkerPort} from './types.js';
+import type {EndedUnit, RunningUnit, SchedulerContext, StartRefusal, Worker, WorkerPort} from './types.js';
 import {createWaker} from './waker.js';
 import {createWorkerClock} from './worker-clock.js';
+import {createOrderSender} from './worker-orders.js';
 
 export type WorkerLinkState =
 	/** The worker has not responded to this leader yet. */
@@ -135,34 +135,14 @@
 		}
 	};
 
-	/** Retries an order that got no response; orders are idempotent. */
-	const order = async (
-		kind: 'start' | 'stop' | 'pace',
-		send: () => Promise<OrderReply>,
-	): Promise<OrderReply | undefined> => {
-		for (const deadlineMs of ORDER_DEADLINES_MS) {
-			if (!mayOrder() || isGone()) {
-				break;
-			}
-
-			const sentMs = now();
-			try {
-				const reply = await withDeadline(deadlineMs, async () => send());
-				metrics.observe('worker_order_milliseconds', now() - sentMs, {kind});
-				observeReply(reply, sentMs);
-				return reply;
-			} catch (error) {
-				metrics.count('worker_orders_unanswered_total', {kind});
-				log.debug('order-unanswered', {
-					kind,
-					worker: options.worker.id,
-					error: toServiceError(error, 'may-have-run').message,
-				});
-			}
-		}
-
-		return undefined;
-	};
+	const order = createOrderSender({
+		workerId: options.worker.id,
+		log,
+		metrics,
+		now,
+		mayOrder: () => mayOrder() && !isGone(),
+		observeReply,
+	});
 
 	/**
 	Stores ends and then has them acknowledged. Acknowledgement is cumulative and the ends of a later report may be stored first, so each batch waits for the earlier ones.
