--- a/packages/lifecycle/src/lifecycle.test.ts
+++ b/packages/lifecycle/src/lifecycle.test.ts
@@ -56,7 +56,9 @@
 // Guards against an unhandled rejection, which ends the process, when a resource opens while its owner closes.
 await t.test('a resource that is added after the close and fails to close is reported', async (t) => {
 	const failures: string[] = [];
-	const lifecycle = createLifecycle('late', (task, error) => failures.push(`${task}: ${error.message}`));
+	const lifecycle = createLifecycle('late', (task, error) => {
+		failures.push(`${task}: ${error.message}`);
+	});
 	await lifecycle.close();
 	lifecycle.add('socket', async () => {
 		throw new Error('gone already');
--- a/packages/lifecycle/src/lifecycle.ts
+++ b/packages/lifecycle/src/lifecycle.ts
@@ -76,6 +76,7 @@
 						onFailure?.(`${name}/${closerName}`, error instanceof Error ? error : new Error(String(error)), 0);
 					}
 				})();
+
 				return;
 			}
 
