Ask for the end of a stopped unit when its report is lost

A member failed, the others were stopped at once, and the gang started again 2.9 to 3.2 s later: the report with their ends was lost, and the leader's next long poll came after the deadline of 3 s.

Ruled out: the stop itself (answered within 0.2 s), capacity (waited 1 to 3 ms).

Change: when a stopped unit has not been reported as ended after the stop's time limit, its worker is polled. leader.test.ts: seen failing before.

--- a/packages/scheduler/src/leader.test.ts
+++ b/packages/scheduler/src/leader.test.ts
@@ -280,3 +280,23 @@
 	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
 	t.equal(cluster.workers.get('w1')!.starts.size, 1);
 });
+
+// Guards against a gang that waits for seconds to start again because the report with the end of a stopped member is lost.
+await t.test('the end of a stopped unit is asked for when its report is lost', async (t) => {
+	let failures = 0;
+	const cluster = createTestCluster(t, [newWorker('w1'), newWorker('w2')], (unit) => {
+		const isFirst = unit.endsWith('.0') && failures === 0;
+		failures += isFirst ? 1 : 0;
+		return isFirst ? {runMs: 300, how: 'failed'} : {runMs: 3000, how: 'done'};
+	});
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	await submitStep(scheduler.jobs, 1, newStep({count: 2, gang: true, accelerators: 8}));
+	await cluster.clock.tickAsync(200);
+	const other = [...cluster.workers.values()].find(({running}) => running().some(({unit}) => unit === unitOf(1, 1)))!;
+	other.faults.lostLongPolls = 1;
+	await cluster.clock.tickAsync(1300);
+	t.equal(cluster.startsOf(unitOf(1, 1)), 2, 'the gang has started again');
+	await cluster.clock.tickAsync(5000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+});
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -81,6 +81,12 @@
 			if (await link.stop(unit, placement.run)) {
 				placement.stopAcceptedMs ??= now();
 				link.wake();
+				await sleep(bounds.stopMs + STOP_SETTLE_MS, signal);
+				// The report with the end may be lost, and the next one comes seconds later.
+				if (part.placements.includes(placement)) {
+					await link.pollProgress();
+				}
+
 				return;
 			}
 
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -41,6 +41,8 @@
 	delayedStarts: number;
 	/** Number of following starts that are carried out but whose responses are lost. */
 	lostResponses: number;
+	/** Number of following long polls that get no response. */
+	lostLongPolls: number;
 	/** Factor on the run time of runs that start from now on. */
 	slowness: number;
 	/** Starts need this ticket. */
@@ -92,6 +94,7 @@
 		clockRate: 1,
 		delayedStarts: 0,
 		lostResponses: 0,
+		lostLongPolls: 0,
 		slowness: 1,
 	};
 	const ended: EndedUnit[] = [];
@@ -298,6 +301,13 @@
 					await waitForEnd(waitMs, signal);
 				}
 
+				if (waitMs > 0 && faults.lostLongPolls > 0) {
+					faults.lostLongPolls -= 1;
+					await new Promise((resolve) => {
+						signal.addEventListener('abort', resolve, {once: true});
+					});
+				}
+
 				requireResponse();
 				return {
 					outcome: 'accepted',
