Count the failures of runs that are reported in any order

From its log: runs 2 and 3 had failed while the store turned the leader away, so their ends were not stored. The next leader was told of run 3 first and counted it; the end of run 2, reported by another worker 5 ms later, was taken for a repeated one, since only failures of newer runs counted.

Change: a part keeps the numbers of the runs whose failures were counted, and stores them beside the latest one, which older versions read. Records without the list are read as before.

Tests: active-job.test.ts, two cases, both seen failing.

--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -86,8 +86,10 @@
 	/** Number of the latest run that has ended. */
 	run: number;
 	failures: number;
-	/** Number of the latest run whose failure was counted. */
+	/** Number of the latest run whose failure was counted, for readers that do not know `failedRuns`. */
 	failedRun: number;
+	/** Numbers of the runs whose failures were counted; missing in records of older versions. */
+	failedRuns?: readonly number[];
 	/** Latest checkpoint; empty when there is none. */
 	checkpoint: string;
 }>;
--- a/packages/scheduler/src/active-job.test.ts
+++ b/packages/scheduler/src/active-job.test.ts
@@ -54,6 +54,34 @@
 	t.equal(restored.outcome, 'failed');
 });
 
+// Guards against a run beyond the attempts of the queue: after a change of leader the workers report their unacknowledged
+// ends in any order, and the failure of an older run was not counted when that of a newer one had been.
+await t.test('failures of several runs count in any order', async (t) => {
+	const activeJob = newJobWithSteps();
+	t.equal(end(activeJob, [0, 0], 'failed', 2), 'counted');
+	t.equal(end(activeJob, [0, 0], 'failed', 1), 'counted');
+	t.equal(activeJob.outcome, 'failed', 'the two attempts are used up');
+	t.equal(end(activeJob, [0, 0], 'failed', 1), 'repeated');
+	t.equal(partOf(activeJob, 0, 0, 0)?.failures, 2);
+});
+
+// Guards against a failure that is counted again, or lost, when an older version of the program has stored the progress.
+await t.test('a record without the list of failed runs is read', async (t) => {
+	const progress = progressOf(newJobWithSteps());
+	const record = {isDone: false, run: 3, failures: 1, failedRun: 3, checkpoint: ''};
+	const restored = createActiveJob({
+		job: newJobWithSteps().job,
+		progress: {...progress, parts: {'0.0.0': record}},
+		progressRevision: 7,
+		jobRevision: 1,
+		isCancelled: false,
+		nowMs: 0,
+	});
+	t.equal(end(restored, [0, 0], 'failed', 3), 'repeated');
+	t.equal(end(restored, [0, 0], 'failed', 4), 'counted');
+	t.same(progressOf(restored).parts['0.0.0'], {...record, run: 4, failures: 2, failedRun: 4, failedRuns: [3, 4]});
+});
+
 // Guards against stops and expired leases being counted as failures of the job.
 await t.test('only failures count as attempts', async (t) => {
 	const activeJob = newJobWithSteps();
--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -43,8 +43,8 @@
 	failures: number;
 	/** Number of the latest run that has ended. */
 	run: number;
-	/** Number of the latest run whose failure was counted. */
-	failedRun: number;
+	/** Numbers of the runs whose failures were counted; ends of several runs may be reported in any order. */
+	readonly failedRuns: Set<number>;
 	/** Number of the latest run that was ordered. */
 	orderedRun: number;
 	checkpoint: string;
@@ -105,7 +105,7 @@
 	doneMs: undefined,
 	failures: record?.failures ?? 0,
 	run: record?.run ?? 0,
-	failedRun: record?.failedRun ?? 0,
+	failedRuns: new Set(record?.failedRuns ?? (record?.failedRun ? [record.failedRun] : [])),
 	orderedRun: record?.run ?? 0,
 	checkpoint: record?.checkpoint ?? '',
 	placements: [],
--- a/packages/scheduler/src/job-outcome.ts
+++ b/packages/scheduler/src/job-outcome.ts
@@ -47,7 +47,7 @@
 	part.placements = part.placements.filter(
 		(placement) => placement.workerId !== end.workerId || placement.index !== end.index || placement.run !== end.run,
 	);
-	const isFailure = end.how === 'failed' && end.run > part.failedRun;
+	const isFailure = end.how === 'failed' && !part.failedRuns.has(end.run);
 	// A run that was started after this one's lease had expired takes precedence over its late result.
 	const isResult = end.how === 'done' && part.placements.every((placement) => placement.run <= end.run);
 	if (part.isDone || (end.run <= part.run && !isFailure && !isResult)) {
@@ -63,7 +63,7 @@
 
 	if (isFailure) {
 		part.failures += 1;
-		part.failedRun = end.run;
+		part.failedRuns.add(end.run);
 		part.avoided.add(end.workerId);
 	}
 
@@ -85,9 +85,16 @@
 	parts: Object.fromEntries(
 		[...activeJob.parts.values()]
 			.filter(({run: ended}) => ended > 0)
-			.map(({key, isDone, run: ended, failures, failedRun, checkpoint}) => [
+			.map(({key, isDone, run: ended, failures, failedRuns, checkpoint}) => [
 				key,
-				{isDone, run: ended, failures, failedRun, checkpoint: isDone ? '' : checkpoint},
+				{
+					isDone,
+					run: ended,
+					failures,
+					failedRun: Math.max(0, ...failedRuns),
+					failedRuns: [...failedRuns],
+					checkpoint: isDone ? '' : checkpoint,
+				},
 			]),
 	),
 });
