--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -165,6 +165,12 @@
 		index: number,
 	) => {
 		const newest = Math.max(runningUnit.run, ...part.placements.map((placement) => placement.run));
+		log.info('run-adopted', {
+			unit: runningUnit.unit,
+			run: runningUnit.run,
+			worker: workerId,
+			others: part.placements.map((placement) => `${placement.run}@${placement.workerId}`).join(','),
+		});
 		part.placements.push({
 			workerId,
 			index,
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -205,6 +205,8 @@
 			signal,
 		);
 		if (report.outcome === 'refused') {
+			metrics.count('lease_renewals_refused_total', {reason: report.reason});
+			log.info('renewal-refused', {worker: options.worker.id, reason: report.reason, leaseUntilMs});
 			handleRefusal(report.reason);
 			return;
 		}
@@ -271,7 +273,7 @@
 		wake: waker.wake,
 		run,
 		async start({unit, run: runNumber, spec, checkpoint, ticket}) {
-			const reply = await order('start', async () => {
+			const reply = await order('start', {unit, run: runNumber}, async () => {
 				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs()) ?? 0;
 				clock.recordLease(leaseUntilMs);
 				return port.start({
@@ -297,7 +299,7 @@
 			return {outcome: 'accepted'};
 		},
 		async stop(unit, runNumber) {
-			const reply = await order('stop', async () => port.stop({unit, run: runNumber, token}));
+			const reply = await order('stop', {unit, run: runNumber}, async () => port.stop({unit, run: runNumber, token}));
 			if (reply?.outcome === 'refused') {
 				handleRefusal(reply.reason);
 			}
@@ -329,7 +331,9 @@
 			isPolling = false;
 		},
 		async throttle(unit, runNumber, percent) {
-			const reply = await order('pace', async () => port.throttle({unit, run: runNumber, percent, token}));
+			const reply = await order('pace', {unit, run: runNumber}, async () =>
+				port.throttle({unit, run: runNumber, percent, token}),
+			);
 			if (reply?.outcome === 'refused') {
 				handleRefusal(reply.reason);
 			}
