Let the model worker refuse, lose and delay calls of each kind

No test could mix a lost or late attempt with a refusal of the same order, which the protocol allows.

faults.script now holds the outcomes of the next calls of each kind (start, stop, throttle, renewal), and faults.patterns those of the calls after it. The recorded calls let tests bound how often and until when a call is sent. The earlier fault fields work as before.

Runs are kept by unit and run. The model overwrote a run when another one of the same unit started on the worker, which hid two runs at once; the protocol lets a worker carry out a late start of an older run beside a newer one. For the same reason a stop now ends only the run that it names. While a worker is mute, refusals and replies to throttle orders are lost too.

--- /dev/null
+++ b/packages/scheduler/src/test/model-worker-faults.ts
@@ -0,0 +1,161 @@
+import {ServiceError} from '@bergamotgauge/model';
+
+export type CallKind = 'start' | 'stop' | 'throttle' | 'renewal';
+
+/** What becomes of a call to the worker. */
+export type CallOutcome =
+	| 'served'
+	/** An unhealthy worker responds with an error and has done nothing. */
+	| 'refused'
+	/** Carried out, without a response. */
+	| 'response-lost'
+	/** No response; carried out by `release`, after newer calls. */
+	| 'delayed'
+	/** No response, and never carried out. */
+	| 'dropped';
+
+export type WorkerFaults = {
+	/** Network partition: no order arrives and no response leaves. */
+	isCutOff: boolean;
+	/** One-way network partition: orders arrive and are carried out, and no response leaves. */
+	isMute: boolean;
+	/** Speed of the worker's clock. */
+	clockRate: number;
+	/** Outcomes of the following calls; each call removes the first one of its kind. */
+	script: Record<CallKind, CallOutcome[]>;
+	/** Outcomes of the calls after the script, repeated without end; an empty pattern serves all calls. */
+	patterns: Record<CallKind, readonly CallOutcome[]>;
+	/** Time after which a call without a response fails at its sender; 0 when the connection ends at once. */
+	responseLossMs: number;
+	/** Number of following starts that get no response and are carried out by `release`. */
+	delayedStarts: number;
+	/** Number of following starts that are carried out but whose responses are lost. */
+	lostResponses: number;
+	/** Number of following long polls that get no response. */
+	lostLongPolls: number;
+	/** Factor on the run time of runs that start from now on. */
+	slowness: number;
+	/** Starts need this ticket. */
+	ticket?: string;
+};
+
+/** Time until a refusal arrives. It is not 0, so that a sender that repeats without a pause still lets a fake clock advance. */
+const REFUSAL_MS = 1;
+
+export const createWorkerFaults = (): WorkerFaults => ({
+	isCutOff: false,
+	isMute: false,
+	clockRate: 1,
+	script: {start: [], stop: [], throttle: [], renewal: []},
+	patterns: {start: [], stop: [], throttle: [], renewal: []},
+	responseLossMs: 0,
+	delayedStarts: 0,
+	lostResponses: 0,
+	lostLongPolls: 0,
+	slowness: 1,
+});
+
+const sleepMs = async (ms: number) =>
+	new Promise<void>((resolve) => {
+		setTimeout(resolve, ms);
+	});
+
+/** Applies the faults to the calls that a worker receives. */
+export type FaultyCalls = Readonly<{
+	/** Carries out the call or not, as the faults say, and resolves to the response; throws if there is none. */
+	receive: <Reply>(kind: CallKind, carryOut: () => Reply, refuse: () => Reply) => Promise<Reply>;
+	/** Throws unless a response can leave the worker. */
+	requireResponse: () => void;
+	/** Carries out the delayed calls in the order of their arrival. */
+	release: () => void;
+	/** Drops the delayed calls. */
+	clear: () => void;
+}>;
+
+/** Creates the fault injection of one worker; the faults may be changed at any time. */
+export const createFaultyCalls = (faults: WorkerFaults): FaultyCalls => {
+	const delayed: Array<() => void> = [];
+	const patternPositions: Record<CallKind, number> = {start: 0, stop: 0, throttle: 0, renewal: 0};
+
+	const noResponse = () => new ServiceError('no answer', {code: 'worker-failed', verdict: 'may-have-run'});
+
+	const loseResponse = async (): Promise<never> => {
+		if (faults.responseLossMs > 0) {
+			await sleepMs(faults.responseLossMs);
+		}
+
+		throw noResponse();
+	};
+
+	const requireResponse = () => {
+		if (faults.isCutOff || faults.isMute) {
+			throw noResponse();
+		}
+	};
+
+	const takeOutcome = (kind: CallKind): CallOutcome => {
+		const scripted = faults.script[kind].shift();
+		if (scripted) {
+			return scripted;
+		}
+
+		if (kind === 'start' && faults.delayedStarts > 0) {
+			faults.delayedStarts -= 1;
+			return 'delayed';
+		}
+
+		if (kind === 'start' && faults.lostResponses > 0) {
+			faults.lostResponses -= 1;
+			return 'response-lost';
+		}
+
+		const pattern = faults.patterns[kind];
+		const position = patternPositions[kind];
+		patternPositions[kind] = position + 1;
+		return pattern[position % pattern.length] ?? 'served';
+	};
+
+	return {
+		requireResponse,
+		async receive(kind, carryOut, refuse) {
+			if (faults.isCutOff) {
+				throw noResponse();
+			}
+
+			switch (takeOutcome(kind)) {
+				case 'served': {
+					return carryOut();
+				}
+
+				case 'refused': {
+					await sleepMs(REFUSAL_MS);
+					return refuse();
+				}
+
+				case 'response-lost': {
+					carryOut();
+					return loseResponse();
+				}
+
+				case 'delayed': {
+					delayed.push(() => {
+						carryOut();
+					});
+					return loseResponse();
+				}
+
+				case 'dropped': {
+					return loseResponse();
+				}
+			}
+		},
+		release() {
+			for (const carryOut of delayed.splice(0)) {
+				carryOut();
+			}
+		},
+		clear() {
+			delayed.length = 0;
+		},
+	};
+};
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -1,6 +1,6 @@
-import {ServiceError} from '@bergamotgauge/model';
 import type {RunEnd} from '@bergamotgauge/jobs';
-import type {EndedUnit, OrderReply, StartOrder, Worker, WorkerPort} from '../types.js';
+import type {EndedUnit, LeaseRenewal, OrderReply, StartOrder, Worker, WorkerPort, WorkerReport} from '../types.js';
+import {createFaultyCalls, createWorkerFaults, type CallKind, type WorkerFaults} from './model-worker-faults.js';
 
 /** Simulated behaviour of a unit. */
 export type UnitBehaviour = Readonly<{
@@ -30,24 +30,10 @@
 	},
 };
 
-export type WorkerFaults = {
-	/** Network partition: no order arrives and no response leaves. */
-	isCutOff: boolean;
-	/** One-way network partition: orders arrive and are carried out, and no response leaves. */
-	isMute: boolean;
-	/** Speed of the worker's clock. */
-	clockRate: number;
-	/** Number of following starts that get no response and are carried out by `release`. */
-	delayedStarts: number;
-	/** Number of following starts that are carried out but whose responses are lost. */
-	lostResponses: number;
-	/** Number of following long polls that get no response. */
-	lostLongPolls: number;
-	/** Factor on the run time of runs that start from now on. */
-	slowness: number;
-	/** Starts need this ticket. */
-	ticket?: string;
-};
+type RunTarget = Readonly<{unit: string; run: number}>;
+
+/** A call that was sent to the worker, whether or not it arrived. */
+export type WorkerCall = Readonly<{kind: CallKind; atMs: number}> & Partial<RunTarget>;
 
 type Run = {unit: string; run: number; timer: NodeJS.Timeout; startedMs: number; behaviour: UnitBehaviour};
 
@@ -56,7 +42,9 @@
 	worker: Worker;
 	port: () => WorkerPort;
 	faults: WorkerFaults;
-	/** Carries out the delayed starts. */
+	/** All calls that were sent to the worker. */
+	calls: readonly WorkerCall[];
+	/** Carries out the delayed calls. */
 	release: () => void;
 	/** Number of starts, by unit. */
 	starts: ReadonlyMap<string, number>;
@@ -82,21 +70,15 @@
 	behave: (unit: string) => UnitBehaviour,
 	events: WorkerEvents = NO_EVENTS,
 ): ModelWorker => {
+	/** Active runs, by unit and run: a delayed start may bring up an older run of a unit beside a newer one. */
 	const runs = new Map<string, Run>();
 	const closedRuns = new Map<string, number>();
 	const starts = new Map<string, number>();
 	const throttles = new Map<string, number>();
 	const tailLatencies = new Map<string, number>();
-	const delayed: StartOrder[] = [];
-	const faults: WorkerFaults = {
-		isCutOff: false,
-		isMute: false,
-		clockRate: 1,
-		delayedStarts: 0,
-		lostResponses: 0,
-		lostLongPolls: 0,
-		slowness: 1,
-	};
+	const calls: WorkerCall[] = [];
+	const faults = createWorkerFaults();
+	const {receive, requireResponse, release, clear} = createFaultyCalls(faults);
 	const ended: EndedUnit[] = [];
 	const waiting = new Set<() => void>();
 	let sequence = 0;
@@ -107,9 +89,11 @@
 
 	const clockMs = () => Math.round(performance.now() * faults.clockRate) + 50_000;
 
+	const runKey = (unit: string, run: number): string => `${unit} ${run}`;
+
 	const end = (run: Run, how: RunEnd) => {
 		clearTimeout(run.timer);
-		runs.delete(run.unit);
+		runs.delete(runKey(run.unit, run.run));
 		closedRuns.set(run.unit, Math.max(closedRuns.get(run.unit) ?? 0, run.run));
 		sequence += 1;
 		const listed: EndedUnit = {sequence, unit: run.unit, run: run.run, how, checkpoint: ''};
@@ -144,6 +128,8 @@
 		clockMs: clockMs(),
 	});
 
+	const accept = (): OrderReply => ({outcome: 'accepted', clockMs: clockMs()});
+
 	const start = (order: StartOrder): OrderReply => {
 		const {unit, run, leaseUntilMs: untilMs, token: given, ticket} = order;
 		if (isStale(given)) {
@@ -159,8 +145,8 @@
 		}
 
 		extendLease(untilMs);
-		if (runs.get(unit)?.run === run) {
-			return {outcome: 'accepted', clockMs: clockMs()};
+		if (runs.has(runKey(unit, run))) {
+			return accept();
 		}
 
 		if (run <= (closedRuns.get(unit) ?? 0)) {
@@ -178,24 +164,56 @@
 				end(started, behaviour.how);
 			}, behaviour.runMs),
 		};
-		runs.set(unit, started);
+		runs.set(runKey(unit, run), started);
 		starts.set(unit, (starts.get(unit) ?? 0) + 1);
 		events.onStart(order);
-		return {outcome: 'accepted', clockMs: clockMs()};
+		return accept();
 	};
 
-	const noResponse = () => new ServiceError('no answer', {code: 'worker-failed', verdict: 'may-have-run'});
+	const stop: (order: Parameters<WorkerPort['stop']>[0]) => OrderReply = ({unit, run, token: given}) => {
+		if (isStale(given)) {
+			return refuse('stale-token');
+		}
 
-	const requireReachable = () => {
-		if (faults.isCutOff) {
-			throw noResponse();
+		closedRuns.set(unit, Math.max(closedRuns.get(unit) ?? 0, run));
+		const found = runs.get(runKey(unit, run));
+		if (found) {
+			end(found, 'stopped');
 		}
+
+		return accept();
 	};
 
-	const requireResponse = () => {
-		if (faults.isCutOff || faults.isMute) {
-			throw noResponse();
+	const throttle: (order: Parameters<WorkerPort['throttle']>[0]) => OrderReply = ({
+		unit,
+		run,
+		percent,
+		token: given,
+	}) => {
+		if (isStale(given)) {
+			return refuse('stale-token');
 		}
+
+		if (!runs.has(runKey(unit, run))) {
+			return refuse('old-run');
+		}
+
+		throttles.set(unit, percent);
+		return accept();
+	};
+
+	const acceptRenewal = ({token: given, acknowledgedSequence: acknowledged, leaseUntilMs: untilMs}: LeaseRenewal) => {
+		if (isStale(given)) {
+			return 'stale-token';
+		}
+
+		acknowledgedSequence = Math.max(acknowledgedSequence, acknowledged);
+		events.onAcknowledged(acknowledgedSequence);
+		if (untilMs !== undefined) {
+			extendLease(untilMs);
+		}
+
+		return 'accepted';
 	};
 
 	const listEnded = (limit: number) => ended.filter((endedUnit) => endedUnit.sequence > limit);
@@ -213,9 +231,35 @@
 			signal.addEventListener('abort', finish, {once: true});
 		});
 
+	const report = (acknowledged: number): WorkerReport => ({
+		outcome: 'accepted',
+		clockMs: clockMs(),
+		running: [...runs.values()].map(({unit, run, startedMs, behaviour}) => ({
+			unit,
+			run,
+			checkpoint: '',
+			recentFigure: tailLatencies.get(unit),
+			percent: percentOf(behaviour, performance.now() - startedMs),
+		})),
+		ended: listEnded(acknowledged),
+	});
+
+	const record = (kind: CallKind, target: Partial<RunTarget> = {}) => {
+		calls.push({kind, atMs: performance.now(), ...target});
+	};
+
+	const receiveOrder = async (kind: CallKind, target: RunTarget, carryOut: () => OrderReply): Promise<OrderReply> => {
+		record(kind, {unit: target.unit, run: target.run});
+		const reply = await receive(kind, carryOut, () => refuse('unhealthy'));
+		requireResponse();
+		return reply;
+	};
+
 	return {
 		worker,
 		faults,
+		calls,
+		release,
 		starts,
 		throttles,
 		tailLatencies,
@@ -226,75 +270,34 @@
 			}
 
 			runs.clear();
+			clear();
 		},
 		running: () => [...runs.values()].map(({unit, run}) => ({unit, run})),
 		acknowledged: () => acknowledgedSequence,
-		release() {
-			for (const order of delayed.splice(0)) {
-				start(order);
-			}
-		},
 		port: () => ({
 			close() {
 				// The simulated worker has no connections.
 			},
 			async start(order) {
-				requireReachable();
-				if (faults.delayedStarts > 0) {
-					faults.delayedStarts -= 1;
-					delayed.push(order);
-					throw noResponse();
-				}
-
-				const reply = start(order);
-				requireResponse();
-				if (faults.lostResponses > 0) {
-					faults.lostResponses -= 1;
-					throw noResponse();
-				}
-
-				return reply;
+				return receiveOrder('start', order, () => start(order));
 			},
-			async stop({unit, run, token: given}) {
-				requireReachable();
-				if (isStale(given)) {
-					return refuse('stale-token');
-				}
-
-				closedRuns.set(unit, Math.max(closedRuns.get(unit) ?? 0, run));
-				const found = runs.get(unit);
-				if (found && found.run <= run) {
-					end(found, 'stopped');
-				}
-
-				requireResponse();
-
-				return {outcome: 'accepted', clockMs: clockMs()};
+			async stop(order) {
+				return receiveOrder('stop', order, () => stop(order));
 			},
-			async throttle({unit, run, percent, token: given}) {
-				requireReachable();
-				if (isStale(given)) {
-					return refuse('stale-token');
-				}
-
-				const found = runs.get(unit);
-				if (found?.run !== run) {
-					return refuse('old-run');
-				}
-
-				throttles.set(unit, percent);
-				return {outcome: 'accepted', clockMs: clockMs()};
+			async throttle(order) {
+				return receiveOrder('throttle', order, () => throttle(order));
 			},
-			async renewLease({token: given, acknowledgedSequence: acknowledged, leaseUntilMs: untilMs, waitMs}, signal) {
-				requireReachable();
-				if (isStale(given)) {
-					return {outcome: 'refused', reason: 'stale-token'};
-				}
-
-				acknowledgedSequence = Math.max(acknowledgedSequence, acknowledged);
-				events.onAcknowledged(acknowledgedSequence);
-				if (untilMs !== undefined) {
-					extendLease(untilMs);
+			async renewLease(renewal, signal) {
+				const {acknowledgedSequence: acknowledged, waitMs} = renewal;
+				record('renewal');
+				const reason = await receive<'accepted' | 'stale-token' | 'unhealthy'>(
+					'renewal',
+					() => acceptRenewal(renewal),
+					() => 'unhealthy',
+				);
+				if (reason !== 'accepted') {
+					requireResponse();
+					return {outcome: 'refused', reason};
 				}
 
 				if (waitMs > 0 && listEnded(acknowledged).length === 0) {
@@ -309,18 +312,7 @@
 				}
 
 				requireResponse();
-				return {
-					outcome: 'accepted',
-					clockMs: clockMs(),
-					running: [...runs.values()].map(({unit, run, startedMs, behaviour}) => ({
-						unit,
-						run,
-						checkpoint: '',
-						recentFigure: tailLatencies.get(unit),
-						percent: percentOf(behaviour, performance.now() - startedMs),
-					})),
-					ended: listEnded(acknowledged),
-				};
+				return report(acknowledged);
 			},
 		}),
 	};
