Check the starts on the model workers as they happen

A test that samples what runs every 50 ms misses shorter overlaps: of a start that a drained worker carries out late, the leader hears within 5 ms and stops both runs.

The model worker forgets the ends that any leader has acknowledged, as the protocol says; it listed them again to a leader that had not heard of them.

--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -12,6 +12,7 @@
 import type {MachinePort, Wave, WaveRecords, WaveState} from '../maintenance/types.js';
 import {createMemoryKeyValue, type MemoryKeyValue} from './memory-key-value.js';
 import {createModelWorker, type ModelWorker, type UnitBehaviour} from './model-worker.js';
+import {createRunChecker, type RunViolation} from './run-checker.js';
 
 export const BOUNDS: Bounds = {
 	maxLeaseMs: 10_000,
@@ -77,6 +78,8 @@
 	report: (worker: Worker) => void;
 	/** Number of starts of the unit on all workers. */
 	startsOf: (unit: string) => number;
+	/** Starts on the workers that the protocol forbids. */
+	violations: readonly RunViolation[];
 }>;
 
 const WORKER_PREFIX = 'workers/';
@@ -86,11 +89,27 @@
 	t: Test,
 	workers: readonly Worker[],
 	behaviourOf: (unit: string) => UnitBehaviour = () => ({runMs: 1000, how: 'done'}),
-	{advice, machines, log}: Readonly<{advice?: AdvicePort; machines?: MachinePort; log?: Log}> = {},
+	{
+		advice,
+		machines,
+		log,
+		acceleratorsOf = () => 0,
+	}: Readonly<{
+		advice?: AdvicePort;
+		machines?: MachinePort;
+		log?: Log;
+		/** Accelerators that a unit needs, for the check of the workers' capacity. */
+		acceleratorsOf?: (unit: string) => number;
+	}> = {},
 ): TestCluster => {
 	const clock = FakeTimers.install({now: 1_000_000});
 	const store = createMemoryKeyValue();
-	const models = new Map(workers.map((worker) => [worker.id, createModelWorker(worker, behaviourOf)]));
+	const models = new Map<string, ModelWorker>();
+	const checker = createRunChecker(models, acceleratorsOf);
+	for (const worker of workers) {
+		models.set(worker.id, createModelWorker(worker, behaviourOf, checker.eventsOf(worker)));
+	}
+
 	const lifecycles: Lifecycle[] = [];
 	const report = (worker: Worker) => {
 		store.put(WORKER_PREFIX + worker.id, Buffer.from(JSON.stringify(worker)));
@@ -112,6 +131,7 @@
 		store,
 		workers: models,
 		report,
+		violations: checker.violations,
 		startsOf: (unit) => [...models.values()].reduce((sum, {starts}) => sum + (starts.get(unit) ?? 0), 0),
 		startInstance(id) {
 			const lifecycle = createLifecycle(id, (task, error) => {
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -1,5 +1,6 @@
 import type {RunEnd} from '@bergamotgauge/jobs';
 import type {EndedUnit, LeaseRenewal, OrderReply, StartOrder, Worker, WorkerPort, WorkerReport} from '../types.js';
+import {NO_EVENTS, type WorkerEvents} from './model-worker-events.js';
 import {createFaultyCalls, createWorkerFaults, type CallKind, type WorkerFaults} from './model-worker-faults.js';
 
 /** Simulated behaviour of a unit. */
@@ -10,26 +11,6 @@
 	startupMs?: number;
 }>;
 
-/** Events on a worker, for tests that record them. */
-export type WorkerEvents = Readonly<{
-	onStart: (order: StartOrder) => void;
-	onEnd: (end: EndedUnit) => void;
-	/** Called when the ends up to the sequence are acknowledged. */
-	onAcknowledged: (sequence: number) => void;
-}>;
-
-const NO_EVENTS: WorkerEvents = {
-	onStart() {
-		// Most tests inspect the worker itself.
-	},
-	onEnd() {
-		// Not needed by most tests.
-	},
-	onAcknowledged() {
-		// Not needed by most tests.
-	},
-};
-
 type RunTarget = Readonly<{unit: string; run: number}>;
 
 /** A call that was sent to the worker, whether or not it arrived. */
@@ -84,6 +65,8 @@
 	let sequence = 0;
 	let token = 0;
 	let acknowledgedSequence = 0;
+	/** Last end before the latest expiry of the lease. */
+	let expiredSequence = 0;
 	let leaseUntilMs = 0;
 	let leaseTimer: NodeJS.Timeout | undefined;
 
@@ -112,6 +95,8 @@
 				for (const run of runs.values()) {
 					end(run, 'lapsed');
 				}
+
+				expiredSequence = sequence;
 			},
 			(leaseUntilMs - clockMs()) / faults.clockRate,
 		);
@@ -202,13 +187,21 @@
 		return accept();
 	};
 
+	/** A worker forgets the ends that were acknowledged, whoever asks for them. */
+	const listEnded = (limit: number) =>
+		ended.filter((endedUnit) => endedUnit.sequence > Math.max(limit, acknowledgedSequence));
+
 	const acceptRenewal = ({token: given, acknowledgedSequence: acknowledged, leaseUntilMs: untilMs}: LeaseRenewal) => {
 		if (isStale(given)) {
 			return 'stale-token';
 		}
 
+		const fresh = listEnded(expiredSequence);
 		acknowledgedSequence = Math.max(acknowledgedSequence, acknowledged);
-		events.onAcknowledged(acknowledgedSequence);
+		events.onAcknowledged(
+			acknowledgedSequence,
+			fresh.filter((endedUnit) => endedUnit.sequence <= acknowledgedSequence),
+		);
 		if (untilMs !== undefined) {
 			extendLease(untilMs);
 		}
@@ -216,8 +209,6 @@
 		return 'accepted';
 	};
 
-	const listEnded = (limit: number) => ended.filter((endedUnit) => endedUnit.sequence > limit);
-
 	const waitForEnd = async (waitMs: number, signal: AbortSignal) =>
 		new Promise<void>((resolve) => {
 			const finish = () => {
