Keep an order unknown when only its later attempts were refused

An order that gets no response is sent again, and the reply to the last attempt counted as the outcome of the order. A refusal says only that its own attempt had no effect: after 'no response, then 503' the first attempt may have been carried out, or be carried out seconds later, but the leader removed the placement and started the unit on another worker.

Ruled out for these: a change of leader (runs of one term) and an expired lease (0.3 s after the start).

The sender now returns what is known of all attempts. After an attempt without a response, a refusal leaves the order unknown, unless the worker incarnation has ended; an unhealthy worker is asked again within the same attempts. An unknown start keeps its placement, and with it its resources, until the worker has accepted a stop of the run, after which it refuses every later start of it. unit-start-failed says whether the run may exist.

--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -90,7 +90,7 @@
 		signal: term.signal,
 		onCapacityFreed: waker.wake,
 		onBegun: writer.storeLater,
-		onRefused({activeJob, part, placement: {workerId}}, {reason}) {
+		onRefused({activeJob, part, placement: {workerId}}, reason) {
 			if (reason === 'no-ticket') {
 				advisor?.dropTicket(stepIdOf(activeJob, part), workerId);
 			} else {
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -5,8 +5,9 @@
 import {nextRun, partOf, stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {extendWindow, openWindow} from './progress-window.js';
 import {allPlacedUnits, coreEquivalentsOf, type LeaderState, type PlacedUnit} from './leader-state.js';
-import type {Bounds, RunningUnit} from './types.js';
-import type {StartResult, WorkerLink} from './worker-link.js';
+import type {Bounds, RunningUnit, StartRefusal} from './types.js';
+import type {WorkerLink} from './worker-link.js';
+import type {OrderResult} from './worker-orders.js';
 
 export type PlacementsOptions = Readonly<{
 	state: LeaderState;
@@ -20,7 +21,7 @@
 	onCapacityFreed: () => void;
 	/** Called when the first unit of a job has started. */
 	onBegun: (activeJob: ActiveJob) => void;
-	onRefused: (placed: PlacedUnit, result: Extract<StartResult, {outcome: 'refused'}>) => void;
+	onRefused: (placed: PlacedUnit, reason: StartRefusal) => void;
 	/** Ticket of the advice service for the part on the worker; `undefined` if none is needed. */
 	ticketOf: (activeJob: ActiveJob, part: Part, workerId: string) => string | undefined;
 }>;
@@ -117,7 +118,7 @@
 		}
 	};
 
-	const handleStartResult = (activeJob: ActiveJob, part: Part, placement: Placement, result: StartResult) => {
+	const handleStartResult = (activeJob: ActiveJob, part: Part, placement: Placement, result: OrderResult) => {
 		if (!part.placements.includes(placement)) {
 			return;
 		}
@@ -142,15 +143,20 @@
 			return;
 		}
 
+		const refusal = result.outcome === 'refused' ? result.reason : result.refusal;
 		log.info('unit-start-failed', {
 			unit,
 			run: placement.run,
 			worker: placement.workerId,
-			reason: result.outcome === 'refused' ? result.reason : 'no-answer',
+			reason: refusal ?? 'no-answer',
+			mayHaveRun: result.outcome === 'unknown',
 		});
+		if (refusal) {
+			onRefused({activeJob, part, placement}, refusal);
+		}
+
 		if (result.outcome === 'refused') {
 			removePlacement(part, placement);
-			onRefused({activeJob, part, placement}, result);
 			// A gang makes no progress without all of its members.
 			stop(activeJob, part, 'gang-incomplete');
 		} else {
@@ -328,7 +334,7 @@
 				const link = state.links.get(placement.workerId);
 				const unit = unitOf(activeJob, part, placement.index);
 				void (async () => {
-					const result: StartResult = link
+					const result: OrderResult = link
 						? await link.start({
 								unit,
 								run: runNumber,
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -12,7 +12,7 @@
 import type {EndedUnit, RunningUnit, SchedulerContext, StartRefusal, Worker, WorkerPort} from './types.js';
 import {createWaker} from './waker.js';
 import {createWorkerClock} from './worker-clock.js';
-import {createOrderSender} from './worker-orders.js';
+import {createOrderSender, type OrderResult} from './worker-orders.js';
 
 export type WorkerLinkState =
 	/** The worker has not responded to this leader yet. */
@@ -23,12 +23,6 @@
 	/** The worker incarnation or its lease has ended. */
 	| 'gone';
 
-export type StartResult =
-	| Readonly<{outcome: 'accepted'}>
-	| Readonly<{outcome: 'refused'; reason: StartRefusal}>
-	/** No response: the order may still take effect until the run is stopped or the lease ends. */
-	| Readonly<{outcome: 'unknown'}>;
-
 export type WorkerLinkEvents = Readonly<{
 	/** Called with all active runs of the worker after each lease renewal. */
 	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
@@ -52,7 +46,7 @@
 	readonly state: () => WorkerLinkState;
 	readonly start: (
 		order: Readonly<{unit: string; run: number; spec: string; checkpoint: string; ticket: string | undefined}>,
-	) => Promise<StartResult>;
+	) => Promise<OrderResult>;
 	/** Resolves to whether the worker has responded to the stop. */
 	readonly stop: (unit: string, run: number) => Promise<boolean>;
 	/** Polls the progress of the active runs, independently of the renewal loop. */
@@ -129,6 +123,13 @@
 		}
 	};
 
+	const handleOrderResult = (result: OrderResult) => {
+		const refusal = result.outcome === 'refused' ? result.reason : result.outcome === 'unknown' && result.refusal;
+		if (refusal) {
+			handleRefusal(refusal);
+		}
+	};
+
 	const observeReply = (reply: Readonly<{clockMs?: number | undefined}>, sentMs: number) => {
 		if (reply.clockMs !== undefined) {
 			clock.observe(reply.clockMs, sentMs, now());
@@ -273,7 +274,7 @@
 		wake: waker.wake,
 		run,
 		async start({unit, run: runNumber, spec, checkpoint, ticket}) {
-			const reply = await order('start', {unit, run: runNumber}, async () => {
+			const result = await order('start', {unit, run: runNumber}, async () => {
 				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs()) ?? 0;
 				clock.recordLease(leaseUntilMs);
 				return port.start({
@@ -286,25 +287,17 @@
 					...(ticket !== undefined && {ticket}),
 				});
 			});
-			if (!reply) {
-				return {outcome: 'unknown'};
-			}
-
-			if (reply.outcome === 'refused') {
-				handleRefusal(reply.reason);
-				return {outcome: 'refused', reason: reply.reason};
+			handleOrderResult(result);
+			if (result.outcome === 'accepted') {
+				waker.wake();
 			}
 
-			waker.wake();
-			return {outcome: 'accepted'};
+			return result;
 		},
 		async stop(unit, runNumber) {
-			const reply = await order('stop', {unit, run: runNumber}, async () => port.stop({unit, run: runNumber, token}));
-			if (reply?.outcome === 'refused') {
-				handleRefusal(reply.reason);
-			}
-
-			return reply !== undefined;
+			const result = await order('stop', {unit, run: runNumber}, async () => port.stop({unit, run: runNumber, token}));
+			handleOrderResult(result);
+			return result.outcome !== 'unknown' || result.refusal !== undefined;
 		},
 		async pollProgress() {
 			if (isPolling || state !== 'synced' || !mayOrder()) {
@@ -331,14 +324,11 @@
 			isPolling = false;
 		},
 		async throttle(unit, runNumber, percent) {
-			const reply = await order('pace', {unit, run: runNumber}, async () =>
+			const result = await order('pace', {unit, run: runNumber}, async () =>
 				port.throttle({unit, run: runNumber, percent, token}),
 			);
-			if (reply?.outcome === 'refused') {
-				handleRefusal(reply.reason);
-			}
-
-			return reply?.outcome === 'accepted';
+			handleOrderResult(result);
+			return result.outcome === 'accepted';
 		},
 	};
 	return link;
--- a/packages/scheduler/src/worker-orders.ts
+++ b/packages/scheduler/src/worker-orders.ts
@@ -2,7 +2,7 @@
 import {toServiceError} from '@bergamotgauge/model';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {ORDER_DEADLINES_MS} from './constants.js';
-import type {OrderReply} from './types.js';
+import type {OrderReply, StartRefusal} from './types.js';
 
 export type OrderKind = 'start' | 'stop' | 'pace';
 
@@ -19,51 +19,100 @@
 /** The run that an order is for. */
 export type OrderTarget = Readonly<{unit: string; run: number}>;
 
-/** Sends an order, again if it got no response; orders are idempotent. Resolves to `undefined` when none came. */
+/** What is known of an order after all of its attempts. */
+export type OrderResult =
+	| Readonly<{outcome: 'accepted'}>
+	/** No attempt has taken effect, and none can any more. */
+	| Readonly<{outcome: 'refused'; reason: StartRefusal}>
+	/** An attempt without a response may have taken effect or may still do so; `refusal` is the reply to a later one. */
+	| Readonly<{outcome: 'unknown'; refusal: StartRefusal | undefined}>;
+
+/** Sends an order, again while its outcome is unknown; orders are idempotent. */
 export type OrderSender = (
 	kind: OrderKind,
 	target: OrderTarget,
 	send: () => Promise<OrderReply>,
-) => Promise<OrderReply | undefined>;
+) => Promise<OrderResult>;
+
+/** Refusals that another attempt cannot change. */
+const isFinal = (reason: StartRefusal): boolean => reason !== 'unhealthy';
 
 /**
 Creates the sender of orders to one worker incarnation.
 
+A refusal is the outcome of its attempt only. Once an attempt got no response, the order stays `unknown` until a later attempt is accepted or the incarnation has ended.
+
 @example
 ```ts
 const order = createOrderSender({workerId, log, metrics, now, mayOrder, observeReply});
-const reply = await order('stop', {unit, run}, async () => port.stop({unit, run, token}));
+const result = await order('stop', {unit, run}, async () => port.stop({unit, run, token}));
 ```
 */
-export const createOrderSender =
-	({workerId, log, metrics, now, mayOrder, observeReply}: OrderSenderOptions): OrderSender =>
-	async (kind, {unit, run}, send) => {
-		let unanswered = 0;
+export const createOrderSender = ({
+	workerId,
+	log,
+	metrics,
+	now,
+	mayOrder,
+	observeReply,
+}: OrderSenderOptions): OrderSender => {
+	/** Sends one attempt; resolves to `undefined` when it got no response. */
+	const sendAttempt = async (
+		attempt: OrderTarget & Readonly<{kind: OrderKind; attempt: number}>,
+		deadlineMs: number,
+		send: () => Promise<OrderReply>,
+	): Promise<OrderReply | undefined> => {
+		const {kind} = attempt;
+		const sentMs = now();
+		try {
+			const reply = await withDeadline(deadlineMs, async () => send());
+			const outcome = reply.outcome === 'refused' ? reply.reason : reply.outcome;
+			metrics.observe('worker_order_milliseconds', now() - sentMs, {kind});
+			metrics.count('worker_order_attempts_total', {kind, outcome});
+			if (reply.outcome === 'refused') {
+				log.info('order-refused', {...attempt, worker: workerId, reason: reply.reason});
+			}
+
+			observeReply(reply, sentMs);
+			return reply;
+		} catch (error) {
+			const {message, verdict} = toServiceError(error, 'may-have-run');
+			const waitedMs = Math.round(now() - sentMs);
+			metrics.count('worker_order_attempts_total', {kind, outcome: 'no-response'});
+			log.info('order-unanswered', {...attempt, worker: workerId, verdict, waitedMs, error: message});
+			return undefined;
+		}
+	};
+
+	return async (kind, target, send) => {
+		let mayHaveRun = false;
+		let refusal: StartRefusal | undefined;
 		for (const [index, deadlineMs] of ORDER_DEADLINES_MS.entries()) {
 			if (!mayOrder()) {
 				break;
 			}
 
-			const sentMs = now();
-			const attempt = {kind, unit, run, worker: workerId, attempt: index + 1};
-			try {
-				const reply = await withDeadline(deadlineMs, async () => send());
-				const outcome = reply.outcome === 'refused' ? reply.reason : reply.outcome;
-				metrics.observe('worker_order_milliseconds', now() - sentMs, {kind});
-				metrics.count('worker_order_attempts_total', {kind, outcome});
-				if (reply.outcome === 'refused') {
-					log.info('order-refused', {...attempt, reason: reply.reason, unanswered});
-				}
-
-				observeReply(reply, sentMs);
-				return reply;
-			} catch (error) {
-				const {message, verdict} = toServiceError(error, 'may-have-run');
-				unanswered += 1;
-				metrics.count('worker_order_attempts_total', {kind, outcome: 'no-response'});
-				log.info('order-unanswered', {...attempt, verdict, waitedMs: Math.round(now() - sentMs), error: message});
+			const reply = await sendAttempt({kind, ...target, attempt: index + 1}, deadlineMs, send);
+			if (!reply) {
+				mayHaveRun = true;
+				continue;
+			}
+
+			if (reply.outcome === 'accepted') {
+				return {outcome: 'accepted'};
+			}
+
+			refusal = reply.reason;
+			// Nothing of an earlier attempt is left on a worker incarnation that has ended.
+			if (!mayHaveRun || refusal === 'other-life') {
+				return {outcome: 'refused', reason: refusal};
+			}
+
+			if (isFinal(refusal)) {
+				break;
 			}
 		}
 
-		return undefined;
+		return {outcome: 'unknown', refusal};
 	};
+};
