Send a stop again until the worker has accepted it

Callers saw runs of cancelled jobs work on, and a unit run twice: any reply to a stop counted as its acceptance, also the 503 or 429 of an unhealthy worker that has done nothing. The leader then sent no further stop, and took the next report without the run as the proof that it had ended, although a late start of it could still be carried out. The stop of an orphaned run, which belongs to no known job, was repeated only with the next report, two seconds later.

A stop now counts when it is accepted, or refused because the run is over. Both kinds of stop are retried until then; orphaned runs have their own module.

--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -33,8 +33,8 @@
 	/** Workers that are listed in the store. */
 	directory: Map<string, Worker>;
 	workerHealth: Map<string, WorkerHealth>;
-	/** Orphaned runs, which belong to no active job: run numbers by worker and unit. */
-	orphanedRuns: Map<string, Map<string, number>>;
+	/** Orphaned runs, which belong to no active job, by worker: the name of the unit and the number of the run. */
+	orphanedRuns: Map<string, ReadonlySet<string>>;
 	runTimes: RunTimes;
 	policy: Policy;
 	/** Placements as of the last planning pass; some may have ended since. */
--- a/packages/scheduler/src/order-attempts.test.ts
+++ b/packages/scheduler/src/order-attempts.test.ts
@@ -1,6 +1,6 @@
 import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
 import t, {type Test} from 'tap';
-import {STOP_SETTLE_MS, WORKER_RETRY_MS} from './constants.js';
+import {RENEWAL_WAIT_MS, STOP_SETTLE_MS, WORKER_RETRY_MS} from './constants.js';
 import {
 	addressOf,
 	BOUNDS,
@@ -178,6 +178,18 @@
 	}
 });
 
+// Guards against a run of no known job that works on until the next report because its stop was refused.
+await t.test('the stop of an orphaned run is sent again until the worker has accepted it', async (t) => {
+	const cluster = createTestCluster(t, [newWorker('w1')], () => ({runMs: 30_000, how: 'done'}));
+	const worker = cluster.workers.get('w1')!;
+	const leaseUntilMs = worker.clockMs() + BOUNDS.maxLeaseMs;
+	await worker.port().start({unit: unitOf(9), run: 1, spec: '', leaseUntilMs, token: 0, checkpoint: ''});
+	script([worker], 'stop', ['refused', 'dropped', 'refused']);
+	cluster.startInstance('one');
+	await cluster.clock.tickAsync(RENEWAL_WAIT_MS);
+	t.same(worker.running(), []);
+});
+
 // Guards against a start that is sent after its job was cancelled, because an earlier attempt got no response.
 await t.test('a start is not repeated after its job was cancelled', async (t) => {
 	const {scheduler, workers, advance, firstTarget, submit} = await createFixture(t, 8000);
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -3,11 +3,12 @@
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {GANG_END_MS, STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
 import {nextRun, partOf, stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
+import {createOrphanedRuns} from './orphaned-runs.js';
 import {extendWindow, openWindow} from './progress-window.js';
 import {allPlacedUnits, coreEquivalentsOf, type LeaderState, type PlacedUnit} from './leader-state.js';
 import type {Bounds, RunningUnit, StartRefusal} from './types.js';
 import type {WorkerLink} from './worker-link.js';
-import type {OrderResult} from './worker-orders.js';
+import type {OrderResult, OrderTarget} from './worker-orders.js';
 
 export type PlacementsOptions = Readonly<{
 	state: LeaderState;
@@ -56,6 +57,8 @@
 export const createPlacements = (options: PlacementsOptions): Placements => {
 	const {state, term, bounds, log, metrics, now, signal, onCapacityFreed, onBegun, onRefused, ticketOf} = options;
 
+	const orphanedRuns = createOrphanedRuns({state, log, signal});
+
 	const unitOf = (activeJob: ActiveJob, part: Part, index: number): string =>
 		formatUnitName({jobId: activeJob.job.id, occurrence: part.occurrence, step: part.step, index});
 
@@ -219,27 +222,12 @@
 		}
 	};
 
-	const stopOrphanedRun = (link: WorkerLink, unit: string, run: number) => {
-		let orphans = state.orphanedRuns.get(link.worker.id);
-		if (!orphans) {
-			orphans = new Map();
-			state.orphanedRuns.set(link.worker.id, orphans);
-		}
-
-		if (!orphans.has(unit)) {
-			log.info('stray-stop', {unit, run, worker: link.worker.id});
-		}
-
-		orphans.set(unit, run);
-		void link.stop(unit, run);
-	};
-
+	/** Returns the placement of a run, or `undefined` for one that belongs to no active job. */
 	const reconcileUnit = (link: WorkerLink, runningUnit: RunningUnit): Placement | undefined => {
 		const name = parseUnitName(runningUnit.unit);
 		const activeJob = name && state.activeJobs.get(name.jobId);
 		const part = activeJob && partOf(activeJob, name.occurrence, name.step, name.index);
 		if (!name || !activeJob || !part) {
-			stopOrphanedRun(link, runningUnit.unit, runningUnit.run);
 			return undefined;
 		}
 
@@ -357,15 +345,18 @@
 			}
 		},
 		reconcile(link, running, sentMs) {
-			state.orphanedRuns.delete(link.worker.id);
 			const listed = new Set<Placement>();
+			const orphans: OrderTarget[] = [];
 			for (const runningUnit of running) {
 				const placement = reconcileUnit(link, runningUnit);
 				if (placement) {
 					listed.add(placement);
+				} else {
+					orphans.push({unit: runningUnit.unit, run: runningUnit.run});
 				}
 			}
 
+			orphanedRuns.reconcile(link, orphans);
 			for (const {part, placement} of state.placementIndex.byWorker.get(link.worker.id) ?? []) {
 				if (!listed.has(placement) && part.placements.includes(placement)) {
 					handleMissing(part, placement, sentMs);
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -36,6 +36,8 @@
 	throttles: ReadonlyMap<string, number>;
 	/** Tail latency to report, by unit. */
 	tailLatencies: Map<string, number>;
+	/** Reading of the worker's clock. */
+	clockMs: () => number;
 	/** Sequence of the last acknowledged end. */
 	acknowledged: () => number;
 }>;
@@ -248,6 +250,7 @@
 
 	return {
 		worker,
+		clockMs,
 		faults,
 		calls,
 		release,
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -47,7 +47,7 @@
 	readonly start: (
 		order: Readonly<{unit: string; run: number; spec: string; checkpoint: string; ticket: string | undefined}>,
 	) => Promise<OrderResult>;
-	/** Resolves to whether the worker has responded to the stop. */
+	/** Resolves to whether the run is stopped: it has ended or is ending, and a later start of it would be refused. */
 	readonly stop: (unit: string, run: number) => Promise<boolean>;
 	/** Polls the progress of the active runs, independently of the renewal loop. */
 	readonly pollProgress: () => Promise<void>;
@@ -297,7 +297,8 @@
 		async stop(unit, runNumber) {
 			const result = await order('stop', {unit, run: runNumber}, async () => port.stop({unit, run: runNumber, token}));
 			handleOrderResult(result);
-			return result.outcome !== 'unknown' || result.refusal !== undefined;
+			// A worker that refuses because the run is over has nothing left to stop.
+			return result.outcome === 'accepted' || (result.outcome === 'refused' && result.reason === 'old-run');
 		},
 		async pollProgress() {
 			if (isPolling || state !== 'synced' || !mayOrder()) {
