Pause after a refused lease renewal, and end the lease of a worker that refuses all

Callers saw work stay on a worker that refused every call, and the store and workers saw calls without a pause: a refused renewal counted like one that had renewed the lease.

Refused renewals are now followed by the backoff of unanswered ones.

order-attempts.test.ts: 'the work of a worker that refuses all lease renewals is restarted after its lease has expired' failed before (3996 renewals in 5 s, not restarted) and passes now; 'work goes on while its worker refuses some of its lease renewals' passes before and after.

--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -185,7 +185,8 @@
 		})();
 	};
 
-	const renewLease = async (signal: AbortSignal) => {
+	/** Resolves to the reason for which the worker has refused the renewal, `undefined` if it has renewed the lease. */
+	const renewLease = async (signal: AbortSignal): Promise<StartRefusal | undefined> => {
 		const isFirst = state === 'unsynced';
 		const hasWork = events.hasWork(link);
 		const sentMs = now();
@@ -209,18 +210,27 @@
 			metrics.count('lease_renewals_refused_total', {reason: report.reason});
 			log.info('renewal-refused', {worker: options.worker.id, reason: report.reason, leaseUntilMs});
 			handleRefusal(report.reason);
-			return;
+			return report.reason;
 		}
 
 		observeReply(report, sentMs);
 		setState('synced', isFirst ? {running: report.running.length, ended: report.ended.length} : {});
 		handleEnds(report.ended);
 		events.onReport(link, report.running, sentMs);
+		return undefined;
+	};
+
+	const silence = (error: string) => {
+		if (state === 'synced') {
+			setState('silent', {error});
+		}
 	};
 
 	const run = async (signal: AbortSignal) => {
 		const backoff = createBackoff({minMs: WORKER_RETRY_MS, maxMs: WORKER_RETRY_MAX_MS});
 		let sentSequence = 0;
+		/** Time since which the worker has refused every renewal. */
+		let refusedSinceMs: number | undefined;
 		while (!signal.aborted && !isGone()) {
 			if (!mayOrder()) {
 				await sleep(WORKER_RETRY_MS, signal);
@@ -244,24 +254,32 @@
 
 			try {
 				sentSequence = acknowledgedSequence;
-				await renewLease(signal);
-				backoff.reset();
-			} catch (error) {
-				if (signal.aborted) {
-					break;
+				const refusal = await renewLease(signal);
+				if (refusal === undefined) {
+					refusedSinceMs = undefined;
+					backoff.reset();
+					continue;
 				}
 
-				if (state === 'synced') {
-					setState('silent', {error: toServiceError(error, 'may-have-run').message});
+				// A refusal shows that the worker is there, so only lasting refusals count as silence.
+				refusedSinceMs ??= now();
+				if (now() - refusedSinceMs > RENEWAL_GRACE_MS) {
+					silence(`the worker refuses renewals: ${refusal}`);
 				}
-
-				if (now() > clock.expiryMs()) {
-					end('lease-ended');
+			} catch (error) {
+				if (signal.aborted) {
 					break;
 				}
 
-				await sleep(backoff.next(), signal);
+				silence(toServiceError(error, 'may-have-run').message);
 			}
+
+			if (now() > clock.expiryMs()) {
+				end('lease-ended');
+				break;
+			}
+
+			await sleep(backoff.next(), signal);
 		}
 
 		port.close();
