Acknowledge ends again after a refused renewal

An end that its worker lists stays unacknowledged for as long as the worker has no other work: the leader noted an acknowledgement as sent before the renewal that carried it had succeeded, so a refused renewal counted as delivered.

The acknowledged sequence is now noted when the worker has accepted the renewal. worker-link.test.ts: 'an end is acknowledged again after the worker has refused the acknowledgement' failed before (one renewal with it instead of two) and passes now.

--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -12,6 +12,10 @@
 	running: RunningUnit[];
 	/** Number of following lease renewals that get no response. */
 	lostRenewals: number;
+	/** Number of following lease renewals that the worker refuses. */
+	refusedRenewals: number;
+	/** Whether the leader has work on the worker. */
+	hasWork: boolean;
 	/** Number of following starts that get no response. */
 	lostStarts: number;
 };
@@ -46,7 +50,14 @@
 
 const createFixture = (t: Test): Fixture => {
 	const clock = FakeTimers.install({now: 1000});
-	const script: WorkerScript = {ended: [], running: [], lostRenewals: 0, lostStarts: 0};
+	const script: WorkerScript = {
+		ended: [],
+		running: [],
+		lostRenewals: 0,
+		refusedRenewals: 0,
+		hasWork: true,
+		lostStarts: 0,
+	};
 	const renewals: LeaseRenewal[] = [];
 	const starts: number[] = [];
 	const term = {isValid: true};
@@ -72,6 +83,11 @@
 				return neverRespond();
 			}
 
+			if (script.refusedRenewals > 0) {
+				script.refusedRenewals -= 1;
+				return {outcome: 'refused', reason: 'unhealthy'};
+			}
+
 			const ended = script.ended.filter(({sequence}) => sequence > order.acknowledgedSequence);
 			await new Promise((resolve) => {
 				setTimeout(resolve, ended.length > 0 ? 1 : order.waitMs);
@@ -114,7 +130,7 @@
 				t.fail('there is no newer token');
 			},
 			renewalWaitMs: () => 2000,
-			hasWork: () => true,
+			hasWork: () => script.hasWork,
 		},
 	});
 	const running = link.run(controller.signal);
@@ -145,6 +161,19 @@
 	t.equal(renewals.at(-1)?.acknowledgedSequence, 2);
 });
 
+// Guards against an end that its worker keeps reporting as new, because the renewal that acknowledged it was refused.
+await t.test('an end is acknowledged again after the worker has refused the acknowledgement', async (t) => {
+	const {clock, script, renewals, endBatches} = createFixture(t);
+	script.ended.push(newEnd(1));
+	await clock.tickAsync(10);
+	script.hasWork = false;
+	script.refusedRenewals = 1;
+	endBatches[0]!.completeStore();
+	await clock.tickAsync(3000);
+	t.equal(script.refusedRenewals, 0);
+	t.equal(renewals.filter(({acknowledgedSequence}) => acknowledgedSequence === 1).length, 2);
+});
+
 // Guards against lost responses to starts that delay a gang, whose other members wait at their workers meanwhile.
 await t.test('a start without a response is retried soon', async (t) => {
 	const {clock, link, script, starts} = createFixture(t);
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -252,10 +252,11 @@
 				continue;
 			}
 
+			const sendingSequence = acknowledgedSequence;
 			try {
-				sentSequence = acknowledgedSequence;
 				const refusal = await renewLease(signal);
 				if (refusal === undefined) {
+					sentSequence = sendingSequence;
 					refusedSinceMs = undefined;
 					backoff.reset();
 					continue;
