--- a/packages/scheduler/src/test/model-worker-faults.ts
+++ b/packages/scheduler/src/test/model-worker-faults.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError} from '@bergamotgauge/model';
 
 export type CallKind = 'start' | 'stop' | 'throttle' | 'renewal';
@@ -55,15 +56,11 @@
 	slowness: 1,
 });
 
-const sleepMs = async (ms: number) =>
-	new Promise<void>((resolve) => {
-		setTimeout(resolve, ms);
-	});
 
 /** Applies the faults to the calls that a worker receives. */
 export type FaultyCalls = Readonly<{
 	/** Carries out the call or not, as the faults say, and resolves to the response; throws if there is none. */
-	receive: <Reply>(kind: CallKind, carryOut: () => Reply, refuse: () => Reply) => Promise<Reply>;
+	receive: <Reply>(kind: CallKind, carryOut: () => Reply, refuse: () => Reply, signal?: AbortSignal) => Promise<Reply>;
 	/** Throws unless a response can leave the worker. */
 	requireResponse: () => void;
 	/** Carries out the delayed calls in the order of their arrival. */
@@ -79,9 +76,9 @@
 
 	const noResponse = () => new ServiceError('no answer', {code: 'worker-failed', verdict: 'may-have-run'});
 
-	const loseResponse = async (): Promise<never> => {
+	const loseResponse = async (signal?: AbortSignal): Promise<never> => {
 		if (faults.responseLossMs > 0) {
-			await sleepMs(faults.responseLossMs);
+			await sleep(faults.responseLossMs, signal);
 		}
 
 		throw noResponse();
@@ -117,7 +114,7 @@
 
 	return {
 		requireResponse,
-		async receive(kind, carryOut, refuse) {
+		async receive(kind, carryOut, refuse, signal) {
 			if (faults.isCutOff) {
 				throw noResponse();
 			}
@@ -128,24 +125,24 @@
 				}
 
 				case 'refused': {
-					await sleepMs(REFUSAL_MS);
+					await sleep(REFUSAL_MS);
 					return refuse();
 				}
 
 				case 'response-lost': {
 					carryOut();
-					return loseResponse();
+					return loseResponse(signal);
 				}
 
 				case 'delayed': {
 					delayed.push(() => {
 						carryOut();
 					});
-					return loseResponse();
+					return loseResponse(signal);
 				}
 
 				case 'dropped': {
-					return loseResponse();
+					return loseResponse(signal);
 				}
 			}
 		},
