Bundle the version of undici that the adapter declares

The program for the platform was built with undici 6.29.1, which a development tool brings to the root of the workspace, while platform/package.json declares 7.30.0, and the tests run with that.

The build now resolves undici from platform/.

--- a/scripts/build-target.js
+++ b/scripts/build-target.js
@@ -1,12 +1,18 @@
 // Bundles the program for the platform from the workspaces' sources into target/.
 import {readdirSync} from 'node:fs';
+import {createRequire} from 'node:module';
+import path from 'node:path';
 import {build} from 'esbuild';
 
 const packages = readdirSync('packages');
+// The version that platform/ declares; tools may bring another one to the root.
+const requireFromPlatform = createRequire(new URL('../platform/package.json', import.meta.url));
+const undiciDirectory = path.dirname(requireFromPlatform.resolve('undici/package.json'));
 const alias = {
 	...Object.fromEntries(packages.map((name) => [`@bergamotgauge/${name}`, `./packages/${name}/src/index.ts`])),
 	'hdr-histogram-js': './scripts/hdr-histogram-build.cjs',
 	undici: './scripts/undici-pool.cjs',
+	'undici-library': undiciDirectory,
 };
 
 await build({
