Withdraw an attempt at an order at its deadline

Callers saw runs begin seconds after their job was cancelled (UNASKED) or after their worker had begun to drain (DRAIN), and a superseded leader's starts take effect beside its successor's (TWICE). An attempt was given up at its deadline of 200 to 600 ms, but its call stayed in the HTTP client for 4 s: where three unanswered orders held the connections to a worker, later starts, and the stops for them, waited in our own queue and were sent when a connection came free.

Ruled out: a late execution by the worker, which comes at other times.

The attempt's signal now reaches the client. A call that waits for a connection is not sent any more, and its verdict is not-run; a call that was sent is ended with its connection. An order of which no attempt was sent is refused as unreachable and keeps no placement.

The scripted worker and the model worker settle calls without a response when the signal aborts.

--- a/packages/scheduler/src/test/model-worker-faults.ts
+++ b/packages/scheduler/src/test/model-worker-faults.ts
@@ -56,7 +56,6 @@
 	slowness: 1,
 });
 
-
 /** Applies the faults to the calls that a worker receives. */
 export type FaultyCalls = Readonly<{
 	/** Carries out the call or not, as the faults say, and resolves to the response; throws if there is none. */
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -241,9 +241,14 @@
 		calls.push({kind, atMs: performance.now(), ...target});
 	};
 
-	const receiveOrder = async (kind: CallKind, target: RunTarget, carryOut: () => OrderReply): Promise<OrderReply> => {
-		record(kind, {unit: target.unit, run: target.run});
-		const reply = await receive(kind, carryOut, () => refuse('unhealthy'));
+	const receiveOrder = async (
+		kind: CallKind,
+		{unit, run}: RunTarget,
+		carryOut: () => OrderReply,
+		signal?: AbortSignal,
+	): Promise<OrderReply> => {
+		record(kind, {unit, run});
+		const reply = await receive(kind, carryOut, () => refuse('unhealthy'), signal);
 		requireResponse();
 		return reply;
 	};
@@ -272,15 +277,9 @@
 			close() {
 				// The simulated worker has no connections.
 			},
-			async start(order) {
-				return receiveOrder('start', order, () => start(order));
-			},
-			async stop(order) {
-				return receiveOrder('stop', order, () => stop(order));
-			},
-			async throttle(order) {
-				return receiveOrder('throttle', order, () => throttle(order));
-			},
+			start: async (order, signal) => receiveOrder('start', order, () => start(order), signal),
+			stop: async (order, signal) => receiveOrder('stop', order, () => stop(order), signal),
+			throttle: async (order, signal) => receiveOrder('throttle', order, () => throttle(order), signal),
 			async renewLease(renewal, signal) {
 				const {acknowledgedSequence: acknowledged, waitMs} = renewal;
 				record('renewal');
@@ -288,6 +287,7 @@
 					'renewal',
 					() => acceptRenewal(renewal),
 					() => 'unhealthy',
+					signal,
 				);
 				if (reason !== 'accepted') {
 					requireResponse();
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -22,7 +22,7 @@
 	remainingMs: number | undefined;
 }>;
 
-/** Why a worker refused a start. */
+/** Why a start has had no effect. */
 export type StartRefusal =
 	/** The worker has seen a newer fencing token. */
 	| 'stale-token'
@@ -39,7 +39,9 @@
 	/** Another worker incarnation responds at the address. */
 	| 'other-life'
 	/** The worker cannot parse the order. */
-	| 'malformed';
+	| 'malformed'
+	/** No connection was free or could be opened in time, so the order was not sent. */
+	| 'unreachable';
 
 /** Response of a worker to an order; `clockMs` is the worker's clock. */
 export type OrderReply =
@@ -95,12 +97,17 @@
 	waitMs: number;
 }>;
 
-/** Orders to one worker incarnation. They throw a `ServiceError` with verdict `may-have-run` when no response comes. */
+/** An order for one run. */
+export type RunOrder = Readonly<{unit: string; run: number; token: number}>;
+
+/**
+Orders to one worker incarnation. They throw a `ServiceError` when no response comes: with verdict `not-run` if the order was never sent, else `may-have-run`. They settle when the signal aborts, and an order that is not sent by then is never sent.
+*/
 export type WorkerPort = Readonly<{
-	start: (order: StartOrder) => Promise<OrderReply>;
-	stop: (order: Readonly<{unit: string; run: number; token: number}>) => Promise<OrderReply>;
+	start: (order: StartOrder, signal?: AbortSignal) => Promise<OrderReply>;
+	stop: (order: RunOrder, signal?: AbortSignal) => Promise<OrderReply>;
 	/** Throttles a unit to a share of its CPU, in percent; it keeps its memory. */
-	throttle: (order: Readonly<{unit: string; run: number; percent: number; token: number}>) => Promise<OrderReply>;
+	throttle: (order: RunOrder & Readonly<{percent: number}>, signal?: AbortSignal) => Promise<OrderReply>;
 	/** Renews the lease and returns the active and the ended runs. */
 	renewLease: (order: LeaseRenewal, signal: AbortSignal) => Promise<WorkerReport>;
 	close: () => void;
--- a/packages/scheduler/src/worker-evidence.ts
+++ b/packages/scheduler/src/worker-evidence.ts
@@ -33,7 +33,7 @@
 export const recordRefusal = (state: LeaderState, workerId: string, reason: StartRefusal, nowMs: number): void => {
 	const health = workerHealthOf(state, workerId);
 	health.pausedUntilMs = nowMs + REFUSAL_PAUSE_MS;
-	if (reason === 'unhealthy') {
+	if (reason === 'unhealthy' || reason === 'unreachable') {
 		suspect(health, nowMs);
 	}
 };
--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -41,11 +41,14 @@
 	checkpoint: '',
 });
 
-const neverRespond = async () =>
+const neverRespond = async (signal?: AbortSignal) =>
 	new Promise<never>((_resolve, reject) => {
-		setTimeout(() => {
+		const fail = () => {
 			reject(new ServiceError('no answer', {code: 'worker-failed', verdict: 'may-have-run'}));
-		}, 10_000);
+		};
+
+		setTimeout(fail, 10_000);
+		signal?.addEventListener('abort', fail);
 	});
 
 const createFixture = (t: Test): Fixture => {
@@ -65,11 +68,11 @@
 	const clockMs = () => Math.round(performance.now());
 	const accept = async (): Promise<OrderReply> => ({outcome: 'accepted', clockMs: clockMs()});
 	const port: WorkerPort = {
-		async start() {
+		async start(_order, signal) {
 			starts.push(performance.now());
 			if (script.lostStarts > 0) {
 				script.lostStarts -= 1;
-				return neverRespond();
+				return neverRespond(signal);
 			}
 
 			return accept();
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -293,18 +293,13 @@
 		wake: waker.wake,
 		run,
 		async start({unit, run: runNumber, spec, checkpoint, ticket}) {
-			const result = await order('start', {unit, run: runNumber}, async () => {
+			const result = await order('start', {unit, run: runNumber}, async (signal) => {
 				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs()) ?? 0;
 				clock.recordLease(leaseUntilMs);
-				return port.start({
-					unit,
-					run: runNumber,
-					spec,
-					leaseUntilMs,
-					token,
-					checkpoint,
-					...(ticket !== undefined && {ticket}),
-				});
+				return port.start(
+					{unit, run: runNumber, spec, leaseUntilMs, token, checkpoint, ...(ticket !== undefined && {ticket})},
+					signal,
+				);
 			});
 			handleOrderResult(result);
 			if (result.outcome === 'accepted') {
@@ -314,7 +309,9 @@
 			return result;
 		},
 		async stop(unit, runNumber) {
-			const result = await order('stop', {unit, run: runNumber}, async () => port.stop({unit, run: runNumber, token}));
+			const result = await order('stop', {unit, run: runNumber}, async (signal) =>
+				port.stop({unit, run: runNumber, token}, signal),
+			);
 			handleOrderResult(result);
 			// A worker that refuses because the run is over has nothing left to stop.
 			return result.outcome === 'accepted' || (result.outcome === 'refused' && result.reason === 'old-run');
@@ -344,8 +341,8 @@
 			isPolling = false;
 		},
 		async throttle(unit, runNumber, percent) {
-			const result = await order('pace', {unit, run: runNumber}, async () =>
-				port.throttle({unit, run: runNumber, percent, token}),
+			const result = await order('pace', {unit, run: runNumber}, async (signal) =>
+				port.throttle({unit, run: runNumber, percent, token}, signal),
 			);
 			handleOrderResult(result);
 			return result.outcome === 'accepted';
--- a/packages/scheduler/src/worker-orders.ts
+++ b/packages/scheduler/src/worker-orders.ts
@@ -1,5 +1,5 @@
-import {withDeadline} from '@bergamotgauge/lifecycle';
-import {toServiceError} from '@bergamotgauge/model';
+import {DeadlineError} from '@bergamotgauge/lifecycle';
+import {toServiceError, type Verdict} from '@bergamotgauge/model';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {ORDER_DEADLINES_MS} from './constants.js';
 import type {OrderReply, StartRefusal} from './types.js';
@@ -31,7 +31,7 @@
 export type OrderSender = (
 	kind: OrderKind,
 	target: OrderTarget,
-	send: () => Promise<OrderReply>,
+	send: (signal: AbortSignal) => Promise<OrderReply>,
 ) => Promise<OrderResult>;
 
 /** Refusals that another attempt cannot change. */
@@ -45,7 +45,7 @@
 @example
 ```ts
 const order = createOrderSender({workerId, log, metrics, now, mayOrder, observeReply});
-const result = await order('stop', {unit, run}, async () => port.stop({unit, run, token}));
+const result = await order('stop', {unit, run}, async (signal) => port.stop({unit, run, token}, signal));
 ```
 */
 export const createOrderSender = ({
@@ -56,16 +56,21 @@
 	mayOrder,
 	observeReply,
 }: OrderSenderOptions): OrderSender => {
-	/** Sends one attempt; resolves to `undefined` when it got no response. */
+	/** Sends one attempt, which is withdrawn at its deadline. Resolves to its verdict when it got no response. */
 	const sendAttempt = async (
 		attempt: OrderTarget & Readonly<{kind: OrderKind; attempt: number}>,
 		deadlineMs: number,
-		send: () => Promise<OrderReply>,
-	): Promise<OrderReply | undefined> => {
+		send: (signal: AbortSignal) => Promise<OrderReply>,
+	): Promise<OrderReply | Verdict> => {
 		const {kind} = attempt;
 		const sentMs = now();
+		const controller = new AbortController();
+		// The port rejects when the signal aborts, and its error says whether the attempt was sent.
+		const timer = setTimeout(() => {
+			controller.abort(new DeadlineError(`deadline of ${deadlineMs} ms exceeded`));
+		}, deadlineMs);
 		try {
-			const reply = await withDeadline(deadlineMs, async () => send());
+			const reply = await send(controller.signal);
 			const outcome = reply.outcome === 'refused' ? reply.reason : reply.outcome;
 			metrics.observe('worker_order_milliseconds', now() - sentMs, {kind});
 			metrics.count('worker_order_attempts_total', {kind, outcome});
@@ -78,9 +83,11 @@
 		} catch (error) {
 			const {message, verdict} = toServiceError(error, 'may-have-run');
 			const waitedMs = Math.round(now() - sentMs);
-			metrics.count('worker_order_attempts_total', {kind, outcome: 'no-response'});
+			metrics.count('worker_order_attempts_total', {kind, outcome: verdict === 'not-run' ? 'unsent' : 'no-response'});
 			log.info('order-unanswered', {...attempt, worker: workerId, verdict, waitedMs, error: message});
-			return undefined;
+			return verdict;
+		} finally {
+			clearTimeout(timer);
 		}
 	};
 
@@ -93,8 +100,8 @@
 			}
 
 			const reply = await sendAttempt({kind, ...target, attempt: index + 1}, deadlineMs, send);
-			if (!reply) {
-				mayHaveRun = true;
+			if (typeof reply === 'string') {
+				mayHaveRun ||= reply !== 'not-run';
 				continue;
 			}
 
@@ -113,6 +120,6 @@
 			}
 		}
 
-		return {outcome: 'unknown', refusal};
+		return mayHaveRun ? {outcome: 'unknown', refusal} : {outcome: 'refused', reason: 'unreachable'};
 	};
 };
