End the attempts at a start that no longer holds

The sender asks before each attempt whether the order still holds: the placement is still starting, and the worker accepts work. A start that was never sent is refused as withdrawn and does not count against the worker.

--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -154,7 +154,7 @@
 			reason: refusal ?? 'no-answer',
 			mayHaveRun: result.outcome === 'unknown',
 		});
-		if (refusal) {
+		if (refusal && refusal !== 'withdrawn') {
 			onRefused({activeJob, part, placement}, refusal);
 		}
 
@@ -322,14 +322,16 @@
 				const link = state.links.get(placement.workerId);
 				const unit = unitOf(activeJob, part, placement.index);
 				void (async () => {
+					const order = {
+						unit,
+						run: runNumber,
+						spec: activeJob.job.spec,
+						checkpoint,
+						ticket: ticketOf(activeJob, part, placement.workerId),
+					};
+					const isWanted = () => placement.phase === 'starting' && part.placements.includes(placement);
 					const result: OrderResult = link
-						? await link.start({
-								unit,
-								run: runNumber,
-								spec: activeJob.job.spec,
-								checkpoint,
-								ticket: ticketOf(activeJob, part, placement.workerId),
-							})
+						? await link.start(order, isWanted)
 						: {outcome: 'refused', reason: 'other-life'};
 					handleStartResult(activeJob, part, placement, result);
 				})();
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -41,7 +41,9 @@
 	/** The worker cannot parse the order. */
 	| 'malformed'
 	/** No connection was free or could be opened in time, so the order was not sent. */
-	| 'unreachable';
+	| 'unreachable'
+	/** The order no longer held before it was sent. */
+	| 'withdrawn';
 
 /** Response of a worker to an order; `clockMs` is the worker's clock. */
 export type OrderReply =
--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -183,7 +183,7 @@
 	await clock.tickAsync(10);
 	script.lostStarts = 1;
 	const sentMs = performance.now();
-	const started = link.start({unit: 'j.0.0.0', run: 1, spec: '', checkpoint: '', ticket: undefined});
+	const started = link.start({unit: 'j.0.0.0', run: 1, spec: '', checkpoint: '', ticket: undefined}, () => true);
 	await clock.tickAsync(1000);
 	t.same(await started, {outcome: 'accepted'});
 	t.ok(starts[1]! - sentMs <= 250);
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -46,6 +46,8 @@
 	readonly state: () => WorkerLinkState;
 	readonly start: (
 		order: Readonly<{unit: string; run: number; spec: string; checkpoint: string; ticket: string | undefined}>,
+		/** Whether the unit is still to be started. */
+		isWanted: () => boolean,
 	) => Promise<OrderResult>;
 	/** Resolves to whether the run is stopped: it has ended or is ending, and a later start of it would be refused. */
 	readonly stop: (unit: string, run: number) => Promise<boolean>;
@@ -292,15 +294,18 @@
 		expiryMs: clock.expiryMs,
 		wake: waker.wake,
 		run,
-		async start({unit, run: runNumber, spec, checkpoint, ticket}) {
-			const result = await order('start', {unit, run: runNumber}, async (signal) => {
+		async start({unit, run: runNumber, spec, checkpoint, ticket}, isWanted) {
+			const send = async (signal: AbortSignal) => {
 				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs()) ?? 0;
 				clock.recordLease(leaseUntilMs);
 				return port.start(
 					{unit, run: runNumber, spec, leaseUntilMs, token, checkpoint, ...(ticket !== undefined && {ticket})},
 					signal,
 				);
-			});
+			};
+
+			const isOpen = () => isWanted() && link.worker.state === 'ready';
+			const result = await order('start', {unit, run: runNumber}, send, isOpen);
 			handleOrderResult(result);
 			if (result.outcome === 'accepted') {
 				waker.wake();
--- a/packages/scheduler/src/worker-orders.ts
+++ b/packages/scheduler/src/worker-orders.ts
@@ -32,6 +32,8 @@
 	kind: OrderKind,
 	target: OrderTarget,
 	send: (signal: AbortSignal) => Promise<OrderReply>,
+	/** Whether the order still holds; otherwise it is not sent again. */
+	isWanted?: () => boolean,
 ) => Promise<OrderResult>;
 
 /** Refusals that another attempt cannot change. */
@@ -91,17 +93,19 @@
 		}
 	};
 
-	return async (kind, target, send) => {
+	return async (kind, target, send, isWanted = () => true) => {
 		let mayHaveRun = false;
+		let isUnreachable = false;
 		let refusal: StartRefusal | undefined;
 		for (const [index, deadlineMs] of ORDER_DEADLINES_MS.entries()) {
-			if (!mayOrder()) {
+			if (!mayOrder() || !isWanted()) {
 				break;
 			}
 
 			const reply = await sendAttempt({kind, ...target, attempt: index + 1}, deadlineMs, send);
 			if (typeof reply === 'string') {
 				mayHaveRun ||= reply !== 'not-run';
+				isUnreachable ||= reply === 'not-run';
 				continue;
 			}
 
@@ -120,6 +124,10 @@
 			}
 		}
 
-		return mayHaveRun ? {outcome: 'unknown', refusal} : {outcome: 'refused', reason: 'unreachable'};
+		if (mayHaveRun) {
+			return {outcome: 'unknown', refusal};
+		}
+
+		return {outcome: 'refused', reason: isUnreachable ? 'unreachable' : 'withdrawn'};
 	};
 };
