Keep a late write of the pending counts from replacing newer ones

Callers were told an old number of queued jobs for as long as the number did not change. A write of the counts expected only the leader key, so one without a response that the store applied seconds later, after a newer write of the same term, replaced the newer counts. The leader took the newer ones as published and did not write again. The same happened when the counts had returned to the last confirmed ones before the write without a response took effect.

Each write now also expects the revision of the counts, and after a write without a response the counts are written again.

--- a/packages/scheduler/src/pending-counts.ts
+++ b/packages/scheduler/src/pending-counts.ts
@@ -24,7 +24,9 @@
 	return counts;
 };
 
-/** Publishes the number of queued jobs by queue whenever it has changed. */
+/**
+Publishes the number of queued jobs by queue whenever it has changed. A write that got no response may take effect later, so each write expects the revision of the one before.
+*/
 export const publishPendingCounts = async ({
 	store,
 	table,
@@ -32,16 +34,27 @@
 	log,
 	signal,
 }: Readonly<{store: KeyValueStore; table: JobTable; term: Term; log: Log; signal: AbortSignal}>): Promise<void> => {
-	let published = '';
+	/** The counts that are known to be stored; `undefined` when the stored ones are not known. */
+	let published: string | undefined;
+	let revision = 0;
 	while (!signal.aborted) {
 		const text = JSON.stringify(countPending(table));
 		if (text !== published && term.isValid()) {
+			published = undefined;
 			try {
 				const result = await store.transact({
-					expected: [{key: LEADER_KEY, revision: term.leaderRevision}],
+					expected: [
+						{key: LEADER_KEY, revision: term.leaderRevision},
+						{key: PENDING_KEY, revision},
+					],
 					writes: [{key: PENDING_KEY, value: encoder.encode(text)}],
 				});
-				published = result.outcome === 'applied' ? text : '';
+				if (result.outcome === 'applied') {
+					published = text;
+					revision = result.revision;
+				} else if (result.outcome === 'conflict') {
+					revision = result.current.find(({key}) => key === PENDING_KEY)?.revision ?? 0;
+				}
 			} catch (error) {
 				log.debug('pending-not-stored', {error: toServiceError(error, 'may-have-run').message});
 			}
