Keep a late write of a wave's state from replacing a newer one

The state of a wave was written under the leader key alone, so a write of 'active' that got no response and was applied after 'completed' replaced it, and the leader, which took the wave as completed, did not write again. A write that was refused because another instance leads also counted as stored.

A write of the state now expects the revision of the one before, as the writes of the wave's record do, and the wave counts as completed when the write was applied. The test fails without the change: it read 'active' after the late write.

--- a/packages/scheduler/src/maintenance/run-waves.test.ts
+++ b/packages/scheduler/src/maintenance/run-waves.test.ts
@@ -133,3 +133,15 @@
 	t.same(machines.started.toSorted(), ['a', 'b', 'd', 'e']);
 	t.equal(await state(), 'completed');
 });
+
+// Guards against a wave that is shown as active for good, because the write of that state takes effect after the wave has
+// been completed.
+await t.test('a write of the state that takes effect late does not replace a newer state', async (t) => {
+	const {clock, store, lead, state} = await createFixture(t);
+	store.faults.delayed = 1;
+	await lead(1);
+	await clock.tickAsync(25_000);
+	t.equal(await state(), 'completed');
+	store.release();
+	t.equal(await state(), 'completed');
+});
--- a/packages/scheduler/src/maintenance/run-waves.ts
+++ b/packages/scheduler/src/maintenance/run-waves.ts
@@ -37,6 +37,8 @@
 	record: WaveRecord;
 	/** Revision of the stored record; 0 before it is stored. */
 	revision: number;
+	/** Revision of the stored state; 0 before it is stored. */
+	stateRevision: number;
 	/** Machines being drained, with their drain deadlines. */
 	drainDeadlines: ReadonlyMap<string, number>;
 	/** Machines whose maintenance order was accepted, with the time of the response. */
@@ -60,28 +62,21 @@
 	const waves = new Map<number, ActiveWave>();
 	const waker = createWaker();
 
-	const writeState = async (wave: Wave, state: WaveState) => {
-		await store.transact({
-			expected: [{key: LEADER_KEY, revision: term.leaderRevision}],
-			writes: [{key: records.stateKey(wave.number), value: records.encodeState(state)}],
-		});
-		log.info('wave-state', {wave: wave.number, state});
-	};
-
-	/** Stores the record; a conflict means that another instance leads or that an earlier write has taken effect late. */
-	const storeRecord = async (active: ActiveWave, record: WaveRecord): Promise<boolean> => {
-		const key = waveKey(active.wave.number);
+	/** Writes a record of the term. A conflict means that another instance leads or that an earlier write has taken effect late. */
+	const write = async (
+		key: string,
+		revision: number,
+		value: Uint8Array,
+	): Promise<Readonly<{isApplied: boolean; revision: number}>> => {
 		const result = await store.transact({
 			expected: [
 				{key: LEADER_KEY, revision: term.leaderRevision},
-				{key, revision: active.revision},
+				{key, revision},
 			],
-			writes: [{key, value: encoder.encode(JSON.stringify(record))}],
+			writes: [{key, value}],
 		});
 		if (result.outcome === 'applied') {
-			active.record = record;
-			active.revision = result.revision;
-			return true;
+			return {isApplied: true, revision: result.revision};
 		}
 
 		const current = result.outcome === 'conflict' ? result.current : [];
@@ -89,8 +84,36 @@
 			term.abandon('another instance leads');
 		}
 
-		active.revision = current.find((item) => item.key === key)?.revision ?? 0;
-		return false;
+		return {isApplied: false, revision: current.find((item) => item.key === key)?.revision ?? 0};
+	};
+
+	const storeState = async (active: ActiveWave, state: WaveState): Promise<boolean> => {
+		const {number} = active.wave;
+		const {isApplied, revision} = await write(
+			records.stateKey(number),
+			active.stateRevision,
+			records.encodeState(state),
+		);
+		active.stateRevision = revision;
+		if (isApplied) {
+			log.info('wave-state', {wave: number, state});
+		}
+
+		return isApplied;
+	};
+
+	const storeRecord = async (active: ActiveWave, record: WaveRecord): Promise<boolean> => {
+		const {isApplied, revision} = await write(
+			waveKey(active.wave.number),
+			active.revision,
+			encoder.encode(JSON.stringify(record)),
+		);
+		active.revision = revision;
+		if (isApplied) {
+			active.record = record;
+		}
+
+		return isApplied;
 	};
 
 	const loadWave = async (wave: Wave) => {
@@ -102,18 +125,20 @@
 		const record = item
 			? (JSON.parse(decoder.decode(item.value)) as WaveRecord)
 			: {startedMs: Date.now(), ordered: [], done: []};
-		waves.set(wave.number, {
+		const active: ActiveWave = {
 			wave,
 			record,
 			revision: item?.revision ?? 0,
+			stateRevision: state?.revision ?? 0,
 			drainDeadlines: new Map(),
 			acceptedMs: new Map(),
 			isCompleted,
-		});
+		};
+		waves.set(wave.number, active);
 		if (!isCompleted) {
 			log.info('wave-taken-up', {wave: wave.number, machines: wave.machineIds.length, maxDown: wave.maxDown});
 			if (!state) {
-				await writeState(wave, 'active');
+				await storeState(active, 'active');
 			}
 		}
 	};
@@ -206,8 +231,7 @@
 		}
 
 		if (isCompleted) {
-			await writeState(active.wave, 'completed');
-			active.isCompleted = true;
+			active.isCompleted = await storeState(active, 'completed');
 		}
 	};
 
