Deliver a change again that a watch's reader failed to handle

A watch advanced its revision before it handed the changes over. When the handler threw, for example because a configuration could not be decoded, the change was skipped, and the next empty response counted as proof that the instance was current: it would have served by the old configuration without a time limit.

The revision now advances after the changes were handled, so a reader that cannot handle them becomes stale.

--- a/packages/store/src/key-watch.ts
+++ b/packages/store/src/key-watch.ts
@@ -19,7 +19,7 @@
 }>;
 
 /**
-Follows the keys of a prefix: one full listing, then long-poll watches. A failed call is retried with backoff and resumes after the last known revision.
+Follows the keys of a prefix: one full listing, then long-poll watches. A failed call, or a failure to handle its changes, is retried with backoff and resumes after the last handled revision.
 
 @example
 ```ts
@@ -39,8 +39,9 @@
 				return;
 			}
 
-			revision = changes.revision;
 			onChanges(changes);
+			// A change that could not be handled is requested again, so that success means that all changes were handled.
+			revision = changes.revision;
 			onSuccess?.(startedMs);
 			backoff.reset();
 			if (changes.items.length + changes.removed.length > 0) {
