Keep a stored outcome when its write is repeated after a cancellation

A job could be shown as completed and later as cancelled. The write of an outcome expects that no cancellation is stored. When that write was applied without a response, and a cancellation was stored before it was repeated, the conflict of the repeated write was taken as proof that the cancellation came first, and the outcome was replaced.

The conflict also returns the stored progress. An outcome that it holds, or that an earlier write is known to have stored, now stays, and later writes of the job no longer expect that there is no cancellation. The test fails without the change: the job ended as cancelled.

--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -160,3 +160,21 @@
 		}
 	},
 );
+
+// Guards against a job that callers have seen as completed and that turns to cancelled: the write of the outcome got no
+// response, and a cancellation was stored before the write was repeated.
+await t.test('a cancellation does not overrule an outcome that was stored before it', async (t) => {
+	const {clock, store, writer, activeJob, finish, storedOutcome, cancelled} = await createFixture(t);
+	store.faults.lostResponses = 1;
+	finish(0);
+	finish(1);
+	const written = writer.store([activeJob]);
+	await clock.tickAsync(1);
+	t.equal(await storedOutcome(), 'completed');
+	store.put(jobKey(activeJob.job.id, 'cancellation'), new Uint8Array(0));
+	await clock.tickAsync(3000);
+	await written;
+	t.equal(await storedOutcome(), 'completed');
+	t.equal(activeJob.outcome, 'completed');
+	t.equal(cancelled.length, 0);
+});
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -1,4 +1,4 @@
-import {encodeProgress} from '@bergamotgauge/jobs';
+import {decodeProgress, encodeProgress} from '@bergamotgauge/jobs';
 import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError, toServiceError} from '@bergamotgauge/model';
 import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
@@ -41,6 +41,8 @@
 export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
 	const {store, term, log, onStored, onCancelled} = options;
 	const dirty = new Set<ActiveJob>();
+	/** Jobs whose outcome is known to be stored; a cancellation that is stored later does not change it. */
+	const withStoredOutcome = new WeakSet<ActiveJob>();
 	let pendingWrites: PendingWrite[] = [];
 	let isWriting = false;
 	let flushTimer: NodeJS.Timeout | undefined;
@@ -58,6 +60,10 @@
 		pendingWrites = remaining;
 	};
 
+	/** Whether the outcome may still be overruled by a cancellation. */
+	const isOverrulable = (activeJob: ActiveJob): boolean =>
+		activeJob.outcome !== undefined && activeJob.outcome !== 'cancelled' && !withStoredOutcome.has(activeJob);
+
 	const handleConflict = (batch: readonly ActiveJob[], current: readonly StoredItem[]) => {
 		const byKey = new Map(current.map((item) => [item.key, item]));
 		if (byKey.get(LEADER_KEY)?.revision !== term.leaderRevision) {
@@ -66,9 +72,14 @@
 		}
 
 		for (const activeJob of batch) {
-			activeJob.progressRevision = byKey.get(jobKey(activeJob.job.id, 'progress'))?.revision ?? 0;
-			const isOverruled = activeJob.outcome !== undefined && activeJob.outcome !== 'cancelled';
-			if (byKey.has(jobKey(activeJob.job.id, 'cancellation')) && isOverruled) {
+			const stored = byKey.get(jobKey(activeJob.job.id, 'progress'));
+			activeJob.progressRevision = stored?.revision ?? 0;
+			// An earlier write of this term may have taken effect without a response, before the cancellation was stored.
+			if (stored && decodeProgress(stored.value).outcome !== undefined) {
+				withStoredOutcome.add(activeJob);
+			}
+
+			if (byKey.has(jobKey(activeJob.job.id, 'cancellation')) && isOverrulable(activeJob)) {
 				// The cancellation was confirmed to the caller before this outcome was stored, so it takes precedence.
 				overruleOutcome(activeJob, Date.now());
 				onCancelled(activeJob);
@@ -79,6 +90,7 @@
 	/** Returns whether the batch was applied; otherwise it has to be retried. */
 	const writeBatch = async (batch: readonly ActiveJob[]): Promise<boolean> => {
 		const changes = new Map(batch.map((activeJob) => [activeJob, activeJob.changes]));
+		const ended = batch.filter(({outcome}) => outcome !== undefined);
 		const writes = batch.map((activeJob) => ({
 			key: jobKey(activeJob.job.id, 'progress'),
 			value: encodeProgress(progressOf(activeJob)),
@@ -91,7 +103,7 @@
 					revision: activeJob.progressRevision,
 				})),
 				...batch
-					.filter(({outcome}) => outcome !== undefined && outcome !== 'cancelled')
+					.filter((activeJob) => isOverrulable(activeJob))
 					.map(({job}) => ({key: jobKey(job.id, 'cancellation'), revision: 0})),
 			],
 			writes,
@@ -106,6 +118,10 @@
 			return false;
 		}
 
+		for (const activeJob of ended) {
+			withStoredOutcome.add(activeJob);
+		}
+
 		for (const activeJob of batch) {
 			activeJob.progressRevision = result.revision;
 			activeJob.storedChanges = changes.get(activeJob)!;
