Pause before a link to an ended worker is opened again

Every planning pass opened a link to each listed worker that had none, and a link that ends starts a planning pass. A worker that had restarted under another id, which answers that it is another incarnation, or that refused connections after the leases of earlier leaders had expired, was therefore called on a new connection every few milliseconds for as long as the store listed its old entry.

An incarnation that has ended is not called again, since its id does not come back, and a worker whose lease has ended is called after a pause of one second.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -43,6 +43,9 @@
 export const WORKER_RETRY_MS = 100;
 export const WORKER_RETRY_MAX_MS = 500;
 
+/** Pause before a link to a worker whose lease has ended is opened again, on new connections. */
+export const WORKER_REOPEN_MS = 1000;
+
 /** Share of the longest lease that is requested; the rest covers the error of the clock estimate. */
 export const LEASE_SHARE = 0.95;
 
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -6,6 +6,7 @@
 	RENEWAL_WAIT_MS,
 	LEASE_EXPIRY_MARGIN_MS,
 	SHARED_RENEWAL_WAIT_MS,
+	WORKER_REOPEN_MS,
 } from './constants.js';
 import type {Term} from './election.js';
 import {LEADER_KEY, ROSTER_KEY} from './keys.js';
@@ -37,7 +38,7 @@
 	/** Opens links to the workers that earlier leaders may have granted leases to. */
 	openRoster: () => Promise<void>;
 	applyDirectoryChanges: (changes: KeyChanges) => void;
-	/** Reopens links to listed workers whose leases have ended, since they may respond again. */
+	/** Reopens links to listed workers whose leases have ended, since they may respond again; the store may list a worker that has ended for a while. */
 	reopen: () => void;
 	/** Whether the stored roster differs from what a later leader has to know. */
 	isRosterStale: () => boolean;
@@ -84,7 +85,14 @@
 	let inUse: ReadonlySet<string> = new Set();
 	let shared: ReadonlySet<string> = new Set();
 
-	const removeLink = (link: WorkerLink) => {
+	/** Times at which links have ended; infinite for a worker incarnation that has ended. */
+	const linkEndedMs = new Map<string, number>();
+
+	const mayReopen = (workerId: string): boolean =>
+		now() >= (linkEndedMs.get(workerId) ?? Number.NEGATIVE_INFINITY) + WORKER_REOPEN_MS;
+
+	const removeLink = (link: WorkerLink, reason: 'other-life' | 'lease-ended') => {
+		linkEndedMs.set(link.worker.id, reason === 'other-life' ? Number.POSITIVE_INFINITY : now());
 		if (state.links.get(link.worker.id) === link) {
 			state.links.delete(link.worker.id);
 		}
@@ -111,7 +119,7 @@
 				onEnds,
 				onGone(from, reason) {
 					log.info('worker-gone', {worker: from.worker.id, reason});
-					removeLink(from);
+					removeLink(from, reason);
 				},
 				onStaleToken() {
 					term.abandon('a worker has seen a newer fencing token');
@@ -139,7 +147,7 @@
 		const link = state.links.get(worker.id);
 		if (link) {
 			link.worker = worker;
-		} else {
+		} else if (mayReopen(worker.id)) {
 			openLink(worker);
 		}
 	};
@@ -218,7 +226,7 @@
 		},
 		reopen() {
 			for (const worker of state.directory.values()) {
-				if (!state.links.has(worker.id)) {
+				if (!state.links.has(worker.id) && mayReopen(worker.id)) {
 					openLink(worker);
 				}
 			}
