Keep what silent workers may run when a write of the roster fails

After a change of leader, work waits only for the silent workers that may run it, as the roster says. A write of the roster that was refused, or got no response, dropped these entries from the leader's copy: the leader then held back all work of earlier terms until the worker responded or the earlier leases had expired, up to 10.5 s, and wrote a roster that made the next leader do the same.

Only entries of workers that are open for orders depend on the outcome of the write; the others now stay. The test fails without the change: work that the silent worker cannot run was held back after the failed write.

--- a/packages/scheduler/src/worker-fleet.test.ts
+++ b/packages/scheduler/src/worker-fleet.test.ts
@@ -158,3 +158,28 @@
 	t.ok(calls.get('w1')! <= 6, `${calls.get('w1')} calls in 3 s`);
 	t.ok(calls.get('w1')! >= 2, 'it is still called');
 });
+
+// Guards against a new leader that delays all pending work because a write of the roster has failed.
+await t.test('a failed write of the roster does not lose what a silent worker may run', async (t) => {
+	const {clock, store, fleet} = await createFixture(t, {w1: 'silent', w2: 'idle'}, [
+		{worker: newWorker('w1'), partIds: ['a']},
+	]);
+	await clock.tickAsync(100);
+	t.equal(fleet.mayRunPart('a'), true);
+	t.equal(fleet.mayRunPart('b'), false);
+	t.equal(fleet.isRosterStale(), true, 'w2 is not in the roster');
+	store.faults.isDown = true;
+	await t.rejects(fleet.storeRoster());
+	store.faults.isDown = false;
+	t.equal(fleet.mayRunPart('a'), true);
+	t.equal(fleet.mayRunPart('b'), false);
+	t.equal(fleet.isOrderable('w2'), false, 'orders wait for the roster');
+	await fleet.storeRoster();
+	t.equal(fleet.isOrderable('w2'), true);
+	t.equal(fleet.mayRunPart('b'), false);
+	const stored = await store.get(ROSTER_KEY);
+	t.match(JSON.parse(Buffer.from(stored!.value).toString()), [
+		{worker: {id: 'w1'}, partIds: ['a']},
+		{worker: {id: 'w2'}},
+	]);
+});
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -239,11 +239,10 @@
 			),
 		async storeRoster() {
 			const entries = [...state.links.values()].filter((link) => link.state() !== 'gone').map((link) => entryOf(link));
-			// Workers that the new roster no longer lists as open for orders get none from now on, since the write may take
-			// effect without a response.
-			storedRoster = new Map(
-				[...storedRoster].filter(([id]) => entries.some(({worker, partIds}) => worker.id === id && !partIds)),
-			);
+			// The write may take effect without a response, so until its outcome is known, only workers that both rosters list
+			// as open for orders get any. What a later leader has to know about the others stays valid either way.
+			const openIds = new Set(entries.filter(({partIds}) => !partIds).map(({worker}) => worker.id));
+			storedRoster = new Map([...storedRoster].filter(([id, {partIds}]) => partIds !== undefined || openIds.has(id)));
 			const result = await store.transact({
 				expected: [
 					{key: LEADER_KEY, revision: term.leaderRevision},
