Back off between repeats of a submission with an unknown outcome

A submission or cancellation without a response was repeated every 60 ms for 2.2 s, also while the store refused the repeats. Many callers that lost a response at once kept a store over its limit of writes, whose refusals are counted and priced like any other call.

The repeats now back off from 60 to 500 ms, with a last one at the deadline. Without the change the test counted 38 writes for one submission; it now accepts at most 12.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -79,6 +79,10 @@
 /** How long a submission with an unknown outcome is retried before the caller gets a `deadline-exceeded` error. */
 export const SUBMIT_RESOLVE_MS = 2200;
 
+/** Backoff between retries of a submission or cancellation with an unknown outcome. */
+export const RESOLVE_RETRY_MIN_MS = 60;
+export const RESOLVE_RETRY_MAX_MS = 500;
+
 /** Longest time between two planning passes when there are no active jobs. */
 export const IDLE_PLAN_INTERVAL_MS = 1000;
 
--- a/packages/scheduler/src/job-service.test.ts
+++ b/packages/scheduler/src/job-service.test.ts
@@ -1,4 +1,6 @@
 import {newStep, newSubmission} from '@bergamotgauge/jobs/test/fixtures.js';
+import {ServiceError} from '@bergamotgauge/model';
+import type {KeyValueStore} from '@bergamotgauge/store';
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import FakeTimers from '@sinonjs/fake-timers';
 import t, {type Test} from 'tap';
@@ -47,6 +49,27 @@
 	await unknown;
 });
 
+// Guards against many repeated writes to a store that refuses calls because of their rate.
+await t.test('a submission with an unknown outcome is repeated with backoff while the store refuses it', async (t) => {
+	const {clock, store, health, request} = createFixture(t);
+	let calls = 0;
+	const refusing: KeyValueStore = {
+		...store,
+		async transact() {
+			calls += 1;
+			throw new ServiceError('refused', {
+				code: 'store-unavailable',
+				verdict: calls === 1 ? 'may-have-run' : 'not-run',
+			});
+		},
+	};
+	const jobs = createJobService({store: refusing, health, log: createSilentLog(), metrics: createMetrics()});
+	const unknown = t.rejects(jobs.submit(request), {code: 'deadline-exceeded', verdict: 'may-have-run'});
+	await clock.tickAsync(4000);
+	await unknown;
+	t.ok(calls >= 5 && calls <= 12, `${calls} calls`);
+});
+
 // Guards against callers that wait for a store that is known to be unavailable.
 await t.test('requests are refused at once while the store is unavailable, with the time to retry after', async (t) => {
 	const {clock, store, health, jobs, request} = createFixture(t);
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -1,19 +1,22 @@
 import {checkSubmission, decodeJob, encodeJob, type Job, type JobState} from '@bergamotgauge/jobs';
 import {ServiceError, toServiceError} from '@bergamotgauge/model';
-import {sleep} from '@bergamotgauge/lifecycle';
+import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
 import type {KeyValueStore, StoredItem, Transaction} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {LRUCache} from 'lru-cache';
-import {ENDED_CACHE_ENTRIES, STORE_RETRY_AFTER_MS, SUBMIT_RESOLVE_MS} from './constants.js';
+import {
+	ENDED_CACHE_ENTRIES,
+	RESOLVE_RETRY_MAX_MS,
+	RESOLVE_RETRY_MIN_MS,
+	STORE_RETRY_AFTER_MS,
+	SUBMIT_RESOLVE_MS,
+} from './constants.js';
 import {EMPTY_ENTRY, mergeRecord, stateOf, type JobEntry} from './job-entry.js';
 import {jobKey, jobPrefix} from './keys.js';
 import {createPendingReader} from './pending-counts.js';
 import type {StoreHealth} from './store-health.js';
 import type {JobRequest, Queue} from './types.js';
 
-/** Delay between retries of a transaction whose outcome is unknown. */
-const RESOLVE_RETRY_MS = 60;
-
 export type JobServiceOptions = Readonly<{
 	store: KeyValueStore;
 	health: StoreHealth;
@@ -65,6 +68,7 @@
 	/** Retries a transaction until its outcome is known. Returns the current items on a conflict and `undefined` if it was applied. */
 	const transactUntilResolved = async (transaction: Transaction): Promise<readonly StoredItem[] | undefined> => {
 		const deadlineMs = health.now() + SUBMIT_RESOLVE_MS;
+		const backoff = createBackoff({minMs: RESOLVE_RETRY_MIN_MS, maxMs: RESOLVE_RETRY_MAX_MS});
 		let mayHaveRun = false;
 		for (;;) {
 			try {
@@ -77,7 +81,7 @@
 					throw error;
 				}
 
-				if (health.now() > deadlineMs) {
+				if (health.now() >= deadlineMs) {
 					throw new ServiceError(`the outcome of the request is unknown: ${error.message}`, {
 						code: 'deadline-exceeded',
 						verdict: 'may-have-run',
@@ -85,7 +89,7 @@
 					});
 				}
 
-				await sleep(RESOLVE_RETRY_MS);
+				await sleep(Math.min(backoff.next(), deadlineMs - health.now()));
 			}
 		}
 	};
