Do not take a missing lease for a stored job

The service took every reply to a transaction other than a conflict as applied, also one that says that a lease of its writes does not exist. Submissions and cancellations have no lease, so the store is not expected to answer so, but a caller would have got the confirmation of a job that is not stored. The reply is now a refusal like any other. The test fails without the change: the submission was confirmed.

--- a/packages/scheduler/src/job-service.test.ts
+++ b/packages/scheduler/src/job-service.test.ts
@@ -70,6 +70,14 @@
 	t.ok(calls >= 5 && calls <= 12, `${calls} calls`);
 });
 
+// Guards against a job that is confirmed to its caller although it was not stored.
+await t.test('a transaction that was not applied is never taken for a stored job', async (t) => {
+	const {store, health, request} = createFixture(t);
+	const refusing: KeyValueStore = {...store, transact: async () => ({outcome: 'lease-ended'})};
+	const jobs = createJobService({store: refusing, health, log: createSilentLog(), metrics: createMetrics()});
+	await t.rejects(jobs.submit(request), {code: 'store-unavailable', verdict: 'not-run'});
+});
+
 // Guards against callers that wait for a store that is known to be unavailable.
 await t.test('requests are refused at once while the store is unavailable, with the time to retry after', async (t) => {
 	const {clock, store, health, jobs, request} = createFixture(t);
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -73,6 +73,10 @@
 		for (;;) {
 			try {
 				const result = await store.transact(transaction);
+				if (result.outcome === 'lease-ended') {
+					throw storeUnavailable();
+				}
+
 				return result.outcome === 'conflict' ? result.current : undefined;
 			} catch (error_) {
 				const error = toServiceError(error_, 'may-have-run');
