Withdraw a claim of the leadership that got no response

A claim whose response was lost left the leader key with nobody who knew that he held it: no instance led, and no job started, until the lease of 1.5 s had expired. The instance now revokes the lease of every claim that was not confirmed, which removes the key, or has the store refuse a claim that is carried out later. A failure to revoke no longer hides the error of the claim.

--- a/packages/scheduler/src/election.ts
+++ b/packages/scheduler/src/election.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
+import type {TransactionResult} from '@bergamotgauge/store';
 import {
 	CLAIM_DELAY_PER_CORE_MS,
 	ELECTION_RETRY_MS,
@@ -38,6 +39,17 @@
 	signal: AbortSignal;
 }>;
 
+/** A claim of the leadership that was stored. */
+type Claim = Readonly<{
+	/** Number of the new term. */
+	number: number;
+	/** Revision of the leader key. */
+	revision: number;
+	lease: number;
+	/** Time before the lease was requested. */
+	sentMs: number;
+}>;
+
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 
@@ -55,23 +67,39 @@
 
 	const claimDelayMs = Math.min(MAX_CLAIM_DELAY_MS, Math.max(0, 1 - context.cores) * CLAIM_DELAY_PER_CORE_MS);
 
-	const claim = async (): Promise<
-		Readonly<{number: number; revision: number; lease: number; sentMs: number}> | undefined
-	> => {
+	const revoke = async (lease: number) => {
+		try {
+			await store.revokeLease(lease);
+		} catch (error) {
+			// The lease expires by itself.
+			log.debug('lease-not-ended', {error: toServiceError(error, 'may-have-run').message});
+		}
+	};
+
+	const claim = async (): Promise<Claim | undefined> => {
 		const last = await store.get(TERM_KEY);
 		const number = last ? Number(decoder.decode(last.value)) + 1 : 1;
 		const sentMs = health.now();
 		const {lease} = await store.grantLease(LEADER_TTL_MS);
-		const result = await store.transact({
-			expected: [
-				{key: LEADER_KEY, revision: 0},
-				{key: TERM_KEY, revision: last?.revision ?? 0},
-			],
-			writes: [
-				{key: LEADER_KEY, value: encoder.encode(`${instanceId}/${randomUUID()}`), lease},
-				{key: TERM_KEY, value: encoder.encode(String(number))},
-			],
-		});
+		let result: TransactionResult | undefined;
+		try {
+			result = await store.transact({
+				expected: [
+					{key: LEADER_KEY, revision: 0},
+					{key: TERM_KEY, revision: last?.revision ?? 0},
+				],
+				writes: [
+					{key: LEADER_KEY, value: encoder.encode(`${instanceId}/${randomUUID()}`), lease},
+					{key: TERM_KEY, value: encoder.encode(String(number))},
+				],
+			});
+		} finally {
+			// A claim without a response may have been stored, or may be stored later while its lease is valid.
+			if (result?.outcome !== 'applied') {
+				await revoke(lease);
+			}
+		}
+
 		if (result.outcome === 'applied') {
 			return {number, revision: result.revision, lease, sentMs};
 		}
@@ -81,7 +109,6 @@
 			leader.markTaken(holder.revision);
 		}
 
-		await store.revokeLease(lease);
 		return undefined;
 	};
 
@@ -108,12 +135,7 @@
 		}
 	};
 
-	const runTerm = async ({
-		number,
-		revision,
-		lease,
-		sentMs,
-	}: Readonly<{number: number; revision: number; lease: number; sentMs: number}>) => {
+	const runTerm = async ({number, revision, lease, sentMs}: Claim) => {
 		const controller = new AbortController();
 		let validUntilMs = sentMs + LEADER_TTL_MS - LEADER_MARGIN_MS;
 		let isPaused = false;
@@ -168,9 +190,7 @@
 			const reason = controller.signal.reason as unknown;
 			log.info('term-ended', {term: number, reason: reason instanceof Error ? reason.message : 'unknown'});
 			metrics.gauge('leader_term', 0);
-			await store.revokeLease(lease).catch((error: unknown) => {
-				log.debug('lease-not-ended', {error: toServiceError(error, 'may-have-run').message});
-			});
+			await revoke(lease);
 		}
 	};
 
