Log a refused removal of expired records as refused

The removal of a job's expired records was logged as done also when the store refused it because another instance leads. Nothing else depends on it: the records are removed from the leader's table by its watch.

--- a/packages/scheduler/src/retention.ts
+++ b/packages/scheduler/src/retention.ts
@@ -31,7 +31,7 @@
 		}
 
 		try {
-			await store.transact({
+			const {outcome} = await store.transact({
 				expected: [{key: LEADER_KEY, revision: term.leaderRevision}],
 				writes: [],
 				removals: expiredIds.flatMap((id) => [
@@ -40,7 +40,11 @@
 					jobKey(id, 'cancellation'),
 				]),
 			});
-			log.info('records-removed', {jobs: expiredIds.length});
+			if (outcome === 'applied') {
+				log.info('records-removed', {jobs: expiredIds.length});
+			} else {
+				log.warn('records-not-removed', {jobs: expiredIds.length, error: outcome});
+			}
 		} catch (error) {
 			log.warn('records-not-removed', {jobs: expiredIds.length, error: toServiceError(error, 'may-have-run').message});
 		}
