Back off between writes of the roster that the store refuses

The leader repeated a refused write of the roster at every planning pass, and each submission or report starts a pass. Above the store's limit of writes, where lease renewals still succeed, the leader so kept adding to the load that had caused the refusal.

The write is now repeated with the backoff of the watches, and the next pass comes in time for it. Without the change the test counted 41 writes in 2 s of simulated time, one for each submitted job; it now accepts at most 12.

--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -1,4 +1,4 @@
-import {createLifecycle, sleep} from '@bergamotgauge/lifecycle';
+import {createBackoff, createLifecycle, sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
 import {runKeyWatch, type KeyChanges} from '@bergamotgauge/store';
 import {
@@ -197,16 +197,27 @@
 			signal,
 		});
 
-	const planLoop = async (signal: AbortSignal) => {
-		while (!signal.aborted) {
-			if (fleet.isRosterStale()) {
-				try {
-					await fleet.storeRoster();
-				} catch (error) {
-					log.warn('roster-not-stored', {error: errorOf(error)});
-				}
+	const rosterBackoff = createBackoff({minMs: WATCH_RETRY_MIN_MS, maxMs: WATCH_RETRY_MAX_MS});
+	let rosterDueMs = 0;
+
+	/** Stores a stale roster, with backoff after a failure. Returns the time until the next attempt. */
+	const updateRoster = async (): Promise<number> => {
+		if (fleet.isRosterStale() && now() >= rosterDueMs) {
+			try {
+				await fleet.storeRoster();
+				rosterBackoff.reset();
+			} catch (error) {
+				log.warn('roster-not-stored', {error: errorOf(error)});
+				rosterDueMs = now() + rosterBackoff.next();
 			}
+		}
 
+		return fleet.isRosterStale() ? Math.max(0, rosterDueMs - now()) : Number.POSITIVE_INFINITY;
+	};
+
+	const planLoop = async (signal: AbortSignal) => {
+		while (!signal.aborted) {
+			const untilRosterMs = await updateRoster();
 			const startedMs = performance.now();
 			let nextDueMs = Number.POSITIVE_INFINITY;
 			if (term.isValid()) {
@@ -217,7 +228,7 @@
 			const passEndMs = performance.now();
 			const limitMs = state.activeJobs.size > 0 ? PLAN_INTERVAL_MS : IDLE_PLAN_INTERVAL_MS;
 			const untilDueMs = Math.max(PLAN_DELAY_MS, nextDueMs - Date.now());
-			await waker.wait(signal, Math.min(limitMs, untilDueMs));
+			await waker.wait(signal, Math.min(limitMs, untilDueMs, untilRosterMs));
 			// Changes are batched into one pass, and the pause grows with its duration so that orders and reports get processor time.
 			const pauseAfterMs = Math.min(MAX_PLAN_PAUSE_MS, (passEndMs - startedMs) * PLAN_PAUSE_RATIO);
 			await sleep(Math.max(PLAN_DELAY_MS, pauseAfterMs), signal);
