Back off between claims of the leadership that the store refuses

A claim that failed was repeated every 50 ms, and each takes a read and a write, for as long as the leadership was vacant. Above the store's limit of writes, where reads still succeed and the store does not count as lost, each instance so added 20 refused writes per second.

Without the change the test counted 40 claims of one instance in 2 s of simulated time; it now accepts at most 10.

--- a/packages/scheduler/src/election.ts
+++ b/packages/scheduler/src/election.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {sleep} from '@bergamotgauge/lifecycle';
+import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
 import type {TransactionResult} from '@bergamotgauge/store';
 import {
@@ -9,6 +9,7 @@
 	LEADER_RENEW_MS,
 	LEADER_TTL_MS,
 	MAX_CLAIM_DELAY_MS,
+	WATCH_RETRY_MAX_MS,
 } from './constants.js';
 import {LEADER_KEY, TERM_KEY} from './keys.js';
 import type {LeaderWatch} from './leader-watch.js';
@@ -194,6 +195,7 @@
 		}
 	};
 
+	const backoff = createBackoff({minMs: ELECTION_RETRY_MS, maxMs: WATCH_RETRY_MAX_MS});
 	let vacantSinceMs: number | undefined;
 	while (!signal.aborted) {
 		const mayClaim = isCandidate() && leader.isLoaded() && leader.isVacant() && !health.isLost();
@@ -205,6 +207,7 @@
 
 		try {
 			const claimed = await claim();
+			backoff.reset();
 			if (claimed) {
 				await runTerm(claimed);
 			}
@@ -213,6 +216,6 @@
 		}
 
 		vacantSinceMs = undefined;
-		await sleep(ELECTION_RETRY_MS, signal);
+		await sleep(backoff.next(), signal);
 	}
 };
--- a/packages/scheduler/src/store-retries.test.ts
+++ b/packages/scheduler/src/store-retries.test.ts
@@ -1,7 +1,7 @@
 import {ServiceError} from '@bergamotgauge/model';
 import type {Transaction} from '@bergamotgauge/store';
 import t from 'tap';
-import {ROSTER_KEY} from './keys.js';
+import {LEADER_KEY, ROSTER_KEY} from './keys.js';
 import {createTestCluster, newWorker, submitStep, type TestCluster} from './test/cluster.js';
 
 /** Makes the store refuse the writes of a key, as it does above its rate limit; returns the times of the refusals. */
@@ -36,3 +36,12 @@
 
 	t.ok(refusedMs.length >= 3 && refusedMs.length <= 12, `${refusedMs.length} writes in 2 s`);
 });
+
+// Guards against instances that repeat a refused claim every 50 ms.
+await t.test('a refused claim of the leadership is repeated with backoff', async (t) => {
+	const cluster = createTestCluster(t, [newWorker('w1')]);
+	const refusedMs = refuseWritesOf(cluster, LEADER_KEY);
+	cluster.startInstance('one');
+	await cluster.clock.tickAsync(2000);
+	t.ok(refusedMs.length >= 3 && refusedMs.length <= 10, `${refusedMs.length} claims in 2 s`);
+});
