Count unanswered lease renewals when a worker is taken for expired

A job could run on two workers at once: when the responses of a worker were lost, its renewals still reached it and extended the lease, but only answered renewals were counted. After 65 s its tasks counted as stopped and the job was placed elsewhere, while they ran on.

A renewal that may have reached the worker now counts, and a worker that is down gets no renewals until it reports again, so that its lease runs out. Refused renewals do not count.

The test failed before: two tasks of the job ran at the same time, and both still ran at the end of three minutes. Workers of the test cluster can now be mute: they carry out calls whose responses are lost.

--- a/packages/instance/src/constants.ts
+++ b/packages/instance/src/constants.ts
@@ -19,6 +19,9 @@
 /** A worker whose report is overdue by this long gets no new placement. */
 export const WORKER_DOWN_AFTER_MS = 5000;
 
+/** Time between two checks whether a worker that was down reports again, so that its lease can be renewed. */
+export const DOWN_WORKER_CHECK_MS = 1000;
+
 export const DRAIN_POLL_MS = 20;
 
 /** Time between failing the readiness check and refusing requests, so that the load balancer stops routing here first. */
--- /dev/null
+++ b/packages/instance/src/lost-responses.test.ts
@@ -0,0 +1,45 @@
+import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import t, {type Test} from 'tap';
+import {createTestCluster, specificationOf, type TestCluster} from './test/test-cluster.js';
+
+const pauseClock = (t: Test): Clock => {
+	const clock = FakeTimers.install({now: 1_000_000});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	return clock;
+};
+
+const totalStarts = (cluster: TestCluster): number =>
+	[...cluster.workers.values()]
+		.flatMap((worker) => [...worker.starts.values()])
+		.reduce((sum, starts) => sum + starts, 0);
+
+const runningTasks = (cluster: TestCluster): number =>
+	[...cluster.workers.values()].flatMap((worker) => [...worker.tasks.values()]).filter(({state}) => state === 'running')
+		.length;
+
+const firstPlacement = (cluster: TestCluster) => cluster.racks().flatMap((rack) => rack.placements)[0];
+
+// Guards against a job that runs on two workers at once: lease renewals that reach the worker but get no response extend its lease.
+await t.test('a job moves off a worker only after the last renewal that may have reached it has expired', async (t) => {
+	const clock = pauseClock(t);
+	const cluster = await createTestCluster(2);
+	const mute = new Set<string>();
+	const engine = cluster.startEngine({id: 'one', isWorkerMute: (worker) => mute.has(worker)});
+	await engine.jobs.submit('alpha', specificationOf(8, {runMs: 60 * 60_000}));
+	await clock.tickAsync(2000);
+	t.equal(totalStarts(cluster), 1, 'the job runs');
+
+	mute.add(firstPlacement(cluster)!.blocks[0]!.worker);
+	let mostRunning = 0;
+	for (let second = 0; second < 180; second += 1) {
+		await clock.tickAsync(1000);
+		mostRunning = Math.max(mostRunning, runningTasks(cluster));
+	}
+
+	t.equal(mostRunning, 1, 'the job never runs twice at the same time');
+	t.equal(totalStarts(cluster), 2, 'the job starts elsewhere in the end');
+	t.equal(runningTasks(cluster), 1, 'and runs there');
+	await engine.close();
+});
--- a/packages/instance/src/test/test-cluster.ts
+++ b/packages/instance/src/test/test-cluster.ts
@@ -34,6 +34,8 @@
 	isBehind?: boolean;
 	/** A dead worker does not respond, so its lease is not renewed. */
 	isWorkerDead?: (worker: string) => boolean;
+	/** A mute worker carries out its calls, but their responses are lost. */
+	isWorkerMute?: (worker: string) => boolean;
 }>;
 
 /** A store and workers that several engines share. */
@@ -56,27 +58,44 @@
 	watch: store.watch,
 });
 
-const requireAlive = ({name}: WorkerModel, isDead: () => boolean): void => {
-	if (isDead()) {
+const failIf = (isLost: boolean, {name}: WorkerModel): void => {
+	if (isLost) {
 		throw new ServiceError(`worker ${name} does not answer`, {code: 'worker-failed', verdict: 'may-have-run'});
 	}
 };
 
-const interceptWorker = (model: WorkerModel, intercept: CallInterceptor, isDead: () => boolean): WorkerClient => ({
-	prepare: async (task) => intercept(`prepare ${model.name}`, async () => model.prepare(task)),
-	start: async (task) => intercept(`start ${model.name}`, async () => model.start(task)),
-	checkpoint: async (task) => intercept(`checkpoint ${model.name}`, async () => model.checkpoint(task)),
-	throttle: async (task, cores) => intercept(`throttle ${model.name}`, async () => model.throttle(task, cores)),
-	stop: async (task) => intercept(`stop ${model.name}`, async () => model.stop(task)),
-	async renewLease(leaseMs) {
-		requireAlive(model, isDead);
-		model.renewLease(leaseMs);
-	},
-	async report(afterSequence, waitMs, signal) {
-		requireAlive(model, isDead);
-		return model.report(afterSequence, waitMs, signal);
-	},
-});
+type WorkerFaults = Readonly<{isDead: () => boolean; isMute: () => boolean}>;
+
+const interceptWorker = (
+	model: WorkerModel,
+	intercept: CallInterceptor,
+	{isDead, isMute}: WorkerFaults,
+): WorkerClient => {
+	const callTask = async (name: string, call: () => number): Promise<number> =>
+		intercept(`${name} ${model.name}`, async () => {
+			const sequence = call();
+			failIf(isMute(), model);
+			return sequence;
+		});
+	return {
+		prepare: async (task) => callTask('prepare', () => model.prepare(task)),
+		start: async (task) => callTask('start', () => model.start(task)),
+		checkpoint: async (task) => callTask('checkpoint', () => model.checkpoint(task)),
+		throttle: async (task, cores) => callTask('throttle', () => model.throttle(task, cores)),
+		stop: async (task) => callTask('stop', () => model.stop(task)),
+		async renewLease(leaseMs) {
+			failIf(isDead(), model);
+			model.renewLease(leaseMs);
+			failIf(isMute(), model);
+		},
+		async report(afterSequence, waitMs, signal) {
+			failIf(isDead(), model);
+			const report = await model.report(afterSequence, waitMs, signal);
+			failIf(isMute(), model);
+			return report;
+		},
+	};
+};
 
 const createFakeMembership = (owners: readonly string[]): Membership => ({
 	owners: () => owners,
@@ -177,6 +196,7 @@
 		intercept = passThrough,
 		owners = [id],
 		isWorkerDead = () => false,
+		isWorkerMute = () => false,
 		isBehind = false,
 	}) => {
 		const lifecycle = createLifecycle(id);
@@ -207,7 +227,11 @@
 		};
 		const engine = createEngine({
 			context,
-			createClient: (address) => interceptWorker(workers.get(address)!, intercept, () => isWorkerDead(address)),
+			createClient: (address) =>
+				interceptWorker(workers.get(address)!, intercept, {
+					isDead: () => isWorkerDead(address),
+					isMute: () => isWorkerMute(address),
+				}),
 		});
 		replica.apply({revision: 1, entries: store.entries(), compacted: true});
 		const unsubscribe = store.events.on('changed', (changes) => {
--- a/packages/instance/src/worker-links.ts
+++ b/packages/instance/src/worker-links.ts
@@ -1,7 +1,7 @@
 import {sleep, type Lifecycle} from '@bergamotgauge/lifecycle';
-import type {Bundle, TaskReport, Worker} from '@bergamotgauge/model';
+import {toServiceError, type Bundle, type TaskReport, type Worker} from '@bergamotgauge/model';
 import {LEASE_RENEWAL_INTERVAL_MS, REPORT_WAIT_MS, WORKER_LEASE_MS, type WorkerClient} from '@bergamotgauge/worker';
-import {LEASE_MARGIN_MS, WORKER_DOWN_AFTER_MS} from './constants.js';
+import {DOWN_WORKER_CHECK_MS, LEASE_MARGIN_MS, WORKER_DOWN_AFTER_MS} from './constants.js';
 import {bundleOf, isOwner, type Context} from './context.js';
 
 type Link = {
@@ -45,12 +45,33 @@
 	return listed ? `http://${listed.address}` : worker.address;
 };
 
+const isLinkDown = (link: Link): boolean => Date.now() - link.lastReportMs > REPORT_WAIT_MS + WORKER_DOWN_AFTER_MS;
+
+/** Renews the lease and records when. A renewal that got no response may have reached the worker, so it counts as well. */
+const renewLease = async (link: Link): Promise<void> => {
+	const sentMs = Date.now();
+	let mayHaveRun = true;
+	try {
+		await link.client.renewLease(WORKER_LEASE_MS);
+	} catch (error) {
+		mayHaveRun = toServiceError(error, 'may-have-run').verdict !== 'not-run';
+		throw error;
+	} finally {
+		if (mayHaveRun) {
+			link.lastRenewalMs = Math.max(sentMs, Date.now());
+		}
+	}
+};
+
 const runLeases = async (link: Link, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
-		const sentMs = Date.now();
-		await link.client.renewLease(WORKER_LEASE_MS);
-		link.lastRenewalMs = Math.max(sentMs, Date.now());
-		await sleep(LEASE_RENEWAL_INTERVAL_MS, signal);
+		// The lease of a worker that is down must run out, because its work moves elsewhere only after that.
+		const isDown = isLinkDown(link);
+		if (!isDown) {
+			await renewLease(link);
+		}
+
+		await sleep(isDown ? DOWN_WORKER_CHECK_MS : LEASE_RENEWAL_INTERVAL_MS, signal);
 	}
 };
 
@@ -64,8 +85,6 @@
 	}
 };
 
-const isLinkDown = (link: Link): boolean => Date.now() - link.lastReportMs > REPORT_WAIT_MS + WORKER_DOWN_AFTER_MS;
-
 const isLinkExpired = (link: Link): boolean =>
 	isLinkDown(link) && Date.now() - link.lastRenewalMs > WORKER_LEASE_MS + LEASE_MARGIN_MS;
 
