Report a job as possibly run when an earlier attempt ran

A caller who cancelled a job while its second attempt was placed but not started was told not-run, although the first attempt had run: the verdict was that of the last attempt. Jobs that were cancelled while they waited already took the number of the attempt into account.

The test failed before: verdict not-run after one start.

--- a/packages/instance/src/gang-actions.ts
+++ b/packages/instance/src/gang-actions.ts
@@ -212,9 +212,11 @@
 /** Stops the tasks, ends the job as cancelled and releases the accelerators. */
 export const cancelGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	await stopTasks(options, gang);
+	// An earlier attempt may have run, also when this one was never started.
+	const mayHaveRun = gang.job?.assignment !== undefined || gang.placement.attempt > 1;
 	await options.jobs.end(gang.placement.job, {
 		kind: 'cancelled',
-		verdict: gang.job?.assignment ? 'may-have-run' : 'not-run',
+		verdict: mayHaveRun ? 'may-have-run' : 'not-run',
 		reason: 'the caller cancelled the job',
 	});
 	await releaseGang(options, gang);
--- a/packages/instance/src/lost-responses.test.ts
+++ b/packages/instance/src/lost-responses.test.ts
@@ -1,4 +1,5 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {ServiceError} from '@bergamotgauge/model';
 import t, {type Test} from 'tap';
 import {createTestCluster, specificationOf, type TestCluster} from './test/test-cluster.js';
 
@@ -43,3 +44,29 @@
 	t.equal(runningTasks(cluster), 1, 'and runs there');
 	await engine.close();
 });
+
+// Guards against a job that is reported as not run because its last attempt was not started, although an earlier one ran.
+await t.test('a job that is cancelled before its second attempt starts may have run', async (t) => {
+	const clock = pauseClock(t);
+	const cluster = await createTestCluster();
+	const engine = cluster.startEngine({
+		id: 'one',
+		async intercept(name, call) {
+			if (name.startsWith('prepare') && totalStarts(cluster) > 0) {
+				throw new ServiceError('the worker refuses', {code: 'worker-failed', verdict: 'not-run', status: 503});
+			}
+
+			return call();
+		},
+	});
+	const {id} = await engine.jobs.submit('alpha', specificationOf(1, {runMs: 1000, result: 'fail'}));
+	await clock.tickAsync(5000);
+	t.equal(firstPlacement(cluster)?.attempt, 2, 'the second attempt is placed');
+	t.equal(totalStarts(cluster), 1, 'and its start is refused');
+
+	const cancelled = engine.jobs.update(id, (record) => ({...record, cancelRequested: true}));
+	await clock.tickAsync(2000);
+	await cancelled;
+	t.match(engine.jobs.get(id)?.outcome, {kind: 'cancelled', verdict: 'may-have-run'});
+	await engine.close();
+});
