Read an at-most-once job from the store before its gang is started

An at-most-once job could start twice: a new owner whose replica lacked the assignment by the previous owner saw an unassigned job and, when the worker had lost the task, prepared and started it again. The compare-and-swap on the job record did not help, because the assignment that it found was that of the same placement. A requeue decided on the same old record.

A start or requeue of a job of such a class that seems unassigned now follows a read of its record, at the cost of one read for each pass until the job is assigned. The test failed before with two starts; the job now ends as may-have-run.

--- a/packages/instance/src/gang-actions.ts
+++ b/packages/instance/src/gang-actions.ts
@@ -30,7 +30,8 @@
 
 const referenceOf = ({job, attempt, token}: Placement): TaskReference => ({job, attempt, token});
 
-const classOf = ({context}: GangActionOptions, {placement}: Gang): JobClass | undefined =>
+/** The declared class of the gang's job. */
+export const classOf = ({context}: GangActionOptions, {placement}: Gang): JobClass | undefined =>
 	bundleOf(context.replica)?.jobClasses.find(({name}) => name === placement.jobClass);
 
 /** Calls every worker of the gang concurrently. Workers whose lease has expired have stopped their tasks and are skipped. */
--- a/packages/instance/src/lost-responses.test.ts
+++ b/packages/instance/src/lost-responses.test.ts
@@ -70,3 +70,45 @@
 	t.match(engine.jobs.get(id)?.outcome, {kind: 'cancelled', verdict: 'may-have-run'});
 	await engine.close();
 });
+
+// Guards against a second run of an at-most-once job by an instance whose replica lacks the start by the previous owner.
+await t.test('a new owner with an old replica does not repeat an at-most-once job', async (t) => {
+	const clock = pauseClock(t);
+	const cluster = await createTestCluster();
+	let assign: (() => void) | undefined;
+	let isAssignHeld = false;
+	const first = cluster.startEngine({
+		id: 'first',
+		async intercept(name, call) {
+			if (isAssignHeld && name.startsWith('put jobs/')) {
+				await new Promise<void>((resolve) => {
+					assign = resolve;
+				});
+			}
+
+			return call();
+		},
+	});
+	const {id} = await first.jobs.submit('alpha', specificationOf(1, {runMs: 60_000}, 'once'));
+	isAssignHeld = true;
+	await clock.tickAsync(1000);
+	const owners = ['first'];
+	const second = cluster.startEngine({id: 'second', owners, isBehind: true});
+	isAssignHeld = false;
+	assign!();
+	await clock.tickAsync(1000);
+	t.equal(totalStarts(cluster), 1, 'the job runs');
+	t.equal(second.jobs.get(id)?.assignment, undefined, 'and the other replica lacks its assignment');
+
+	const closed = first.close();
+	await clock.tickAsync(1000);
+	await closed;
+	const {worker} = firstPlacement(cluster)!.blocks[0]!;
+	cluster.workers.get(worker)!.restart();
+	owners.splice(0, 1, 'second');
+	await second.context.membership.events.emit('changed', undefined as never);
+	await clock.tickAsync(5000);
+	t.equal(totalStarts(cluster), 1, 'the job is not started again');
+	t.match(cluster.jobs(), [{id, outcome: {kind: 'unknown', verdict: 'may-have-run'}}]);
+	await second.close();
+});
--- a/packages/instance/src/rack-loop.ts
+++ b/packages/instance/src/rack-loop.ts
@@ -6,6 +6,7 @@
 import {
 	cancelGang,
 	checkpointGang,
+	classOf,
 	failGang,
 	releaseGang,
 	requeueGang,
@@ -32,24 +33,37 @@
 	release: releaseGang,
 };
 
+const reload = async ({jobs}: GangActionOptions, gang: Gang): Promise<Gang> => {
+	await jobs.reload(gang.placement.job);
+	return {...gang, job: jobs.get(gang.placement.job)};
+};
+
 /** Returns the gang with a job record at least as new as its placement. Another instance may have written the placement, so the record may have to be read from the store. */
-const withCurrentJob = async ({jobs}: GangActionOptions, gang: Gang): Promise<Gang> => {
-	const {placement, job} = gang;
-	if (job && job.attempt >= placement.attempt) {
-		return gang;
-	}
+const withCurrentJob = async (options: GangActionOptions, gang: Gang): Promise<Gang> =>
+	gang.job && gang.job.attempt >= gang.placement.attempt ? gang : reload(options, gang);
 
-	await jobs.reload(placement.job);
-	return {...gang, job: jobs.get(placement.job)};
-};
+const actionOf = ({links}: GangActionOptions, {job, rack, placement}: Gang): ReconcileAction =>
+	reconcile(placementStatusOf(job, rack, placement), gangStateOf(placement, links.tasks));
+
+/** Whether acting on a job that only seems unassigned could run it a second time. */
+const needsConfirmation = (options: GangActionOptions, gang: Gang, action: ReconcileAction): boolean =>
+	(action === 'start' || action === 'requeue') &&
+	gang.job?.assignment === undefined &&
+	classOf(options, gang)?.retryRule !== 'idempotent';
 
 const reconcileGang = async (options: GangActionOptions, guard: UsageGuard, observed: Gang): Promise<void> => {
 	const {log, metrics} = options.context;
 	let action: ReconcileAction = 'wait';
 	try {
-		const gang = await withCurrentJob(options, observed);
+		let gang = await withCurrentJob(options, observed);
+		action = actionOf(options, gang);
+		if (needsConfirmation(options, gang, action)) {
+			// An earlier owner may have started the gang, and its workers may have lost the tasks since.
+			gang = await reload(options, gang);
+			action = actionOf(options, gang);
+		}
+
 		const state = gangStateOf(gang.placement, options.links.tasks);
-		action = reconcile(placementStatusOf(gang.job, gang.rack, gang.placement), state);
 		await ACTIONS[action](options, gang);
 		if (state === 'running') {
 			await guard.check(gang);
