Do not refuse a running request because of the bytes after it

A caller whose request was followed by bytes that are not a request received 400 with the verdict not-run, although its request, such as the submission of a job, was running: the refusal of the unreadable bytes was the first response on the connection.

The connection now ends without a response while a request that was read in full is unanswered. The test failed before: the job was submitted and the response was 400 with request-verdict not-run.

--- a/packages/instance/src/http-server.test.ts
+++ b/packages/instance/src/http-server.test.ts
@@ -13,13 +13,18 @@
 	tokens: [{name: 'acme', sha256: hashToken(TOKEN), role: 'caller', partner: 'p', customer: 'acme'}],
 } as unknown as Bundle;
 
-const start = async (t: Pick<Test, 'teardown'>) => {
+const start = async (t: Pick<Test, 'teardown'>, methods: Partial<CallerService> = {}) => {
 	const lifecycle = createLifecycle('test');
 	t.teardown(async () => lifecycle.close());
 	const address = await startHttpServer({
 		host: '127.0.0.1',
 		port: 0,
-		callerService: {bundle: () => BUNDLE, isAccepting: () => true, listJobs: () => []} as unknown as CallerService,
+		callerService: {
+			bundle: () => BUNDLE,
+			isAccepting: () => true,
+			listJobs: () => [],
+			...methods,
+		} as unknown as CallerService,
 		operatorService: {} as unknown as OperatorService,
 		dispatcher: {} as unknown as Dispatcher,
 		isReady: () => true,
@@ -82,3 +87,27 @@
 	t.match(response, /^HTTP\/1.1 200 /v);
 	t.match(response, /\{"jobs":\[\]\}$/v);
 });
+
+// Guards against a caller that takes the refusal of unreadable bytes for the response to its request, which runs.
+await t.test('bytes that follow a request in progress do not refuse it as not run', async (t) => {
+	let submitted = 0;
+	const send = await start(t, {
+		async submitJob() {
+			submitted += 1;
+			return new Promise<never>(() => {});
+		},
+	});
+	const job = JSON.stringify({
+		jobClass: 'batch',
+		accelerators: 1,
+		coresPerAccelerator: 1,
+		memoryGigabytesPerAccelerator: 1,
+		declaredSeconds: 1,
+		payload: {},
+	});
+	const response = await send(
+		post(['Content-Type: application/json', `Content-Length: ${job.length}`], `${job}NONSENSE\r\n\r\n`),
+	);
+	t.equal(submitted, 1, 'the request runs');
+	t.equal(response, '', 'its connection ends without a response');
+});
--- a/packages/instance/src/http-server.ts
+++ b/packages/instance/src/http-server.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {
@@ -42,9 +42,28 @@
 	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
-/** Responds to a request that could not be read or parsed; none of it has run. */
-const rejectUnparsableRequest = (error: Error, socket: Duplex): void => {
-	if (!socket.writable) {
+/** Tracks which connections have a request that was read in full and is not answered yet. */
+const createConnectionTracker = () => {
+	const unanswered = new WeakMap<Duplex, Set<IncomingMessage>>();
+	return {
+		add(request: IncomingMessage, response: ServerResponse) {
+			const requests = unanswered.get(request.socket) ?? new Set();
+			unanswered.set(request.socket, requests.add(request));
+			response.once('close', () => {
+				requests.delete(request);
+			});
+		},
+		mayBeRunning: (socket: Duplex): boolean => [...(unanswered.get(socket) ?? [])].some(({complete}) => complete),
+	};
+};
+
+/**
+Responds to a request that could not be read or parsed; none of it has run.
+
+A caller would take the response for that to an earlier request on the connection which is still running, so the connection then ends without a response.
+*/
+const rejectUnparsableRequest = (error: Error, socket: Duplex, mayBeRunning: boolean): void => {
+	if (!socket.writable || mayBeRunning) {
 		socket.destroy();
 		return;
 	}
@@ -96,6 +115,7 @@
 			log.error('request-failed', {error: error.message, stack: error.stack});
 		}),
 	);
+	const connections = createConnectionTracker();
 	const server = createServer(
 		{
 			maxHeaderSize: MAX_HEADER_BYTES,
@@ -104,10 +124,13 @@
 			connectionsCheckingInterval: TIMEOUT_CHECK_MS,
 		},
 		(request, response) => {
+			connections.add(request, response);
 			app(request, response);
 		},
 	);
-	server.on('clientError', rejectUnparsableRequest);
+	server.on('clientError', (error, socket) => {
+		rejectUnparsableRequest(error, socket, connections.mayBeRunning(socket));
+	});
 	server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
 	server.maxConnections = MAX_CONNECTIONS;
 	lifecycle.add('http-server', async () => {
