Release an idempotency claim whose write may have succeeded

A request that was refused during an outage of the store could block its own repeat for 15 minutes: the first attempt to write its claim got no response but had an effect, the next one was refused, and the claim store reported not-run, so nobody released the claim. The repeat was told may-have-run although nothing had run.

The claim store now reports may-have-run when any attempt may have succeeded; the requester then releases the claim, as it does after a lost call to the owner. The caller is told not-run as before. The test failed before: the repeat was answered as repeated. The fake store can begin an outage after a write with an unknown outcome.

--- a/packages/instance/src/claims-service.test.ts
+++ b/packages/instance/src/claims-service.test.ts
@@ -1,5 +1,5 @@
 import type {Claim, ClaimResult} from '@bergamotgauge/caller';
-import {createLifecycle} from '@bergamotgauge/lifecycle';
+import {createLifecycle, sleep} from '@bergamotgauge/lifecycle';
 import {claimShardKey, ServiceError, type Verdict} from '@bergamotgauge/model';
 import {ownerOf, type PeerLink} from '@bergamotgauge/peer';
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
@@ -64,6 +64,12 @@
 	};
 };
 
+const pollUntil = async (isDone: () => boolean): Promise<void> => {
+	while (!isDone()) {
+		await sleep(10);
+	}
+};
+
 const kindOf = (result: ClaimResult): string => result.kind;
 
 const claimKind = async (service: ClaimService, claim: Claim): Promise<string> => kindOf(await service.claim(claim));
@@ -138,6 +144,19 @@
 	t.equal(await claimKind(group.owner, FIRST), 'granted');
 });
 
+// Guards against a refused request that blocks its repeat for 15 minutes: the write of its claim got no response, and the next attempt was refused.
+await t.test('a claim that may be stored is released when its request is refused', async (t) => {
+	for (const requester of ['owner', 'other'] as const) {
+		const group = createGroup(t);
+		group.store.unknownWrites = 1;
+		group.store.failAfterUnknownWrite = true;
+		await t.rejects(group[requester].claim(FIRST), {code: 'store-unavailable', verdict: 'not-run'});
+		group.store.outage = false;
+		await t.resolves(pollUntil(() => group[requester].waitingFinishes() === 0));
+		t.equal(await claimKind(group.owner, SECOND), 'granted', `the repeat of a request by the ${requester} may run`);
+	}
+});
+
 // Guards against sending without a stored claim, and against a refusal without a retry time.
 await t.test('a store outage refuses with not-run and a retry time', async (t) => {
 	const group = createGroup(t);
--- a/packages/instance/src/claims-store.ts
+++ b/packages/instance/src/claims-store.ts
@@ -36,7 +36,7 @@
 const result = await claimStore.claim({key, customer, fingerprint, requestId});
 ```
 
-@throws {ServiceError} With verdict `not-run` when the claim is not known to be stored.
+@throws {ServiceError} When the claim is not known to be stored; with verdict `may-have-run` when an attempt to store it may have succeeded.
 */
 export const createClaimStore = (store: Store): ClaimStore => {
 	const shards = new Map<string, Shard>();
@@ -69,18 +69,20 @@
 
 	const submitClaim = async (shard: Shard, claim: Claim): Promise<ClaimResult> => {
 		const startedMs = performance.now();
+		let mayBeStored = false;
 		for (let attempt = 1; ; attempt += 1) {
 			try {
 				return await shard.commit.submit((value) => applyClaim(value, claim, Date.now()));
 			} catch (error) {
 				const failure = toServiceError(error, 'may-have-run');
+				mayBeStored ||= failure.verdict !== 'not-run';
 				// The claim carries its request id, so a write with an unknown outcome can be repeated safely.
 				const isExhausted =
 					attempt >= MAX_CLAIM_WRITE_ATTEMPTS || performance.now() - startedMs > CLAIM_RETRY_WINDOW_MS;
 				if (failure.verdict === 'not-run' || isExhausted) {
 					throw new ServiceError(`the claim is not stored: ${failure.message}`, {
 						code: failure.code,
-						verdict: 'not-run',
+						verdict: mayBeStored ? 'may-have-run' : 'not-run',
 						status: failure.status,
 						retryAfterMs: failure.retryAfterMs ?? 1000,
 						cause: failure,
--- a/packages/instance/src/test/fake-store.ts
+++ b/packages/instance/src/test/fake-store.ts
@@ -6,6 +6,8 @@
 	outage: boolean;
 	/** This many writes take effect although their outcome is reported as unknown. */
 	unknownWrites: number;
+	/** An outage begins with the next write whose outcome is reported as unknown. */
+	failAfterUnknownWrite: boolean;
 	writes: number;
 };
 
@@ -18,6 +20,7 @@
 	const store: FakeStore = {
 		outage: false,
 		unknownWrites: 0,
+		failAfterUnknownWrite: false,
 		writes: 0,
 		async get(key) {
 			checkOutage();
@@ -39,6 +42,7 @@
 			values.set(key, {key, revision, value});
 			if (store.unknownWrites > 0) {
 				store.unknownWrites -= 1;
+				store.outage = store.failAfterUnknownWrite;
 				return {outcome: 'unknown'};
 			}
 
