Let the worker stand-in refuse, lose responses and carry calls out late

The stand-in answered every call on tasks at once or never, so no test could show a call whose response is lost, one that is carried out after it was given up, or a refusal of an unhealthy worker. Three faults, off by default, add these for calls on tasks and lease renewals; reports are not affected.

--- /dev/null
+++ b/packages/instance/src/worker-calls.test.ts
@@ -0,0 +1,51 @@
+import {sleep} from '@bergamotgauge/lifecycle';
+import type {ServiceError, Verdict} from '@bergamotgauge/model';
+import {startWorker} from '@bergamotgauge/standins';
+import {createWorkerClient} from '@bergamotgauge/worker';
+import t from 'tap';
+
+const TASK = {
+	job: 'job',
+	attempt: 1,
+	token: 1,
+	block: {worker: 'w1', first: 0, count: 1},
+	cores: 1,
+	memoryGigabytes: 1,
+	isLead: true,
+	payload: {runMs: 60_000},
+};
+
+const verdictOf = async (call: Promise<unknown>): Promise<Verdict> => {
+	try {
+		await call;
+		return 'ran';
+	} catch (error) {
+		return (error as ServiceError).verdict;
+	}
+};
+
+// Guards against a stand-in that cannot show the faults of issue 25: a call whose response is lost, one that is carried out late, and a refusal.
+await t.test('the stand-in loses responses, carries calls out late and refuses', async (t) => {
+	const worker = await startWorker({name: 'w1'});
+	t.teardown(worker.close);
+	const client = createWorkerClient(`http://${worker.address}`);
+	const stateOf = () => worker.tasks.get('job.1')?.state;
+
+	worker.faults.loseResponses = true;
+	t.equal(await verdictOf(client.prepare(TASK)), 'may-have-run');
+	t.equal(stateOf(), 'prepared', 'the call was carried out');
+	worker.faults.loseResponses = false;
+
+	worker.faults.lateMs = 50;
+	t.equal(await verdictOf(client.start(TASK)), 'may-have-run');
+	t.equal(stateOf(), 'prepared', 'not yet');
+	worker.faults.lateMs = 0;
+
+	worker.faults.refuseStatus = 503;
+	t.equal(await verdictOf(client.stop(TASK)), 'not-run');
+	worker.faults.refuseStatus = 0;
+	await sleep(200);
+	t.equal(stateOf(), 'running', 'the start was carried out after it was given up');
+	await client.stop(TASK);
+	t.equal(stateOf(), undefined);
+});
--- a/packages/standins/src/worker-model.ts
+++ b/packages/standins/src/worker-model.ts
@@ -8,6 +8,12 @@
 	failAll: boolean;
 	/** Calls get no response and their connections stay open. */
 	silent: boolean;
+	/** Calls on tasks and renewals are refused with this status and have no effect; 0 for none. */
+	refuseStatus: number;
+	/** Calls on tasks and renewals are carried out, but their connections close without a response. */
+	loseResponses: boolean;
+	/** Calls on tasks and renewals get no response and are carried out after this time; 0 for none. */
+	lateMs: number;
 };
 
 export type PrepareBody = Readonly<{
@@ -74,7 +80,7 @@
 export const createWorkerModel = (name: string): WorkerModel => {
 	const tasks = new Map<string, WorkerTask>();
 	const starts = new Map<string, number>();
-	const faults: WorkerFaults = {failAll: false, silent: false};
+	const faults: WorkerFaults = {failAll: false, silent: false, refuseStatus: 0, loseResponses: false, lateMs: 0};
 	const waiters = new Set<() => void>();
 	// Starting at the current time keeps the sequence increasing across restarts.
 	let sequence = Date.now();
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
 import express, {type Request, type Response} from 'express';
 import {listen} from './http.js';
@@ -44,6 +45,27 @@
 			next();
 		}
 	});
+	app.use(['/v1/tasks', '/v1/lease'], async (_request, response, next) => {
+		const {refuseStatus, loseResponses, lateMs} = model.faults;
+		if (refuseStatus > 0) {
+			response.status(refuseStatus).json({error: 'unhealthy'});
+			return;
+		}
+
+		if (loseResponses || lateMs > 0) {
+			response.json = () => {
+				response.destroy();
+				return response;
+			};
+		}
+
+		if (lateMs > 0) {
+			response.destroy();
+			await sleep(lateMs);
+		}
+
+		next();
+	});
 	app.put('/v1/tasks/:task', (request, response) => {
 		respond(response, () => model.prepare(request.body as PrepareBody));
 	});
