Take only refusals of a worker for proof that a call has not run

Every response with an error status had the verdict not-run, also 500, 502 and 504, which may follow after the call took effect. With that verdict a lease renewal that reached the worker would not count.

The test failed before for 500, 502 and 504. Statuses below 500 and 503 keep the verdict not-run.

--- a/packages/instance/src/worker-calls.test.ts
+++ b/packages/instance/src/worker-calls.test.ts
@@ -1,3 +1,5 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {sleep} from '@bergamotgauge/lifecycle';
 import type {ServiceError, Verdict} from '@bergamotgauge/model';
 import {startWorker} from '@bergamotgauge/standins';
@@ -24,6 +26,31 @@
 	}
 };
 
+// Guards against a `not-run` for a call that may have run, with which a caller would give up or repeat the wrong work.
+await t.test('only refusals of the worker itself prove that a call has not run', async (t) => {
+	for (const [status, verdict] of [
+		[400, 'not-run'],
+		[404, 'not-run'],
+		[409, 'not-run'],
+		[429, 'not-run'],
+		[500, 'may-have-run'],
+		[502, 'may-have-run'],
+		[503, 'not-run'],
+		[504, 'may-have-run'],
+	] as const) {
+		const server = createServer((_request, response) => {
+			response.writeHead(status, {'content-type': 'application/json', connection: 'close'}).end('{"error":"refused"}');
+		});
+		await new Promise<void>((resolve) => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = server.address() as AddressInfo;
+		const client = createWorkerClient(`http://127.0.0.1:${port}`);
+		t.equal(await verdictOf(client.start(TASK)), verdict, `status ${status}`);
+		server.close();
+	}
+});
+
 // Guards against a stand-in that cannot show the faults of issue 25: a call whose response is lost, one that is carried out late, and a refusal.
 await t.test('the stand-in loses responses, carries calls out late and refuses', async (t) => {
 	const worker = await startWorker({name: 'w1'});
--- a/packages/worker/src/worker-client.ts
+++ b/packages/worker/src/worker-client.ts
@@ -8,6 +8,9 @@
 
 const STALE_TOKEN_STATUS = 409;
 
+/** Other errors of the server may follow after the call took effect. */
+const isRefusal = (status: number): boolean => status < 500 || status === 503;
+
 const taskPath = ({job, attempt}: TaskReference): string => `/v1/tasks/${encodeURIComponent(`${job}.${attempt}`)}`;
 
 /** On a refused connection the request was never sent. */
@@ -53,7 +56,7 @@
 						const reason = (responseBody as Readonly<{error?: string}>).error ?? `status ${response.statusCode}`;
 						throw new ServiceError(`worker ${address} refused: ${reason}`, {
 							code: response.statusCode === STALE_TOKEN_STATUS ? 'stale-token' : 'worker-failed',
-							verdict: 'not-run',
+							verdict: isRefusal(response.statusCode) ? 'not-run' : 'may-have-run',
 						});
 					}
 
