Keep a checkpoint whose response is lost

An evicted task was stopped, and its checkpoint discarded, when the call to checkpoint it got no response. The job began again from its start; a job of an at-most-once class ended as unknown. A lost response was taken for a failed checkpoint.

Only a refusal now leads to a stop at once. After a lost response the next pass asks again, until the report shows the checkpoint or the grace period ends.

--- a/packages/instance/src/gang-actions.ts
+++ b/packages/instance/src/gang-actions.ts
@@ -223,7 +223,7 @@
 	await releaseGang(options, gang);
 };
 
-/** Checkpoints every task; a task whose checkpoint fails or does not complete within the grace period is stopped. */
+/** Checkpoints every task; a task whose checkpoint is refused or does not complete within the grace period is stopped. */
 export const checkpointGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	const {placement} = gang;
 	if (Date.now() >= (placement.evictByMs ?? 0)) {
@@ -235,9 +235,14 @@
 		try {
 			return await client.checkpoint(referenceOf(placement));
 		} catch (error) {
-			const {message} = toServiceError(error, 'may-have-run');
+			const {message, verdict} = toServiceError(error, 'may-have-run');
 			options.context.log.warn('checkpoint-failed', {job: placement.job, error: message});
-			return client.stop(referenceOf(placement));
+			if (verdict === 'not-run') {
+				return client.stop(referenceOf(placement));
+			}
+
+			// A stop would discard the checkpoint if it was made; the next pass asks again.
+			throw error;
 		}
 	});
 };
--- a/packages/instance/src/lost-responses.test.ts
+++ b/packages/instance/src/lost-responses.test.ts
@@ -1,6 +1,7 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {ServiceError} from '@bergamotgauge/model';
 import t, {type Test} from 'tap';
+import {withEviction} from './rack-record.js';
 import {createTestCluster, specificationOf, type TestCluster} from './test/test-cluster.js';
 
 const pauseClock = (t: Test): Clock => {
@@ -112,3 +113,32 @@
 	t.match(cluster.jobs(), [{id, outcome: {kind: 'unknown', verdict: 'may-have-run'}}]);
 	await second.close();
 });
+
+// Guards against a checkpoint that is discarded because the response to its call was lost.
+await t.test('a checkpoint whose response is lost is kept', async (t) => {
+	const clock = pauseClock(t);
+	for (const jobClass of ['batch', 'once']) {
+		const cluster = await createTestCluster();
+		let lostResponses = 1;
+		const engine = cluster.startEngine({
+			id: 'one',
+			async intercept(name, call) {
+				const result = await call();
+				if (name.startsWith('checkpoint') && lostResponses > 0) {
+					lostResponses -= 1;
+					throw new ServiceError('no response', {code: 'worker-failed', verdict: 'may-have-run'});
+				}
+
+				return result;
+			},
+		});
+		const {id} = await engine.jobs.submit('alpha', specificationOf(8, {runMs: 60_000, checkpointMs: 100}, jobClass));
+		await clock.tickAsync(1000);
+		const evicted = engine.racks.write('r0', (record) => withEviction(record, id, Date.now() + 2000));
+		await clock.tickAsync(3000);
+		await evicted;
+		t.equal(lostResponses, 0, 'the response was lost');
+		t.match(engine.jobs.get(id), {state: 'queued', attempt: 2, checkpointAttempt: 1}, `class ${jobClass}`);
+		await engine.close();
+	}
+});
