Test that a refusal does not hide an earlier attempt at an endpoint

The dispatcher keeps the verdict of an attempt that may have run when later endpoints refuse the request; no test covered it. With that line replaced by the verdict of the last attempt, the test fails with not-run after one run.

--- a/packages/endpoint/src/dispatcher.test.ts
+++ b/packages/endpoint/src/dispatcher.test.ts
@@ -128,6 +128,25 @@
 	}
 });
 
+// Guards against a `not-run` for a request that ran: the refusal of the last attempt says nothing about an earlier one that got no response.
+await t.test('a refusal does not hide an earlier attempt that may have run', async (t) => {
+	for (const [retryRule, scripts, result, runs] of [
+		['idempotent', ['die-after-running', 'refuse', 'refuse'], 'may-have-run', 1],
+		['idempotent', ['refuse', 'die-after-running', 'refuse'], 'may-have-run', 1],
+		['idempotent', ['refuse', 'refuse', 'refuse'], 'not-run', 0],
+		['at-most-once', ['refuse', 'die-after-running', 'answer'], 'may-have-run', 1],
+		['at-most-once', ['refuse', 'refuse', 'refuse'], 'not-run', 0],
+	] as const) {
+		const {endpoints, send} = await setUp(t, 3);
+		for (const [index, behaviour] of scripts.entries()) {
+			endpoints[index]!.script.push(behaviour);
+		}
+
+		t.equal(await send(requestOf(retryRule, 'body')), result, `${retryRule}: ${scripts.join(', ')}`);
+		t.equal(runsOf(endpoints), runs, 'runs');
+	}
+});
+
 // Guards against work that continues after its caller has disconnected, and against a wrong `not-run`.
 await t.test('a cancelled call closes its connection to the endpoint', async (t) => {
 	const {endpoints, send} = await setUp(t, 1);
