Accept a repeated configuration change that its own late write precedes

An operator whose change got no response repeated it, as the error asks, and was told conflict with the verdict not-run although the change was in force: the store had carried the first write out between the read and the write of the repeat.

A conflict with the same change on the same base is now answered like a repeat after a lost response. The test failed before with conflict; a different change is still refused.

--- a/packages/instance/src/configuration.ts
+++ b/packages/instance/src/configuration.ts
@@ -140,7 +140,13 @@
 		const bundle: Bundle = {...declarations, generation: request.basedOn + 1};
 		const result = await context.store.put(BUNDLE_KEY, bundle, entry.revision);
 		if (result.outcome === 'conflict') {
-			throw await conflict(newerBundle(result.current.value as Bundle | undefined, current), operator, request);
+			const winner = newerBundle(result.current.value as Bundle | undefined, current);
+			// The store may have carried out an earlier attempt of the same change late.
+			if (winner && isRepeat(winner, operator, request)) {
+				return winner;
+			}
+
+			throw await conflict(winner, operator, request);
 		}
 
 		if (result.outcome === 'unknown') {
--- a/packages/instance/src/test/test-cluster.ts
+++ b/packages/instance/src/test/test-cluster.ts
@@ -115,6 +115,7 @@
 
 const rackOf = (name: string, workers: number, guards: boolean): Rack => ({
 	name,
+	partner: 'partner',
 	pool: 'pool',
 	availabilityZone: 'a',
 	workers: Array.from({length: workers}, (_, position) => ({
@@ -133,6 +134,7 @@
 
 const jobClassOf = (name: string, changes: Partial<JobClass>): JobClass => ({
 	name,
+	partner: 'partner',
 	urgency: 'normal',
 	preemptible: true,
 	checkpointSeconds: 1,
