Test that a given-up call to a worker is not sent later

A call that waits for a free connection until its deadline must not be sent when a connection becomes free. The worker client passes its abort signal to the HTTP client, which ensures it; no test covered it.

--- a/packages/instance/src/worker-calls.test.ts
+++ b/packages/instance/src/worker-calls.test.ts
@@ -3,7 +3,7 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import type {ServiceError, Verdict} from '@bergamotgauge/model';
 import {startWorker} from '@bergamotgauge/standins';
-import {createWorkerClient} from '@bergamotgauge/worker';
+import {createWorkerClient, WORKER_DEADLINE_MS} from '@bergamotgauge/worker';
 import t from 'tap';
 
 const TASK = {
@@ -76,3 +76,29 @@
 	await client.stop(TASK);
 	t.equal(stateOf(), undefined);
 });
+
+// Guards against a call that is sent after it was given up, when it waited for a free connection until its deadline.
+await t.test('a call that is given up while it waits for a connection is never sent', async (t) => {
+	const received: string[] = [];
+	const server = createServer((request, response) => {
+		received.push(request.url ?? '');
+		// Responds after the deadline, so that the connections become free.
+		setTimeout(() => {
+			response.end('{"sequence":1}');
+		}, WORKER_DEADLINE_MS + 500);
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	const {port} = server.address() as AddressInfo;
+	const client = createWorkerClient(`http://127.0.0.1:${port}`);
+	const calls = Array.from({length: 12}, async (_, attempt) => verdictOf(client.prepare({...TASK, attempt})));
+	const verdicts = await Promise.all(calls);
+	t.ok(verdicts.every((verdict) => verdict === 'may-have-run'));
+	await sleep(1000);
+	t.equal(received.length, 4, 'only the calls with a connection were sent');
+});
