--- a/packages/instance/src/gang-actions.ts
+++ b/packages/instance/src/gang-actions.ts
@@ -30,7 +30,8 @@
 
 const referenceOf = ({job, attempt, token}: Placement): TaskReference => ({job, attempt, token});
 
-const classOf = ({context}: GangActionOptions, {placement}: Gang): JobClass | undefined =>
+/** The declared class of the gang's job. */
+export const classOf = ({context}: GangActionOptions, {placement}: Gang): JobClass | undefined =>
 	bundleOf(context.replica)?.jobClasses.find(({name}) => name === placement.jobClass);
 
 /** Calls every worker of the gang concurrently. Workers whose lease has expired have stopped their tasks and are skipped. */
@@ -212,15 +213,17 @@
 /** Stops the tasks, ends the job as cancelled and releases the accelerators. */
 export const cancelGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	await stopTasks(options, gang);
+	// An earlier attempt may have run, also when this one was never started.
+	const mayHaveRun = gang.job?.assignment !== undefined || gang.placement.attempt > 1;
 	await options.jobs.end(gang.placement.job, {
 		kind: 'cancelled',
-		verdict: gang.job?.assignment ? 'may-have-run' : 'not-run',
+		verdict: mayHaveRun ? 'may-have-run' : 'not-run',
 		reason: 'the caller cancelled the job',
 	});
 	await releaseGang(options, gang);
 };
 
-/** Checkpoints every task; a task whose checkpoint fails or does not complete within the grace period is stopped. */
+/** Checkpoints every task; a task whose checkpoint is refused or does not complete within the grace period is stopped. */
 export const checkpointGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	const {placement} = gang;
 	if (Date.now() >= (placement.evictByMs ?? 0)) {
@@ -232,9 +235,14 @@
 		try {
 			return await client.checkpoint(referenceOf(placement));
 		} catch (error) {
-			const {message} = toServiceError(error, 'may-have-run');
+			const {message, verdict} = toServiceError(error, 'may-have-run');
 			options.context.log.warn('checkpoint-failed', {job: placement.job, error: message});
-			return client.stop(referenceOf(placement));
+			if (verdict === 'not-run') {
+				return client.stop(referenceOf(placement));
+			}
+
+			// A stop would discard the checkpoint if it was made; the next pass asks again.
+			throw error;
 		}
 	});
 };
