Free a stopped placement when a poll shows that its run is gone

A unit whose start got no response waited up to two seconds longer than needed before it started again. After the stop was accepted and had time to complete, the worker was polled, but only the reports of lease renewals, which wait for up to two seconds, removed the placement of a run that is not listed.

The report of the poll now removes it under the same condition. order-attempts.test.ts: 'a unit whose unanswered start was stopped starts again as soon as the stop is complete' failed before (no start within 0.8 s).

--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -115,8 +115,8 @@
 			placements.reconcile(link, running, sentMs);
 			waker.wake();
 		},
-		onProgress(link, running) {
-			placements.updateProgress(link, running);
+		onProgress(link, running, sentMs) {
+			placements.updateProgress(link, running, sentMs);
 			waker.wake();
 		},
 		async onEnds(link, ended) {
--- a/packages/scheduler/src/order-attempts.test.ts
+++ b/packages/scheduler/src/order-attempts.test.ts
@@ -287,3 +287,18 @@
 	await advance(1000 + BOUNDS.stopMs + STOP_SETTLE_MS);
 	t.equal(cluster.startsOf(unitOf(1)), 1);
 });
+
+// Guards against a unit that waits for the next report, two seconds later, though its unanswered start is known to be void.
+await t.test('a unit whose unanswered start was stopped starts again as soon as the stop is complete', async (t) => {
+	const {cluster, workers, advance, violations, submit} = await createFixture(t, 5000);
+	script(workers, 'start', ['dropped', 'dropped', 'dropped']);
+	await submit();
+	await advance(50);
+	for (const {faults} of workers) {
+		faults.script.start = [];
+	}
+
+	await advance(BOUNDS.stopMs + 4 * STOP_SETTLE_MS);
+	t.equal(cluster.startsOf(unitOf(1)), 1);
+	t.same(violations, []);
+});
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -36,8 +36,8 @@
 	throttle: (activeJob: ActiveJob, part: Part, placement: Placement, percent: number) => void;
 	/** Reconciles the placements with a full report of a worker. */
 	reconcile: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
-	/** Updates progress only; a run that is not listed is left as it is. */
-	updateProgress: (link: WorkerLink, running: readonly RunningUnit[]) => void;
+	/** Updates the progress of listed runs, and removes the placements of stopped ones that are not listed any more. */
+	updateProgress: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
 	/** Removes the placements of a worker whose incarnation or lease has ended. */
 	removeWorker: (workerId: string) => void;
 }>;
@@ -253,10 +253,14 @@
 		return placement;
 	};
 
+	/** Whether a report that was sent at the time and does not list the run proves that it has ended, since its stop was accepted. */
+	const isStopComplete = ({stopAcceptedMs}: Placement, sentMs: number): boolean =>
+		stopAcceptedMs !== undefined && sentMs >= stopAcceptedMs + bounds.stopMs + STOP_SETTLE_MS;
+
 	/** Handles a placement that a report of the worker does not list. */
 	const handleMissing = (part: Part, placement: Placement, sentMs: number) => {
 		if (placement.stopAcceptedMs !== undefined) {
-			if (sentMs > placement.stopAcceptedMs + bounds.stopMs + STOP_SETTLE_MS) {
+			if (isStopComplete(placement, sentMs)) {
 				removePlacement(part, placement);
 			}
 
@@ -337,12 +341,18 @@
 				})();
 			}
 		},
-		updateProgress(link, running) {
+		updateProgress(link, running, sentMs) {
 			for (const {activeJob, part, placement} of state.placementIndex.byWorker.get(link.worker.id) ?? []) {
 				const unit = unitOf(activeJob, part, placement.index);
 				const runningUnit = running.find((listedUnit) => listedUnit.unit === unit && listedUnit.run === placement.run);
-				if (runningUnit && part.placements.includes(placement)) {
+				if (!part.placements.includes(placement)) {
+					continue;
+				}
+
+				if (runningUnit) {
 					updatePlacement(part, placement, runningUnit);
+				} else if (isStopComplete(placement, sentMs)) {
+					removePlacement(part, placement);
 				}
 			}
 		},
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -24,7 +24,7 @@
 	/** Called with all active runs of a worker. */
 	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
 	/** Called with the progress of a worker's active runs. */
-	onProgress: (link: WorkerLink, running: readonly RunningUnit[]) => void;
+	onProgress: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when a worker incarnation, or its lease, has ended, so that nothing runs on it any more. */
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -27,7 +27,7 @@
 	/** Called with all active runs of the worker after each lease renewal. */
 	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
 	/** Called with the active runs after a progress poll. */
-	onProgress: (link: WorkerLink, running: readonly RunningUnit[]) => void;
+	onProgress: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when none of the runs that this leader knows of exists any more. */
@@ -327,6 +327,7 @@
 			}
 
 			isPolling = true;
+			const sentMs = now();
 			try {
 				const report = await withDeadline(PROGRESS_POLL_DEADLINE_MS, async (deadlineSignal) =>
 					port.renewLease({token, acknowledgedSequence, waitMs: 0}, deadlineSignal),
@@ -336,7 +337,7 @@
 				} else {
 					// An earlier report with these ends may have been lost.
 					handleEnds(report.ended);
-					events.onProgress(link, report.running);
+					events.onProgress(link, report.running, sentMs);
 				}
 			} catch (error) {
 				// Only the renewal loop decides whether the worker counts as silent.
