Count a response after a failure as contact with the store

After one refused call, an instance with few calls refused its callers for up to 3 s although its watches got responses: a response counted from the start of its call, so that of a long poll which was under way at the failure did not outweigh the failure, and callers that are refused at once make no call that could.

A response that arrives after the failure now ends it. How long the store must have been silent still counts from the start of the call. The test fails without the change.

--- a/packages/scheduler/src/store-health.test.ts
+++ b/packages/scheduler/src/store-health.test.ts
@@ -83,6 +83,24 @@
 	t.notOk(health.isLost(), 'a single failure is not an outage');
 });
 
+// Guards against callers that are refused for seconds after a single failed call, while the long polls of an idle instance
+// get their responses.
+await t.test('a response after a failure proves contact, also to a call that began before it', async (t) => {
+	let nowMs = 0;
+	const health = createStoreHealth(() => nowMs);
+	nowMs = 1500;
+	health.recordResponse(0);
+	nowMs = 1510;
+	health.recordFailure();
+	t.ok(health.isLost());
+	nowMs = 3000;
+	health.recordResponse(1500);
+	t.notOk(health.isLost());
+	nowMs = 3010;
+	health.recordFailure();
+	t.ok(health.isLost());
+});
+
 await t.test('staleness counts from the call that proved the configuration current', async (t) => {
 	let nowMs = 0;
 	const health = createStoreHealth(() => nowMs);
--- a/packages/scheduler/src/store-health.ts
+++ b/packages/scheduler/src/store-health.ts
@@ -48,18 +48,21 @@
 ```
 */
 export const createStoreHealth = (now = createSuspendClock()): StoreHealth => {
+	/** Start of the newest call that got a response. */
 	let lastResponseMs = now();
-	let lastFailureMs = Number.NEGATIVE_INFINITY;
+	/** Whether a call has failed since the last response. */
+	let isFailing = false;
 	let lastSyncMs = Number.NEGATIVE_INFINITY;
 	return {
 		now,
 		recordResponse(startedMs) {
 			lastResponseMs = Math.max(lastResponseMs, startedMs);
+			isFailing = false;
 		},
 		recordFailure() {
-			lastFailureMs = now();
+			isFailing = true;
 		},
-		isLost: () => lastFailureMs > lastResponseMs && now() - lastResponseMs > STORE_LOST_MS,
+		isLost: () => isFailing && now() - lastResponseMs > STORE_LOST_MS,
 		recordSync(atMs) {
 			lastSyncMs = Math.max(lastSyncMs, atMs);
 		},
