Keep a run that a report lists although its start was not confirmed

A unit was stopped, or with a refused repeat started elsewhere, although its worker had reported the run: the responses to the start were lost, and what the sender made of them outweighed the report. The run that a report has listed now counts as accepted. placements.test.ts: 'a refused repeat of a start does not outweigh a report that lists the run' failed before (no placement left).

--- /dev/null
+++ b/packages/scheduler/src/placements.test.ts
@@ -0,0 +1,110 @@
+import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import FakeTimers from '@sinonjs/fake-timers';
+import t, {type Test} from 'tap';
+import {partOf} from './active-job.js';
+import {createLeaderState, placedByWorker} from './leader-state.js';
+import {createPlacements} from './placements.js';
+import {DEFAULT_POLICY} from './policy.js';
+import {newActiveJob} from './test/active-job.js';
+import {BOUNDS, newWorker} from './test/cluster.js';
+import type {RunningUnit} from './types.js';
+import {createUnitEnds} from './unit-ends.js';
+import type {WorkerLink} from './worker-link.js';
+import type {OrderResult} from './worker-orders.js';
+
+const createFixture = (t: Test) => {
+	const clock = FakeTimers.install({now: 1_000_000});
+	const controller = new AbortController();
+	t.teardown(async () => {
+		controller.abort();
+		await clock.tickAsync(5000);
+		clock.uninstall();
+	});
+	const now = () => performance.now();
+	const state = createLeaderState(DEFAULT_POLICY);
+	const activeJob = newActiveJob({steps: [newStep()]});
+	state.activeJobs.set(activeJob.job.id, activeJob);
+	const part = partOf(activeJob, 0, 0, 0)!;
+	const unit = `${activeJob.job.id}.0.0.0`;
+	const startResults: Array<(result: OrderResult) => void> = [];
+	const stops: number[] = [];
+	/** CPU share of the unit on its worker. */
+	const worker = {percent: 100, lateThrottles: 0};
+	const newLink = (id: string): WorkerLink => ({
+		worker: newWorker(id),
+		state: () => 'synced',
+		start: async () =>
+			new Promise((resolve) => {
+				startResults.push(resolve);
+			}),
+		async stop(_unit, run) {
+			stops.push(run);
+			return true;
+		},
+		async pollProgress() {
+			// The stub has nothing to report.
+		},
+		async throttle(_unit, _run, percent) {
+			if (worker.lateThrottles > 0) {
+				// The first attempt gets no response and is carried out late; the second one is accepted.
+				worker.lateThrottles -= 1;
+				setTimeout(() => {
+					worker.percent = percent;
+				}, 3000);
+			}
+
+			worker.percent = percent;
+			return true;
+		},
+		wake() {
+			// The stub renews no lease.
+		},
+		async run() {
+			// The stub renews no lease.
+		},
+		expiryMs: () => Number.POSITIVE_INFINITY,
+	});
+	const links = {w1: newLink('w1'), w2: newLink('w2')};
+	state.links.set('w1', links.w1);
+	state.links.set('w2', links.w2);
+	const placements = createPlacements({
+		state,
+		term: 1,
+		bounds: BOUNDS,
+		log: createSilentLog(),
+		metrics: createMetrics(),
+		now,
+		signal: controller.signal,
+		onCapacityFreed() {
+			// No planner runs.
+		},
+		onBegun() {
+			// Nothing is stored.
+		},
+		onRefused() {
+			// No planner runs.
+		},
+		ticketOf: () => undefined,
+	});
+	const ends = createUnitEnds({state, placements, log: createSilentLog(), metrics: createMetrics(), now});
+	const index = () => {
+		state.placementIndex.byWorker = placedByWorker(state);
+	};
+
+	const listed = (run: number): RunningUnit => ({unit, run, checkpoint: '', percent: 10});
+	return {clock, now, activeJob, part, unit, startResults, stops, worker, links, placements, ends, index, listed};
+};
+
+// Guards against a unit that is started elsewhere although its worker has reported the run: an attempt at the start got
+// no response, and the repeated one was refused.
+await t.test('a refused repeat of a start does not outweigh a report that lists the run', async (t) => {
+	const {clock, now, activeJob, part, startResults, links, placements, index, listed} = createFixture(t);
+	placements.start(activeJob, part, ['w1']);
+	index();
+	await clock.tickAsync(100);
+	placements.reconcile(links.w1, [listed(1)], now());
+	startResults[0]!({outcome: 'refused', reason: 'unhealthy'});
+	await clock.tickAsync(100);
+	t.equal(part.placements.length, 1);
+});
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -131,7 +131,8 @@
 			outcome: result.outcome === 'refused' ? result.reason : result.outcome,
 			class: String(activeJob.job.priority),
 		});
-		if (result.outcome === 'accepted') {
+		// A report may have listed the run although the responses to its start were lost.
+		if (result.outcome === 'accepted' || placement.acceptedMs !== undefined) {
 			placement.acceptedMs ??= now();
 			if (placement.phase === 'starting') {
 				placement.phase = 'running';
