Leave the newest run alone when an older one of its unit turns up

Work was thrown away: a report that lists an older run of a unit stopped the newest one as well, and so did the end of the older one, as if they were members of one gang. A report that was composed before the end of a run and arrives after it, which responses on different connections may do, brought the ended run back and had the same effect.

Only the older run is stopped now, the end of a run affects only placements of the same run, and a run whose end this leader has recorded is not taken up again.

--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -45,6 +45,8 @@
 	run: number;
 	/** Numbers of the runs whose failures were counted; ends of several runs may be reported in any order. */
 	readonly failedRuns: Set<number>;
+	/** Runs whose ends were recorded by this leader, by worker, index and number. */
+	readonly endedRuns: Set<string>;
 	/** Number of the latest run that was ordered. */
 	orderedRun: number;
 	checkpoint: string;
@@ -106,6 +108,7 @@
 	failures: record?.failures ?? 0,
 	run: record?.run ?? 0,
 	failedRuns: new Set(record?.failedRuns ?? (record?.failedRun ? [record.failedRun] : [])),
+	endedRuns: new Set(),
 	orderedRun: record?.run ?? 0,
 	checkpoint: record?.checkpoint ?? '',
 	placements: [],
@@ -212,6 +215,18 @@
 export const nextRun = (part: Part, term: number): number =>
 	Math.max(part.orderedRun, part.run, (term - 1) * RUNS_PER_TERM) + 1;
 
+/** A run of one unit of a part. */
+export type UnitRun = Readonly<{workerId: string; index: number; run: number}>;
+
+const unitRunKey = ({workerId, index, run}: UnitRun): string => `${workerId} ${index} ${run}`;
+
+export const markEnded = (part: Part, unitRun: UnitRun): void => {
+	part.endedRuns.add(unitRunKey(unitRun));
+};
+
+/** Whether this leader has recorded the end of the run. */
+export const hasEnded = (part: Part, unitRun: UnitRun): boolean => part.endedRuns.has(unitRunKey(unitRun));
+
 export const partOf = (activeJob: ActiveJob, occurrence: number, step: number, index: number): Part | undefined => {
 	const isGang = activeJob.job.steps[step]?.gang ?? false;
 	while (activeJob.occurrences <= occurrence && activeJob.occurrences < occurrencesOf(activeJob.job)) {
--- a/packages/scheduler/src/job-outcome.ts
+++ b/packages/scheduler/src/job-outcome.ts
@@ -1,5 +1,5 @@
 import type {Progress, RunEnd} from '@bergamotgauge/jobs';
-import {occurrencesOf, stepOf, type ActiveJob, type Part} from './active-job.js';
+import {markEnded, occurrencesOf, stepOf, type ActiveJob, type Part} from './active-job.js';
 
 const updateOutcome = (activeJob: ActiveJob, nowMs: number) => {
 	if (activeJob.outcome) {
@@ -47,6 +47,7 @@
 	part.placements = part.placements.filter(
 		(placement) => placement.workerId !== end.workerId || placement.index !== end.index || placement.run !== end.run,
 	);
+	markEnded(part, end);
 	const isFailure = end.how === 'failed' && !part.failedRuns.has(end.run);
 	// A run that was started after this one's lease had expired takes precedence over its late result.
 	const isResult = end.how === 'done' && part.placements.every((placement) => placement.run <= end.run);
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -108,3 +108,39 @@
 	await clock.tickAsync(100);
 	t.equal(part.placements.length, 1);
 });
+
+// Guards against the stop of a new run because of a report that is older than the end of the run before.
+await t.test('a report that is overtaken by a newer one does not bring back an ended run', async (t) => {
+	const {clock, now, activeJob, part, unit, startResults, stops, links, placements, ends, index, listed} =
+		createFixture(t);
+	placements.start(activeJob, part, ['w1']);
+	startResults[0]!({outcome: 'accepted'});
+	await clock.tickAsync(500);
+	const sentMs = now();
+	await clock.tickAsync(100);
+	ends.handle(links.w1, {sequence: 1, unit, run: 1, how: 'failed', checkpoint: ''});
+	placements.start(activeJob, part, ['w2']);
+	startResults[1]!({outcome: 'accepted'});
+	index();
+	await clock.tickAsync(100);
+	placements.reconcile(links.w1, [listed(1)], sentMs);
+	await clock.tickAsync(100);
+	t.same(stops, []);
+	t.same(
+		part.placements.map(({run, phase}) => [run, phase]),
+		[[2, 'running']],
+	);
+});
+
+// Guards against the loss of the newer run's work when an older run of its unit is found.
+await t.test('an older run is stopped without stopping the newest one', async (t) => {
+	const {clock, now, activeJob, part, startResults, stops, links, placements, index, listed} = createFixture(t);
+	part.orderedRun = 1;
+	placements.start(activeJob, part, ['w2']);
+	startResults[0]!({outcome: 'accepted'});
+	index();
+	await clock.tickAsync(100);
+	placements.reconcile(links.w1, [listed(1)], now());
+	await clock.tickAsync(100);
+	t.same(stops, [1]);
+});
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -2,7 +2,7 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {GANG_END_MS, STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
-import {nextRun, partOf, stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
+import {hasEnded, nextRun, partOf, stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
 import {extendWindow, openWindow} from './progress-window.js';
 import {allPlacedUnits, coreEquivalentsOf, type LeaderState, type PlacedUnit} from './leader-state.js';
@@ -42,6 +42,9 @@
 	removeWorker: (workerId: string) => void;
 }>;
 
+/** A unit of an active job. */
+type KnownUnit = Readonly<{activeJob: ActiveJob; part: Part; index: number}>;
+
 const isPlacementOf = (placement: Placement, workerId: string, index: number, run: number): boolean =>
 	placement.workerId === workerId && placement.index === index && placement.run === run;
 
@@ -103,9 +106,14 @@
 		return step.checkpoints ? 0 : Math.round((coreEquivalentsOf(step) * (now() - placement.startedMs)) / 1000);
 	};
 
-	const stop = (activeJob: ActiveJob, part: Part, reason: string) => {
+	const stop = (
+		activeJob: ActiveJob,
+		part: Part,
+		reason: string,
+		isAffected: (placement: Placement) => boolean = () => true,
+	) => {
 		for (const placement of part.placements) {
-			if (placement.phase !== 'stopping') {
+			if (placement.phase !== 'stopping' && isAffected(placement)) {
 				placement.phase = 'stopping';
 				log.info('unit-stop', {
 					unit: unitOf(activeJob, part, placement.index),
@@ -201,9 +209,7 @@
 		});
 		part.orderedRun = Math.max(part.orderedRun, runningUnit.run);
 		activeJob.hasBegun = true;
-		if (part.placements.some((placement) => placement.run !== newest)) {
-			stop(activeJob, part, 'older-run');
-		}
+		stop(activeJob, part, 'older-run', (placement) => placement.run !== newest);
 	};
 
 	const updatePlacement = (part: Part, placement: Placement, runningUnit: RunningUnit) => {
@@ -223,21 +229,31 @@
 		}
 	};
 
-	/** Returns the placement of a run, or `undefined` for one that belongs to no active job. */
-	const reconcileUnit = (link: WorkerLink, runningUnit: RunningUnit): Placement | undefined => {
-		const name = parseUnitName(runningUnit.unit);
+	/** The part of a run and its index; `undefined` for a run that belongs to no active job. */
+	const findPart = ({unit}: RunningUnit): KnownUnit | undefined => {
+		const name = parseUnitName(unit);
 		const activeJob = name && state.activeJobs.get(name.jobId);
 		const part = activeJob && partOf(activeJob, name.occurrence, name.step, name.index);
-		if (!name || !activeJob || !part) {
+		return part && {activeJob, part, index: name.index};
+	};
+
+	/** Returns the placement of a run, or `undefined` for one that has ended. */
+	const reconcileUnit = (
+		link: WorkerLink,
+		runningUnit: RunningUnit,
+		{activeJob, part, index}: KnownUnit,
+	): Placement | undefined => {
+		const workerId = link.worker.id;
+		// A report that was composed before the end of the run may arrive after the one that lists the end.
+		if (hasEnded(part, {workerId, index, run: runningUnit.run})) {
 			return undefined;
 		}
 
-		const workerId = link.worker.id;
-		if (!part.placements.some((placement) => isPlacementOf(placement, workerId, name.index, runningUnit.run))) {
-			adoptRun({activeJob, part}, runningUnit, workerId, name.index);
+		if (!part.placements.some((placement) => isPlacementOf(placement, workerId, index, runningUnit.run))) {
+			adoptRun({activeJob, part}, runningUnit, workerId, index);
 		}
 
-		const placement = part.placements.find((other) => isPlacementOf(other, workerId, name.index, runningUnit.run));
+		const placement = part.placements.find((other) => isPlacementOf(other, workerId, index, runningUnit.run));
 		if (placement) {
 			updatePlacement(part, placement, runningUnit);
 		}
@@ -361,11 +377,15 @@
 			const listed = new Set<Placement>();
 			const orphans: OrderTarget[] = [];
 			for (const runningUnit of running) {
-				const placement = reconcileUnit(link, runningUnit);
+				const known = findPart(runningUnit);
+				if (!known) {
+					orphans.push({unit: runningUnit.unit, run: runningUnit.run});
+					continue;
+				}
+
+				const placement = reconcileUnit(link, runningUnit, known);
 				if (placement) {
 					listed.add(placement);
-				} else {
-					orphans.push({unit: runningUnit.unit, run: runningUnit.run});
 				}
 			}
 
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -94,7 +94,7 @@
 			recordUnitEnd(activeJob, part, {...end, workerId: link.worker.id}, name);
 			if (part.placements.length === 0) {
 				part.waitingSinceMs = undefined;
-			} else if (end.how !== 'done') {
+			} else if (end.how !== 'done' && part.placements.some(({run}) => run === end.run)) {
 				// A gang makes no progress without all of its members.
 				placements.stop(activeJob, part, 'gang-broken');
 			}
