Send a throttle again while an earlier attempt may still be carried out

A best-effort unit could keep a CPU share that the leader had taken back: an attempt at a throttle order that got no response may be carried out seconds later, after a newer order, and nothing was sent again while the intended share did not change.

The result of an order says whether an earlier attempt is still outstanding. Until it is no longer expected to take effect, the throttle is repeated every second. placements.test.ts: 'a throttle order that is carried out late is corrected' failed before (share 50 instead of 0).

--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -29,6 +29,8 @@
 	recentFigure: number | undefined;
 	/** CPU share that was ordered last, in percent; `undefined` if it is not known. */
 	throttlePercent: number | undefined;
+	/** Time until which a throttle order without a response may be carried out, after newer ones. */
+	throttleDoubtUntilMs: number;
 };
 
 /** The smallest group of units that starts and ends together: a single unit, or all units of a gang. */
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -214,6 +214,12 @@
 /** Steps whose tickets are cached. */
 export const ADVICE_CACHE_ENTRIES = 2000;
 
+/** Time within which a worker carries out an order that got no response. */
+export const LATE_ORDER_MS = 12_000;
+
+/** Interval between repeats of a throttle while an earlier one may still be carried out. */
+export const THROTTLE_REPEAT_MS = 1000;
+
 /** CPU share, in percent, of best-effort units when they first share a worker with latency-sensitive units. */
 export const INITIAL_THROTTLE_PERCENT = 50;
 
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -46,6 +46,7 @@
 			// The stub has nothing to report.
 		},
 		async throttle(_unit, _run, percent) {
+			const isUncertain = worker.lateThrottles > 0;
 			if (worker.lateThrottles > 0) {
 				// The first attempt gets no response and is carried out late; the second one is accepted.
 				worker.lateThrottles -= 1;
@@ -55,7 +56,7 @@
 			}
 
 			worker.percent = percent;
-			return true;
+			return {outcome: 'accepted', isUncertain};
 		},
 		wake() {
 			// The stub renews no lease.
@@ -114,13 +115,13 @@
 	const {clock, now, activeJob, part, unit, startResults, stops, links, placements, ends, index, listed} =
 		createFixture(t);
 	placements.start(activeJob, part, ['w1']);
-	startResults[0]!({outcome: 'accepted'});
+	startResults[0]!({outcome: 'accepted', isUncertain: false});
 	await clock.tickAsync(500);
 	const sentMs = now();
 	await clock.tickAsync(100);
 	ends.handle(links.w1, {sequence: 1, unit, run: 1, how: 'failed', checkpoint: ''});
 	placements.start(activeJob, part, ['w2']);
-	startResults[1]!({outcome: 'accepted'});
+	startResults[1]!({outcome: 'accepted', isUncertain: false});
 	index();
 	await clock.tickAsync(100);
 	placements.reconcile(links.w1, [listed(1)], sentMs);
@@ -137,10 +138,25 @@
 	const {clock, now, activeJob, part, startResults, stops, links, placements, index, listed} = createFixture(t);
 	part.orderedRun = 1;
 	placements.start(activeJob, part, ['w2']);
-	startResults[0]!({outcome: 'accepted'});
+	startResults[0]!({outcome: 'accepted', isUncertain: false});
 	index();
 	await clock.tickAsync(100);
 	placements.reconcile(links.w1, [listed(1)], now());
 	await clock.tickAsync(100);
 	t.same(stops, [1]);
 });
+
+// Guards against a throttle that stays wrong on its worker after an older order was carried out late.
+await t.test('a throttle order that is carried out late is corrected', async (t) => {
+	const {clock, activeJob, part, startResults, worker, placements} = createFixture(t);
+	placements.start(activeJob, part, ['w1']);
+	startResults[0]!({outcome: 'accepted', isUncertain: false});
+	await clock.tickAsync(100);
+	const placement = part.placements[0]!;
+	worker.lateThrottles = 1;
+	placements.throttle(activeJob, part, placement, 50);
+	await clock.tickAsync(600);
+	placements.throttle(activeJob, part, placement, 0);
+	await clock.tickAsync(10_000);
+	t.ok(placement.throttlePercent === undefined || worker.percent === placement.throttlePercent, `${worker.percent}`);
+});
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -1,7 +1,7 @@
 import {formatUnitName, parseUnitName} from '@bergamotgauge/jobs';
 import {sleep} from '@bergamotgauge/lifecycle';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
-import {GANG_END_MS, STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
+import {GANG_END_MS, LATE_ORDER_MS, STOP_RETRY_MS, STOP_SETTLE_MS, THROTTLE_REPEAT_MS} from './constants.js';
 import {hasEnded, nextRun, partOf, stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
 import {extendWindow, openWindow} from './progress-window.js';
@@ -206,6 +206,7 @@
 			recentFigure: runningUnit.recentFigure,
 			// An earlier leader may have throttled the unit.
 			throttlePercent: undefined,
+			throttleDoubtUntilMs: 0,
 		});
 		part.orderedRun = Math.max(part.orderedRun, runningUnit.run);
 		activeJob.hasBegun = true;
@@ -297,10 +298,23 @@
 	const throttlePlacement = async (activeJob: ActiveJob, part: Part, placement: Placement, percent: number) => {
 		const unit = unitOf(activeJob, part, placement.index);
 		placement.throttlePercent = percent;
-		const isAccepted = await state.links.get(placement.workerId)?.throttle(unit, placement.run, percent);
-		log.info('unit-pace', {unit, run: placement.run, worker: placement.workerId, percent, isDone: isAccepted ?? false});
-		if (!isAccepted && placement.throttlePercent === percent) {
-			// The next pass retries the order.
+		const result = await state.links.get(placement.workerId)?.throttle(unit, placement.run, percent);
+		const isDone = result?.outcome === 'accepted';
+		log.info('unit-pace', {unit, run: placement.run, worker: placement.workerId, percent, isDone});
+		if (result?.outcome === 'unknown' || (isDone && result.isUncertain)) {
+			placement.throttleDoubtUntilMs = now() + LATE_ORDER_MS;
+		}
+
+		if (isDone) {
+			if (now() >= placement.throttleDoubtUntilMs) {
+				return;
+			}
+
+			await sleep(THROTTLE_REPEAT_MS, signal);
+		}
+
+		if (placement.throttlePercent === percent) {
+			// The next pass sends the order again.
 			placement.throttlePercent = undefined;
 		}
 	};
@@ -329,6 +343,7 @@
 				window: part.checkpoint === '' ? openWindow({atMs: now(), percent: 0}) : undefined,
 				recentFigure: undefined,
 				throttlePercent: 100,
+				throttleDoubtUntilMs: 0,
 			}));
 			log.info('part-start', {
 				job: activeJob.job.id,
--- a/packages/scheduler/src/test/active-job.ts
+++ b/packages/scheduler/src/test/active-job.ts
@@ -30,5 +30,6 @@
 	window: undefined,
 	recentFigure: undefined,
 	throttlePercent: 100,
+	throttleDoubtUntilMs: 0,
 	...change,
 });
--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -185,7 +185,7 @@
 	const sentMs = performance.now();
 	const started = link.start({unit: 'j.0.0.0', run: 1, spec: '', checkpoint: '', ticket: undefined}, () => true);
 	await clock.tickAsync(1000);
-	t.same(await started, {outcome: 'accepted'});
+	t.same(await started, {outcome: 'accepted', isUncertain: true});
 	t.ok(starts[1]! - sentMs <= 250);
 });
 
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -53,8 +53,7 @@
 	readonly stop: (unit: string, run: number) => Promise<boolean>;
 	/** Polls the progress of the active runs, independently of the renewal loop. */
 	readonly pollProgress: () => Promise<void>;
-	/** Resolves to whether the worker has accepted the order. */
-	readonly throttle: (unit: string, run: number, percent: number) => Promise<boolean>;
+	readonly throttle: (unit: string, run: number, percent: number) => Promise<OrderResult>;
 	/** Starts the next lease renewal at once if the loop is idle. */
 	readonly wake: () => void;
 	/** Renews the lease and receives reports until the signal aborts or the worker is gone. */
@@ -351,7 +350,7 @@
 				port.throttle({unit, run: runNumber, percent, token}, signal),
 			);
 			handleOrderResult(result);
-			return result.outcome === 'accepted';
+			return result;
 		},
 	};
 	return link;
--- a/packages/scheduler/src/worker-orders.ts
+++ b/packages/scheduler/src/worker-orders.ts
@@ -21,7 +21,8 @@
 
 /** What is known of an order after all of its attempts. */
 export type OrderResult =
-	| Readonly<{outcome: 'accepted'}>
+	/** With `isUncertain`, an earlier attempt without a response may still be carried out, after newer orders. */
+	| Readonly<{outcome: 'accepted'; isUncertain: boolean}>
 	/** No attempt has taken effect, and none can any more. */
 	| Readonly<{outcome: 'refused'; reason: StartRefusal}>
 	/** An attempt without a response may have taken effect or may still do so; `refusal` is the reply to a later one. */
@@ -110,7 +111,7 @@
 			}
 
 			if (reply.outcome === 'accepted') {
-				return {outcome: 'accepted'};
+				return {outcome: 'accepted', isUncertain: mayHaveRun};
 			}
 
 			refusal = reply.reason;
