Report an accepted apply as accepted when its effect cannot be read

An operator whose change was accepted got exit code 4, "the service is not available", and no generation in the JSON output when a later read of the proposals or of the status was refused or got no response: the refusal of a later call was taken for the outcome of the command.

The test failed before with exit code 4 for both.

--- a/packages/cli/src/declaration-commands.ts
+++ b/packages/cli/src/declaration-commands.ts
@@ -186,6 +186,54 @@
 
 type ApplyOptions = ConnectionOptions & WaitOptions & Readonly<{basedOn?: number}>;
 
+/** What is known about an accepted generation. */
+type Effect = {proposals?: readonly Proposal[]; notInForce?: readonly string[]};
+
+const printUnlessJson = ({json}: JsonOptions, line: string): void => {
+	if (!json) {
+		printLine(line);
+	}
+};
+
+const waitUntilInForce = async (client: OperatorClient, generation: number, options: ApplyOptions) => {
+	const notInForce = await pollUntil(
+		options.waitSeconds,
+		async () => findOutdatedInstances(client, generation),
+		(outdated) => outdated.length === 0,
+	);
+	if (notInForce.length > 0) {
+		process.exitCode = EXIT_CODES.notInForce;
+		printError(`generation ${generation} is not in force on: ${notInForce.join(', ')}`);
+	} else {
+		printUnlessJson(options, `generation ${generation} is in force on every live instance`);
+	}
+
+	return notInForce;
+};
+
+/** Adds to the effect what the instance reports about an accepted generation. */
+const readEffect = async (
+	effect: Effect,
+	client: OperatorClient,
+	{response, generation, options}: Readonly<{response: BundleResponse; generation: number; options: ApplyOptions}>,
+): Promise<void> => {
+	const isReadable = await canRead(client, response);
+	const proposals = isReadable ? await findProposals(client) : [];
+	effect.proposals = proposals;
+	for (const {pool, waitsFor} of proposals) {
+		printUnlessJson(
+			options,
+			`pool ${pool}: the terms are a proposal until ${waitsFor.join(' and ')} declares the same`,
+		);
+	}
+
+	if (options.wait && isReadable) {
+		effect.notInForce = await waitUntilInForce(client, generation, options);
+	} else if (options.wait) {
+		printError('the bootstrap token is no longer valid; run status with an operator token to see the instances');
+	}
+};
+
 const runApply = async (directory: string, options: ApplyOptions): Promise<void> => {
 	const client = connect(options);
 	const response = await client.bundle();
@@ -195,38 +243,24 @@
 	}
 
 	const generation = await applyOrExplain(client, options.basedOn ?? response.bundle?.generation ?? 0, declarations);
-	const printUnlessJson = (line: string) => {
-		if (!options.json) {
-			printLine(line);
+	printUnlessJson(options, `generation ${generation} accepted`);
+	const effect: Effect = {};
+	try {
+		await readEffect(effect, client, {response, generation, options});
+	} catch (error) {
+		if (!(error instanceof ServiceError)) {
+			throw error;
 		}
-	};
 
-	printUnlessJson(`generation ${generation} accepted`);
-	const isReadable = await canRead(client, response);
-	const proposals = isReadable ? await findProposals(client) : [];
-	for (const {pool, waitsFor} of proposals) {
-		printUnlessJson(`pool ${pool}: the terms are a proposal until ${waitsFor.join(' and ')} declares the same`);
-	}
-
-	let notInForce: readonly string[] | undefined;
-	if (options.wait && isReadable) {
-		notInForce = await pollUntil(
-			options.waitSeconds,
-			async () => findOutdatedInstances(client, generation),
-			(outdated) => outdated.length === 0,
-		);
-		if (notInForce.length > 0) {
+		// The command must not fail as if the change had been refused.
+		printError(`generation ${generation} is accepted, but its effect cannot be read: ${error.message}`);
+		if (options.wait) {
 			process.exitCode = EXIT_CODES.notInForce;
-			printError(`generation ${generation} is not in force on: ${notInForce.join(', ')}`);
-		} else {
-			printUnlessJson(`generation ${generation} is in force on every live instance`);
 		}
-	} else if (options.wait) {
-		printError('the bootstrap token is no longer valid; run status with an operator token to see the instances');
 	}
 
 	if (options.json) {
-		printJson({generation, proposals, ...(notInForce && {notInForce})});
+		printJson({generation, ...effect});
 	}
 };
 
--- a/packages/harness/src/daily-commands.test.ts
+++ b/packages/harness/src/daily-commands.test.ts
@@ -70,3 +70,35 @@
 	});
 	t.match(result, {code: 5, output: /generation 5 is not in force on: q2\n/v});
 });
+
+// Guards against an accepted change that is reported as failed because a later look at its effect was refused.
+await t.test('an accepted apply stays accepted when its effect cannot be read', async (t) => {
+	let isAccepted = false;
+	const server = createServer((request, response) => {
+		request.resume();
+		if (request.method === 'PUT') {
+			isAccepted = true;
+			response.end('{"generation": 5}');
+			return;
+		}
+
+		const refusal = {error: 'the instance is draining', code: 'draining', verdict: 'not-run'};
+		response.statusCode = isAccepted ? 503 : 200;
+		response.end(JSON.stringify(isAccepted ? refusal : {partner: 'quebec'}));
+	});
+	await once(server.listen(0, '127.0.0.1'), 'listening');
+	t.teardown(() => server.close());
+	const {port} = server.address() as AddressInfo;
+	const file = await write('accepted.yaml', 'kind: Customer\nname: x\npartner: quebec\nquota: {accelerators: 1}\n');
+	const url = `http://127.0.0.1:${port}`;
+	const environment = {BERGAMOTGAUGE_TOKEN: tokens.quebecOperator};
+	for (const [options, code] of [
+		[[], 0],
+		[['--wait', '--wait-seconds', '1'], 5],
+	] as const) {
+		isAccepted = false;
+		const result = await run(['apply', file, '--json', '--url', url, ...options], environment);
+		t.match(result, {code, output: /"generation": 5/v}, `exit code ${code}`);
+		t.match(result.output, /accepted, but its effect cannot be read: the instance is draining/v);
+	}
+});
