Allow a stop in progress for each listener of the term's signal

Each stop listens to the signal of the term while it waits for its next attempt or for the run to settle, and removes its listener afterwards. With more than ten at a time the runtime warned of a memory leak, as it did in the property test of leases, which runs without the warning now.

--- a/packages/scheduler/src/election.ts
+++ b/packages/scheduler/src/election.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
 import type {TransactionResult} from '@bergamotgauge/store';
@@ -138,6 +139,8 @@
 
 	const runTerm = async ({number, revision, lease, sentMs}: Claim) => {
 		const controller = new AbortController();
+		// Each stop in progress listens to this signal while it waits, so a large number of listeners is not a leak.
+		setMaxListeners(0, controller.signal);
 		let validUntilMs = sentMs + LEADER_TTL_MS - LEADER_MARGIN_MS;
 		let isPaused = false;
 		const resign = () => {
