Settle an unanswered start when its lease has expired

A unit whose starts got no response waited for the acceptance of its stop without a limit, so on a worker that refused every stop, and renewed its lease, it never ran again.

A worker refuses a start whose lease has expired. So the placement is now also removed when three reports that were sent after the last lease of the start do not list the run.

--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -14,7 +14,9 @@
 	acceptedMs: number | undefined;
 	/** Time at which the worker accepted a stop. */
 	stopAcceptedMs: number | undefined;
-	/** Consecutive reports of the worker that do not list the accepted run. */
+	/** Time after which no attempt at the start can take effect; `undefined` unless its outcome is unknown. */
+	startExpiryMs: number | undefined;
+	/** Consecutive reports of the worker that do not list the run though it was accepted or its start has expired. */
 	missedReports: number;
 	percent: number;
 	/** Started from the beginning by this leader, so that its duration is the run time of the unit. */
--- a/packages/scheduler/src/order-attempts.test.ts
+++ b/packages/scheduler/src/order-attempts.test.ts
@@ -302,3 +302,26 @@
 	t.equal(cluster.startsOf(unitOf(1)), 1);
 	t.same(violations, []);
 });
+
+// Guards against a unit that never runs again because the worker of its unanswered start refuses every stop.
+await t.test('a unit runs elsewhere when its starts have expired on a worker that refuses its stop', async (t) => {
+	const {scheduler, workers, advance, violations, firstTarget, submit} = await createFixture(t, 3000);
+	script(workers, 'start', ['delayed', 'delayed', 'delayed']);
+	for (const {faults} of workers) {
+		faults.patterns.stop = ['refused'];
+	}
+
+	await submit();
+	await advance(100);
+	const target = firstTarget();
+	script(
+		workers.filter((worker) => worker !== target),
+		'start',
+		[],
+	);
+	await advance(20_000);
+	target.release();
+	await advance(6000);
+	t.same(violations, []);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+});
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -172,6 +172,8 @@
 			// A gang makes no progress without all of its members.
 			stop(activeJob, part, 'gang-incomplete');
 		} else {
+			// All attempts have recorded their leases, and the worker refuses a start whose lease has expired.
+			placement.startExpiryMs = state.links.get(placement.workerId)?.expiryMs();
 			stop(activeJob, part, 'start-unanswered');
 		}
 	};
@@ -197,6 +199,7 @@
 			startedMs: now(),
 			acceptedMs: now(),
 			stopAcceptedMs: undefined,
+			startExpiryMs: undefined,
 			missedReports: 0,
 			percent: runningUnit.percent,
 			isFullRun: false,
@@ -285,7 +288,8 @@
 			return;
 		}
 
-		if (placement.acceptedMs !== undefined && sentMs > placement.acceptedMs) {
+		const mustBeListedMs = placement.acceptedMs ?? placement.startExpiryMs;
+		if (mustBeListedMs !== undefined && sentMs > mustBeListedMs) {
 			placement.missedReports += 1;
 			// A long list of ends is split over several reports, so the end may still follow.
 			if (placement.missedReports > 2) {
@@ -335,6 +339,7 @@
 				startedMs: now(),
 				acceptedMs: undefined,
 				stopAcceptedMs: undefined,
+				startExpiryMs: undefined,
 				missedReports: 0,
 				percent: 0,
 				isFullRun: part.checkpoint === '',
--- a/packages/scheduler/src/test/active-job.ts
+++ b/packages/scheduler/src/test/active-job.ts
@@ -22,6 +22,7 @@
 	startedMs: 0,
 	acceptedMs: 0,
 	stopAcceptedMs: undefined,
+	startExpiryMs: undefined,
 	missedReports: 0,
 	percent: 0,
 	isFullRun: true,
