End the repeats of a throttle that was replaced

A best-effort unit could work at a share that the leader had lowered: the repeat of a throttle without a response was sent after a newer one.

--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -45,7 +45,7 @@
 		async pollProgress() {
 			// The stub has nothing to report.
 		},
-		async throttle(_unit, _run, percent) {
+		async throttle({percent}) {
 			const isUncertain = worker.lateThrottles > 0;
 			if (worker.lateThrottles > 0) {
 				// The first attempt gets no response and is carried out late; the second one is accepted.
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -302,27 +302,39 @@
 	const throttlePlacement = async (activeJob: ActiveJob, part: Part, placement: Placement, percent: number) => {
 		const unit = unitOf(activeJob, part, placement.index);
 		placement.throttlePercent = percent;
-		const result = await state.links.get(placement.workerId)?.throttle(unit, placement.run, percent);
+		// A repeat of this order must not replace a newer one.
+		const isWanted = () => placement.throttlePercent === percent && part.placements.includes(placement);
+		const result = await state.links.get(placement.workerId)?.throttle({unit, run: placement.run, percent}, isWanted);
 		const isDone = result?.outcome === 'accepted';
 		log.info('unit-pace', {unit, run: placement.run, worker: placement.workerId, percent, isDone});
 		if (result?.outcome === 'unknown' || (isDone && result.isUncertain)) {
+			const isRepeating = now() < placement.throttleDoubtUntilMs;
 			placement.throttleDoubtUntilMs = now() + LATE_ORDER_MS;
-		}
-
-		if (isDone) {
-			if (now() >= placement.throttleDoubtUntilMs) {
-				return;
+			if (!isRepeating) {
+				void repeatThrottle(activeJob, part, placement);
 			}
-
-			await sleep(THROTTLE_REPEAT_MS, signal);
 		}
 
-		if (placement.throttlePercent === percent) {
+		if (!isDone && placement.throttlePercent === percent) {
 			// The next pass sends the order again.
 			placement.throttlePercent = undefined;
 		}
 	};
 
+	/** Repeats the latest throttle while an older one without a response may still be carried out after it. */
+	const repeatThrottle = async (activeJob: ActiveJob, part: Part, placement: Placement) => {
+		while (now() < placement.throttleDoubtUntilMs) {
+			await sleep(THROTTLE_REPEAT_MS, signal);
+			if (signal.aborted || !part.placements.includes(placement)) {
+				return;
+			}
+
+			if (placement.throttlePercent !== undefined) {
+				await throttlePlacement(activeJob, part, placement, placement.throttlePercent);
+			}
+		}
+	};
+
 	return {
 		stop,
 		throttle(activeJob, part, placement, percent) {
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -53,7 +53,11 @@
 	readonly stop: (unit: string, run: number) => Promise<boolean>;
 	/** Polls the progress of the active runs, independently of the renewal loop. */
 	readonly pollProgress: () => Promise<void>;
-	readonly throttle: (unit: string, run: number, percent: number) => Promise<OrderResult>;
+	readonly throttle: (
+		order: Readonly<{unit: string; run: number; percent: number}>,
+		/** Whether the unit is still to run at this share. */
+		isWanted: () => boolean,
+	) => Promise<OrderResult>;
 	/** Starts the next lease renewal at once if the loop is idle. */
 	readonly wake: () => void;
 	/** Renews the lease and receives reports until the signal aborts or the worker is gone. */
@@ -345,10 +349,9 @@
 
 			isPolling = false;
 		},
-		async throttle(unit, runNumber, percent) {
-			const result = await order('pace', {unit, run: runNumber}, async (signal) =>
-				port.throttle({unit, run: runNumber, percent, token}, signal),
-			);
+		async throttle({unit, run: runNumber, percent}, isWanted) {
+			const send = async (signal: AbortSignal) => port.throttle({unit, run: runNumber, percent, token}, signal);
+			const result = await order('pace', {unit, run: runNumber}, send, isWanted);
 			handleOrderResult(result);
 			return result;
 		},
