Do not refuse a running call of a caller because of the bytes after it

A caller whose request was followed by bytes that are not a request received a bare 400 while that request, such as the submission of a job, was running: Node answers unreadable bytes itself when a server has no handler for them, and that refusal was the first response on the connection.

--- a/packages/instance/src/http-server.ts
+++ b/packages/instance/src/http-server.ts
@@ -1,6 +1,5 @@
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import type {Duplex} from 'node:stream';
 import {
 	authenticate,
 	createErrorHandler,
@@ -10,7 +9,7 @@
 	type CallerService,
 } from '@bergamotgauge/caller';
 import type {Dispatcher} from '@bergamotgauge/endpoint';
-import type {Lifecycle} from '@bergamotgauge/lifecycle';
+import {refuseUnreadableRequests, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {ServiceError} from '@bergamotgauge/model';
 import {createOperatorRouter, type OperatorService} from '@bergamotgauge/operator';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
@@ -37,42 +36,6 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_CONNECTIONS = 10_000;
 
-const STATUS_BY_PARSE_ERROR: Readonly<Record<string, string>> = {
-	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
-/** Tracks which connections have a request that was read in full and is not answered yet. */
-const createConnectionTracker = () => {
-	const unanswered = new WeakMap<Duplex, Set<IncomingMessage>>();
-	return {
-		add(request: IncomingMessage, response: ServerResponse) {
-			const requests = unanswered.get(request.socket) ?? new Set();
-			unanswered.set(request.socket, requests.add(request));
-			response.once('close', () => {
-				requests.delete(request);
-			});
-		},
-		mayBeRunning: (socket: Duplex): boolean => [...(unanswered.get(socket) ?? [])].some(({complete}) => complete),
-	};
-};
-
-/**
-Responds to a request that could not be read or parsed; none of it has run.
-
-A caller would take the response for that to an earlier request on the connection which is still running, so the connection then ends without a response.
-*/
-const rejectUnparsableRequest = (error: Error, socket: Duplex, mayBeRunning: boolean): void => {
-	if (!socket.writable || mayBeRunning) {
-		socket.destroy();
-		return;
-	}
-
-	const code = 'code' in error ? String(error.code) : '';
-	const status = STATUS_BY_PARSE_ERROR[code] ?? '400 Bad Request';
-	socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\nrequest-verdict: not-run\r\ncontent-length: 0\r\n\r\n`);
-};
-
 const listen = async (server: Server, host: string, port: number): Promise<string> => {
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
@@ -115,7 +78,6 @@
 			log.error('request-failed', {error: error.message, stack: error.stack});
 		}),
 	);
-	const connections = createConnectionTracker();
 	const server = createServer(
 		{
 			maxHeaderSize: MAX_HEADER_BYTES,
@@ -124,13 +86,10 @@
 			connectionsCheckingInterval: TIMEOUT_CHECK_MS,
 		},
 		(request, response) => {
-			connections.add(request, response);
 			app(request, response);
 		},
 	);
-	server.on('clientError', (error, socket) => {
-		rejectUnparsableRequest(error, socket, connections.mayBeRunning(socket));
-	});
+	refuseUnreadableRequests(server, ['request-verdict: not-run']);
 	server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
 	server.maxConnections = MAX_CONNECTIONS;
 	lifecycle.add('http-server', async () => {
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -3,3 +3,4 @@
 export {DeadlineError, withDeadline} from './deadline.js';
 export {createLifecycle} from './lifecycle.js';
 export {sleep} from './sleep.js';
+export {refuseUnreadableRequests} from './unreadable-requests.js';
