Test that a job does not run on both sides of a cut between regions

The side without the store renews the lease of the worker that it reaches, as it must in a store outage; the side with the store takes that lease for expired 65 s after it lost the worker and starts the job elsewhere. The side without the store can't tell the two cases apart, so a fix needs a rule that keeps the guarantee for an outage of an hour; there is none here.

--- a/packages/instance/src/test/test-cluster.ts
+++ b/packages/instance/src/test/test-cluster.ts
@@ -32,6 +32,8 @@
 	owners?: readonly string[];
 	/** The replica gets no changes. */
 	isBehind?: boolean;
+	/** While this holds, store calls fail and the replica gets no changes. */
+	isCutOff?: () => boolean;
 	/** A dead worker does not respond, so its lease is not renewed. */
 	isWorkerDead?: (worker: string) => boolean;
 	/** A mute worker carries out its calls, but their responses are lost. */
@@ -50,13 +52,23 @@
 
 const passThrough: CallInterceptor = async (_name, call) => call();
 
-const interceptStore = (store: MemoryStore, intercept: CallInterceptor): Store => ({
-	get: async (key) => intercept(`get ${key}`, async () => store.get(key)),
-	list: async (prefix) => intercept(`list ${prefix}`, async () => store.list(prefix)),
-	put: async (key, value, expected) => intercept(`put ${key}`, async () => store.put(key, value, expected)),
-	remove: async (key, expected) => intercept(`remove ${key}`, async () => store.remove(key, expected)),
-	watch: store.watch,
-});
+const interceptStore = (store: MemoryStore, intercept: CallInterceptor, isCutOff: () => boolean): Store => {
+	const callStore = async <Result>(name: string, call: () => Promise<Result>): Promise<Result> =>
+		intercept(name, async () => {
+			if (isCutOff()) {
+				throw new ServiceError('no route to the store', {code: 'store-unavailable', verdict: 'not-run'});
+			}
+
+			return call();
+		});
+	return {
+		get: async (key) => callStore(`get ${key}`, async () => store.get(key)),
+		list: async (prefix) => callStore(`list ${prefix}`, async () => store.list(prefix)),
+		put: async (key, value, expected) => callStore(`put ${key}`, async () => store.put(key, value, expected)),
+		remove: async (key, expected) => callStore(`remove ${key}`, async () => store.remove(key, expected)),
+		watch: store.watch,
+	};
+};
 
 const failIf = (isLost: boolean, {name}: WorkerModel): void => {
 	if (isLost) {
@@ -200,6 +212,7 @@
 		isWorkerDead = () => false,
 		isWorkerMute = () => false,
 		isBehind = false,
+		isCutOff = () => false,
 	}) => {
 		const lifecycle = createLifecycle(id);
 		const replica = createReplica();
@@ -220,7 +233,7 @@
 			lifecycle,
 			log: createSilentLog(),
 			metrics: createMetrics(),
-			store: interceptStore(store, intercept),
+			store: interceptStore(store, intercept, isCutOff),
 			replica,
 			list: createFakeList(),
 			membership: createFakeMembership(owners),
@@ -237,7 +250,7 @@
 		});
 		replica.apply({revision: 1, entries: store.entries(), compacted: true});
 		const unsubscribe = store.events.on('changed', (changes) => {
-			if (!isBehind) {
+			if (!isBehind && !isCutOff()) {
 				replica.apply(changes);
 			}
 		});
