Count a throttle only after its worker has accepted it

A job ended with "used 4 cores after it was throttled" although its worker had refused the throttle, or its response was lost: a violation was counted before the throttle was sent, whatever came back.

The use of too many cores now counts once a throttle was accepted, and until then each pass sends the throttle again. The use of too much memory counts as before, because no throttle lowers it. The test failed before for a refused throttle and for a lost response: the job had ended, and no throttle reached the task once its worker accepted calls again.

--- a/packages/instance/src/failures.test.ts
+++ b/packages/instance/src/failures.test.ts
@@ -1,5 +1,5 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
-import type {JobRecord} from '@bergamotgauge/model';
+import {ServiceError, type JobRecord} from '@bergamotgauge/model';
 import t, {type Test} from 'tap';
 import {withEviction} from './rack-record.js';
 import {createTestCluster, specificationOf, type TestCluster} from './test/test-cluster.js';
@@ -155,6 +155,44 @@
 	await engine.close();
 });
 
+// Guards against a job that ends for its use of cores after a throttle that its worker refused or that got no response.
+await t.test('only an accepted throttle counts as carried out', async (t) => {
+	const clock = pauseClock(t);
+	for (const verdict of ['not-run', 'may-have-run'] as const) {
+		const cluster = await createTestCluster(1, 3, false);
+		let isRefusing = true;
+		const engine = cluster.startEngine({
+			id: 'one',
+			async intercept(name, call) {
+				if (isRefusing && name.startsWith('throttle')) {
+					throw new ServiceError('the throttle failed', {code: 'worker-failed', verdict});
+				}
+
+				return call();
+			},
+		});
+		const busy = await engine.jobs.submit('alpha', specificationOf(1, {runMs: 120_000, coresUsed: 4}));
+		const large = await engine.jobs.submit('alpha', specificationOf(1, {runMs: 120_000, memoryGigabytesUsed: 2}));
+		await clock.tickAsync(60_000);
+		t.equal(engine.jobs.get(busy.id)?.state, 'queued', `${verdict}: the job over its cores runs`);
+		t.equal(
+			engine.jobs.get(large.id)?.outcome?.reason,
+			'a task used 2 GB of memory, 1 GB are declared',
+			`${verdict}: a throttle does not lower the use of memory, so that job ends without one`,
+		);
+
+		isRefusing = false;
+		await clock.tickAsync(1000);
+		const throttled = [...cluster.workers.values()]
+			.flatMap(({tasks}) => [...tasks.values()])
+			.filter((task) => task.job === busy.id && task.throttledTo === 1);
+		t.equal(throttled.length, 1, `${verdict}: the throttle is sent again`);
+		await clock.tickAsync(120_000);
+		t.equal(engine.jobs.get(busy.id)?.outcome?.kind, 'succeeded', `${verdict}: the throttled job succeeds`);
+		await engine.close();
+	}
+});
+
 // Guards against a job that waits forever because it has failed on every worker that could run it.
 await t.test('a job that fails on every worker ends as failed', async (t) => {
 	const clock = pauseClock(t);
--- a/packages/instance/src/usage-guard.ts
+++ b/packages/instance/src/usage-guard.ts
@@ -10,6 +10,9 @@
 
 export type DeclaredSize = Readonly<{cores: number; memoryGigabytes: number}>;
 
+const usesTooMuchMemory = (report: TaskReport, declared: DeclaredSize): boolean =>
+	report.memoryGigabytesUsed > declared.memoryGigabytes * USAGE_TOLERANCE;
+
 /**
 Evaluates the usage of one task. Reports lag, so a task is stopped only after several consecutive checks over its declared size.
 
@@ -21,7 +24,7 @@
 @param violations Number of consecutive checks that found the task over its declared size, this one included.
 */
 export const evaluateUsage = (report: TaskReport, declared: DeclaredSize, violations: number): UsageAction => {
-	const isOverMemory = report.memoryGigabytesUsed > declared.memoryGigabytes * USAGE_TOLERANCE;
+	const isOverMemory = usesTooMuchMemory(report, declared);
 	const isOverCores = report.coresUsed > declared.cores * USAGE_TOLERANCE;
 	if (!isOverMemory && !isOverCores) {
 		return {kind: 'within'};
@@ -42,7 +45,12 @@
 	check: (gang: Gang) => Promise<void>;
 }>;
 
-type UsageViolations = Readonly<{atMs: number; count: number}>;
+type UsageViolations = Readonly<{
+	atMs: number;
+	count: number;
+	/** Whether the worker has accepted a throttle of the task. */
+	isThrottled: boolean;
+}>;
 
 const findWorker = ({context}: GangActionOptions, rack: string, name: string): Worker | undefined =>
 	bundleOf(context.replica)
@@ -68,41 +76,48 @@
 	const violations = new Map<string, UsageViolations>();
 	const {context, jobs, links} = options;
 
-	const countViolations = (key: string, isOver: boolean): number | undefined => {
-		const nowMs = Date.now();
-		const previous = violations.get(key);
-		if (previous && nowMs - previous.atMs < USAGE_VIOLATION_INTERVAL_MS) {
-			return undefined;
-		}
-
-		const count = isOver ? (previous?.count ?? 0) + 1 : 0;
-		if (count === 0) {
-			violations.delete(key);
-		} else {
-			violations.set(key, {atMs: nowMs, count});
-		}
-
-		return count;
-	};
-
 	const checkTask = async (gang: Gang, job: JobRecord, index: number): Promise<void> => {
 		const {placement} = gang;
 		const block = placement.blocks[index]!;
 		const report = reportsOf(placement, links.tasks)[index];
-		if (report?.state !== 'running' || findWorker(options, gang.rack, block.worker)?.guards !== false) {
+		const client = links.client(block.worker);
+		if (!client || report?.state !== 'running' || findWorker(options, gang.rack, block.worker)?.guards !== false) {
 			return;
 		}
 
 		const declared = declaredSize(job, block.count);
-		const isOver = evaluateUsage(report, declared, 1).kind !== 'within';
-		const count = countViolations(violationKey(placement, block.worker), isOver);
-		const action = count === undefined ? {kind: 'within' as const} : evaluateUsage(report, declared, count);
-		if (action.kind === 'throttle') {
-			context.log.warn('task-throttled', {job: job.id, worker: block.worker, cores: action.cores});
-			await links.client(block.worker)?.throttle(placement, action.cores);
-		} else if (action.kind === 'stop') {
-			violations.delete(violationKey(placement, block.worker));
-			await jobs.end(job.id, {kind: 'failed', verdict: 'ran', reason: action.reason});
+		const key = violationKey(placement, block.worker);
+		const previous = violations.get(key);
+		if (previous && Date.now() - previous.atMs < USAGE_VIOLATION_INTERVAL_MS) {
+			return;
+		}
+
+		const isThrottled = previous?.isThrottled ?? false;
+		// Using too many cores counts once a throttle was accepted. No throttle lowers the use of memory.
+		const isCounted = isThrottled || usesTooMuchMemory(report, declared);
+		const count = isCounted ? (previous?.count ?? 0) + 1 : 1;
+		const action = evaluateUsage(report, declared, count);
+		switch (action.kind) {
+			case 'within': {
+				violations.delete(key);
+				break;
+			}
+
+			case 'throttle': {
+				if (isCounted) {
+					violations.set(key, {atMs: Date.now(), count, isThrottled});
+				}
+
+				await client.throttle(placement, action.cores);
+				violations.set(key, {atMs: Date.now(), count, isThrottled: true});
+				context.log.warn('task-throttled', {job: job.id, worker: block.worker, cores: action.cores});
+				break;
+			}
+
+			case 'stop': {
+				violations.delete(key);
+				await jobs.end(job.id, {kind: 'failed', verdict: 'ran', reason: action.reason});
+			}
 		}
 	};
 
