Ask again for a checkpoint that is refused for now

An evicted task was stopped, and its progress lost, when its worker refused the checkpoint with 429 or 503, although the grace period went on: every refusal was taken for a lasting one, and the error of the worker's client did not say which it was.

The error now has the status of the response. Only a client error other than 429 leads to a stop at once; after any other failure the next pass asks again until the grace period ends, when the task is stopped as before. The test failed before: after two refusals with 429 or 503 there was no checkpoint and no second request.

--- a/packages/instance/src/constants.ts
+++ b/packages/instance/src/constants.ts
@@ -80,3 +80,6 @@
 
 /** Delay of the standby watcher, which only covers for a failed primary. */
 export const STANDBY_WATCH_PAUSE_MS = 250;
+
+/** A worker that refuses a call with this status accepts it later. */
+export const TOO_MANY_REQUESTS_STATUS = 429;
--- a/packages/instance/src/gang-actions.ts
+++ b/packages/instance/src/gang-actions.ts
@@ -5,9 +5,11 @@
 	type JobClass,
 	type JobRecord,
 	type Placement,
+	type ServiceError,
 	type TaskReport,
 } from '@bergamotgauge/model';
 import type {TaskReference, WorkerClient} from '@bergamotgauge/worker';
+import {TOO_MANY_REQUESTS_STATUS} from './constants.js';
 import {bundleOf, type Context} from './context.js';
 import {reportsOf} from './gang.js';
 import type {JobStore} from './job-store.js';
@@ -223,7 +225,11 @@
 	await releaseGang(options, gang);
 };
 
-/** Checkpoints every task; a task whose checkpoint is refused or does not complete within the grace period is stopped. */
+/** Whether a worker refused a call with a client error that does not pass with time. */
+const isLastingRefusal = ({verdict, status}: ServiceError): boolean =>
+	verdict === 'not-run' && status < 500 && status !== TOO_MANY_REQUESTS_STATUS;
+
+/** Checkpoints every task. A task is stopped if its worker refuses the checkpoint for good, or if it is not made within the grace period. */
 export const checkpointGang = async (options: GangActionOptions, gang: Gang): Promise<void> => {
 	const {placement} = gang;
 	if (Date.now() >= (placement.evictByMs ?? 0)) {
@@ -235,13 +241,13 @@
 		try {
 			return await client.checkpoint(referenceOf(placement));
 		} catch (error) {
-			const {message, verdict} = toServiceError(error, 'may-have-run');
-			options.context.log.warn('checkpoint-failed', {job: placement.job, error: message});
-			if (verdict === 'not-run') {
+			const failure = toServiceError(error, 'may-have-run');
+			options.context.log.warn('checkpoint-failed', {job: placement.job, error: failure.message});
+			if (isLastingRefusal(failure)) {
 				return client.stop(referenceOf(placement));
 			}
 
-			// A stop would discard the checkpoint if it was made; the next pass asks again.
+			// A stop would discard the progress, or the checkpoint if it was made; the next pass asks again.
 			throw error;
 		}
 	});
--- a/packages/instance/src/lost-responses.test.ts
+++ b/packages/instance/src/lost-responses.test.ts
@@ -142,3 +142,40 @@
 		await engine.close();
 	}
 });
+
+// Guards against a task that loses its progress because its worker could not make the checkpoint at the first request.
+await t.test('a checkpoint that the worker refuses for now is asked for again in the grace period', async (t) => {
+	const clock = pauseClock(t);
+	for (const [status, refusals, checkpointAttempt] of [
+		[429, 2, 1],
+		[503, 2, 1],
+		[503, Number.POSITIVE_INFINITY, undefined],
+		[400, 1, undefined],
+	] as const) {
+		const cluster = await createTestCluster();
+		let calls = 0;
+		const engine = cluster.startEngine({
+			id: 'one',
+			async intercept(name, call) {
+				if (name.startsWith('checkpoint')) {
+					calls += 1;
+					if (calls <= refusals) {
+						throw new ServiceError('the worker refuses', {code: 'worker-failed', verdict: 'not-run', status});
+					}
+				}
+
+				return call();
+			},
+		});
+		const {id} = await engine.jobs.submit('alpha', specificationOf(8, {runMs: 60_000, checkpointMs: 100}));
+		await clock.tickAsync(1000);
+		const evicted = engine.racks.write('r0', (record) => withEviction(record, id, Date.now() + 2000));
+		await clock.tickAsync(3000);
+		await evicted;
+		const name = `${refusals} refusals with status ${status}`;
+		t.match(engine.jobs.get(id), {state: 'queued', attempt: 2}, `${name}: the task has ended`);
+		t.equal(engine.jobs.get(id)?.checkpointAttempt, checkpointAttempt, `${name}: checkpoint`);
+		t.equal(calls > 1, status !== 400, `${name}: only a refusal for now is followed by another request`);
+		await engine.close();
+	}
+});
--- a/packages/instance/src/worker-calls.test.ts
+++ b/packages/instance/src/worker-calls.test.ts
@@ -17,16 +17,21 @@
 	payload: {runMs: 60_000},
 };
 
-const verdictOf = async (call: Promise<unknown>): Promise<Verdict> => {
+const errorOf = async (call: Promise<unknown>): Promise<ServiceError | undefined> => {
 	try {
 		await call;
-		return 'ran';
+		return undefined;
 	} catch (error) {
-		return (error as ServiceError).verdict;
+		return error as ServiceError;
 	}
 };
 
-// Guards against a `not-run` for a call that may have run, with which a caller would give up or repeat the wrong work.
+const verdictOf = async (call: Promise<unknown>): Promise<Verdict> => {
+	const error = await errorOf(call);
+	return error?.verdict ?? 'ran';
+};
+
+// Guards against a `not-run` for a call that may have run, with which a caller would give up or repeat the wrong work, and against a refusal for now that looks like a lasting one.
 await t.test('only refusals of the worker itself prove that a call has not run', async (t) => {
 	for (const [status, verdict] of [
 		[400, 'not-run'],
@@ -46,7 +51,7 @@
 		});
 		const {port} = server.address() as AddressInfo;
 		const client = createWorkerClient(`http://127.0.0.1:${port}`);
-		t.equal(await verdictOf(client.start(TASK)), verdict, `status ${status}`);
+		t.match(await errorOf(client.start(TASK)), {verdict, status}, `status ${status}`);
 		server.close();
 	}
 });
--- a/packages/worker/src/worker-client.ts
+++ b/packages/worker/src/worker-client.ts
@@ -26,7 +26,7 @@
 await worker.start(task);
 ```
 
-Calls throw `stale-token` when the worker has seen a newer fencing token or the accelerators are taken, and `worker-failed` with a verdict otherwise.
+Calls throw `stale-token` when the worker has seen a newer fencing token or the accelerators are taken, and `worker-failed` with a verdict otherwise. The status is that of the worker's response.
 */
 export const createWorkerClient = (address: string): WorkerClient => {
 	const agent = new Agent({connections: 4, pipelining: 1});
@@ -56,6 +56,7 @@
 						const reason = (responseBody as Readonly<{error?: string}>).error ?? `status ${response.statusCode}`;
 						throw new ServiceError(`worker ${address} refused: ${reason}`, {
 							code: response.statusCode === STALE_TOKEN_STATUS ? 'stale-token' : 'worker-failed',
+							status: response.statusCode,
 							verdict: isRefusal(response.statusCode) ? 'not-run' : 'may-have-run',
 						});
 					}
