Make the failure table of the dispatcher independent of the load

The row "stall, idempotent" expects a second run after the attempt timeout, which is 20 times the mean run time and at least 2 s. The mean came from real run times: with 6 busy processes beside the test, attempt timeouts of 2.97 to 3.97 s were measured, beyond the 3 s after which the stalled response arrives, and then there is 1 run. Delaying the warm-up responses by 200 ms gave exactly this in two of two runs, for both rows with a stall.

Durations now measure 0 in the table, so the timeout is its minimum; timers run as before and every expectation is unchanged. The test passed twice with the delayed warm-up and three times beside 6 busy processes, and both rows with a stall still fail when the minimum timeout is raised to 4 s.

--- a/packages/endpoint/src/dispatcher.test.ts
+++ b/packages/endpoint/src/dispatcher.test.ts
@@ -64,6 +64,14 @@
 	return {endpoints, dispatcher, leaving, metrics, send};
 };
 
+/** Every duration measures 0, while timers run. On a busy machine the attempt timeout, a multiple of the mean run time, would exceed the 3 s of a stall. */
+const pauseMeasuredTime = (t: Pick<Test, 'teardown'>): void => {
+	const clock = FakeTimers.install({toFake: ['performance']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+};
+
 const runsOf = (endpoints: readonly FakeEndpoint[]): number => endpoints.reduce((sum, {runs}) => sum + runs(), 0);
 
 // Guards against opening more connections than an endpoint accepts, and against a slot without a connection.
@@ -102,6 +110,7 @@
 // Guards against a second run of an at-most-once request, a lost idempotent one, a wrong verdict, and a response that
 // is delivered to the next request of the same endpoint.
 await t.test('failure table', async (t) => {
+	pauseMeasuredTime(t);
 	t.jobs = ROWS.length;
 	for (const {behaviour, idempotent, atMostOnce, deadlineMs} of ROWS) {
 		for (const [retryRule, [result, runs]] of [
@@ -182,10 +191,7 @@
 // Guards against retries multiplying the load when every endpoint fails.
 await t.test('retries stay within the budget and the ejected endpoints within their cap', async (t) => {
 	// Without time passing no ejection ends, so their number does not depend on the machine's load.
-	const clock = FakeTimers.install({toFake: ['performance']});
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	pauseMeasuredTime(t);
 	const {endpoints, dispatcher, metrics, send} = await setUp(t, 10);
 	for (const endpoint of endpoints) {
 		endpoint.script.push(...Array.from<Behaviour>({length: 1000}).fill('die-after-running'));
