Report an accepted drain as accepted when the status is refused

The command now asks again until the wait time ends. If the state can't be read then, it says so, and ends with code 5 without `stopped` in the JSON output. The test failed before, also when only the first two status calls were refused.

--- a/packages/cli/src/service-commands.ts
+++ b/packages/cli/src/service-commands.ts
@@ -108,27 +108,40 @@
 			}
 		});
 
+/** Whether a drained instance has stopped, or why that cannot be read. */
+type DrainState = Readonly<{isStopped: boolean}> | Readonly<{error: ServiceError}>;
+
 const waitUntilStopped = async (
 	options: ConnectionOptions & WaitOptions,
 	id: string,
 	initialStatus: Status,
-): Promise<boolean> => {
+): Promise<DrainState> => {
 	const client = connect(options);
-	const isListed = async (): Promise<boolean> => {
+	const readState = async (): Promise<DrainState> => {
 		try {
 			const {instances} = await client.status();
-			return instances.some((instance) => instance.id === id && instance.health !== 'dead');
+			return {isStopped: !instances.some((instance) => instance.id === id && instance.health !== 'dead')};
 		} catch (error) {
-			// The polled instance may be the one that drains, which then stops listening.
-			if (initialStatus.answeredBy === id && error instanceof ServiceError && error.code === 'peer-unavailable') {
-				return false;
+			if (!(error instanceof ServiceError)) {
+				throw error;
 			}
 
-			throw error;
+			// The polled instance may be the one that drains, which then stops listening.
+			return initialStatus.answeredBy === id && error.code === 'peer-unavailable' ? {isStopped: true} : {error};
 		}
 	};
 
-	return !(await pollUntil(options.waitSeconds, isListed, (isStillListed) => !isStillListed));
+	return pollUntil(options.waitSeconds, readState, (state) => 'isStopped' in state && state.isStopped);
+};
+
+/** Reports a drain that is accepted but not known to have ended. The command must not fail as if the drain had been refused. */
+const printUnfinishedDrain = (instance: string, state: DrainState, {waitSeconds}: WaitOptions): void => {
+	process.exitCode = EXIT_CODES.notInForce;
+	printError(
+		'error' in state
+			? `${instance} is draining, but its state cannot be read: ${state.error.message}`
+			: `${instance} has not stopped within ${waitSeconds} s`,
+	);
 };
 
 /** `drain`: stops an instance gracefully. */
@@ -142,15 +155,15 @@
 			const client = connect(options);
 			const initialStatus = await client.status();
 			await client.call('POST', `/v1/operator/instances/${encodeURIComponent(instance)}/drain`, {});
-			const isStopped = options.wait ? await waitUntilStopped(options, instance, initialStatus) : undefined;
+			const state = options.wait ? await waitUntilStopped(options, instance, initialStatus) : undefined;
+			const isStopped = state && 'isStopped' in state ? state.isStopped : undefined;
 			if (options.json) {
 				printJson({instance, ...(isStopped !== undefined && {stopped: isStopped})});
 			} else {
 				printLine(isStopped ? `${instance} has stopped` : `${instance} is draining`);
 			}
 
-			if (isStopped === false) {
-				process.exitCode = EXIT_CODES.notInForce;
-				printError(`${instance} has not stopped within ${options.waitSeconds} s`);
+			if (state && !isStopped) {
+				printUnfinishedDrain(instance, state, options);
 			}
 		});
--- a/packages/harness/src/daily-commands.test.ts
+++ b/packages/harness/src/daily-commands.test.ts
@@ -102,3 +102,41 @@
 		t.match(result.output, /accepted, but its effect cannot be read: the instance is draining/v);
 	}
 });
+
+// Guards against an accepted drain that is reported as failed because a later look at the instances was refused.
+await t.test('an accepted drain stays accepted when the status is refused', async (t) => {
+	let isAccepted = false;
+	let refusals = 0;
+	const server = createServer((request, response) => {
+		request.resume();
+		if (request.method === 'POST') {
+			isAccepted = true;
+			response.end('{}');
+		} else if (isAccepted && refusals > 0) {
+			refusals -= 1;
+			response.statusCode = 503;
+			response.end(JSON.stringify({error: 'the instance is overloaded', code: 'overloaded', verdict: 'not-run'}));
+		} else {
+			const instances = isAccepted ? [] : [{id: 'q1', health: 'alive'}];
+			response.end(JSON.stringify({answeredBy: 'q2', instances}));
+		}
+	});
+	await once(server.listen(0, '127.0.0.1'), 'listening');
+	t.teardown(() => server.close());
+	const {port} = server.address() as AddressInfo;
+	const command = ['drain', 'q1', '--wait', '--wait-seconds', '1', '--url', `http://127.0.0.1:${port}`];
+	const environment = {BERGAMOTGAUGE_TOKEN: tokens.quebecOperator};
+
+	refusals = 2;
+	t.match(await run(command, environment), {code: 0, output: 'q1 has stopped'});
+	for (const [options, output] of [
+		[[], 'q1 is draining\n'],
+		[['--json'], /\{\s*"instance": "q1"\s*\}/v],
+	] as const) {
+		isAccepted = false;
+		refusals = Number.POSITIVE_INFINITY;
+		const result = await run([...command, ...options], environment);
+		t.match(result, {code: 5, output});
+		t.match(result.output, /q1 is draining, but its state cannot be read: the instance is overloaded/v);
+	}
+});
