--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -1,4 +1,12 @@
-import {partKey, type Job, type PartRecord, type Progress, type RunEnd, type Step} from '@bergamotgauge/jobs';
+import {
+	formatUnitName,
+	partKey,
+	type Job,
+	type PartRecord,
+	type Progress,
+	type RunEnd,
+	type Step,
+} from '@bergamotgauge/jobs';
 import {RUNS_PER_TERM} from './constants.js';
 import type {ProgressWindow} from './progress-window.js';
 
@@ -241,3 +249,7 @@
 };
 
 export const stepOf = (activeJob: ActiveJob, part: Part): Step => activeJob.job.steps[part.step]!;
+
+/** Name of a unit on its worker. */
+export const unitNameOf = (activeJob: ActiveJob, part: Part, index: number): string =>
+	formatUnitName({jobId: activeJob.job.id, occurrence: part.occurrence, step: part.step, index});
