--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -10,6 +10,7 @@
 	WORKER_RETRY_MS,
 } from './constants.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, StartRefusal, Worker, WorkerPort} from './types.js';
+import {createReportedEnds} from './reported-ends.js';
 import {createWaker} from './waker.js';
 import {createWorkerClock} from './worker-clock.js';
 import {createOrderSender, type OrderResult} from './worker-orders.js';
@@ -98,14 +99,7 @@
 		link.worker.state === 'draining' ? DRAINING_LEASE_MS : bounds.maxLeaseMs * LEASE_SHARE;
 	let state: WorkerLinkState = 'unsynced';
 	const isGone = (): boolean => state === 'gone';
-	/** Last end that has been passed to `onEnds`. */
-	let forwardedSequence = 0;
-	/** Last end that is stored and may be acknowledged to the worker. */
-	let acknowledgedSequence = 0;
 	let isPolling = false;
-	/** The pending store of ends; resolves to whether all ends so far are stored. */
-	let pendingStore: Promise<boolean> | undefined;
-
 	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
 		if (state !== next) {
 			log.info('worker-link', {worker: options.worker.id, from: state, to: next, token, ...fields});
@@ -150,45 +144,12 @@
 		observeReply,
 	});
 
-	/**
-	Stores ends and then has them acknowledged. Acknowledgement is cumulative and the ends of a later report may be stored first, so each batch waits for the earlier ones.
-	*/
-	const storeEnds = async (ended: readonly EndedUnit[], lastSequence: number, earlier: Promise<boolean>) => {
-		let isStored = false;
-		try {
-			await events.onEnds(link, ended);
-			isStored = true;
-		} catch (error) {
-			// The term has ended; the worker reports the unacknowledged ends to the next leader again.
-			log.info('ends-not-stored', {worker: options.worker.id, error: toServiceError(error, 'not-run').message});
-		}
-
-		if ((await earlier) && isStored) {
-			acknowledgedSequence = lastSequence;
-			return true;
-		}
-
-		return false;
-	};
-
-	const handleEnds = (ended: readonly EndedUnit[]) => {
-		const fresh = ended.filter(({sequence}) => sequence > forwardedSequence);
-		if (fresh.length === 0) {
-			return;
-		}
-
-		forwardedSequence = Math.max(...fresh.map(({sequence}) => sequence));
-		const stored = storeEnds(fresh, forwardedSequence, pendingStore ?? Promise.resolve(true));
-		pendingStore = stored;
-		void (async () => {
-			await stored;
-			if (pendingStore === stored) {
-				pendingStore = undefined;
-			}
-
-			waker.wake();
-		})();
-	};
+	const ends = createReportedEnds({
+		workerId: options.worker.id,
+		log,
+		store: async (ended) => events.onEnds(link, ended),
+		onSettled: waker.wake,
+	});
 
 	/** Resolves to the reason for which the worker has refused the renewal, `undefined` if it has renewed the lease. */
 	const renewLease = async (signal: AbortSignal): Promise<StartRefusal | undefined> => {
@@ -206,7 +167,7 @@
 			waitMs + RENEWAL_GRACE_MS,
 			async (deadlineSignal) =>
 				port.renewLease(
-					{token, acknowledgedSequence, waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})},
+					{token, acknowledgedSequence: ends.acknowledged(), waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})},
 					deadlineSignal,
 				),
 			signal,
@@ -220,7 +181,7 @@
 
 		observeReply(report, sentMs);
 		setState('synced', isFirst ? {running: report.running.length, ended: report.ended.length} : {});
-		handleEnds(report.ended);
+		ends.handle(report.ended);
 		events.onReport(link, report.running, sentMs);
 		return undefined;
 	};
@@ -242,22 +203,22 @@
 				continue;
 			}
 
-			if (pendingStore) {
+			if (ends.isStoring()) {
 				// A worker responds at once while it has unacknowledged ends, so until these are stored, renewals only extend the lease.
-				await Promise.race([pendingStore, sleep(RENEWAL_WAIT_MS / 2, signal)]);
+				await Promise.race([ends.settled(), sleep(RENEWAL_WAIT_MS / 2, signal)]);
 				// The term may have lapsed meanwhile, and a later leader does not wait for leases that are granted after it.
 				if (!mayOrder()) {
 					continue;
 				}
 			}
 
-			const hasUnacknowledgedEnds = acknowledgedSequence > sentSequence;
-			if (state === 'synced' && !events.hasWork(link) && !hasUnacknowledgedEnds && !pendingStore) {
+			const hasUnacknowledgedEnds = ends.acknowledged() > sentSequence;
+			if (state === 'synced' && !events.hasWork(link) && !hasUnacknowledgedEnds && !ends.isStoring()) {
 				await waker.wait(signal);
 				continue;
 			}
 
-			const sendingSequence = acknowledgedSequence;
+			const sendingSequence = ends.acknowledged();
 			try {
 				const refusal = await renewLease(signal);
 				if (refusal === undefined) {
@@ -333,13 +294,13 @@
 			const sentMs = now();
 			try {
 				const report = await withDeadline(PROGRESS_POLL_DEADLINE_MS, async (deadlineSignal) =>
-					port.renewLease({token, acknowledgedSequence, waitMs: 0}, deadlineSignal),
+					port.renewLease({token, acknowledgedSequence: ends.acknowledged(), waitMs: 0}, deadlineSignal),
 				);
 				if (report.outcome === 'refused') {
 					handleRefusal(report.reason);
 				} else {
 					// An earlier report with these ends may have been lost.
-					handleEnds(report.ended);
+					ends.handle(report.ended);
 					events.onProgress(link, report.running, sentMs);
 				}
 			} catch (error) {
