--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -22,7 +22,7 @@
 	remainingMs: number | undefined;
 }>;
 
-/** Why a start has had no effect. */
+/** Why an order has had no effect. */
 export type StartRefusal =
 	/** The worker has seen a newer fencing token. */
 	| 'stale-token'
