Let the store stand-in silence single watches and slow its listings

The stand-in failed all calls at once or none, so no test could have a leader whose lease is renewed while it hears nothing of the jobs, and no listing took time. Watches of a prefix can now get no response, either those in progress (one dead connection) or all until further notice, and the listings of a prefix can take time after they were read.

--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -82,7 +82,7 @@
 	violations: readonly RunViolation[];
 }>;
 
-const WORKER_PREFIX = 'workers/';
+export const WORKER_PREFIX = 'workers/';
 
 /** Creates a cluster on a fake clock; it is closed when the test ends. */
 export const createTestCluster = (
--- a/packages/scheduler/src/test/memory-key-value.ts
+++ b/packages/scheduler/src/test/memory-key-value.ts
@@ -1,27 +1,16 @@
+import {sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError, type Verdict} from '@bergamotgauge/model';
 import type {KeyChanges, KeyValueStore, StoredItem, Transaction, TransactionResult} from '@bergamotgauge/store';
 import Emittery from 'emittery';
-
-export type StoreFaults = {
-	/** Calls fail without taking effect; leases are paused unless `isLapsing`. */
-	isDown: boolean;
-	/** Leases expire while the store is down. */
-	isLapsing: boolean;
-	/** Number of following transactions that are applied but whose responses are lost. */
-	lostResponses: number;
-	/** Number of following transactions that get no response and are applied by `release`. */
-	delayed: number;
-	/** Number of following lease renewals that get no response and do not take effect. */
-	silentRenewals: number;
-	/** The history before the current revision is compacted. */
-	isCompacted: boolean;
-};
+import {createStoreFaults, type StoreFaults} from './store-faults.js';
 
 /** An in-memory store with revisions, leases, watches and fault injection. */
 export type MemoryKeyValue = KeyValueStore &
 	Readonly<{
 		faults: StoreFaults;
 		items: () => readonly StoredItem[];
+		/** Silences the watches of a prefix that are in progress, as when their connections die; new ones work. */
+		silenceWatches: (prefix: string) => void;
 		/** Applies the delayed transactions whose preconditions still hold. */
 		release: () => void;
 		/** Pauses the expiry of leases, as happens while the store is unavailable. */
@@ -37,6 +26,9 @@
 /** Client timeout of a call without a response. */
 const CALL_TIMEOUT_MS = 800;
 
+/** Added to the wait of a watch to give the client timeout of a watch without a response. */
+const WATCH_TIMEOUT_MARGIN_MS = 700;
+
 const unavailable = (verdict: Verdict): ServiceError =>
 	new ServiceError('the store does not answer', {code: 'store-unavailable', verdict});
 
@@ -45,16 +37,11 @@
 	const items = new Map<string, StoredItem>();
 	const events: Event[] = [];
 	const changed = new Emittery<{changed: undefined}>();
+	/** Watches in progress, by the controllers that silence them. */
+	const openWatches = new Map<AbortController, string>();
 	const leases = new Map<number, {ttlMs: number; timer: NodeJS.Timeout}>();
 	const delayed: Transaction[] = [];
-	const faults: StoreFaults = {
-		isDown: false,
-		isLapsing: false,
-		lostResponses: 0,
-		delayed: 0,
-		silentRenewals: 0,
-		isCompacted: false,
-	};
+	const faults = createStoreFaults();
 	let revision = 1;
 	let nextLease = 1;
 	let compactedRevision = 0;
@@ -149,6 +136,26 @@
 		isListing: true,
 	});
 
+	/** Resolves at the next change, after `limitMs`, or when one of the signals aborts. */
+	const waitForChange = async (limitMs: number, signals: readonly AbortSignal[]) =>
+		new Promise<void>((resolve) => {
+			const finish = () => {
+				clearTimeout(timer);
+				stopListening();
+				for (const signal of signals) {
+					signal.removeEventListener('abort', finish);
+				}
+
+				resolve();
+			};
+
+			const timer = setTimeout(finish, limitMs);
+			const stopListening = changed.on('changed', finish);
+			for (const signal of signals) {
+				signal.addEventListener('abort', finish);
+			}
+		});
+
 	const changesAfter = (prefix: string, afterRevision: number): KeyChanges => {
 		const last = new Map(
 			events
@@ -166,6 +173,13 @@
 	return {
 		faults,
 		items: () => [...items.values()],
+		silenceWatches(prefix) {
+			for (const [silenced, watched] of openWatches) {
+				if (watched === prefix) {
+					silenced.abort();
+				}
+			}
+		},
 		release() {
 			for (const transaction of delayed.splice(0)) {
 				apply(transaction);
@@ -193,7 +207,13 @@
 		},
 		async list(prefix) {
 			requireStore();
-			return list(prefix);
+			const listing = list(prefix);
+			const slowMs = faults.slowListings.get(prefix);
+			if (slowMs !== undefined) {
+				await sleep(slowMs);
+			}
+
+			return listing;
 		},
 		async watch(prefix, afterRevision, waitMs, signal) {
 			requireStore();
@@ -207,26 +227,26 @@
 			}
 
 			const endMs = performance.now() + waitMs;
-			for (;;) {
-				const changes = changesAfter(prefix, afterRevision);
-				const isOver = changes.items.length + changes.removed.length > 0 || performance.now() >= endMs;
-				if (isOver || signal.aborted) {
-					return changes;
-				}
+			const silenced = new AbortController();
+			openWatches.set(silenced, prefix);
+			try {
+				for (;;) {
+					if (silenced.signal.aborted || faults.silentWatches.has(prefix)) {
+						await sleep(endMs + WATCH_TIMEOUT_MARGIN_MS - performance.now(), signal);
+						throw unavailable('may-have-run');
+					}
 
-				await new Promise<void>((resolve) => {
-					const finish = () => {
-						clearTimeout(timer);
-						stopListening();
-						signal.removeEventListener('abort', finish);
-						resolve();
-					};
-
-					const timer = setTimeout(finish, endMs - performance.now());
-					const stopListening = changed.on('changed', finish);
-					signal.addEventListener('abort', finish);
-				});
-				requireStore();
+					const changes = changesAfter(prefix, afterRevision);
+					const isOver = changes.items.length + changes.removed.length > 0 || performance.now() >= endMs;
+					if (isOver || signal.aborted) {
+						return changes;
+					}
+
+					await waitForChange(endMs - performance.now(), [signal, silenced.signal]);
+					requireStore();
+				}
+			} finally {
+				openWatches.delete(silenced);
 			}
 		},
 		async transact(transaction) {
@@ -256,9 +276,7 @@
 			requireStore();
 			if (faults.silentRenewals > 0) {
 				faults.silentRenewals -= 1;
-				await new Promise((resolve) => {
-					setTimeout(resolve, CALL_TIMEOUT_MS);
-				});
+				await sleep(CALL_TIMEOUT_MS);
 				throw unavailable('may-have-run');
 			}
 
