--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -1,6 +1,6 @@
 import {createBackoff, createLifecycle, sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
-import {runKeyWatch, type KeyChanges} from '@bergamotgauge/store';
+import type {KeyChanges} from '@bergamotgauge/store';
 import {
 	DIRECTORY_PAUSE_MS,
 	IDLE_PLAN_INTERVAL_MS,
@@ -11,7 +11,6 @@
 	WATCH_PAUSE_MS,
 	WATCH_RETRY_MAX_MS,
 	WATCH_RETRY_MIN_MS,
-	WATCH_WAIT_MS,
 } from './constants.js';
 import type {Term} from './election.js';
 import {createAdvisor} from './advisor.js';
@@ -31,7 +30,9 @@
 import type {StoreHealth} from './store-health.js';
 import type {SchedulerContext} from './types.js';
 import {createUnitEnds} from './unit-ends.js';
+import {createViewAges} from './view-ages.js';
 import {createWaker} from './waker.js';
+import {watchView} from './watch-view.js';
 import {recordRefusal} from './worker-evidence.js';
 import {createWorkerFleet} from './worker-fleet.js';
 
@@ -55,6 +56,7 @@
 	const {store, log, metrics, bounds, workerPrefix} = context;
 	const {now} = health;
 	const state = createLeaderState(context.policy);
+	const ages = createViewAges(now);
 	const table = createJobTable(log);
 	/** Woken when the next planning pass may find something to do. */
 	const waker = createWaker();
@@ -82,6 +84,7 @@
 
 	const placements = createPlacements({
 		state,
+		ages,
 		term: term.number,
 		bounds,
 		log,
@@ -176,27 +179,6 @@
 		}
 	};
 
-	const watchPrefix = async (
-		prefix: string,
-		pauseMs: number,
-		onChanges: (changes: KeyChanges) => void,
-		signal: AbortSignal,
-	) =>
-		runKeyWatch({
-			store,
-			prefix,
-			waitMs: WATCH_WAIT_MS,
-			pauseMs,
-			retryMinMs: WATCH_RETRY_MIN_MS,
-			retryMaxMs: WATCH_RETRY_MAX_MS,
-			onChanges,
-			onFailure(error) {
-				log.debug('watch-failed', {prefix, error: error.message});
-			},
-			now,
-			signal,
-		});
-
 	const rosterBackoff = createBackoff({minMs: WATCH_RETRY_MIN_MS, maxMs: WATCH_RETRY_MAX_MS});
 	let rosterDueMs = 0;
 
@@ -261,13 +243,38 @@
 				waker.wake();
 			}),
 		);
-		lifecycle.run('jobs', async (signal) => watchPrefix(JOBS_PREFIX, WATCH_PAUSE_MS, applyJobChanges, signal));
+		lifecycle.run('jobs', async (signal) =>
+			watchView({
+				store,
+				log,
+				now,
+				signal,
+				prefix: JOBS_PREFIX,
+				pauseMs: WATCH_PAUSE_MS,
+				age: ages.jobs,
+				onChanges: applyJobChanges,
+			}),
+		);
 		// Reports of workers can be reconciled only when the jobs are loaded.
 		await loaded.wait(term.signal);
 		await fleet.openRoster();
-		log.info('taken-over', {term: term.number, jobs: state.activeJobs.size, workers: state.links.size});
+		log.info('taken-over', {
+			term: term.number,
+			jobs: state.activeJobs.size,
+			workers: state.links.size,
+			jobsAgeMs: Math.round(ages.jobs.ageMs()),
+		});
 		lifecycle.run('directory', async (signal) =>
-			watchPrefix(workerPrefix, DIRECTORY_PAUSE_MS, fleet.applyDirectoryChanges, signal),
+			watchView({
+				store,
+				log,
+				now,
+				signal,
+				prefix: workerPrefix,
+				pauseMs: DIRECTORY_PAUSE_MS,
+				age: ages.workers,
+				onChanges: fleet.applyDirectoryChanges,
+			}),
 		);
 		lifecycle.run('retention', async (signal) => removeEndedJobs({store, table, term, bounds, log, signal}));
 		lifecycle.run('pending', async (signal) => publishPendingCounts({store, table, term, log, signal}));
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -10,6 +10,7 @@
 import {BOUNDS, newWorker} from './test/cluster.js';
 import type {RunningUnit} from './types.js';
 import {createUnitEnds} from './unit-ends.js';
+import {createViewAges} from './view-ages.js';
 import type {WorkerLink} from './worker-link.js';
 import type {OrderResult} from './worker-orders.js';
 
@@ -71,6 +72,7 @@
 	state.links.set('w2', links.w2);
 	const placements = createPlacements({
 		state,
+		ages: createViewAges(now),
 		term: 1,
 		bounds: BOUNDS,
 		log: createSilentLog(),
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -7,10 +7,12 @@
 import {createPlacementThrottle} from './placement-throttle.js';
 import {openWindow} from './progress-window.js';
 import type {Bounds, StartRefusal} from './types.js';
+import type {ViewAges} from './view-ages.js';
 import type {OrderResult} from './worker-orders.js';
 
 export type PlacementsOptions = Readonly<{
 	state: LeaderState;
+	ages: ViewAges;
 	term: number;
 	bounds: Bounds;
 	log: Log;
@@ -43,12 +45,12 @@
 
 @example
 ```ts
-const placements = createPlacements({state, term: 3, bounds, log, metrics, now, signal, onCapacityFreed, onBegun, onRefused, ticketOf});
+const placements = createPlacements({state, ages, term: 3, bounds, log, metrics, now, signal, onCapacityFreed, onBegun, onRefused, ticketOf});
 placements.start(activeJob, part, ['i-1']);
 ```
 */
 export const createPlacements = (options: PlacementsOptions): Placements => {
-	const {state, term, bounds, log, metrics, now, signal, onCapacityFreed, onBegun, onRefused, ticketOf} = options;
+	const {state, ages, term, bounds, log, metrics, now, signal, onCapacityFreed, onBegun, onRefused, ticketOf} = options;
 
 	const removePlacement = (part: Part, placement: Placement) => {
 		part.placements = part.placements.filter((other) => other !== placement);
@@ -210,7 +212,10 @@
 				workers: workerIds.join(','),
 				resumed: part.checkpoint !== '',
 				waitedMs: Math.round(now() - (part.waitingSinceMs ?? now())),
+				...ages.fields(),
 			});
+			metrics.observe('start_view_age_milliseconds', ages.jobs.ageMs(), {view: 'jobs'});
+			metrics.observe('start_view_age_milliseconds', ages.workers.ageMs(), {view: 'workers'});
 			const {checkpoint} = part;
 			for (const placement of part.placements) {
 				const link = state.links.get(placement.workerId);
--- a/packages/scheduler/src/store-health.ts
+++ b/packages/scheduler/src/store-health.ts
@@ -1,5 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {STORE_LOST_MS, SUSPENSION_MIN_MS} from './constants.js';
+import {createReplicaAge} from './replica-age.js';
 
 /** Tracks whether the store is reachable and how current the configuration is. */
 export type StoreHealth = Readonly<{
@@ -52,7 +53,7 @@
 	let lastResponseMs = now();
 	/** Whether a call has failed since the last response. */
 	let isFailing = false;
-	let lastSyncMs = Number.NEGATIVE_INFINITY;
+	const configurationAge = createReplicaAge(now);
 	return {
 		now,
 		recordResponse(startedMs) {
@@ -63,9 +64,7 @@
 			isFailing = true;
 		},
 		isLost: () => isFailing && now() - lastResponseMs > STORE_LOST_MS,
-		recordSync(atMs) {
-			lastSyncMs = Math.max(lastSyncMs, atMs);
-		},
-		stalenessMs: () => now() - lastSyncMs,
+		recordSync: configurationAge.recordSync,
+		stalenessMs: configurationAge.ageMs,
 	};
 };
--- a/packages/scheduler/src/throttle-orders.test.ts
+++ b/packages/scheduler/src/throttle-orders.test.ts
@@ -9,6 +9,7 @@
 import {newActiveJob, newPlacementOn} from './test/active-job.js';
 import {BOUNDS, newWorker} from './test/cluster.js';
 import {createModelWorker} from './test/model-worker.js';
+import {createViewAges} from './view-ages.js';
 import {createWorkerLink} from './worker-link.js';
 
 // Guards against a best-effort unit that works, and disturbs others, at a share that was replaced by a lower one.
@@ -57,6 +58,7 @@
 	state.links.set(worker.id, link);
 	const placements = createPlacements({
 		state,
+		ages: createViewAges(now),
 		term: 1,
 		bounds: BOUNDS,
 		log,
--- /dev/null
+++ b/packages/scheduler/src/watch-view.ts
@@ -0,0 +1,56 @@
+import {runKeyWatch, type KeyChanges, type KeyValueStore} from '@bergamotgauge/store';
+import type {Log} from '@bergamotgauge/telemetry';
+import {WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS, WATCH_WAIT_MS} from './constants.js';
+import type {ReplicaAge} from './replica-age.js';
+
+export type ViewWatchOptions = Readonly<{
+	store: KeyValueStore;
+	log: Log;
+	now: () => number;
+	prefix: string;
+	/** Pause after a response with changes. */
+	pauseMs: number;
+	/** Age of the replica that the changes go to. */
+	age: ReplicaAge;
+	onChanges: (changes: KeyChanges) => void;
+	signal: AbortSignal;
+}>;
+
+/**
+Keeps a replica of the keys of a prefix and its age until the signal aborts. Logs when the watch fails and when it responds again.
+
+@example
+```ts
+lifecycle.run('jobs', async (signal) => watchView({store, log, now, prefix: 'jobs/', pauseMs: 40, age, onChanges, signal}));
+```
+*/
+export const watchView = async (options: ViewWatchOptions): Promise<void> => {
+	const {store, log, now, prefix, pauseMs, age, onChanges, signal} = options;
+	let isLost = false;
+	return runKeyWatch({
+		store,
+		prefix,
+		waitMs: WATCH_WAIT_MS,
+		pauseMs,
+		retryMinMs: WATCH_RETRY_MIN_MS,
+		retryMaxMs: WATCH_RETRY_MAX_MS,
+		onChanges,
+		onSuccess(startedMs) {
+			if (isLost) {
+				log.info('watch-regained', {prefix, ageMs: Math.round(age.ageMs())});
+				isLost = false;
+			}
+
+			age.recordSync(startedMs);
+		},
+		onFailure(error) {
+			// Only the first failure is logged, since they repeat several times a second while the store is unavailable.
+			if (!isLost) {
+				log.info('watch-lost', {prefix, ageMs: Math.round(age.ageMs()), error: error.message});
+				isLost = true;
+			}
+		},
+		now,
+		signal,
+	});
+};
