Read without waiting after a listing or a failed watch

After a watch without a response, or a listing whose pages took seconds, the next watch waited up to 1.5 s for a change, and only its response showed whether the replica was current. Until then its age was unknown: at a guard on that age, one dead connection would cost 3.7 s instead of 2.2 s of doubt, for starts as for the configuration that callers are served by.

The watch after a listing or a failure now has a wait of 0. The wait is a function, so that it follows bounds that are reloaded.

key-watch.test.ts, 'the watch after a listing or a failure does not wait for changes': waits of 500 ms each before, 0 after the listing, the failure and the second listing now.

--- a/packages/scheduler/src/leader-watch.ts
+++ b/packages/scheduler/src/leader-watch.ts
@@ -40,7 +40,7 @@
 			runKeyWatch({
 				store,
 				prefix: LEADER_KEY,
-				waitMs: LEADER_WATCH_WAIT_MS,
+				waitMs: () => LEADER_WATCH_WAIT_MS,
 				pauseMs: 0,
 				retryMinMs: WATCH_RETRY_MIN_MS,
 				retryMaxMs: WATCH_RETRY_MAX_MS,
--- a/packages/scheduler/src/maintenance/run-waves.ts
+++ b/packages/scheduler/src/maintenance/run-waves.ts
@@ -273,7 +273,7 @@
 	const watching = runKeyWatch({
 		store,
 		prefix: records.prefix,
-		waitMs: WAVE_WATCH_WAIT_MS,
+		waitMs: () => WAVE_WATCH_WAIT_MS,
 		pauseMs: WATCH_PAUSE_MS,
 		retryMinMs: WATCH_RETRY_MIN_MS,
 		retryMaxMs: WATCH_RETRY_MAX_MS,
--- a/packages/scheduler/src/watch-view.ts
+++ b/packages/scheduler/src/watch-view.ts
@@ -30,7 +30,7 @@
 	return runKeyWatch({
 		store,
 		prefix,
-		waitMs: WATCH_WAIT_MS,
+		waitMs: () => WATCH_WAIT_MS,
 		pauseMs,
 		retryMinMs: WATCH_RETRY_MIN_MS,
 		retryMaxMs: WATCH_RETRY_MAX_MS,
--- a/packages/store/src/key-watch.test.ts
+++ b/packages/store/src/key-watch.test.ts
@@ -17,21 +17,25 @@
 	isListing: false,
 });
 
+const unused = async () => {
+	throw new Error('not used by watches');
+};
+
+const unusedCalls = {
+	get: unused,
+	transact: unused,
+	grantLease: unused,
+	renewLease: unused,
+	revokeLease: unused,
+};
+
 // Guards against a change that is lost although the watch reports that its reader is current: an instance would serve by
 // an old configuration, without a time limit.
 await t.test('a change that could not be handled is delivered again', async (t) => {
 	const controller = new AbortController();
 	const {signal} = controller;
-	const unused = async () => {
-		throw new Error('not used by watches');
-	};
-
 	const store: KeyValueStore = {
-		get: unused,
-		transact: unused,
-		grantLease: unused,
-		renewLease: unused,
-		revokeLease: unused,
+		...unusedCalls,
 		list: async () => ({...newChanges(1, [newItem(1)]), isListing: true}),
 		watch: async (_prefix, afterRevision) => newChanges(2, afterRevision < 2 ? [newItem(2)] : []),
 	};
@@ -41,7 +45,7 @@
 	await runKeyWatch({
 		store,
 		prefix: '',
-		waitMs: 1,
+		waitMs: () => 1,
 		pauseMs: 0,
 		retryMinMs: 1,
 		retryMaxMs: 1,
@@ -68,3 +72,51 @@
 	t.same(handled, [1, 2]);
 	t.equal(failures, 1);
 });
+
+// Guards against knowledge whose age is unknown for a whole long poll after a listing, whose pages may be old, or after a
+// watch without a response.
+await t.test('the watch after a listing or a failure does not wait for changes', async (t) => {
+	const controller = new AbortController();
+	const waits: number[] = [];
+	const store: KeyValueStore = {
+		...unusedCalls,
+		list: async () => ({...newChanges(1, []), isListing: true}),
+		async watch(_prefix, _afterRevision, waitMs) {
+			waits.push(waitMs);
+			switch (waits.length) {
+				case 3: {
+					throw new Error('no response');
+				}
+
+				case 5: {
+					return {...newChanges(2, []), isListing: true};
+				}
+
+				case 7: {
+					controller.abort();
+					break;
+				}
+
+				default: {
+					break;
+				}
+			}
+
+			return newChanges(2, []);
+		},
+	};
+	await runKeyWatch({
+		store,
+		prefix: '',
+		waitMs: () => 500,
+		pauseMs: 0,
+		retryMinMs: 1,
+		retryMaxMs: 1,
+		onChanges() {
+			// Only the waits are checked.
+		},
+		now: () => performance.now(),
+		signal: controller.signal,
+	});
+	t.same(waits, [0, 500, 500, 0, 500, 0, 500]);
+});
--- a/packages/store/src/key-watch.ts
+++ b/packages/store/src/key-watch.ts
@@ -4,8 +4,8 @@
 export type KeyWatchOptions = Readonly<{
 	store: KeyValueStore;
 	prefix: string;
-	/** Long-poll wait of one call. */
-	waitMs: number;
+	/** Long-poll timeout of the next watch, in milliseconds. */
+	waitMs: () => number;
 	/** Pause after changes; changes that arrive meanwhile are returned together by the next call. */
 	pauseMs: number;
 	retryMinMs: number;
@@ -19,22 +19,25 @@
 }>;
 
 /**
-Follows the keys of a prefix: one full listing, then long-poll watches. A failed call, or a failure to handle its changes, is retried with backoff and resumes after the last handled revision.
+Follows the keys of a prefix: one full listing, then long-poll watches. A failed call, or a failure to handle its changes, is retried with backoff and resumes after the last handled revision. The watch after a listing or a failure does not wait, since changes may be outstanding and only its response shows that there are none.
 
 @example
 ```ts
-lifecycle.run('watch', async (signal) => runKeyWatch({store, prefix: 'jobs/', onChanges, signal, ...timing}));
+lifecycle.run('watch', async (signal) => runKeyWatch({store, prefix: 'jobs/', waitMs: () => 1500, onChanges, signal, ...timing}));
 ```
 */
 export const runKeyWatch = async (options: KeyWatchOptions): Promise<void> => {
 	const {store, prefix, waitMs, pauseMs, onChanges, onSuccess, onFailure, now, signal} = options;
 	const backoff = createBackoff({minMs: options.retryMinMs, maxMs: options.retryMaxMs});
 	let revision: number | undefined;
+	let isCaughtUp = false;
 	while (!signal.aborted) {
 		const startedMs = now();
 		try {
 			const changes: KeyChanges =
-				revision === undefined ? await store.list(prefix) : await store.watch(prefix, revision, waitMs, signal);
+				revision === undefined
+					? await store.list(prefix)
+					: await store.watch(prefix, revision, isCaughtUp ? waitMs() : 0, signal);
 			if (signal.aborted) {
 				return;
 			}
@@ -42,6 +45,7 @@
 			onChanges(changes);
 			// A change that could not be handled is requested again, so that success means that all changes were handled.
 			revision = changes.revision;
+			isCaughtUp = !changes.isListing;
 			onSuccess?.(startedMs);
 			backoff.reset();
 			if (changes.items.length + changes.removed.length > 0) {
@@ -52,6 +56,7 @@
 				return;
 			}
 
+			isCaughtUp = false;
 			onFailure?.(error instanceof Error ? error : new Error(String(error)));
 			await sleep(backoff.next(), signal);
 		}
