Pause starts while the view of the jobs is outdated

The term of a leader is renewed by other calls than the watch that brings cancellations, so a watch without a response, or a listing of seconds by a new leader, left it valid.

A start may now rest on a view of at most cancel_ms less the 0.7 s that an attempt takes to its worker. The age counts from the begin of the last answered read, and every attempt at a start checks it, not only the plan. Stops and running work go on, and evictions wait with the starts that they make room for. The wait of the watch follows the bound, so that the view stays within its age without faults and with one dead connection.

Ruled out: an age counted from the response, which an old answer resets; a check in the planner alone, which leaves the repeats of an order; a longer fence on the term, since its renewals succeed meanwhile.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -13,7 +13,7 @@
 /** The leader stops sending orders this long before its lease ends at the store, so that its last orders have left. */
 export const LEADER_MARGIN_MS = 250;
 
-/** Long-poll timeout of a watch; an empty response also proves that the replica is current. */
+/** Longest long-poll timeout of a watch; an empty response also proves that the replica is current. */
 export const WATCH_WAIT_MS = 1500;
 
 /** Pause after a watch that returned changes; changes made meanwhile are batched into the next response. */
@@ -36,6 +36,9 @@
 */
 export const ORDER_DEADLINES_MS = [200, 400, 600] as const;
 
+/** Longest time from the check of an attempt at a start to its arrival at the worker: its deadline and the way there. */
+export const START_LEAD_MS = 700;
+
 /** Deadline of a progress poll of a worker's units. */
 export const PROGRESS_POLL_DEADLINE_MS = 500;
 
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -1,17 +1,7 @@
-import {createBackoff, createLifecycle, sleep} from '@bergamotgauge/lifecycle';
+import {createLifecycle} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
 import type {KeyChanges} from '@bergamotgauge/store';
-import {
-	DIRECTORY_PAUSE_MS,
-	IDLE_PLAN_INTERVAL_MS,
-	MAX_PLAN_PAUSE_MS,
-	PLAN_DELAY_MS,
-	PLAN_INTERVAL_MS,
-	PLAN_PAUSE_RATIO,
-	WATCH_PAUSE_MS,
-	WATCH_RETRY_MAX_MS,
-	WATCH_RETRY_MIN_MS,
-} from './constants.js';
+import {DIRECTORY_PAUSE_MS, WATCH_PAUSE_MS, WATCH_WAIT_MS} from './constants.js';
 import type {Term} from './election.js';
 import {createAdvisor} from './advisor.js';
 import {createActiveJob, type ActiveJob} from './active-job.js';
@@ -25,11 +15,13 @@
 import {runWaves} from './maintenance/run-waves.js';
 import {protectedParts} from './disruption-budget.js';
 import {createPlanner} from './planner.js';
+import {runPlanLoop} from './plan-loop.js';
 import {createProgressWriter} from './progress-writer.js';
 import {removeEndedJobs} from './retention.js';
 import type {StoreHealth} from './store-health.js';
 import type {SchedulerContext} from './types.js';
 import {createUnitEnds} from './unit-ends.js';
+import {createStartGuard, viewWaitMs} from './start-guard.js';
 import {createViewAges} from './view-ages.js';
 import {createWaker} from './waker.js';
 import {watchView} from './watch-view.js';
@@ -57,6 +49,7 @@
 	const {now} = health;
 	const state = createLeaderState(context.policy);
 	const ages = createViewAges(now);
+	const guard = createStartGuard({ages, bounds, log, metrics});
 	const table = createJobTable(log);
 	/** Woken when the next planning pass may find something to do. */
 	const waker = createWaker();
@@ -85,6 +78,7 @@
 	const placements = createPlacements({
 		state,
 		ages,
+		mayStart: guard.mayStart,
 		term: term.number,
 		bounds,
 		log,
@@ -133,7 +127,7 @@
 		onChanged: waker.wake,
 	});
 
-	const planner = createPlanner({context, term, state, fleet, placements, advisor, now});
+	const planner = createPlanner({context, term, state, fleet, placements, advisor, mayStart: guard.mayStart, now});
 
 	const storeEnded = async (activeJob: ActiveJob) => {
 		try {
@@ -179,41 +173,9 @@
 		}
 	};
 
-	const rosterBackoff = createBackoff({minMs: WATCH_RETRY_MIN_MS, maxMs: WATCH_RETRY_MAX_MS});
-	let rosterDueMs = 0;
-
-	/** Stores a stale roster, with backoff after a failure. Returns the time until the next attempt. */
-	const updateRoster = async (): Promise<number> => {
-		if (fleet.isRosterStale() && now() >= rosterDueMs) {
-			try {
-				await fleet.storeRoster();
-				rosterBackoff.reset();
-			} catch (error) {
-				log.warn('roster-not-stored', {error: errorOf(error)});
-				rosterDueMs = now() + rosterBackoff.next();
-			}
-		}
-
-		return fleet.isRosterStale() ? Math.max(0, rosterDueMs - now()) : Number.POSITIVE_INFINITY;
-	};
-
-	const planLoop = async (signal: AbortSignal) => {
-		while (!signal.aborted) {
-			const untilRosterMs = await updateRoster();
-			const startedMs = performance.now();
-			let nextDueMs = Number.POSITIVE_INFINITY;
-			if (term.isValid()) {
-				fleet.reopen();
-				nextDueMs = planner.pass();
-			}
-
-			const passEndMs = performance.now();
-			const limitMs = state.activeJobs.size > 0 ? PLAN_INTERVAL_MS : IDLE_PLAN_INTERVAL_MS;
-			const untilDueMs = Math.max(PLAN_DELAY_MS, nextDueMs - Date.now());
-			await waker.wait(signal, Math.min(limitMs, untilDueMs, untilRosterMs));
-			// Changes are batched into one pass, and the pause grows with its duration so that orders and reports get processor time.
-			const pauseAfterMs = Math.min(MAX_PLAN_PAUSE_MS, (passEndMs - startedMs) * PLAN_PAUSE_RATIO);
-			await sleep(Math.max(PLAN_DELAY_MS, pauseAfterMs), signal);
+	const onSynced = () => {
+		if (guard.update()) {
+			waker.wake();
 		}
 	};
 
@@ -250,9 +212,11 @@
 				now,
 				signal,
 				prefix: JOBS_PREFIX,
+				waitMs: () => viewWaitMs(bounds.cancellationMs),
 				pauseMs: WATCH_PAUSE_MS,
 				age: ages.jobs,
 				onChanges: applyJobChanges,
+				onSynced,
 			}),
 		);
 		// Reports of workers can be reconciled only when the jobs are loaded.
@@ -271,9 +235,11 @@
 				now,
 				signal,
 				prefix: workerPrefix,
+				waitMs: () => WATCH_WAIT_MS,
 				pauseMs: DIRECTORY_PAUSE_MS,
 				age: ages.workers,
 				onChanges: fleet.applyDirectoryChanges,
+				onSynced,
 			}),
 		);
 		lifecycle.run('retention', async (signal) => removeEndedJobs({store, table, term, bounds, log, signal}));
@@ -312,7 +278,7 @@
 			);
 		}
 
-		lifecycle.run('plan', planLoop);
+		lifecycle.run('plan', async (signal) => runPlanLoop({term, state, fleet, planner, guard, waker, log, now, signal}));
 		await waitForTermEnd();
 	} finally {
 		term.signal.removeEventListener('abort', endLifecycle);
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -73,6 +73,7 @@
 	const placements = createPlacements({
 		state,
 		ages: createViewAges(now),
+		mayStart: () => true,
 		term: 1,
 		bounds: BOUNDS,
 		log: createSilentLog(),
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -13,6 +13,8 @@
 export type PlacementsOptions = Readonly<{
 	state: LeaderState;
 	ages: ViewAges;
+	/** Whether the views are recent enough for starts. */
+	mayStart: () => boolean;
 	term: number;
 	bounds: Bounds;
 	log: Log;
@@ -45,12 +47,26 @@
 
 @example
 ```ts
-const placements = createPlacements({state, ages, term: 3, bounds, log, metrics, now, signal, onCapacityFreed, onBegun, onRefused, ticketOf});
+const placements = createPlacements({state, ages, mayStart, term: 3, bounds, log, metrics, now, signal, onCapacityFreed, onBegun, onRefused, ticketOf});
 placements.start(activeJob, part, ['i-1']);
 ```
 */
 export const createPlacements = (options: PlacementsOptions): Placements => {
-	const {state, ages, term, bounds, log, metrics, now, signal, onCapacityFreed, onBegun, onRefused, ticketOf} = options;
+	const {
+		state,
+		ages,
+		mayStart,
+		term,
+		bounds,
+		log,
+		metrics,
+		now,
+		signal,
+		onCapacityFreed,
+		onBegun,
+		onRefused,
+		ticketOf,
+	} = options;
 
 	const removePlacement = (part: Part, placement: Placement) => {
 		part.placements = part.placements.filter((other) => other !== placement);
@@ -228,7 +244,7 @@
 						checkpoint,
 						ticket: ticketOf(activeJob, part, placement.workerId),
 					};
-					const isWanted = () => placement.phase === 'starting' && part.placements.includes(placement);
+					const isWanted = () => placement.phase === 'starting' && part.placements.includes(placement) && mayStart();
 					const result: OrderResult = link
 						? await link.start(order, isWanted)
 						: {outcome: 'refused', reason: 'other-life'};
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -9,6 +9,7 @@
 import {createPlanView, partIdOf} from './plan-view.js';
 import {expectedEndMs} from './run-forecast.js';
 import {plan} from './plan/plan.js';
+import type {Plan} from './plan/types.js';
 import type {Placements} from './placements.js';
 import {createSlowWorkers} from './slow-workers.js';
 import type {SchedulerContext} from './types.js';
@@ -23,6 +24,8 @@
 	placements: Placements;
 	/** `undefined` if the deployment has no advice service. */
 	advisor: Advisor | undefined;
+	/** Whether the views are recent enough for starts. */
+	mayStart: () => boolean;
 	now: () => number;
 }>;
 
@@ -32,6 +35,9 @@
 	pass: () => number;
 }>;
 
+/** The plan while starts are paused; evictions make room for starts, so they wait for them. */
+const NO_STARTS: Plan = {starts: [], evictions: []};
+
 /** Whether the final state of an ended job is stored and none of its units is placed any more. */
 const isSettled = (activeJob: ActiveJob): boolean =>
 	activeJob.storedChanges === activeJob.changes &&
@@ -39,7 +45,7 @@
 
 /** Creates the planner of a term. */
 export const createPlanner = (options: PlannerOptions): Planner => {
-	const {context, term, state, fleet, placements, advisor, now} = options;
+	const {context, term, state, fleet, placements, advisor, mayStart, now} = options;
 	const {metrics, bounds, declarations} = context;
 
 	const slowWorkers = createSlowWorkers({state, placements, log: context.log, now});
@@ -134,7 +140,7 @@
 				allowedWorkers: (stepId) => advisor?.allowedWorkers(stepId) ?? new Set(),
 			});
 			advisor?.setRequests(pendingAdviceRequests(view, (partId) => parts.get(partId)?.[0].job.advice));
-			const {starts, evictions} = plan(view);
+			const {starts, evictions} = mayStart() ? plan(view) : NO_STARTS;
 			for (const {partId, workerIds} of starts) {
 				const [activeJob, part] = parts.get(partId)!;
 				placements.start(activeJob, part, workerIds);
--- /dev/null
+++ b/packages/scheduler/src/start-guard.ts
@@ -0,0 +1,54 @@
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import {START_LEAD_MS, WATCH_WAIT_MS} from './constants.js';
+import type {Bounds} from './types.js';
+import type {ViewAges} from './view-ages.js';
+
+export type StartGuardOptions = Readonly<{
+	ages: ViewAges;
+	bounds: Bounds;
+	log: Log;
+	metrics: Metrics;
+}>;
+
+/** Decides whether a leader's views are recent enough for starts. */
+export type StartGuard = Readonly<{
+	/** Whether a start may be sent now. */
+	mayStart: () => boolean;
+	/** Logs when starts are paused or resumed. Returns whether they have been resumed since the last update. */
+	update: () => boolean;
+}>;
+
+/** Age up to which a start may rest on a view, so that it reaches the worker within the bound on outdated starts. */
+export const maxViewAgeMs = (boundMs: number): number => Math.max(boundMs - START_LEAD_MS, boundMs / 4);
+
+/**
+Long-poll timeout of the watch on a view. Until the next response, a view is as old as two waits, so a third of the age leaves time for pauses and a slow store.
+*/
+export const viewWaitMs = (boundMs: number): number => Math.min(WATCH_WAIT_MS, maxViewAgeMs(boundMs) / 3);
+
+/**
+Creates the guard of a term.
+
+@example
+```ts
+const guard = createStartGuard({ages, bounds, log, metrics});
+if (guard.mayStart()) await link.start(order, guard.mayStart);
+```
+*/
+export const createStartGuard = ({ages, bounds, log, metrics}: StartGuardOptions): StartGuard => {
+	const mayStart = (): boolean => ages.jobs.ageMs() <= maxViewAgeMs(bounds.cancellationMs);
+	let isPaused = true;
+	return {
+		mayStart,
+		update() {
+			if (mayStart() !== isPaused) {
+				return false;
+			}
+
+			isPaused = !isPaused;
+			log.info(isPaused ? 'starts-paused' : 'starts-resumed', ages.fields());
+			metrics.gauge('starts_paused', isPaused ? 1 : 0);
+			return !isPaused;
+		},
+	};
+};
--- a/packages/scheduler/src/throttle-orders.test.ts
+++ b/packages/scheduler/src/throttle-orders.test.ts
@@ -59,6 +59,7 @@
 	const placements = createPlacements({
 		state,
 		ages: createViewAges(now),
+		mayStart: () => true,
 		term: 1,
 		bounds: BOUNDS,
 		log,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -171,6 +171,8 @@
 	maxInterferenceMs: number;
 	/** Time that the maintenance of a machine takes. */
 	maintenanceMs: number;
+	/** Time after the confirmation of a cancellation from which no unit of the job may start. */
+	cancellationMs: number;
 }>;
 
 export type SchedulerContext = Readonly<{
--- a/packages/scheduler/src/watch-view.test.ts
+++ b/packages/scheduler/src/watch-view.test.ts
@@ -29,11 +29,15 @@
 		log,
 		now,
 		prefix: 'jobs/',
+		waitMs: () => 500,
 		pauseMs: 0,
 		age,
 		onChanges() {
 			// Only the log is checked.
 		},
+		onSynced() {
+			// The age is read directly.
+		},
 		signal: controller.signal,
 	});
 	await clock.tickAsync(1000);
--- a/packages/scheduler/src/watch-view.ts
+++ b/packages/scheduler/src/watch-view.ts
@@ -1,6 +1,6 @@
 import {runKeyWatch, type KeyChanges, type KeyValueStore} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
-import {WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS, WATCH_WAIT_MS} from './constants.js';
+import {WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
 import type {ReplicaAge} from './replica-age.js';
 
 export type ViewWatchOptions = Readonly<{
@@ -8,11 +8,15 @@
 	log: Log;
 	now: () => number;
 	prefix: string;
+	/** Long-poll timeout of the next watch. */
+	waitMs: () => number;
 	/** Pause after a response with changes. */
 	pauseMs: number;
 	/** Age of the replica that the changes go to. */
 	age: ReplicaAge;
 	onChanges: (changes: KeyChanges) => void;
+	/** Called when the age has been updated. */
+	onSynced: () => void;
 	signal: AbortSignal;
 }>;
 
@@ -21,16 +25,16 @@
 
 @example
 ```ts
-lifecycle.run('jobs', async (signal) => watchView({store, log, now, prefix: 'jobs/', pauseMs: 40, age, onChanges, signal}));
+lifecycle.run('jobs', async (signal) => watchView({store, log, now, prefix: 'jobs/', waitMs, pauseMs: 40, age, onChanges, onSynced, signal}));
 ```
 */
 export const watchView = async (options: ViewWatchOptions): Promise<void> => {
-	const {store, log, now, prefix, pauseMs, age, onChanges, signal} = options;
+	const {store, log, now, prefix, waitMs, pauseMs, age, onChanges, onSynced, signal} = options;
 	let isLost = false;
 	return runKeyWatch({
 		store,
 		prefix,
-		waitMs: () => WATCH_WAIT_MS,
+		waitMs,
 		pauseMs,
 		retryMinMs: WATCH_RETRY_MIN_MS,
 		retryMaxMs: WATCH_RETRY_MAX_MS,
@@ -42,6 +46,7 @@
 			}
 
 			age.recordSync(startedMs);
+			onSynced();
 		},
 		onFailure(error) {
 			// Only the first failure is logged, since they repeat several times a second while the store is unavailable.
