Pause starts while the view of the workers is outdated

A start could go to a worker that had reported for seconds that it drains, and was lost with it (DRAIN): the leader learns of drains from its watch on the workers' reports, whose age nothing bounded, and the limit on starts after such a report (drainMs) was read by no code. It is the same class as starts after a cancellation.

Evidence: with the watch on workers silent and all other calls working, a unit starts 4.51 s after the report of the drain (stale-view.test.ts, limit 2 s).

Starts now also need a view of the workers of at most drainMs less the way to the worker. One dead connection of this watch puts starts off by less than a second, which a second test checks.

--- a/packages/scheduler/src/leader-watch.ts
+++ b/packages/scheduler/src/leader-watch.ts
@@ -41,7 +41,7 @@
 				store,
 				prefix: LEADER_KEY,
 				waitMs: () => LEADER_WATCH_WAIT_MS,
-				pauseMs: 0,
+				pauseMs: () => 0,
 				retryMinMs: WATCH_RETRY_MIN_MS,
 				retryMaxMs: WATCH_RETRY_MAX_MS,
 				onChanges(changes) {
--- a/packages/scheduler/src/maintenance/run-waves.ts
+++ b/packages/scheduler/src/maintenance/run-waves.ts
@@ -274,7 +274,7 @@
 		store,
 		prefix: records.prefix,
 		waitMs: () => WAVE_WATCH_WAIT_MS,
-		pauseMs: WATCH_PAUSE_MS,
+		pauseMs: () => WATCH_PAUSE_MS,
 		retryMinMs: WATCH_RETRY_MIN_MS,
 		retryMaxMs: WATCH_RETRY_MAX_MS,
 		onChanges: applyChanges,
--- a/packages/scheduler/src/stale-view.test.ts
+++ b/packages/scheduler/src/stale-view.test.ts
@@ -80,3 +80,16 @@
 	await cluster.clock.tickAsync(DRAIN_NOTICE_MS + 3000);
 	t.equal(cluster.startsOf(unitOf(2)), 0);
 });
+
+// Guards against starts that are put off although one watch alone is silent.
+await t.test('one silent watch on workers delays a start by less than a second', async (t) => {
+	for (let silentAtMs = 1000; silentAtMs <= 5000; silentAtMs += 250) {
+		await t.test(`silent from ${silentAtMs} ms on`, async (t) => {
+			const {cluster} = await startWithWaitingUnit(t);
+			await cluster.clock.tickAsync(silentAtMs - 1000);
+			cluster.store.silenceWatches(WORKER_PREFIX);
+			await cluster.clock.tickAsync(6500 - silentAtMs);
+			t.equal(cluster.startsOf(unitOf(2)), 1);
+		});
+	}
+});
--- a/packages/scheduler/src/start-guard.ts
+++ b/packages/scheduler/src/start-guard.ts
@@ -21,10 +21,21 @@
 /** Age up to which a start may rest on a view, so that it reaches the worker within the bound on outdated starts. */
 export const maxViewAgeMs = (boundMs: number): number => Math.max(boundMs - START_LEAD_MS, boundMs / 4);
 
+/** Timing of the watch on a view, in milliseconds. */
+export type ViewTiming = Readonly<{waitMs: () => number; pauseMs: () => number}>;
+
 /**
-Long-poll timeout of the watch on a view. Until the next response, a view is as old as two waits, so a third of the age leaves time for pauses and a slow store.
+Times the watch on a view so that the view stays recent enough for starts. Before a response, a view can be as old as two waits and a pause, which take up at most 13/15 of its greatest age; the rest is left to the store.
+
+@example
+```ts
+await watchView({...viewTiming(() => bounds.cancellationMs, WATCH_PAUSE_MS), ...options});
+```
 */
-export const viewWaitMs = (boundMs: number): number => Math.min(WATCH_WAIT_MS, maxViewAgeMs(boundMs) / 3);
+export const viewTiming = (boundMs: () => number, maxPauseMs: number): ViewTiming => ({
+	waitMs: () => Math.min(WATCH_WAIT_MS, maxViewAgeMs(boundMs()) / 3),
+	pauseMs: () => Math.min(maxPauseMs, maxViewAgeMs(boundMs()) / 5),
+});
 
 /**
 Creates the guard of a term.
@@ -36,7 +47,9 @@
 ```
 */
 export const createStartGuard = ({ages, bounds, log, metrics}: StartGuardOptions): StartGuard => {
-	const mayStart = (): boolean => ages.jobs.ageMs() <= maxViewAgeMs(bounds.cancellationMs);
+	const mayStart = (): boolean =>
+		ages.jobs.ageMs() <= maxViewAgeMs(bounds.cancellationMs) &&
+		ages.workers.ageMs() <= maxViewAgeMs(bounds.drainNoticeMs);
 	let isPaused = true;
 	return {
 		mayStart,
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -25,6 +25,7 @@
 	maxInterferenceMs: 4000,
 	maintenanceMs: 2000,
 	cancellationMs: 3000,
+	drainNoticeMs: 2000,
 };
 
 export const QUEUE: Queue = {
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -173,6 +173,8 @@
 	maintenanceMs: number;
 	/** Time after the confirmation of a cancellation from which no unit of the job may start. */
 	cancellationMs: number;
+	/** Time after a worker's report that it drains from which no unit may start on it. */
+	drainNoticeMs: number;
 }>;
 
 export type SchedulerContext = Readonly<{
--- a/packages/scheduler/src/watch-view.test.ts
+++ b/packages/scheduler/src/watch-view.test.ts
@@ -30,7 +30,7 @@
 		now,
 		prefix: 'jobs/',
 		waitMs: () => 500,
-		pauseMs: 0,
+		pauseMs: () => 0,
 		age,
 		onChanges() {
 			// Only the log is checked.
--- a/packages/scheduler/src/watch-view.ts
+++ b/packages/scheduler/src/watch-view.ts
@@ -11,7 +11,7 @@
 	/** Long-poll timeout of the next watch. */
 	waitMs: () => number;
 	/** Pause after a response with changes. */
-	pauseMs: number;
+	pauseMs: () => number;
 	/** Age of the replica that the changes go to. */
 	age: ReplicaAge;
 	onChanges: (changes: KeyChanges) => void;
@@ -25,7 +25,7 @@
 
 @example
 ```ts
-lifecycle.run('jobs', async (signal) => watchView({store, log, now, prefix: 'jobs/', waitMs, pauseMs: 40, age, onChanges, onSynced, signal}));
+lifecycle.run('jobs', async (signal) => watchView({store, log, now, prefix: 'jobs/', waitMs, pauseMs, age, onChanges, onSynced, signal}));
 ```
 */
 export const watchView = async (options: ViewWatchOptions): Promise<void> => {
--- a/packages/store/src/key-watch.test.ts
+++ b/packages/store/src/key-watch.test.ts
@@ -46,7 +46,7 @@
 		store,
 		prefix: '',
 		waitMs: () => 1,
-		pauseMs: 0,
+		pauseMs: () => 0,
 		retryMinMs: 1,
 		retryMaxMs: 1,
 		onChanges({items}) {
@@ -109,7 +109,7 @@
 		store,
 		prefix: '',
 		waitMs: () => 500,
-		pauseMs: 0,
+		pauseMs: () => 0,
 		retryMinMs: 1,
 		retryMaxMs: 1,
 		onChanges() {
--- a/packages/store/src/key-watch.ts
+++ b/packages/store/src/key-watch.ts
@@ -6,8 +6,8 @@
 	prefix: string;
 	/** Long-poll timeout of the next watch, in milliseconds. */
 	waitMs: () => number;
-	/** Pause after changes; changes that arrive meanwhile are returned together by the next call. */
-	pauseMs: number;
+	/** Pause after changes, in milliseconds; changes that arrive meanwhile are returned together by the next call. */
+	pauseMs: () => number;
 	retryMinMs: number;
 	retryMaxMs: number;
 	onChanges: (changes: KeyChanges) => void;
@@ -23,7 +23,7 @@
 
 @example
 ```ts
-lifecycle.run('watch', async (signal) => runKeyWatch({store, prefix: 'jobs/', waitMs: () => 1500, onChanges, signal, ...timing}));
+lifecycle.run('watch', async (signal) => runKeyWatch({store, prefix: 'jobs/', waitMs: () => 1500, pauseMs: () => 40, onChanges, signal, ...timing}));
 ```
 */
 export const runKeyWatch = async (options: KeyWatchOptions): Promise<void> => {
@@ -49,7 +49,7 @@
 			onSuccess?.(startedMs);
 			backoff.reset();
 			if (changes.items.length + changes.removed.length > 0) {
-				await sleep(pauseMs, signal);
+				await sleep(pauseMs(), signal);
 			}
 		} catch (error) {
 			if (signal.aborted) {
