Make the log's descriptor non-blocking, so that the bundle always exits

An instance from the bundle never ended after SIGTERM while its standard output was a full pipe that nobody read: it answered no caller any more, ran until SIGKILL, and its last lines were lost.

Cause: the log writes with asynchronous file writes. On a blocking pipe or socket such a write holds a thread of the runtime's pool, and the exit of the process joins these threads without limit. In the hung process the main thread waited in a futex and one thread in the kernel's send function for sockets. The limit of `flush` (200 ms) had passed; the hang is in `process.exit` after it. The ES modules, which the soak runs, were not affected: an ES module that imports `node:process` evaluates all its properties, and reading `stdout` makes the descriptor non-blocking. The CommonJS bundle does not read it, so the soak and its test with a closed pipe could not show this.

The log now takes the descriptor from `process.stdout`. A write to a full pipe then returns EAGAIN, which the log retries every 100 ms without a thread.

--- a/packages/telemetry/src/log-output.ts
+++ b/packages/telemetry/src/log-output.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {sleep} from '@bergamotgauge/lifecycle';
 import sonicBoom from 'sonic-boom';
 import {LOG_BUFFER_BYTES, LOG_FLUSH_INTERVAL_MS, MAX_LOG_BACKLOG_BYTES, LOG_FLUSH_DEADLINE_MS} from './constants.js';
@@ -13,7 +14,7 @@
 	}>;
 
 /**
-Opens a file descriptor for log lines. Writing never blocks on the reader: lines are buffered and written in the background, and while the backlog is full, new lines are dropped and counted.
+Opens the standard output for log lines. Writing never blocks on the reader: lines are buffered and written in the background, and while the backlog is full, new lines are dropped and counted.
 
 @example
 ```ts
@@ -22,9 +23,11 @@
 await output.flush();
 ```
 */
-export const openLogOutput = (descriptor = 1): LogStream => {
+export const openLogOutput = (): LogStream => {
 	const stream = new sonicBoom.SonicBoom({
-		fd: descriptor,
+		// Opening `process.stdout` makes a pipe or socket non-blocking. On a blocking one, a write to a reader that does not
+		// read occupies a thread of the runtime's pool, which the exit of the process waits for without limit.
+		fd: process.stdout.fd,
 		sync: false,
 		minLength: LOG_BUFFER_BYTES,
 		maxLength: MAX_LOG_BACKLOG_BYTES,
--- a/scripts/build-target.js
+++ b/scripts/build-target.js
@@ -1,7 +1,8 @@
-// Bundles the program for the platform from the workspaces' sources into target/.
+// Bundles the program for the platform from the workspaces' sources into the directory given as argument, by default target/.
 import {readdirSync} from 'node:fs';
 import {createRequire} from 'node:module';
 import path from 'node:path';
+import process from 'node:process';
 import {build} from 'esbuild';
 
 const packages = readdirSync('packages');
@@ -23,7 +24,7 @@
 	// Node compiles a CommonJS module in about a third of the CPU time of an ES module, and callers wait while all
 	// instances restart.
 	format: 'cjs',
-	outdir: 'target',
+	outdir: process.argv[2] ?? 'target',
 	outExtension: {'.js': '.cjs'},
 	alias,
 	// Optional native add-ons; their packages fall back to pure JavaScript.
