Flush log lines that are logged during a write

Cause: `flush` waited for one `drain` of the stream. If a write is under way, that event ends the wait when this write is done, although up to 4 kB that were logged meanwhile are still buffered. A busy instance can log `stopped` during such a write. `flush` now flushes a second time, which writes what is left; both share the limit of 200 ms.

So a log that ends with `stopping` does not show that the stop got no further.

--- a/packages/telemetry/src/log-output.test.ts
+++ b/packages/telemetry/src/log-output.test.ts
@@ -1,4 +1,5 @@
 import {spawn} from 'node:child_process';
+import {text} from 'node:stream/consumers';
 import {fileURLToPath} from 'node:url';
 import process from 'node:process';
 import FakeTimers from '@sinonjs/fake-timers';
@@ -21,6 +22,14 @@
 	t.equal(line.trim(), 'through dropped=some');
 });
 
+// Guards against a process that exits without its last lines: `flush` resolved when the write that was under way had ended,
+// while lines logged during that write were still buffered.
+await t.test('flush waits for lines that are logged during a write', async (t) => {
+	const script = fileURLToPath(new URL('test/end-after-flush.js', import.meta.url));
+	const child = spawn(process.execPath, [script], {stdio: ['ignore', 'pipe', 'inherit']});
+	t.match(await text(child.stdout), /event=first .*\n.* event=last\n$/v);
+});
+
 // Guards against flooding the log when a fault logs one line for each of thousands of units at the same time.
 await t.test('lines of one event are rate-limited, and omitted lines are counted', async (t) => {
 	const clock = FakeTimers.install({now: 0});
--- a/packages/telemetry/src/log-output.ts
+++ b/packages/telemetry/src/log-output.ts
@@ -41,17 +41,22 @@
 		// The error cannot be logged, since the log itself failed; the process continues without it.
 		dropped += 1;
 	});
+	const flushOnce = async () =>
+		new Promise<void>((resolve) => {
+			stream.flush(() => {
+				resolve();
+			});
+		});
+
+	const flushAll = async () => {
+		await flushOnce();
+		// The stream reports the end of a write even if less than its minimum length is buffered behind it.
+		await flushOnce();
+	};
+
 	return {
 		write: (text) => stream.write(text),
 		dropped: () => dropped,
-		flush: async () =>
-			Promise.race([
-				new Promise<void>((resolve) => {
-					stream.flush(() => {
-						resolve();
-					});
-				}),
-				sleep(LOG_FLUSH_DEADLINE_MS),
-			]),
+		flush: async () => Promise.race([flushAll(), sleep(LOG_FLUSH_DEADLINE_MS)]),
 	};
 };
