Leave the limit between two leaders' orders for one machine

Callers and operators: a new leader repeated the unconfirmed maintenance order of the previous one as soon as it was elected. An instance that ends by itself hands over within the leadership lease of 1.5 s, so orders of two holders for one machine followed each other within leaseMs (3 s).

Cause: leaseMs is in the settings' bounds and no code read it. A new leader acted on the stored record without regard to the age of the order behind it.

Fix: from the second term on, no maintenance is ordered until leaseMs plus the time that an order may be under way has passed since the term's start. The previous leader checks its term before each order, so its last order is older than that. Machines that are due stay drained meanwhile. Ruled out: waiting only for recorded machines, since two waves may name the same machine.

leaseMs has a default until the settings pass it in.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -289,3 +289,9 @@
 
 /** Long-poll timeout of the watch on waves, which have seconds to begin. */
 export const WAVE_WATCH_WAIT_MS = 5000;
+
+/** Time between orders of two leaders for one machine, where the settings do not say. */
+export const MAINTENANCE_LEASE_MS = 3000;
+
+/** Time for which a maintenance order may be under way after the leader has last checked its term. */
+export const MAINTENANCE_ORDER_MS = 1500;
--- a/packages/scheduler/src/maintenance/run-waves.test.ts
+++ b/packages/scheduler/src/maintenance/run-waves.test.ts
@@ -2,6 +2,7 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import t, {type Test} from 'tap';
+import {MAINTENANCE_LEASE_MS} from '../constants.js';
 import {LEADER_KEY} from '../keys.js';
 import {createMemoryKeyValue, type MemoryKeyValue} from '../test/memory-key-value.js';
 import {createModelMachines, type ModelMachines} from '../test/model-machines.js';
@@ -19,6 +20,10 @@
 	/** Starts a leader with the given term; the returned function ends the term. */
 	lead: (term: number) => Promise<() => void>;
 	state: () => Promise<string | undefined>;
+	/** Machines that run a unit that may not be stopped. */
+	protectedIds: Set<string>;
+	/** Workers that get no new work, as of the latest step of a leader. */
+	drained: () => readonly string[];
 }>;
 
 const createFixture = async (t: Test): Promise<Fixture> => {
@@ -28,6 +33,8 @@
 	store.put(`waves/${WAVE.number}`, Buffer.from(JSON.stringify(WAVE)));
 	const running: Array<Promise<void>> = [];
 	const controllers: AbortController[] = [];
+	const protectedIds = new Set<string>();
+	let drained: readonly string[] = [];
 	t.teardown(async () => {
 		for (const controller of controllers) {
 			controller.abort();
@@ -41,6 +48,8 @@
 		clock,
 		store,
 		machines,
+		protectedIds,
+		drained: () => drained,
 		async lead(number) {
 			const controller = new AbortController();
 			controllers.push(controller);
@@ -71,9 +80,9 @@
 					now: () => performance.now(),
 					maintenanceMs: () => MAINTENANCE_MS,
 					lostWorkOf: () => 0,
-					isProtected: () => false,
-					setDrainDeadlines() {
-						// The simulated machines run no units.
+					isProtected: ({id}) => protectedIds.has(id),
+					setDrainDeadlines(deadlineByWorker) {
+						drained = [...deadlineByWorker.keys()];
 					},
 					signal: controller.signal,
 				}),
@@ -145,3 +154,20 @@
 	store.release();
 	t.equal(await state(), 'completed');
 });
+
+// Guards against orders of two leaders for one machine that follow each other faster than the platform allows. An instance
+// that ends by itself hands over within the leadership lease, which is shorter than that limit.
+await t.test('a new leader orders no maintenance until the orders of the previous one are old enough', async (t) => {
+	const {clock, machines, lead, state} = await createFixture(t);
+	machines.faults.delaysMs.push(1000);
+	const end = await lead(1);
+	await clock.tickAsync(300);
+	end();
+	await lead(2);
+	await clock.tickAsync(30_000);
+	const [first] = machines.orders;
+	const repeats = machines.orders.filter(({machineId, token}) => machineId === first?.machineId && token === 2);
+	t.ok(repeats.length > 0);
+	t.ok(repeats.every(({atMs}) => atMs - first!.atMs >= MAINTENANCE_LEASE_MS));
+	t.equal(await state(), 'completed');
+});
--- a/packages/scheduler/src/maintenance/run-waves.ts
+++ b/packages/scheduler/src/maintenance/run-waves.ts
@@ -3,6 +3,8 @@
 import {runKeyWatch, type KeyChanges, type KeyValueStore} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {
+	MAINTENANCE_LEASE_MS,
+	MAINTENANCE_ORDER_MS,
 	MAINTENANCE_POLL_MS,
 	WATCH_PAUSE_MS,
 	WATCH_RETRY_MAX_MS,
@@ -25,6 +27,8 @@
 	now: () => number;
 	/** Time that the maintenance of one machine takes. */
 	maintenanceMs: () => number;
+	/** Least time between orders of two leaders for one machine. */
+	leaseMs?: () => number;
 	lostWorkOf: (machine: Machine) => number;
 	isProtected: (machine: Machine) => boolean;
 	/** Sets the workers to drain: they get no new work, and units that would not finish by the deadline, in monotonic time, are moved. */
@@ -61,6 +65,11 @@
 	const {port, records, store, term, log, metrics, now, lostWorkOf, isProtected, setDrainDeadlines, signal} = options;
 	const waves = new Map<number, ActiveWave>();
 	const waker = createWaker();
+	const startedMs = now();
+
+	/** Whether all orders of earlier leaders are old enough. The last one may have been sent just before this term, and arrive late. */
+	const mayOrder = (): boolean =>
+		term.number === 1 || now() - startedMs >= (options.leaseMs?.() ?? MAINTENANCE_LEASE_MS) + MAINTENANCE_ORDER_MS;
 
 	/** Writes a record of the term. A conflict means that another instance leads or that an earlier write has taken effect late. */
 	const write = async (
@@ -162,7 +171,7 @@
 	};
 
 	const order = async (active: ActiveWave, machineId: string) => {
-		if (!term.isValid()) {
+		if (!term.isValid() || !mayOrder()) {
 			return;
 		}
 
@@ -222,8 +231,10 @@
 			wallClockMs: Date.now(),
 			maintenanceMs: options.maintenanceMs(),
 		});
-		active.drainDeadlines = drain;
-		for (const machineId of start) {
+		const canOrder = mayOrder();
+		// Machines that are due stay drained until they can be ordered down.
+		active.drainDeadlines = canOrder ? drain : new Map([...drain, ...start.map((id) => [id, now()] as const)]);
+		for (const machineId of canOrder ? start : []) {
 			const {record} = active;
 			if (await storeRecord(active, {...record, ordered: [...record.ordered, machineId]})) {
 				await order(active, machineId);
--- a/packages/scheduler/src/test/model-machines.ts
+++ b/packages/scheduler/src/test/model-machines.ts
@@ -12,6 +12,8 @@
 	faults: MachineFaults;
 	/** Machines whose maintenance has started, in order. */
 	started: readonly string[];
+	/** Maintenance orders that were sent, with the times at which they were. */
+	orders: ReadonlyArray<Readonly<{machineId: string; token: number; atMs: number}>>;
 	/** Largest number of machines that were down for maintenance at the same time. */
 	maxDown: () => number;
 	remove: (machineId: string) => void;
@@ -25,6 +27,7 @@
 	const tokens = new Map<string, number>();
 	const done = new Set<string>();
 	const started: string[] = [];
+	const orders: Array<Readonly<{machineId: string; token: number; atMs: number}>> = [];
 	const faults: MachineFaults = {delaysMs: []};
 	let maxDown = 0;
 
@@ -63,6 +66,7 @@
 	return {
 		faults,
 		started,
+		orders,
 		maxDown: () => maxDown,
 		remove(machineId) {
 			machines.delete(machineId);
@@ -70,6 +74,7 @@
 		port: {
 			list: async () => [...machines.values()],
 			async maintain(order) {
+				orders.push({machineId: order.machineId, token: order.token, atMs: performance.now()});
 				const delayMs = faults.delaysMs.shift();
 				if (delayMs === undefined) {
 					return maintain(order);
