Repeat a maintenance order only on current knowledge

Callers: an upkeep ended serving units of a step with a disruption budget (mayMiss) while others of the step were away.

Cause: an order that got no response is repeated until it is confirmed. Its decision (machine idle, nothing protected there) was made once and could be of any age: the worker of the machine was no longer drained, so units were placed on it, and the repeat, also that of a later leader, did not look at them. In the same way the order for the last machine of a long list rested on a listing that was older by all the orders before it, so it could name a worker that has been replaced.

Fix: the protection is checked again right before each order; a machine stays drained from the decision until its order is confirmed; an order rests on a listing that was received at most a second before. An order that is carried out late cannot be called back and is not covered.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -295,3 +295,6 @@
 
 /** Time for which a maintenance order may be under way after the leader has last checked its term. */
 export const MAINTENANCE_ORDER_MS = 1500;
+
+/** Oldest listing of the machines on which a maintenance order may rest. */
+export const MACHINE_LISTING_MAX_AGE_MS = 1000;
--- /dev/null
+++ b/packages/scheduler/src/maintenance/active-wave.ts
@@ -0,0 +1,43 @@
+import type {Machine, Wave, WaveRecord} from './types.js';
+
+/** A wave that a leader carries out. */
+export type ActiveWave = {
+	readonly wave: Wave;
+	record: WaveRecord;
+	/** Revision of the stored record; 0 before it is stored. */
+	revision: number;
+	/** Revision of the stored state; 0 before it is stored. */
+	stateRevision: number;
+	/** Machines being drained, with their drain deadlines. */
+	drainDeadlines: ReadonlyMap<string, number>;
+	/** Machines whose maintenance order was accepted, with the time of the response. */
+	readonly acceptedMs: Map<string, number>;
+	isCompleted: boolean;
+};
+
+/**
+Workers that get no new work because of the waves, with their drain deadlines. An order that is not confirmed is repeated and ends what runs on the machine by then, so its deadline has passed.
+
+@example
+```ts
+setDrainDeadlines(drainDeadlinesOf([...waves.values()], machines, now()));
+```
+*/
+export const drainDeadlinesOf = (
+	waves: readonly ActiveWave[],
+	machines: ReadonlyMap<string, Machine>,
+	nowMs: number,
+): ReadonlyMap<string, number> => {
+	const deadlineByWorker = new Map<string, number>();
+	for (const {drainDeadlines, record, acceptedMs} of waves.filter(({isCompleted}) => !isCompleted)) {
+		const unconfirmed = record.ordered.filter((id) => !acceptedMs.has(id));
+		for (const [machineId, deadlineMs] of [...drainDeadlines, ...unconfirmed.map((id) => [id, nowMs] as const)]) {
+			const workerId = machines.get(machineId)?.workerId;
+			if (workerId !== undefined) {
+				deadlineByWorker.set(workerId, deadlineMs);
+			}
+		}
+	}
+
+	return deadlineByWorker;
+};
--- a/packages/scheduler/src/maintenance/run-waves.test.ts
+++ b/packages/scheduler/src/maintenance/run-waves.test.ts
@@ -20,7 +20,7 @@
 	/** Starts a leader with the given term; the returned function ends the term. */
 	lead: (term: number) => Promise<() => void>;
 	state: () => Promise<string | undefined>;
-	/** Machines that run a unit that may not be stopped. */
+	/** Workers that run a unit that may not be stopped. */
 	protectedIds: Set<string>;
 	/** Workers that get no new work, as of the latest step of a leader. */
 	drained: () => readonly string[];
@@ -80,7 +80,7 @@
 					now: () => performance.now(),
 					maintenanceMs: () => MAINTENANCE_MS,
 					lostWorkOf: () => 0,
-					isProtected: ({id}) => protectedIds.has(id),
+					isProtected: ({workerId = ''}) => protectedIds.has(workerId),
 					setDrainDeadlines(deadlineByWorker) {
 						drained = [...deadlineByWorker.keys()];
 					},
@@ -171,3 +171,43 @@
 	t.ok(repeats.every(({atMs}) => atMs - first!.atMs >= MAINTENANCE_LEASE_MS));
 	t.equal(await state(), 'completed');
 });
+
+// Guards against units that are placed on a machine that is still going down: its order is repeated until it is confirmed,
+// and each repeat ends what runs there.
+await t.test('a machine with an unconfirmed order gets no new work', async (t) => {
+	const {clock, machines, lead, drained} = await createFixture(t);
+	machines.faults.delaysMs.push(60_000, 60_000, 60_000);
+	await lead(1);
+	await clock.tickAsync(1000);
+	t.match(machines.orders, [{machineId: 'a'}]);
+	t.ok(drained().includes('w-a'));
+});
+
+// Guards against an order that rests on an old check: units may have come to be protected since it was first sent.
+await t.test('an unconfirmed order is not repeated while the machine runs a protected unit', async (t) => {
+	const {clock, machines, protectedIds, lead, state} = await createFixture(t);
+	machines.faults.delaysMs.push(60_000);
+	await lead(1);
+	await clock.tickAsync(300);
+	protectedIds.add('w-a');
+	const countOrders = () => machines.orders.filter(({machineId}) => machineId === 'a').length;
+	await clock.tickAsync(5000);
+	t.equal(countOrders(), 1);
+	protectedIds.delete('w-a');
+	await clock.tickAsync(15_000);
+	t.equal(countOrders(), 2);
+	t.equal(await state(), 'completed');
+});
+
+// Guards against an order for a machine whose worker has been replaced since the machines were listed.
+await t.test('no order rests on a listing of the machines from before slow orders', async (t) => {
+	const {clock, machines, protectedIds, lead} = await createFixture(t);
+	machines.faults.replyMs = 1400;
+	await lead(1);
+	await clock.tickAsync(1000);
+	t.match(machines.orders, [{machineId: 'a'}]);
+	machines.replaceWorker('b');
+	protectedIds.add('w-b-next');
+	await clock.tickAsync(8000);
+	t.notOk(machines.orders.some(({machineId}) => machineId === 'b'));
+});
--- a/packages/scheduler/src/maintenance/run-waves.ts
+++ b/packages/scheduler/src/maintenance/run-waves.ts
@@ -3,6 +3,7 @@
 import {runKeyWatch, type KeyChanges, type KeyValueStore} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {
+	MACHINE_LISTING_MAX_AGE_MS,
 	MAINTENANCE_LEASE_MS,
 	MAINTENANCE_ORDER_MS,
 	MAINTENANCE_POLL_MS,
@@ -14,6 +15,7 @@
 import type {Term} from '../election.js';
 import {LEADER_KEY, waveKey} from '../keys.js';
 import {createWaker} from '../waker.js';
+import {drainDeadlinesOf, type ActiveWave} from './active-wave.js';
 import {planWave} from './plan-wave.js';
 import type {Machine, MachinePort, Wave, WaveRecord, WaveRecords, WaveState} from './types.js';
 
@@ -36,19 +38,8 @@
 	signal: AbortSignal;
 }>;
 
-type ActiveWave = {
-	readonly wave: Wave;
-	record: WaveRecord;
-	/** Revision of the stored record; 0 before it is stored. */
-	revision: number;
-	/** Revision of the stored state; 0 before it is stored. */
-	stateRevision: number;
-	/** Machines being drained, with their drain deadlines. */
-	drainDeadlines: ReadonlyMap<string, number>;
-	/** Machines whose maintenance order was accepted, with the time of the response. */
-	readonly acceptedMs: Map<string, number>;
-	isCompleted: boolean;
-};
+/** All machines, with the times between which they were listed. */
+type MachineListing = Readonly<{machines: ReadonlyMap<string, Machine>; sentMs: number; receivedMs: number}>;
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
@@ -170,12 +161,17 @@
 		await storeRecord(active, {...record, ordered, done: [...new Set([...record.done, machineId])]});
 	};
 
-	const order = async (active: ActiveWave, machineId: string) => {
-		if (!term.isValid() || !mayOrder()) {
+	/** Whether an order may rest on the listing; workers are replaced meanwhile. */
+	const isCurrent = ({receivedMs}: MachineListing): boolean => now() - receivedMs <= MACHINE_LISTING_MAX_AGE_MS;
+
+	/** Orders the maintenance, unless that would end a unit that is protected by now: the decision may be much older than the order. */
+	const order = async (active: ActiveWave, machine: Machine, listing: MachineListing) => {
+		if (!term.isValid() || !mayOrder() || !isCurrent(listing) || isProtected(machine)) {
 			return;
 		}
 
 		const {wave} = active;
+		const {id: machineId} = machine;
 		const reply = await port.maintain({machineId, wave: wave.number, token: term.number});
 		metrics.count('upkeep_orders_total', {reply});
 		log.info('upkeep-order', {wave: wave.number, machine: machineId, reply, term: term.number});
@@ -205,21 +201,26 @@
 	};
 
 	/** Marks the ordered machines that are up again as done, and repeats the orders that no response has confirmed. */
-	const settleOrders = async (active: ActiveWave, machines: ReadonlyMap<string, Machine>, listedMs: number) => {
+	const settleOrders = async (active: ActiveWave, listing: MachineListing) => {
 		for (const machineId of active.record.ordered) {
 			const acceptedMs = active.acceptedMs.get(machineId);
-			const machine = machines.get(machineId);
-			const isUpAgain = acceptedMs !== undefined && machine?.state === 'up' && listedMs > acceptedMs;
+			const machine = listing.machines.get(machineId);
+			const isUpAgain = acceptedMs !== undefined && machine?.state === 'up' && listing.sentMs > acceptedMs;
 			if (isUpAgain || !machine) {
 				await markDone(active, machineId);
 			} else if (acceptedMs === undefined) {
-				await order(active, machineId);
+				await order(active, machine, listing);
 			}
 		}
 	};
 
-	const advance = async (active: ActiveWave, machines: ReadonlyMap<string, Machine>, listedMs: number) => {
-		await settleOrders(active, machines, listedMs);
+	const publishDrains = (machines: ReadonlyMap<string, Machine>) => {
+		setDrainDeadlines(drainDeadlinesOf([...waves.values()], machines, now()));
+	};
+
+	const advance = async (active: ActiveWave, listing: MachineListing) => {
+		const {machines} = listing;
+		await settleOrders(active, listing);
 		const {drain, start, isCompleted} = planWave({
 			wave: active.wave,
 			record: active.record,
@@ -231,13 +232,17 @@
 			wallClockMs: Date.now(),
 			maintenanceMs: options.maintenanceMs(),
 		});
-		const canOrder = mayOrder();
-		// Machines that are due stay drained until they can be ordered down.
-		active.drainDeadlines = canOrder ? drain : new Map([...drain, ...start.map((id) => [id, now()] as const)]);
-		for (const machineId of canOrder ? start : []) {
+		// Machines that are due get no new work until their orders are confirmed.
+		active.drainDeadlines = new Map([...drain, ...start.map((id) => [id, now()] as const)]);
+		publishDrains(machines);
+		for (const machineId of start) {
+			if (!mayOrder() || !isCurrent(listing)) {
+				break;
+			}
+
 			const {record} = active;
 			if (await storeRecord(active, {...record, ordered: [...record.ordered, machineId]})) {
-				await order(active, machineId);
+				await order(active, machines.get(machineId)!, listing);
 			}
 		}
 
@@ -246,20 +251,6 @@
 		}
 	};
 
-	const publishDrains = (machines: ReadonlyMap<string, Machine>) => {
-		const deadlineByWorker = new Map<string, number>();
-		for (const {drainDeadlines, isCompleted} of waves.values()) {
-			for (const [machineId, deadlineMs] of isCompleted ? [] : drainDeadlines) {
-				const workerId = machines.get(machineId)?.workerId;
-				if (workerId !== undefined) {
-					deadlineByWorker.set(workerId, deadlineMs);
-				}
-			}
-		}
-
-		setDrainDeadlines(deadlineByWorker);
-	};
-
 	const step = async () => {
 		for (const [number, wave] of wavesToLoad) {
 			await loadWave(wave);
@@ -271,11 +262,12 @@
 			return;
 		}
 
-		const listedMs = now();
+		const sentMs = now();
 		const listed = await port.list();
 		const machines = new Map(listed.map((machine) => [machine.id, machine]));
+		const receivedMs = now();
 		for (const activeWave of active) {
-			await advance(activeWave, machines, listedMs);
+			await advance(activeWave, {machines, sentMs, receivedMs});
 		}
 
 		publishDrains(machines);
--- a/packages/scheduler/src/test/model-machines.ts
+++ b/packages/scheduler/src/test/model-machines.ts
@@ -1,9 +1,12 @@
+import {sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError} from '@bergamotgauge/model';
 import type {Machine, MachinePort} from '../maintenance/types.js';
 
 export type MachineFaults = {
 	/** Delays of the following orders, which get no response and are carried out late. */
 	delaysMs: number[];
+	/** Time that the other orders take to be answered. */
+	replyMs: number;
 };
 
 /** Simulated machines that follow the protocol for fencing tokens and repeated orders. */
@@ -17,6 +20,8 @@
 	/** Largest number of machines that were down for maintenance at the same time. */
 	maxDown: () => number;
 	remove: (machineId: string) => void;
+	/** Gives the machine a new worker incarnation, as after a crash. */
+	replaceWorker: (machineId: string) => void;
 }>;
 
 /** Creates machines that use the clock of the runtime, each with a worker `w-ID`. */
@@ -28,7 +33,7 @@
 	const done = new Set<string>();
 	const started: string[] = [];
 	const orders: Array<Readonly<{machineId: string; token: number; atMs: number}>> = [];
-	const faults: MachineFaults = {delaysMs: []};
+	const faults: MachineFaults = {delaysMs: [], replyMs: 0};
 	let maxDown = 0;
 
 	const countMachinesDown = () => [...machines.values()].filter(({state}) => state === 'upkeep').length;
@@ -71,13 +76,19 @@
 		remove(machineId) {
 			machines.delete(machineId);
 		},
+		replaceWorker(machineId) {
+			const machine = machines.get(machineId)!;
+			machines.set(machineId, {...machine, workerId: `${machine.workerId}-next`});
+		},
 		port: {
 			list: async () => [...machines.values()],
 			async maintain(order) {
 				orders.push({machineId: order.machineId, token: order.token, atMs: performance.now()});
 				const delayMs = faults.delaysMs.shift();
 				if (delayMs === undefined) {
-					return maintain(order);
+					const reply = await maintain(order);
+					await sleep(faults.replyMs);
+					return reply;
 				}
 
 				setTimeout(() => {
