Serve counts of pending jobs only while they are current

Callers: without a leader, or with a leader that gets no changes of the jobs, an instance in good health went on serving the last published count, or 0 if none was ever published, however many jobs were accepted after it.

Cause: the published count had no age. It was written only when it changed, so a reader could not tell an unchanged count from an abandoned one.

Fix: the count is stored under a lease that the leader renews twice a second, only while the stored text is what it counts and its view of the jobs is recent; the key goes with the lease, and instances then refuse the request (503, not-run) instead of guessing. Ruled out: a listing of all jobs by each instance, whose cost grows with the number of jobs. A change of leader can now cost refused counts for up to about a second (by reading, not measured).

The age of the view is an option until the leader passes it in.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -144,6 +144,14 @@
 /** Interval between counts of queued jobs; callers may be told counts up to 2 s old. */
 export const PENDING_WRITE_MS = 500;
 
+/**
+Lease of the published counts. Together with the age of the view of the jobs, the interval between counts and the instances' cache, it keeps what callers are told within five seconds.
+*/
+export const PENDING_TTL_MS = 2200;
+
+/** Oldest view of the jobs that is counted; above the wait of its watch, which ends the age of a view without changes. */
+export const PENDING_VIEW_MAX_AGE_MS = 1800;
+
 /** How long an instance serves the counts that it last read. */
 export const PENDING_CACHE_MS = 400;
 
--- a/packages/scheduler/src/pending-counts.test.ts
+++ b/packages/scheduler/src/pending-counts.test.ts
@@ -16,6 +16,7 @@
 	const table = createJobTable(createSilentLog());
 	const controller = new AbortController();
 	const {signal} = controller;
+	const view = {ageMs: 0};
 	const publishing = publishPendingCounts({
 		store,
 		table,
@@ -29,8 +30,13 @@
 			signal,
 		},
 		log: createSilentLog(),
+		viewAgeMs: () => view.ageMs,
 		signal,
 	});
+	const endTerm = () => {
+		controller.abort();
+	};
+
 	t.teardown(async () => {
 		controller.abort();
 		await publishing;
@@ -49,7 +55,7 @@
 	};
 
 	const readPublished = async (queue: string) => createPendingReader(store, () => performance.now())(queue);
-	return {clock, store, addJob, removeJob, readPublished};
+	return {clock, store, view, endTerm, addJob, removeJob, readPublished};
 };
 
 // Guards against callers that are told an old count for as long as the number of queued jobs does not change.
@@ -79,3 +85,35 @@
 	await clock.tickAsync(2000);
 	t.equal(await readPublished(queue), 1);
 });
+
+await t.test('a count that does not change remains readable while the leader counts', async (t) => {
+	const {clock, addJob, readPublished} = await createFixture(t);
+	const queue = await addJob('0000000000000001');
+	await clock.tickAsync(30_000);
+	t.equal(await readPublished(queue), 1);
+});
+
+// Guards against callers that are told the last count of an earlier leader while jobs are accepted that it has not seen.
+await t.test('a count is not served after the leader has stopped counting', async (t) => {
+	const {clock, store, endTerm, addJob, readPublished} = await createFixture(t);
+	const queue = await addJob('0000000000000001');
+	await clock.tickAsync(1000);
+	endTerm();
+	const job = newJob({id: '0000000000000002'});
+	store.put(jobKey(job.id, 'submission'), encodeJob(job));
+	await clock.tickAsync(5000);
+	await t.rejects(readPublished(queue), {code: 'store-unavailable', verdict: 'not-run'});
+});
+
+// Guards against counts of a leader that keeps its term but gets no changes of the jobs.
+await t.test('a count is not served when the view of the jobs that it rests on is old', async (t) => {
+	const {clock, view, addJob, readPublished} = await createFixture(t);
+	const queue = await addJob('0000000000000001');
+	await clock.tickAsync(1000);
+	view.ageMs = 5000;
+	await clock.tickAsync(3000);
+	await t.rejects(readPublished(queue), {code: 'store-unavailable'});
+	view.ageMs = 0;
+	await clock.tickAsync(3000);
+	t.equal(await readPublished(queue), 1);
+});
--- a/packages/scheduler/src/pending-counts.ts
+++ b/packages/scheduler/src/pending-counts.ts
@@ -1,8 +1,14 @@
 import {sleep} from '@bergamotgauge/lifecycle';
-import {toServiceError} from '@bergamotgauge/model';
+import {ServiceError, toServiceError} from '@bergamotgauge/model';
 import type {KeyValueStore} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
-import {PENDING_CACHE_MS, PENDING_WRITE_MS} from './constants.js';
+import {
+	PENDING_CACHE_MS,
+	PENDING_TTL_MS,
+	PENDING_VIEW_MAX_AGE_MS,
+	PENDING_WRITE_MS,
+	STORE_RETRY_AFTER_MS,
+} from './constants.js';
 import type {Term} from './election.js';
 import {stateOf} from './job-entry.js';
 import type {JobTable} from './job-table.js';
@@ -10,6 +16,16 @@
 
 type Counts = Readonly<Record<string, number>>;
 
+export type PendingOptions = Readonly<{
+	store: KeyValueStore;
+	table: JobTable;
+	term: Term;
+	log: Log;
+	/** Time within which changes may be missing from the table. */
+	viewAgeMs?: () => number;
+	signal: AbortSignal;
+}>;
+
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 
@@ -25,35 +41,62 @@
 };
 
 /**
-Publishes the number of queued jobs by queue whenever it has changed. A write that got no response may take effect later, so each write expects the revision of the one before.
+Publishes the number of queued jobs by queue whenever it has changed, under a lease that is renewed only while the number is known to be current. A write that got no response may take effect later, so each write expects the revision of the one before.
 */
 export const publishPendingCounts = async ({
 	store,
 	table,
 	term,
 	log,
+	viewAgeMs = () => 0,
 	signal,
-}: Readonly<{store: KeyValueStore; table: JobTable; term: Term; log: Log; signal: AbortSignal}>): Promise<void> => {
+}: PendingOptions): Promise<void> => {
 	/** The counts that are known to be stored; `undefined` when the stored ones are not known. */
 	let published: string | undefined;
 	let revision = 0;
-	while (!signal.aborted) {
-		const text = JSON.stringify(countPending(table));
-		if (text !== published && term.isValid()) {
+	let lease: number | undefined;
+
+	const write = async (text: string) => {
+		if (lease === undefined) {
+			({lease} = await store.grantLease(PENDING_TTL_MS));
+		}
+
+		const result = await store.transact({
+			expected: [
+				{key: LEADER_KEY, revision: term.leaderRevision},
+				{key: PENDING_KEY, revision},
+			],
+			writes: [{key: PENDING_KEY, value: encoder.encode(text), lease}],
+		});
+		if (result.outcome === 'applied') {
+			published = text;
+			revision = result.revision;
+		} else if (result.outcome === 'conflict') {
+			revision = result.current.find(({key}) => key === PENDING_KEY)?.revision ?? 0;
+		} else {
+			lease = undefined;
+		}
+	};
+
+	/** Renews the lease of the published counts, which are current. */
+	const renew = async () => {
+		if (lease !== undefined && !(await store.renewLease(lease))) {
+			lease = undefined;
 			published = undefined;
+		}
+	};
+
+	while (!signal.aborted) {
+		if (term.isValid() && viewAgeMs() <= PENDING_VIEW_MAX_AGE_MS) {
+			const text = JSON.stringify(countPending(table));
 			try {
-				const result = await store.transact({
-					expected: [
-						{key: LEADER_KEY, revision: term.leaderRevision},
-						{key: PENDING_KEY, revision},
-					],
-					writes: [{key: PENDING_KEY, value: encoder.encode(text)}],
-				});
-				if (result.outcome === 'applied') {
-					published = text;
-					revision = result.revision;
-				} else if (result.outcome === 'conflict') {
-					revision = result.current.find(({key}) => key === PENDING_KEY)?.revision ?? 0;
+				if (text !== published) {
+					published = undefined;
+					await write(text);
+				}
+
+				if (text === published) {
+					await renew();
 				}
 			} catch (error) {
 				log.debug('pending-not-stored', {error: toServiceError(error, 'may-have-run').message});
@@ -72,6 +115,8 @@
 const readPending = createPendingReader(store, health.now);
 const pending = await readPending('queue-1');
 ```
+
+@throws {ServiceError} `store-unavailable` when no leader has confirmed the counts lately.
 */
 export const createPendingReader = (store: KeyValueStore, now: () => number) => {
 	let readMs = Number.NEGATIVE_INFINITY;
@@ -79,7 +124,15 @@
 
 	const read = async (): Promise<Counts> => {
 		const item = await store.get(PENDING_KEY);
-		return item ? (JSON.parse(decoder.decode(item.value)) as Counts) : {};
+		if (!item) {
+			throw new ServiceError('the pending jobs have not been counted lately', {
+				code: 'store-unavailable',
+				verdict: 'not-run',
+				retryAfterMs: STORE_RETRY_AFTER_MS,
+			});
+		}
+
+		return JSON.parse(decoder.decode(item.value)) as Counts;
 	};
 
 	return async (queue: string): Promise<number> => {
