Raise the share of best-effort units only on recent reports

Callers: a latency-sensitive unit could be over its target for longer than harmMs because of units that fill beside it.

Cause: the CPU share of best-effort units was raised every 600 ms on the last reported response time, however old. A worker whose reports stopped on one low figure gave its best-effort units their full share back within seconds, unseen.

Fix: a figure older than 1.5 s can lower the share but not raise it. Workers with units of both kinds report every half second, so the share rises as before while they do.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -249,6 +249,9 @@
 /** Long-poll timeout of lease renewals for workers that run both latency-sensitive and best-effort units. */
 export const SHARED_RENEWAL_WAIT_MS = 500;
 
+/** Oldest report of a latency-sensitive unit on which the CPU share of best-effort units is raised; two reports of a shared worker fit into it. */
+export const FIGURE_MAX_AGE_MS = 1500;
+
 /** Length of the window over which the speed of a run is measured. */
 export const PROGRESS_WINDOW_MS = 1500;
 
--- a/packages/scheduler/src/throttler.ts
+++ b/packages/scheduler/src/throttler.ts
@@ -1,4 +1,4 @@
-import {SUSPEND_AFTER_SHARE} from './constants.js';
+import {FIGURE_MAX_AGE_MS, SUSPEND_AFTER_SHARE, THROTTLE_UP_RATIO} from './constants.js';
 import {stepOf} from './active-job.js';
 import type {LeaderState, PlacedUnit} from './leader-state.js';
 import {initialThrottle, nextThrottle, type ThrottleState} from './throttle.js';
@@ -26,9 +26,11 @@
 const isBestEffort = ({activeJob, part, placement}: PlacedUnit): boolean =>
 	stepOf(activeJob, part).usesLeftover && placement.phase === 'running';
 
-/** Ratio of the unit's tail latency to its target; 0 while it is not known. */
-const latencyRatioOf = ({activeJob, part, placement}: PlacedUnit): number =>
-	(placement.recentFigure ?? 0) / (stepOf(activeJob, part).tailTargetMs ?? Number.POSITIVE_INFINITY);
+/** Ratio of the unit's tail latency to its target; 0 while it is not known. An old figure may lower the CPU share of best-effort units but not raise it. */
+const latencyRatioOf = ({activeJob, part, placement}: PlacedUnit, nowMs: number): number => {
+	const ratio = (placement.recentFigure ?? 0) / (stepOf(activeJob, part).tailTargetMs ?? Number.POSITIVE_INFINITY);
+	return nowMs - placement.reportedMs <= FIGURE_MAX_AGE_MS ? ratio : Math.max(ratio, THROTTLE_UP_RATIO);
+};
 
 /**
 Creates the throttler of a term.
@@ -47,7 +49,7 @@
 		latencySensitive: readonly PlacedUnit[],
 		bestEffort: readonly PlacedUnit[],
 	) => {
-		const latencyRatio = Math.max(...latencySensitive.map((placed) => latencyRatioOf(placed)));
+		const latencyRatio = Math.max(...latencySensitive.map((placed) => latencyRatioOf(placed, now())));
 		const known = throttles.get(workerId);
 		const throttle = known
 			? nextThrottle(known, {
