Count units on silent workers as absent in the disruption budget

Callers: an upkeep ended the last unit at work of a step that allows one unit to be away (mayMiss), seven seconds after the worker of the other one had crashed.

Cause: a unit counted as at work on its last report, however old, until the lease of its worker had ended, up to 10 s later.

Fix: while the link to its worker is silent, a part uses up the budget like an absent one and stays protected like one at work, since either may be true. A link is silent 3 s after the start of a renewal without a response, 4 s if ends were being stored, so the age has a bound. That this is below noticeMs follows from constants; no code compares the two.

--- a/packages/scheduler/src/disruption-budget.ts
+++ b/packages/scheduler/src/disruption-budget.ts
@@ -6,19 +6,25 @@
 	part.placements.length >= part.indexes.length &&
 	part.placements.every(({phase, percent}) => phase === 'running' && percent >= 100);
 
-/** Parts of one step that may not be stopped: the serving parts that exceed its disruption budget. */
-const protectedPartsOfStep = (parts: readonly Part[], maxAbsent: number): readonly Part[] => {
+/** Whether the latest reports say so; otherwise a worker of the part is silent, and its units may be at work or not. */
+const isCertain = (part: Part, {links}: LeaderState): boolean =>
+	part.placements.every(({workerId}) => links.get(workerId)?.state() !== 'silent');
+
+/** Parts of one step that may not be stopped: the serving parts that exceed its disruption budget. A part that may be absent uses up the budget like an absent one, and is protected like a serving one. */
+const protectedPartsOfStep = (parts: readonly Part[], maxAbsent: number, state: LeaderState): readonly Part[] => {
 	const serving = parts.filter((part) => isServing(part));
 	const countUnits = (subset: readonly Part[]): number => subset.reduce((sum, {indexes}) => sum + indexes.length, 0);
-	let budget = maxAbsent - (countUnits(parts) - countUnits(serving));
-	return serving.filter(({indexes}) => {
-		const isStoppable = indexes.length <= budget;
-		budget -= isStoppable ? indexes.length : 0;
+	let budget = maxAbsent - (countUnits(parts) - countUnits(serving.filter((part) => isCertain(part, state))));
+	return serving.filter((part) => {
+		// A stop of a part that counts as absent takes nothing more from the budget.
+		const cost = isCertain(part, state) ? part.indexes.length : 0;
+		const isStoppable = cost <= budget;
+		budget -= isStoppable ? cost : 0;
 		return !isStoppable;
 	});
 };
 
-const protectedPartsOfJob = (activeJob: ActiveJob): readonly Part[] =>
+const protectedPartsOfJob = (activeJob: ActiveJob, state: LeaderState): readonly Part[] =>
 	activeJob.job.steps.flatMap(({longRunning, maxAbsent}, step) => {
 		if (!longRunning || maxAbsent === undefined) {
 			return [];
@@ -30,6 +36,7 @@
 			protectedPartsOfStep(
 				parts.filter((part) => part.occurrence === occurrence),
 				maxAbsent,
+				state,
 			),
 		);
 	});
@@ -48,5 +55,5 @@
 	new Set(
 		[...state.activeJobs.values()]
 			.filter(({isCancelled, outcome}) => !isCancelled && outcome === undefined)
-			.flatMap((activeJob) => protectedPartsOfJob(activeJob)),
+			.flatMap((activeJob) => protectedPartsOfJob(activeJob, state)),
 	);
