--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -147,6 +147,14 @@
 /** Interval between counts of queued jobs; callers may be told counts up to 2 s old. */
 export const PENDING_WRITE_MS = 500;
 
+/**
+Lease of the published counts. Together with the age of the view of the jobs, the interval between counts and the instances' cache, it keeps what callers are told within five seconds.
+*/
+export const PENDING_TTL_MS = 2200;
+
+/** Oldest view of the jobs that is counted; above the wait of its watch, which ends the age of a view without changes. */
+export const PENDING_VIEW_MAX_AGE_MS = 1800;
+
 /** How long an instance serves the counts that it last read. */
 export const PENDING_CACHE_MS = 400;
 
@@ -244,6 +252,9 @@
 /** Long-poll timeout of lease renewals for workers that run both latency-sensitive and best-effort units. */
 export const SHARED_RENEWAL_WAIT_MS = 500;
 
+/** Oldest report of a latency-sensitive unit on which the CPU share of best-effort units is raised; two reports of a shared worker fit into it. */
+export const FIGURE_MAX_AGE_MS = 1500;
+
 /** Length of the window over which the speed of a run is measured. */
 export const PROGRESS_WINDOW_MS = 1500;
 
@@ -292,3 +303,12 @@
 
 /** Long-poll timeout of the watch on waves, which have seconds to begin. */
 export const WAVE_WATCH_WAIT_MS = 5000;
+
+/** Time between orders of two leaders for one machine, where the settings do not say. */
+export const MAINTENANCE_LEASE_MS = 3000;
+
+/** Time for which a maintenance order may be under way after the leader has last checked its term. */
+export const MAINTENANCE_ORDER_MS = 1500;
+
+/** Oldest listing of the machines on which a maintenance order may rest. */
+export const MACHINE_LISTING_MAX_AGE_MS = 1000;
