Pass the leader's ages and limits to the waves and the counts

The limit between two leaders' orders for one machine comes from the settings (leaseMs), and counts of pending jobs are published only while the view of the jobs is recent; both had stand-in defaults. A new leader's first count no longer waits half a second after the conflict with its predecessor's. The watches wait 0.8 s at most, so that the age of the counted view stays below its limit of 1.8 s also where the limit on cancellations is 4 s.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -14,7 +14,7 @@
 export const LEADER_MARGIN_MS = 250;
 
 /** Longest long-poll timeout of a watch; an empty response also proves that the replica is current. */
-export const WATCH_WAIT_MS = 1500;
+export const WATCH_WAIT_MS = 800;
 
 /** Pause after a watch that returned changes; changes made meanwhile are batched into the next response. */
 export const WATCH_PAUSE_MS = 40;
@@ -304,9 +304,6 @@
 /** Long-poll timeout of the watch on waves, which have seconds to begin. */
 export const WAVE_WATCH_WAIT_MS = 5000;
 
-/** Time between orders of two leaders for one machine, where the settings do not say. */
-export const MAINTENANCE_LEASE_MS = 3000;
-
 /** Time for which a maintenance order may be under way after the leader has last checked its term. */
 export const MAINTENANCE_ORDER_MS = 1500;
 
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -241,7 +241,9 @@
 			}),
 		);
 		lifecycle.run('retention', async (signal) => removeEndedJobs({store, table, term, bounds, log, signal}));
-		lifecycle.run('pending', async (signal) => publishPendingCounts({store, table, term, log, signal}));
+		lifecycle.run('pending', async (signal) =>
+			publishPendingCounts({store, table, term, log, viewAgeMs: ages.jobs.ageMs, signal}),
+		);
 		if (advisor) {
 			lifecycle.run('advice', advisor.run);
 		}
@@ -258,6 +260,7 @@
 					metrics,
 					now,
 					maintenanceMs: () => bounds.maintenanceMs,
+					leaseMs: () => bounds.machineLeaseMs,
 					lostWorkOf: ({workerId = ''}) =>
 						(state.placementIndex.byWorker.get(workerId) ?? []).reduce(
 							(sum, placed) => sum + lostWorkOf(placed, now()),
--- a/packages/scheduler/src/maintenance/run-waves.test.ts
+++ b/packages/scheduler/src/maintenance/run-waves.test.ts
@@ -2,8 +2,8 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import t, {type Test} from 'tap';
-import {MAINTENANCE_LEASE_MS} from '../constants.js';
 import {LEADER_KEY} from '../keys.js';
+import {BOUNDS} from '../test/cluster.js';
 import {createMemoryKeyValue, type MemoryKeyValue} from '../test/memory-key-value.js';
 import {createModelMachines, type ModelMachines} from '../test/model-machines.js';
 import {runWaves} from './run-waves.js';
@@ -79,6 +79,7 @@
 					metrics: createMetrics(),
 					now: () => performance.now(),
 					maintenanceMs: () => MAINTENANCE_MS,
+					leaseMs: () => BOUNDS.machineLeaseMs,
 					lostWorkOf: () => 0,
 					isProtected: ({workerId = ''}) => protectedIds.has(workerId),
 					setDrainDeadlines(deadlineByWorker) {
@@ -168,7 +169,7 @@
 	const [first] = machines.orders;
 	const repeats = machines.orders.filter(({machineId, token}) => machineId === first?.machineId && token === 2);
 	t.ok(repeats.length > 0);
-	t.ok(repeats.every(({atMs}) => atMs - first!.atMs >= MAINTENANCE_LEASE_MS));
+	t.ok(repeats.every(({atMs}) => atMs - first!.atMs >= BOUNDS.machineLeaseMs));
 	t.equal(await state(), 'completed');
 });
 
--- a/packages/scheduler/src/maintenance/run-waves.ts
+++ b/packages/scheduler/src/maintenance/run-waves.ts
@@ -4,7 +4,6 @@
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {
 	MACHINE_LISTING_MAX_AGE_MS,
-	MAINTENANCE_LEASE_MS,
 	MAINTENANCE_ORDER_MS,
 	MAINTENANCE_POLL_MS,
 	WATCH_PAUSE_MS,
@@ -30,7 +29,7 @@
 	/** Time that the maintenance of one machine takes. */
 	maintenanceMs: () => number;
 	/** Least time between orders of two leaders for one machine. */
-	leaseMs?: () => number;
+	leaseMs: () => number;
 	lostWorkOf: (machine: Machine) => number;
 	isProtected: (machine: Machine) => boolean;
 	/** Sets the workers to drain: they get no new work, and units that would not finish by the deadline, in monotonic time, are moved. */
@@ -59,8 +58,7 @@
 	const startedMs = now();
 
 	/** Whether all orders of earlier leaders are old enough. The last one may have been sent just before this term, and arrive late. */
-	const mayOrder = (): boolean =>
-		term.number === 1 || now() - startedMs >= (options.leaseMs?.() ?? MAINTENANCE_LEASE_MS) + MAINTENANCE_ORDER_MS;
+	const mayOrder = (): boolean => term.number === 1 || now() - startedMs >= options.leaseMs() + MAINTENANCE_ORDER_MS;
 
 	/** Writes a record of the term. A conflict means that another instance leads or that an earlier write has taken effect late. */
 	const write = async (
--- a/packages/scheduler/src/pending-counts.ts
+++ b/packages/scheduler/src/pending-counts.ts
@@ -22,7 +22,7 @@
 	term: Term;
 	log: Log;
 	/** Time within which changes may be missing from the table. */
-	viewAgeMs?: () => number;
+	viewAgeMs: () => number;
 	signal: AbortSignal;
 }>;
 
@@ -48,7 +48,7 @@
 	table,
 	term,
 	log,
-	viewAgeMs = () => 0,
+	viewAgeMs,
 	signal,
 }: PendingOptions): Promise<void> => {
 	/** The counts that are known to be stored; `undefined` when the stored ones are not known. */
@@ -95,6 +95,11 @@
 					await write(text);
 				}
 
+				if (published === undefined) {
+					// The first write of a term conflicts with the counts of the leader before, and has now read their revision.
+					await write(text);
+				}
+
 				if (text === published) {
 					await renew();
 				}
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -24,6 +24,7 @@
 	graceMs: 6000,
 	maxInterferenceMs: 4000,
 	maintenanceMs: 2000,
+	machineLeaseMs: 3000,
 	cancellationMs: 3000,
 	drainNoticeMs: 2000,
 };
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -171,6 +171,8 @@
 	maxInterferenceMs: number;
 	/** Time that the maintenance of a machine takes. */
 	maintenanceMs: number;
+	/** Least time between the orders of two leaders for one machine. */
+	machineLeaseMs: number;
 	/** Time after the confirmation of a cancellation from which no unit of the job may start. */
 	cancellationMs: number;
 	/** Time after a worker's report that it drains from which no unit may start on it. */
