Let the watches on views leave time for a slow store

Starts could pause again and again while the store answered each call, only slowly: with responses of 250 ms a view of the workers was outdated for 1.92 of 20 s, for 70 ms at a time, with two log lines each (found in review). After a step of the clock or a suspension a view stayed outdated for up to two waits of its watch, and starts came after 811 to 851 ms.

Cause: the waits were fixed shares of the greatest age, which left 173 ms for two responses, and a watch of an outdated view waited like any other.

The wait is now what the age of the view and the last response time leave of its limit, with 250 ms for the response at least, and 0 for an outdated view. The view of the jobs also stays below the 1.8 s that counts of pending jobs may rest on.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -16,6 +16,12 @@
 /** Longest long-poll timeout of a watch; an empty response also proves that the replica is current. */
 export const WATCH_WAIT_MS = 800;
 
+/** Response time of a slow store, which the waits of watches always leave time for. */
+export const SLOW_RESPONSE_MS = 250;
+
+/** Difference between two response times of a store that is slower than that. */
+export const RESPONSE_JITTER_MS = 100;
+
 /** Pause after a watch that returned changes; changes made meanwhile are batched into the next response. */
 export const WATCH_PAUSE_MS = 40;
 
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -1,7 +1,7 @@
 import {createLifecycle} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
 import type {KeyChanges} from '@bergamotgauge/store';
-import {DIRECTORY_PAUSE_MS, WATCH_PAUSE_MS} from './constants.js';
+import {DIRECTORY_PAUSE_MS, PENDING_VIEW_MAX_AGE_MS, WATCH_PAUSE_MS} from './constants.js';
 import type {Term} from './election.js';
 import {createAdvisor} from './advisor.js';
 import {createActiveJob, type ActiveJob} from './active-job.js';
@@ -21,7 +21,7 @@
 import type {StoreHealth} from './store-health.js';
 import type {SchedulerContext} from './types.js';
 import {createUnitEnds} from './unit-ends.js';
-import {createStartGuard, viewTiming} from './start-guard.js';
+import {createStartGuard, maxViewAgeMs} from './start-guard.js';
 import {createViewAges} from './view-ages.js';
 import {createWaker} from './waker.js';
 import {watchView} from './watch-view.js';
@@ -212,7 +212,8 @@
 				now,
 				signal,
 				prefix: JOBS_PREFIX,
-				...viewTiming(() => bounds.cancellationMs, WATCH_PAUSE_MS),
+				maxAgeMs: () => Math.min(maxViewAgeMs(bounds.cancellationMs), PENDING_VIEW_MAX_AGE_MS),
+				pauseMs: WATCH_PAUSE_MS,
 				age: ages.jobs,
 				onChanges: applyJobChanges,
 				onSynced,
@@ -234,7 +235,8 @@
 				now,
 				signal,
 				prefix: workerPrefix,
-				...viewTiming(() => bounds.drainNoticeMs, DIRECTORY_PAUSE_MS),
+				maxAgeMs: () => maxViewAgeMs(bounds.drainNoticeMs),
+				pauseMs: DIRECTORY_PAUSE_MS,
 				age: ages.workers,
 				onChanges: fleet.applyDirectoryChanges,
 				onSynced,
--- a/packages/scheduler/src/start-guard.ts
+++ b/packages/scheduler/src/start-guard.ts
@@ -1,5 +1,5 @@
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
-import {START_LEAD_MS, WATCH_WAIT_MS} from './constants.js';
+import {START_LEAD_MS} from './constants.js';
 import type {Bounds} from './types.js';
 import type {ViewAges} from './view-ages.js';
 
@@ -21,22 +21,6 @@
 /** Age up to which a start may rest on a view, so that it reaches the worker within the bound on outdated starts. */
 export const maxViewAgeMs = (boundMs: number): number => Math.max(boundMs - START_LEAD_MS, boundMs / 4);
 
-/** Timing of the watch on a view, in milliseconds. */
-export type ViewTiming = Readonly<{waitMs: () => number; pauseMs: () => number}>;
-
-/**
-Times the watch on a view so that the view stays recent enough for starts. Before a response, a view can be as old as two waits and a pause, which take up at most 13/15 of its greatest age; the rest is left to the store.
-
-@example
-```ts
-await watchView({...viewTiming(() => bounds.cancellationMs, WATCH_PAUSE_MS), ...options});
-```
-*/
-export const viewTiming = (boundMs: () => number, maxPauseMs: number): ViewTiming => ({
-	waitMs: () => Math.min(WATCH_WAIT_MS, maxViewAgeMs(boundMs()) / 3),
-	pauseMs: () => Math.min(maxPauseMs, maxViewAgeMs(boundMs()) / 5),
-});
-
 /**
 Creates the guard of a term.
 
