Test each place where outdated views hold starts back

Three mutations passed all tests (found in review): no check of the views before each attempt at a start, plans made on outdated views, and a planner that is not woken when the views are recent again.

--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -29,15 +29,19 @@
 	const part = partOf(activeJob, 0, 0, 0)!;
 	const unit = `${activeJob.job.id}.0.0.0`;
 	const startResults: Array<(result: OrderResult) => void> = [];
+	/** Checks of the starts, in order, that are made before each attempt. */
+	const wantedChecks: Array<() => boolean> = [];
+	const views = {areRecent: true};
 	const stops: number[] = [];
 	/** CPU share of the unit on its worker. */
 	const worker = {percent: 100, lateThrottles: 0};
 	const newLink = (id: string): WorkerLink => ({
 		worker: newWorker(id),
 		state: () => 'synced',
-		start: async () =>
+		start: async (_order, isWanted) =>
 			new Promise((resolve) => {
 				startResults.push(resolve);
+				wantedChecks.push(isWanted);
 			}),
 		async stop(_unit, run) {
 			stops.push(run);
@@ -73,7 +77,7 @@
 	const placements = createPlacements({
 		state,
 		ages: createViewAges(now),
-		mayStart: () => true,
+		mayStart: () => views.areRecent,
 		term: 1,
 		bounds: BOUNDS,
 		log: createSilentLog(),
@@ -97,7 +101,23 @@
 	};
 
 	const listed = (run: number): RunningUnit => ({unit, run, checkpoint: '', percent: 10});
-	return {clock, now, activeJob, part, unit, startResults, stops, worker, links, placements, ends, index, listed};
+	return {
+		clock,
+		now,
+		activeJob,
+		part,
+		unit,
+		startResults,
+		wantedChecks,
+		views,
+		stops,
+		worker,
+		links,
+		placements,
+		ends,
+		index,
+		listed,
+	};
 };
 
 // Guards against a unit that is started elsewhere although its worker has reported the run: an attempt at the start got
@@ -163,3 +183,12 @@
 	await clock.tickAsync(10_000);
 	t.ok(placement.throttlePercent === undefined || worker.percent === placement.throttlePercent, `${worker.percent}`);
 });
+
+// Guards against repeats of a start that rest on views which have become outdated since the first attempt.
+await t.test('a start is not wanted any more when the views are outdated', async (t) => {
+	const {activeJob, part, wantedChecks, views, placements} = createFixture(t);
+	placements.start(activeJob, part, ['w1']);
+	t.ok(wantedChecks[0]!());
+	views.areRecent = false;
+	t.notOk(wantedChecks[0]!());
+});
--- a/packages/scheduler/src/stale-view.test.ts
+++ b/packages/scheduler/src/stale-view.test.ts
@@ -1,4 +1,5 @@
 import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import {createLog, parseLine} from '@bergamotgauge/telemetry';
 import t, {type Test} from 'tap';
 import {JOBS_PREFIX} from './keys.js';
 import {addressOf, createTestCluster, newWorker, submitStep, unitOf, WORKER_PREFIX} from './test/cluster.js';
@@ -7,12 +8,30 @@
 const CANCELLATION_MS = 3000;
 const DRAIN_NOTICE_MS = 2000;
 
+/** A log that records the times of its lines by event. */
+const createTimedLog = () => {
+	const times = new Map<string, number[]>();
+	const log = createLog({
+		level: 'info',
+		output: {
+			write(text: string) {
+				const event = parseLine(text)?.event ?? '';
+				times.set(event, [...(times.get(event) ?? []), performance.now()]);
+			},
+		},
+	});
+	return {log, times};
+};
+
 /** A worker that unit 1 occupies until 5.5 s, while unit 2 waits for it; the clock is at 1 s. */
 const startWithWaitingUnit = async (t: Test) => {
-	const cluster = createTestCluster(t, [newWorker('w1')], (unit) => ({
-		runMs: unit === unitOf(1) ? 5000 : 20_000,
-		how: 'done',
-	}));
+	const {log, times} = createTimedLog();
+	const cluster = createTestCluster(
+		t,
+		[newWorker('w1')],
+		(unit) => ({runMs: unit === unitOf(1) ? 5000 : 20_000, how: 'done'}),
+		{log},
+	);
 	const leader = cluster.startInstance('one');
 	await cluster.clock.tickAsync(500);
 	const other = cluster.startInstance('two');
@@ -20,7 +39,7 @@
 	await submitStep(other.scheduler.jobs, 2, newStep({accelerators: 8}));
 	await cluster.clock.tickAsync(500);
 	t.equal(cluster.startsOf(unitOf(1)), 1);
-	return {cluster, leader, other};
+	return {cluster, leader, other, times};
 };
 
 // Guards against a leader that has not heard of a cancellation for longer than the limit and starts units of the job.
@@ -93,3 +112,37 @@
 		});
 	}
 });
+
+// Guards against plans on outdated views, whose starts are all withdrawn and whose evictions make room for nothing.
+await t.test('nothing is planned while a view is outdated', async (t) => {
+	const {log, times} = createTimedLog();
+	const cluster = createTestCluster(t, [newWorker('w1'), newWorker('w2')], undefined, {log});
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(1000);
+	cluster.store.faults.silentWatches.add(WORKER_PREFIX);
+	await cluster.clock.tickAsync(DRAIN_NOTICE_MS);
+	await submitStep(scheduler.jobs, 1);
+	await cluster.clock.tickAsync(4000);
+	t.same(times.get('starts-paused')?.length, 1);
+	t.equal(times.get('part-start'), undefined);
+	cluster.store.faults.silentWatches.clear();
+	await cluster.clock.tickAsync(2000);
+	t.equal(cluster.startsOf(unitOf(1)), 1);
+});
+
+// Guards against waiting work that, after the views are recent again, waits on for the next planning pass.
+await t.test('waiting units start as soon as the views are recent again', async (t) => {
+	for (let silentMs = 6000; silentMs < 6500; silentMs += 100) {
+		await t.test(`silent for ${silentMs} ms`, async (t) => {
+			const {cluster, times} = await startWithWaitingUnit(t);
+			cluster.store.faults.silentWatches.add(JOBS_PREFIX);
+			await cluster.clock.tickAsync(silentMs);
+			t.equal(cluster.startsOf(unitOf(2)), 0);
+			cluster.store.faults.silentWatches.clear();
+			await cluster.clock.tickAsync(2000);
+			const resumedMs = times.get('starts-resumed')?.at(-1) ?? 0;
+			const startedMs = times.get('part-start')?.at(-1) ?? Number.POSITIVE_INFINITY;
+			t.ok(startedMs >= resumedMs && startedMs - resumedMs < 100, `${startedMs - resumedMs} ms after they were`);
+		});
+	}
+});
