Keep machines up whose runs the leader does not know yet

Callers: after a change of leader, an upkeep ended a unit at work of a step that allows none to be away (mayMiss).

Cause: a machine counted as idle if the leader knew of no runs on it. A new leader knows of none on a worker that has not responded to it yet, though a run ordered by the previous leader may go on there until its lease ends.

Fix: a worker without a report to this leader counts as running a protected unit while leases of earlier leaders may be valid.

--- a/packages/scheduler/src/disruption-budget-reports.test.ts
+++ b/packages/scheduler/src/disruption-budget-reports.test.ts
@@ -36,3 +36,32 @@
 	await clock.tickAsync(20_000);
 	t.ok(machines.orders.length > 0);
 });
+
+// Guards against the maintenance of a machine that looks idle to a new leader only because its worker has not responded yet.
+await t.test('a machine whose runs are not known is not taken down', async (t) => {
+	const machines = createModelMachines(['a'], 2000);
+	const {clock, store, workers, startInstance} = createTestCluster(
+		t,
+		[newWorker('w-a')],
+		() => ({runMs: 600_000, how: 'done', startupMs: 500}),
+		{machines: machines.port},
+	);
+	const first = startInstance('i-1');
+	await clock.tickAsync(2000);
+	await submitStep(first.scheduler.jobs, 1, newStep({longRunning: true, maxAbsent: 0}));
+	await clock.tickAsync(8000);
+	const worker = workers.get('w-a')!;
+	t.equal(worker.running().length, 1);
+	worker.faults.isMute = true;
+	first.crash();
+	startInstance('i-2');
+	const wave: Wave = {number: 1, machineIds: ['a'], durationMs: 3500, maxDown: 1};
+	store.put('waves/1', Buffer.from(JSON.stringify(wave)));
+	while (worker.running().length > 0) {
+		t.same(machines.orders, []);
+		await clock.tickAsync(500);
+	}
+
+	await clock.tickAsync(10_000);
+	t.ok(machines.orders.length > 0);
+});
--- a/packages/scheduler/src/disruption-budget.ts
+++ b/packages/scheduler/src/disruption-budget.ts
@@ -57,3 +57,23 @@
 			.filter(({isCancelled, outcome}) => !isCancelled && outcome === undefined)
 			.flatMap((activeJob) => protectedPartsOfJob(activeJob, state)),
 	);
+
+/**
+Whether a worker runs a unit that may not be stopped, or may run one because it has not reported to this leader yet and leases of earlier leaders may still be valid.
+
+@example
+```ts
+if (!mayRunProtectedParts(state, 'i-1', now())) {
+	await port.maintain(order);
+}
+```
+*/
+export const mayRunProtectedParts = (state: LeaderState, workerId: string, nowMs: number): boolean => {
+	const link = state.links.get(workerId);
+	if (link?.state() === 'unsynced' && nowMs < link.expiryMs()) {
+		return true;
+	}
+
+	const protectedNow = protectedParts(state);
+	return (state.placementIndex.byWorker.get(workerId) ?? []).some(({part}) => protectedNow.has(part));
+};
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -13,7 +13,7 @@
 import {createPlacements} from './placements.js';
 import {lostWorkOf, stepIdOf} from './plan-view.js';
 import {runWaves} from './maintenance/run-waves.js';
-import {protectedParts} from './disruption-budget.js';
+import {mayRunProtectedParts} from './disruption-budget.js';
 import {createPlanner} from './planner.js';
 import {runPlanLoop} from './plan-loop.js';
 import {createProgressWriter} from './progress-writer.js';
@@ -268,10 +268,7 @@
 							(sum, placed) => sum + lostWorkOf(placed, now()),
 							0,
 						),
-					isProtected({workerId = ''}) {
-						const protectedNow = protectedParts(state);
-						return (state.placementIndex.byWorker.get(workerId) ?? []).some(({part}) => protectedNow.has(part));
-					},
+					isProtected: ({workerId = ''}) => mayRunProtectedParts(state, workerId, now()),
 					setDrainDeadlines(deadlineByWorker) {
 						state.maintenanceDrains.deadlineByWorker = deadlineByWorker;
 						waker.wake();
