Leave out a worker whose address is unusable

One report in the store with an address such as 10.0.0.1:70000 stopped all starts (found in review): it passed the check of the report, the connection to it could not be created, and the exception made every delivery of the workers' changes and every planning pass fail, without a limit. An entry may come from another writer, and the others have to hold.

--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -1,4 +1,5 @@
 import type {Lifecycle} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
 import type {KeyChanges} from '@bergamotgauge/store';
 import {
 	CLOCK_RATE_ERROR,
@@ -102,8 +103,8 @@
 		onChanged();
 	};
 
-	const openLink = (worker: Worker) => {
-		const link = createWorkerLink({
+	const createLink = (worker: Worker): WorkerLink =>
+		createWorkerLink({
 			context,
 			worker,
 			token: term.number,
@@ -128,6 +129,22 @@
 				hasWork: (from) => state.orphanedRuns.has(from.worker.id) || inUse.has(from.worker.id),
 			},
 		});
+
+	const openLink = (worker: Worker) => {
+		let link: WorkerLink;
+		try {
+			link = createLink(worker);
+		} catch (error) {
+			// One worker that cannot be called must not keep the others from being used.
+			log.error('worker-unusable', {
+				worker: worker.id,
+				address: worker.address,
+				error: toServiceError(error, 'not-run').message,
+			});
+			linkEndedMs.set(worker.id, Number.POSITIVE_INFINITY);
+			return;
+		}
+
 		state.links.set(worker.id, link);
 		unsynced.add(worker.id);
 		lifecycle.run(`worker/${worker.id}`, link.run);
