Read the age of the views once in each planning pass

If a view became outdated between the update of the guard and the plan of the same pass, the plan was skipped while starts counted as allowed, and the next response did not wake the planner: up to half a second was lost. starts_paused stayed 1 after the term of a leader that had paused, and 0 at the begin of one. Both were found in review, by reading. The pass now takes the state of the last update, and the gauge is set at the begin and the end of a term.

--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -127,7 +127,7 @@
 		onChanged: waker.wake,
 	});
 
-	const planner = createPlanner({context, term, state, fleet, placements, advisor, mayStart: guard.mayStart, now});
+	const planner = createPlanner({context, term, state, fleet, placements, advisor, now});
 
 	const storeEnded = async (activeJob: ActiveJob) => {
 		try {
@@ -282,6 +282,8 @@
 		await waitForTermEnd();
 	} finally {
 		term.signal.removeEventListener('abort', endLifecycle);
+		// An instance that does not lead holds no starts back.
+		metrics.gauge('starts_paused', 0);
 		await lifecycle.close();
 	}
 };
--- a/packages/scheduler/src/plan-loop.ts
+++ b/packages/scheduler/src/plan-loop.ts
@@ -65,7 +65,7 @@
 		if (term.isValid()) {
 			fleet.reopen();
 			guard.update();
-			nextDueMs = planner.pass();
+			nextDueMs = planner.pass(!guard.isPaused());
 		}
 
 		const passEndMs = performance.now();
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -24,15 +24,13 @@
 	placements: Placements;
 	/** `undefined` if the deployment has no advice service. */
 	advisor: Advisor | undefined;
-	/** Whether the views are recent enough for starts. */
-	mayStart: () => boolean;
 	now: () => number;
 }>;
 
 /** Decides which units start and stop, and orders the starts and stops. */
 export type Planner = Readonly<{
-	/** Runs one planning pass. Returns the wall-clock time at which the next occurrence of a scheduled job is due. */
-	pass: () => number;
+	/** Runs one planning pass, without starts and evictions if the views are outdated. Returns the wall-clock time at which the next occurrence of a scheduled job is due. */
+	pass: (areViewsRecent: boolean) => number;
 }>;
 
 /** The plan while starts are paused; evictions make room for starts, so they wait for them. */
@@ -45,7 +43,7 @@
 
 /** Creates the planner of a term. */
 export const createPlanner = (options: PlannerOptions): Planner => {
-	const {context, term, state, fleet, placements, advisor, mayStart, now} = options;
+	const {context, term, state, fleet, placements, advisor, now} = options;
 	const {metrics, bounds, declarations} = context;
 
 	const slowWorkers = createSlowWorkers({state, placements, log: context.log, now});
@@ -122,7 +120,7 @@
 	};
 
 	return {
-		pass() {
+		pass(areViewsRecent) {
 			const startedMs = performance.now();
 			const {parts, nextDueMs} = collectParts();
 			state.placementIndex.byWorker = placedByWorker(state);
@@ -140,7 +138,7 @@
 				allowedWorkers: (stepId) => advisor?.allowedWorkers(stepId) ?? new Set(),
 			});
 			advisor?.setRequests(pendingAdviceRequests(view, (partId) => parts.get(partId)?.[0].job.advice));
-			const {starts, evictions} = mayStart() ? plan(view) : NO_STARTS;
+			const {starts, evictions} = areViewsRecent ? plan(view) : NO_STARTS;
 			for (const {partId, workerIds} of starts) {
 				const [activeJob, part] = parts.get(partId)!;
 				placements.start(activeJob, part, workerIds);
--- a/packages/scheduler/src/start-guard.ts
+++ b/packages/scheduler/src/start-guard.ts
@@ -14,6 +14,8 @@
 export type StartGuard = Readonly<{
 	/** Whether a start may be sent now. */
 	mayStart: () => boolean;
+	/** Whether starts were paused at the last update. */
+	isPaused: () => boolean;
 	/** Logs when starts are paused or resumed. Returns whether they have been resumed since the last update. */
 	update: () => boolean;
 }>;
@@ -35,8 +37,10 @@
 		ages.jobs.ageMs() <= maxViewAgeMs(bounds.cancellationMs) &&
 		ages.workers.ageMs() <= maxViewAgeMs(bounds.drainNoticeMs);
 	let isPaused = true;
+	metrics.gauge('starts_paused', 1);
 	return {
 		mayStart,
+		isPaused: () => isPaused,
 		update() {
 			if (mayStart() !== isPaused) {
 				return false;
