Say which program of the harness is late and what it used

Four test files failed once beside a load of 25 to 37 with `deadline of 20000 ms exceeded`, which names neither the program nor what it did. The message now has the program's name, its CPU time, the load average and its output so far: little CPU time at a high load is a lack of processor time, little at a low load is a program that waits, and its last line says for what.

--- a/packages/harness/src/processes.ts
+++ b/packages/harness/src/processes.ts
@@ -1,11 +1,13 @@
 import {type Buffer} from 'node:buffer';
-import {spawn} from 'node:child_process';
+import {spawn, type ChildProcess} from 'node:child_process';
 import {createRequire} from 'node:module';
+import {loadavg} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
-import {withDeadline, type Lifecycle} from '@bergamotgauge/lifecycle';
+import {DeadlineError, withDeadline, type Lifecycle} from '@bergamotgauge/lifecycle';
 import {START_DEADLINE_MS} from './constants.js';
+import {readCpuSeconds} from './process-usage.js';
 import type {StartedInstance, StartedProcess} from './types.js';
 
 const require = createRequire(import.meta.url);
@@ -41,6 +43,13 @@
 	killFunctions.add(kill);
 };
 
+/** Describes a program that is not ready in time; its CPU time and output tell a program that waits from one that got no processor time. */
+const createLateStartError = (name: string, child: ChildProcess, output: readonly string[], cause: Error): Error => {
+	const cpuSeconds = child.pid === undefined ? 0 : readCpuSeconds(child.pid);
+	const usage = `${cpuSeconds.toFixed(2)} s of CPU time, load average ${loadavg()[0]!.toFixed(1)}`;
+	return new Error(`${name} is not ready after ${START_DEADLINE_MS} ms (${usage}):\n${output.join('\n')}`, {cause});
+};
+
 const startProcess = async <Result>(
 	lifecycle: Lifecycle,
 	name: string,
@@ -59,23 +68,25 @@
 	child.stderr.on('data', (chunk: Buffer) => {
 		output.push(chunk.toString());
 	});
-	const result = await withDeadline(
-		START_DEADLINE_MS,
-		async () =>
-			new Promise<Result>((resolve, reject) => {
-				createInterface(child.stdout).on('line', (line) => {
-					output.push(line);
-					const matched = match(line);
-					if (matched !== undefined) {
-						resolve(matched);
-					}
-				});
-				child.once('exit', (code) => {
-					reject(new Error(`${name} exited with ${code}:\n${output.join('\n')}`));
-				});
-			}),
-	);
-	return {process: {name, child}, result};
+	const ready = async () =>
+		new Promise<Result>((resolve, reject) => {
+			createInterface(child.stdout).on('line', (line) => {
+				output.push(line);
+				const matched = match(line);
+				if (matched !== undefined) {
+					resolve(matched);
+				}
+			});
+			child.once('exit', (code) => {
+				reject(new Error(`${name} exited with ${code}:\n${output.join('\n')}`));
+			});
+		});
+
+	try {
+		return {process: {name, child}, result: await withDeadline(START_DEADLINE_MS, ready)};
+	} catch (error) {
+		throw error instanceof DeadlineError ? createLateStartError(name, child, output, error) : error;
+	}
 };
 
 /** Starts a stand-in process and returns the addresses that it announces on its `ready` line. */
