Start the harness's programs without the test runner's preload

Under `npm test`, child processes inherit NODE_OPTIONS that preloads tap's modules, whose loader hooks transform every import. An instance used 3.03 s of CPU time from spawn to `instance-started` with this preload and 1.54 s without it; the store and the instance list 0.8 to 1.1 s and 0.5 to 0.6 s (two starts each). No test uses what the modules record, since coverage is off.

Starting the service (store and list together, then one instance, then its declarations) under tap beside three busy loops took 4.4 to 8.7 s before and 2.4 to 2.8 s after (four starts each, load average 12 to 13, with other work on the machine whose share was not controlled).

The deadline of 20 s is unchanged. Failures at a load of 25 to 37 were not reproduced, so their cause stays open; what is shown is that the start spent half of its CPU time on the preload.

--- a/packages/harness/src/processes.ts
+++ b/packages/harness/src/processes.ts
@@ -19,6 +19,9 @@
 const READY = /^ready (?<json>.*)$/v;
 const STARTED = /event=instance-started.*address=(?<address>\S+) peerAddress=(?<peerAddress>\S+)/v;
 
+/** Options of `env`. The test runner preloads modules into child processes, which doubles the CPU time of their start; no test uses what these modules record. */
+const WITHOUT_PRELOAD = ['--unset=NODE_OPTIONS'] as const;
+
 type MatchedProcess<Result> = Readonly<{process: StartedProcess; result: Result}>;
 
 const TERMINATION_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
@@ -57,7 +60,9 @@
 	args: readonly string[],
 	match: (line: string) => Result | undefined,
 ): Promise<MatchedProcess<Result>> => {
-	const child = spawn(process.execPath, [program, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
+	const child = spawn('env', [...WITHOUT_PRELOAD, process.execPath, program, ...args], {
+		stdio: ['ignore', 'pipe', 'pipe'],
+	});
 	const output: string[] = [];
 	const kill = () => {
 		child.kill('SIGKILL');
