--- a/packages/scheduler/src/start-guard.ts
+++ b/packages/scheduler/src/start-guard.ts
@@ -20,7 +20,7 @@
 	update: () => boolean;
 }>;
 
-/** Age up to which a start may rest on a view, so that it reaches the worker within the bound on outdated starts. */
+/** Age up to which a start may rest on a view, so that it reaches the worker within the bound. Bounds below 0.94 s are not fully kept: no watch keeps a view recent enough. */
 export const maxViewAgeMs = (boundMs: number): number => Math.max(boundMs - START_LEAD_MS, boundMs / 4);
 
 /**
--- a/packages/scheduler/src/view-timing.ts
+++ b/packages/scheduler/src/view-timing.ts
@@ -19,7 +19,7 @@
 
 @example
 ```ts
-viewWaitMs({maxAgeMs: 2300, ageMs: 770, responseMs: 4}); // 766
+viewWaitMs({maxAgeMs: 2400, ageMs: 810, responseMs: 4}); // 800
 ```
 */
 export const viewWaitMs = (budget: ViewBudget): number => Math.min(WATCH_WAIT_MS, budget.maxAgeMs / 3, spareMs(budget));
