Test starts after a step of the clock

The age of a view counts from the start of a read, so the watch that is in progress at a step of the clock or a suspension does not make the view current. The one after it waits for changes again, since it follows neither a listing nor a failure, and starts stay paused for up to two waits.

--- /dev/null
+++ b/packages/scheduler/src/clock-step.test.ts
@@ -0,0 +1,54 @@
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
+import FakeTimers from '@sinonjs/fake-timers';
+import t from 'tap';
+import {WATCH_PAUSE_MS} from './constants.js';
+import {createStartGuard, viewTiming} from './start-guard.js';
+import {createSuspendClock} from './store-health.js';
+import {BOUNDS} from './test/cluster.js';
+import {createMemoryKeyValue} from './test/memory-key-value.js';
+import {createViewAges} from './view-ages.js';
+import {watchView} from './watch-view.js';
+
+const STEP_MS = 6000;
+
+// Guards against starts that stay paused after a suspension or a step of the clock, while the next watch waits for changes
+// although the view is outdated. The watch that is in progress may last for one wait.
+await t.test('starts resume within one wait of the watch after a step of the clock', async (t) => {
+	const timing = viewTiming(() => BOUNDS.cancellationMs, WATCH_PAUSE_MS);
+	for (let offsetMs = 0; offsetMs < 1000; offsetMs += 100) {
+		await t.test(`step at ${offsetMs} ms`, async (t) => {
+			const clock = FakeTimers.install({now: 1_000_000});
+			const controller = new AbortController();
+			const now = createSuspendClock();
+			const ages = createViewAges(now);
+			const log = createSilentLog();
+			const guard = createStartGuard({ages, bounds: BOUNDS, log, metrics: createMetrics()});
+			const watch = watchView({
+				store: createMemoryKeyValue(),
+				log,
+				now,
+				signal: controller.signal,
+				prefix: 'jobs/',
+				...timing,
+				age: ages.jobs,
+				onChanges() {
+					// Only the age of the view is checked.
+				},
+				onSynced() {
+					ages.workers.recordSync(now());
+					guard.update();
+				},
+			});
+			await clock.tickAsync(3000 + offsetMs);
+			t.ok(guard.mayStart());
+			clock.setSystemTime(clock.now + STEP_MS);
+			t.notOk(guard.mayStart());
+			await clock.tickAsync(Math.ceil(timing.waitMs()) + 10);
+			t.ok(guard.mayStart(), 'starts are resumed');
+			controller.abort();
+			await clock.tickAsync(3000);
+			await watch;
+			clock.uninstall();
+		});
+	}
+});
