Check an attempt at an order again when it leaves the queue

An attempt at an order waits up to 0.6 s for a connection to its worker when all four are in use, a lease renewal up to 3 s. Operators would have seen a start after the cancellation of its job, on a worker that drains or on a view that had become too old, or an order of a term that had ended (its margin is 0.25 s).

Cause: the order sender checked the term and whether the order still holds before the wait, and the connection pool sent whatever was still in its queue. Only the deadline of the attempt was checked later.

Fix: callers pass `maySend`, which the client reads when the request leaves the queue; a request for which it returns false is never sent and fails with verdict not-run. The sender reports such an attempt as withdrawn, not as unreachable, since it says nothing about the worker, and makes no further one. A withdrawn renewal does not make its worker silent. An attempt that was sent keeps waiting for its response as before.

Ruled out: the lease of an order is computed before the wait, but its end is a time on the worker's clock, so a later arrival only shortens it, and it was recorded before the wait.

--- a/packages/scheduler/src/test/model-worker-faults.ts
+++ b/packages/scheduler/src/test/model-worker-faults.ts
@@ -1,5 +1,6 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError} from '@bergamotgauge/model';
+import type {SendOptions} from '../types.js';
 
 export type CallKind = 'start' | 'stop' | 'throttle' | 'renewal';
 
@@ -20,6 +21,8 @@
 	isCutOff: boolean;
 	/** One-way network partition: orders arrive and are carried out, and no response leaves. */
 	isMute: boolean;
+	/** Time for which each call waits for a connection before it is sent. */
+	connectionWaitMs: number;
 	/** Speed of the worker's clock. */
 	clockRate: number;
 	/** Outcomes of the following calls; each call removes the first one of its kind. */
@@ -46,6 +49,7 @@
 export const createWorkerFaults = (): WorkerFaults => ({
 	isCutOff: false,
 	isMute: false,
+	connectionWaitMs: 0,
 	clockRate: 1,
 	script: {start: [], stop: [], throttle: [], renewal: []},
 	patterns: {start: [], stop: [], throttle: [], renewal: []},
@@ -58,6 +62,8 @@
 
 /** Applies the faults to the calls that a worker receives. */
 export type FaultyCalls = Readonly<{
+	/** Waits for a connection; throws if the call is given up or withdrawn before it is sent. */
+	connect: (options?: SendOptions) => Promise<void>;
 	/** Carries out the call or not, as the faults say, and resolves to the response; throws if there is none. */
 	receive: <Reply>(kind: CallKind, carryOut: () => Reply, refuse: () => Reply, signal?: AbortSignal) => Promise<Reply>;
 	/** Throws unless a response can leave the worker. */
@@ -89,6 +95,16 @@
 		}
 	};
 
+	const connect = async (options?: SendOptions) => {
+		if (faults.connectionWaitMs > 0) {
+			await sleep(faults.connectionWaitMs, options?.signal);
+		}
+
+		if (options && (options.signal.aborted || !options.maySend())) {
+			throw new ServiceError('not sent', {code: 'worker-failed', verdict: 'not-run'});
+		}
+	};
+
 	const takeOutcome = (kind: CallKind): CallOutcome => {
 		const scripted = faults.script[kind].shift();
 		if (scripted) {
@@ -112,6 +128,7 @@
 	};
 
 	return {
+		connect,
 		requireResponse,
 		async receive(kind, carryOut, refuse, signal) {
 			if (faults.isCutOff) {
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -1,5 +1,14 @@
 import type {RunEnd} from '@bergamotgauge/jobs';
-import type {EndedUnit, LeaseRenewal, OrderReply, StartOrder, Worker, WorkerPort, WorkerReport} from '../types.js';
+import type {
+	EndedUnit,
+	LeaseRenewal,
+	OrderReply,
+	SendOptions,
+	StartOrder,
+	Worker,
+	WorkerPort,
+	WorkerReport,
+} from '../types.js';
 import {NO_EVENTS, type WorkerEvents} from './model-worker-events.js';
 import {createFaultyCalls, createWorkerFaults, type CallKind, type WorkerFaults} from './model-worker-faults.js';
 
@@ -61,7 +70,7 @@
 	const tailLatencies = new Map<string, number>();
 	const calls: WorkerCall[] = [];
 	const faults = createWorkerFaults();
-	const {receive, requireResponse, release, clear} = createFaultyCalls(faults);
+	const {connect, receive, requireResponse, release, clear} = createFaultyCalls(faults);
 	const ended: EndedUnit[] = [];
 	const waiting = new Set<() => void>();
 	let sequence = 0;
@@ -245,10 +254,11 @@
 		kind: CallKind,
 		{unit, run}: RunTarget,
 		carryOut: () => OrderReply,
-		signal?: AbortSignal,
+		options?: SendOptions,
 	): Promise<OrderReply> => {
+		await connect(options);
 		record(kind, {unit, run});
-		const reply = await receive(kind, carryOut, () => refuse('unhealthy'), signal);
+		const reply = await receive(kind, carryOut, () => refuse('unhealthy'), options?.signal);
 		requireResponse();
 		return reply;
 	};
@@ -277,11 +287,13 @@
 			close() {
 				// The simulated worker has no connections.
 			},
-			start: async (order, signal) => receiveOrder('start', order, () => start(order), signal),
-			stop: async (order, signal) => receiveOrder('stop', order, () => stop(order), signal),
-			throttle: async (order, signal) => receiveOrder('throttle', order, () => throttle(order), signal),
-			async renewLease(renewal, signal) {
+			start: async (order, options) => receiveOrder('start', order, () => start(order), options),
+			stop: async (order, options) => receiveOrder('stop', order, () => stop(order), options),
+			throttle: async (order, options) => receiveOrder('throttle', order, () => throttle(order), options),
+			async renewLease(renewal, options) {
+				const {signal} = options;
 				const {acknowledgedSequence: acknowledged, waitMs} = renewal;
+				await connect(options);
 				record('renewal');
 				const reason = await receive<'accepted' | 'stale-token' | 'unhealthy'>(
 					'renewal',
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -102,16 +102,25 @@
 /** An order for one run. */
 export type RunOrder = Readonly<{unit: string; run: number; token: number}>;
 
+/** How a call to a worker is sent. */
+export type SendOptions = Readonly<{
+	signal: AbortSignal;
+	/**
+	Whether the call may be sent, read when it is about to be written to its connection: it may have waited for that connection longer than its reasons hold. A call for which it returns false is never sent.
+	*/
+	maySend: () => boolean;
+}>;
+
 /**
 Orders to one worker incarnation. They throw a `ServiceError` when no response comes: with verdict `not-run` if the order was never sent, else `may-have-run`. They settle when the signal aborts, and an order that is not sent by then is never sent.
 */
 export type WorkerPort = Readonly<{
-	start: (order: StartOrder, signal?: AbortSignal) => Promise<OrderReply>;
-	stop: (order: RunOrder, signal?: AbortSignal) => Promise<OrderReply>;
+	start: (order: StartOrder, options?: SendOptions) => Promise<OrderReply>;
+	stop: (order: RunOrder, options?: SendOptions) => Promise<OrderReply>;
 	/** Throttles a unit to a share of its CPU, in percent; it keeps its memory. */
-	throttle: (order: RunOrder & Readonly<{percent: number}>, signal?: AbortSignal) => Promise<OrderReply>;
+	throttle: (order: RunOrder & Readonly<{percent: number}>, options?: SendOptions) => Promise<OrderReply>;
 	/** Renews the lease and returns the active and the ended runs. */
-	renewLease: (order: LeaseRenewal, signal: AbortSignal) => Promise<WorkerReport>;
+	renewLease: (order: LeaseRenewal, options: SendOptions) => Promise<WorkerReport>;
 	close: () => void;
 }>;
 
--- a/packages/scheduler/src/worker-fleet.test.ts
+++ b/packages/scheduler/src/worker-fleet.test.ts
@@ -70,7 +70,7 @@
 		start: unused,
 		stop: unused,
 		throttle: unused,
-		async renewLease(_order, signal) {
+		async renewLease(_order, {signal}) {
 			calls.set(id, (calls.get(id) ?? 0) + 1);
 			return reply(replies[id]!, signal);
 		},
--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -68,11 +68,11 @@
 	const clockMs = () => Math.round(performance.now());
 	const accept = async (): Promise<OrderReply> => ({outcome: 'accepted', clockMs: clockMs()});
 	const port: WorkerPort = {
-		async start(_order, signal) {
+		async start(_order, options) {
 			starts.push(performance.now());
 			if (script.lostStarts > 0) {
 				script.lostStarts -= 1;
-				return neverRespond(signal);
+				return neverRespond(options?.signal);
 			}
 
 			return accept();
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -9,8 +9,9 @@
 	WORKER_RETRY_MAX_MS,
 	WORKER_RETRY_MS,
 } from './constants.js';
-import type {EndedUnit, RunningUnit, SchedulerContext, StartRefusal, Worker, WorkerPort} from './types.js';
+import type {EndedUnit, RunningUnit, SchedulerContext, SendOptions, StartRefusal, Worker, WorkerPort} from './types.js';
 import {createReportedEnds} from './reported-ends.js';
+import {createSendCheck, type SendCheck} from './send-check.js';
 import {createWaker} from './waker.js';
 import {createWorkerClock} from './worker-clock.js';
 import {createOrderSender, type OrderResult} from './worker-orders.js';
@@ -99,6 +100,7 @@
 		link.worker.state === 'draining' ? DRAINING_LEASE_MS : bounds.maxLeaseMs * LEASE_SHARE;
 	let state: WorkerLinkState = 'unsynced';
 	const isGone = (): boolean => state === 'gone';
+	const isActive = (): boolean => mayOrder() && !isGone();
 	let isPolling = false;
 	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
 		if (state !== next) {
@@ -140,7 +142,7 @@
 		log,
 		metrics,
 		now,
-		mayOrder: () => mayOrder() && !isGone(),
+		mayOrder: isActive,
 		observeReply,
 	});
 
@@ -152,7 +154,7 @@
 	});
 
 	/** Resolves to the reason for which the worker has refused the renewal, `undefined` if it has renewed the lease. */
-	const renewLease = async (signal: AbortSignal): Promise<StartRefusal | undefined> => {
+	const renewLease = async (signal: AbortSignal, {maySend}: SendCheck): Promise<StartRefusal | undefined> => {
 		const isFirst = state === 'unsynced';
 		const hasWork = events.hasWork(link);
 		const sentMs = now();
@@ -168,7 +170,7 @@
 			async (deadlineSignal) =>
 				port.renewLease(
 					{token, acknowledgedSequence: ends.acknowledged(), waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})},
-					deadlineSignal,
+					{signal: deadlineSignal, maySend},
 				),
 			signal,
 		);
@@ -219,8 +221,9 @@
 			}
 
 			const sendingSequence = ends.acknowledged();
+			const check = createSendCheck(isActive);
 			try {
-				const refusal = await renewLease(signal);
+				const refusal = await renewLease(signal, check);
 				if (refusal === undefined) {
 					sentSequence = sendingSequence;
 					refusedSinceMs = undefined;
@@ -238,7 +241,9 @@
 					break;
 				}
 
-				silence(toServiceError(error, 'may-have-run').message);
+				if (!check.isWithdrawn()) {
+					silence(toServiceError(error, 'may-have-run').message);
+				}
 			}
 
 			if (now() > clock.expiryMs()) {
@@ -259,12 +264,12 @@
 		wake: waker.wake,
 		run,
 		async start({unit, run: runNumber, spec, checkpoint, ticket}, isWanted) {
-			const send = async (signal: AbortSignal) => {
+			const send = async (sendOptions: SendOptions) => {
 				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs()) ?? 0;
 				clock.recordLease(leaseUntilMs);
 				return port.start(
 					{unit, run: runNumber, spec, leaseUntilMs, token, checkpoint, ...(ticket !== undefined && {ticket})},
-					signal,
+					sendOptions,
 				);
 			};
 
@@ -278,8 +283,8 @@
 			return result;
 		},
 		async stop(unit, runNumber) {
-			const result = await order('stop', {unit, run: runNumber}, async (signal) =>
-				port.stop({unit, run: runNumber, token}, signal),
+			const result = await order('stop', {unit, run: runNumber}, async (sendOptions) =>
+				port.stop({unit, run: runNumber, token}, sendOptions),
 			);
 			handleOrderResult(result);
 			// A worker that refuses because the run is over has nothing left to stop.
@@ -294,7 +299,10 @@
 			const sentMs = now();
 			try {
 				const report = await withDeadline(PROGRESS_POLL_DEADLINE_MS, async (deadlineSignal) =>
-					port.renewLease({token, acknowledgedSequence: ends.acknowledged(), waitMs: 0}, deadlineSignal),
+					port.renewLease(
+						{token, acknowledgedSequence: ends.acknowledged(), waitMs: 0},
+						{signal: deadlineSignal, maySend: isActive},
+					),
 				);
 				if (report.outcome === 'refused') {
 					handleRefusal(report.reason);
@@ -311,7 +319,8 @@
 			isPolling = false;
 		},
 		async throttle({unit, run: runNumber, percent}, isWanted) {
-			const send = async (signal: AbortSignal) => port.throttle({unit, run: runNumber, percent, token}, signal);
+			const send = async (sendOptions: SendOptions) =>
+				port.throttle({unit, run: runNumber, percent, token}, sendOptions);
 			const result = await order('pace', {unit, run: runNumber}, send, isWanted);
 			handleOrderResult(result);
 			return result;
--- a/packages/scheduler/src/worker-orders.ts
+++ b/packages/scheduler/src/worker-orders.ts
@@ -2,7 +2,8 @@
 import {toServiceError, type Verdict} from '@bergamotgauge/model';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {ORDER_DEADLINES_MS} from './constants.js';
-import type {OrderReply, StartRefusal} from './types.js';
+import {createSendCheck} from './send-check.js';
+import type {OrderReply, SendOptions, StartRefusal} from './types.js';
 
 export type OrderKind = 'start' | 'stop' | 'pace';
 
@@ -32,8 +33,8 @@
 export type OrderSender = (
 	kind: OrderKind,
 	target: OrderTarget,
-	send: (signal: AbortSignal) => Promise<OrderReply>,
-	/** Whether the order still holds; otherwise it is not sent again. */
+	send: (options: SendOptions) => Promise<OrderReply>,
+	/** Whether the order still holds; otherwise no attempt at it is sent. */
 	isWanted?: () => boolean,
 ) => Promise<OrderResult>;
 
@@ -48,7 +49,7 @@
 @example
 ```ts
 const order = createOrderSender({workerId, log, metrics, now, mayOrder, observeReply});
-const result = await order('stop', {unit, run}, async (signal) => port.stop({unit, run, token}, signal));
+const result = await order('stop', {unit, run}, async (options) => port.stop({unit, run, token}, options));
 ```
 */
 export const createOrderSender = ({
@@ -59,21 +60,23 @@
 	mayOrder,
 	observeReply,
 }: OrderSenderOptions): OrderSender => {
-	/** Sends one attempt, which is withdrawn at its deadline. Resolves to its verdict when it got no response. */
+	/** Sends one attempt, which is given up at its deadline. Resolves to its verdict when it got no response. */
 	const sendAttempt = async (
 		attempt: OrderTarget & Readonly<{kind: OrderKind; attempt: number}>,
 		deadlineMs: number,
-		send: (signal: AbortSignal) => Promise<OrderReply>,
-	): Promise<OrderReply | Verdict> => {
+		send: (options: SendOptions) => Promise<OrderReply>,
+		holds: () => boolean,
+	): Promise<OrderReply | Verdict | 'withdrawn'> => {
 		const {kind} = attempt;
 		const sentMs = now();
 		const controller = new AbortController();
+		const {maySend, isWithdrawn} = createSendCheck(holds);
 		// The port rejects when the signal aborts, and its error says whether the attempt was sent.
 		const timer = setTimeout(() => {
 			controller.abort(new DeadlineError(`deadline of ${deadlineMs} ms exceeded`));
 		}, deadlineMs);
 		try {
-			const reply = await send(controller.signal);
+			const reply = await send({signal: controller.signal, maySend});
 			const outcome = reply.outcome === 'refused' ? reply.reason : reply.outcome;
 			metrics.observe('worker_order_milliseconds', now() - sentMs, {kind});
 			metrics.count('worker_order_attempts_total', {kind, outcome});
@@ -86,6 +89,12 @@
 		} catch (error) {
 			const {message, verdict} = toServiceError(error, 'may-have-run');
 			const waitedMs = Math.round(now() - sentMs);
+			if (isWithdrawn()) {
+				metrics.count('worker_order_attempts_total', {kind, outcome: 'withdrawn'});
+				log.info('order-withdrawn', {...attempt, worker: workerId, waitedMs});
+				return 'withdrawn';
+			}
+
 			metrics.count('worker_order_attempts_total', {kind, outcome: verdict === 'not-run' ? 'unsent' : 'no-response'});
 			log.info('order-unanswered', {...attempt, worker: workerId, verdict, waitedMs, error: message});
 			return verdict;
@@ -95,15 +104,21 @@
 	};
 
 	return async (kind, target, send, isWanted = () => true) => {
+		const holds = () => mayOrder() && isWanted();
 		let mayHaveRun = false;
 		let isUnreachable = false;
 		let refusal: StartRefusal | undefined;
 		for (const [index, deadlineMs] of ORDER_DEADLINES_MS.entries()) {
-			if (!mayOrder() || !isWanted()) {
+			if (!holds()) {
+				break;
+			}
+
+			// An attempt may wait for a connection for longer than the order holds, so this is checked again when it is sent.
+			const reply = await sendAttempt({kind, ...target, attempt: index + 1}, deadlineMs, send, holds);
+			if (reply === 'withdrawn') {
 				break;
 			}
 
-			const reply = await sendAttempt({kind, ...target, attempt: index + 1}, deadlineMs, send);
 			if (typeof reply === 'string') {
 				mayHaveRun ||= reply !== 'not-run';
 				isUnreachable ||= reply === 'not-run';
