Check a maintenance order again when it leaves the queue

A maintenance order that waits for a connection to the machine API (up to its deadline of 1.5 s, behind outstanding calls or while a connection is opened) was sent even if its term had ended, or a unit on the machine had become protected meanwhile; the maintenance would have ended that unit.

Cause: as for orders to workers, the conditions were read before the wait only. The fencing token covers an order of an ended term once a newer leader has ordered; nothing covers protection or the age of the listing.

Fix: `maintain` takes `maySend`, which is read when the request leaves the queue. An order that is not sent fails with verdict not-run; it stays stored as ordered, so the next step repeats it when its conditions hold again.

--- a/packages/scheduler/src/maintenance/run-waves.test.ts
+++ b/packages/scheduler/src/maintenance/run-waves.test.ts
@@ -212,3 +212,29 @@
 	await clock.tickAsync(8000);
 	t.notOk(machines.orders.some(({machineId}) => machineId === 'b'));
 });
+
+// Guards against maintenance that ends a unit which became protected, or an order of a term that ended, while the order
+// waited for a connection.
+await t.test('an order that waits for a connection is not sent after its reason has ended', async (t) => {
+	for (const reason of ['protection', 'term'] as const) {
+		await t.test(reason, async (t) => {
+			const {clock, machines, lead, protectedIds} = await createFixture(t);
+			machines.faults.connectionWaitMs = 500;
+			const end = await lead(1);
+			await clock.tickAsync(400);
+			if (reason === 'term') {
+				end();
+			} else {
+				for (const id of WAVE.machineIds) {
+					protectedIds.add(`w-${id}`);
+				}
+			}
+
+			await clock.tickAsync(3000);
+			t.same(machines.orders, []);
+			protectedIds.clear();
+			await clock.tickAsync(5000);
+			t.equal(machines.orders.length > 0, reason === 'protection', 'the order is sent when it may be');
+		});
+	}
+});
--- a/packages/scheduler/src/maintenance/run-waves.ts
+++ b/packages/scheduler/src/maintenance/run-waves.ts
@@ -164,13 +164,14 @@
 
 	/** Orders the maintenance, unless that would end a unit that is protected by now: the decision may be much older than the order. */
 	const order = async (active: ActiveWave, machine: Machine, listing: MachineListing) => {
-		if (!term.isValid() || !mayOrder() || !isCurrent(listing) || isProtected(machine)) {
+		const maySend = () => term.isValid() && mayOrder() && isCurrent(listing) && !isProtected(machine);
+		if (!maySend()) {
 			return;
 		}
 
 		const {wave} = active;
 		const {id: machineId} = machine;
-		const reply = await port.maintain({machineId, wave: wave.number, token: term.number});
+		const reply = await port.maintain({machineId, wave: wave.number, token: term.number}, maySend);
 		metrics.count('upkeep_orders_total', {reply});
 		log.info('upkeep-order', {wave: wave.number, machine: machineId, reply, term: term.number});
 		switch (reply) {
--- a/packages/scheduler/src/maintenance/types.ts
+++ b/packages/scheduler/src/maintenance/types.ts
@@ -21,12 +21,17 @@
 	/** The rate limit shared by all instances is exceeded. */
 	| 'limited';
 
-/** Client for the machines. Calls throw a `ServiceError` with verdict `may-have-run` when no response comes. */
+/** Client for the machines. Calls throw a `ServiceError` when no response comes: with verdict `not-run` if the call was never sent, else `may-have-run`. */
 export type MachinePort = Readonly<{
 	/** All machines of the deployment. */
 	list: () => Promise<readonly Machine[]>;
-	/** Takes the machine down for maintenance, which ends everything that runs on it at once. */
-	maintain: (order: Readonly<{machineId: string; wave: number; token: number}>) => Promise<MachineReply>;
+	/**
+	Takes the machine down for maintenance, which ends everything that runs on it at once. `maySend` is read when the order is about to be written to its connection, which it may have waited for; an order for which it returns false is never sent, and the call throws with verdict `not-run`.
+	*/
+	maintain: (
+		order: Readonly<{machineId: string; wave: number; token: number}>,
+		maySend: () => boolean,
+	) => Promise<MachineReply>;
 	/** Moves the machine to another pool, which ends everything that runs on it at once. */
 	move: (order: Readonly<{machineId: string; pool: string; token: number}>) => Promise<MachineReply>;
 }>;
--- a/packages/scheduler/src/test/model-machines.ts
+++ b/packages/scheduler/src/test/model-machines.ts
@@ -1,10 +1,12 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError} from '@bergamotgauge/model';
-import type {Machine, MachinePort} from '../maintenance/types.js';
+import type {Machine, MachinePort, MachineReply} from '../maintenance/types.js';
 
 export type MachineFaults = {
 	/** Delays of the following orders, which get no response and are carried out late. */
 	delaysMs: number[];
+	/** Time for which each order waits for a connection before it is sent. */
+	connectionWaitMs: number;
 	/** Time that the other orders take to be answered. */
 	replyMs: number;
 };
@@ -33,7 +35,7 @@
 	const done = new Set<string>();
 	const started: string[] = [];
 	const orders: Array<Readonly<{machineId: string; token: number; atMs: number}>> = [];
-	const faults: MachineFaults = {delaysMs: [], replyMs: 0};
+	const faults: MachineFaults = {delaysMs: [], connectionWaitMs: 0, replyMs: 0};
 	let maxDown = 0;
 
 	const countMachinesDown = () => [...machines.values()].filter(({state}) => state === 'upkeep').length;
@@ -49,7 +51,7 @@
 		}, maintenanceMs);
 	};
 
-	const maintain: MachinePort['maintain'] = async ({machineId, token}) => {
+	const maintain = async ({machineId, token}: Parameters<MachinePort['maintain']>[0]): Promise<MachineReply> => {
 		const machine = machines.get(machineId);
 		if (!machine) {
 			return 'no-such-machine';
@@ -82,7 +84,15 @@
 		},
 		port: {
 			list: async () => [...machines.values()],
-			async maintain(order) {
+			async maintain(order, maySend) {
+				if (faults.connectionWaitMs > 0) {
+					await sleep(faults.connectionWaitMs);
+				}
+
+				if (!maySend()) {
+					throw new ServiceError('not sent', {code: 'machines-unavailable', verdict: 'not-run'});
+				}
+
 				orders.push({machineId: order.machineId, token: order.token, atMs: performance.now()});
 				const delayMs = faults.delaysMs.shift();
 				if (delayMs === undefined) {
