Repeat a failed read of the roster within the term

A new leader reads the roster of workers once, after the jobs are loaded. When that read failed, because the store refused it or was slow, the tasks of the term ended and the leader gave the term up. Callers would see accepted jobs that start only after another election; operators saw term-ended with "the tasks of the term have ended" without a line that named the failed read.

Cause: the other reads of a term (watches, claims, writes of the roster and of progress) are repeated with backoff, this one was not. Ruled out: an end of the term by its lease, which was renewed meanwhile.

The read is now repeated with the backoff of the watches until it succeeds or the term ends, and each failure is logged as roster-not-read. A paused term goes on reading, since no other leader can be elected before its lease has ended, and a read sends no orders. A term that ends meanwhile opens no links and is not logged as taken over.

--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -222,6 +222,10 @@
 		// Reports of workers can be reconciled only when the jobs are loaded.
 		await loaded.wait(term.signal);
 		await fleet.openRoster();
+		if (term.signal.aborted) {
+			return;
+		}
+
 		log.info('taken-over', {
 			term: term.number,
 			jobs: state.activeJobs.size,
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -13,6 +13,7 @@
 import {LEADER_KEY, ROSTER_KEY} from './keys.js';
 import {allPlacedUnits, workerHealthOf, type LeaderState} from './leader-state.js';
 import {partIdOf} from './plan-view.js';
+import {readRoster} from './read-roster.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
 import {createWorkerLink, type WorkerLink} from './worker-link.js';
 
@@ -36,7 +37,7 @@
 
 /** The workers of a term: those in the directory and those that earlier leaders used. */
 export type WorkerFleet = Readonly<{
-	/** Opens links to the workers that earlier leaders may have granted leases to. */
+	/** Opens links to the workers that earlier leaders may have granted leases to; none if the term ends before the roster is read. */
 	openRoster: () => Promise<void>;
 	applyDirectoryChanges: (changes: KeyChanges) => void;
 	/** Reopens links to listed workers whose leases have ended, since they may respond again; the store may list a worker that has ended for a while. */
@@ -212,7 +213,11 @@
 
 	return {
 		async openRoster() {
-			const roster = await store.get(ROSTER_KEY);
+			const roster = await readRoster({store, log, signal: term.signal});
+			if (term.signal.aborted) {
+				return;
+			}
+
 			rosterRevision = roster?.revision ?? 0;
 			const entries = roster ? (JSON.parse(decoder.decode(roster.value)) as readonly RosterEntry[]) : [];
 			storedRoster = new Map(entries.map((entry) => [entry.worker.id, entry]));
