--- /dev/null
+++ b/packages/scheduler/src/roster.ts
@@ -0,0 +1,62 @@
+import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
+import {toServiceError} from '@bergamotgauge/model';
+import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
+import type {Log} from '@bergamotgauge/telemetry';
+import {WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
+import {ROSTER_KEY} from './keys.js';
+import {allPlacedUnits, type LeaderState} from './leader-state.js';
+import {partIdOf} from './plan-view.js';
+import type {Worker} from './types.js';
+
+/** What a later leader has to know about a worker. */
+export type RosterEntry = Readonly<{
+	worker: Worker;
+	/** Parts that may run on a worker that gets no more orders; `undefined` for a worker that may still get orders. */
+	partIds?: readonly string[];
+}>;
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+export const encodeRoster = (entries: readonly RosterEntry[]): Uint8Array => encoder.encode(JSON.stringify(entries));
+
+export const decodeRoster = (value: Uint8Array): readonly RosterEntry[] =>
+	JSON.parse(decoder.decode(value)) as readonly RosterEntry[];
+
+/** Parts with units on the worker. */
+export const partIdsOn = (state: LeaderState, workerId: string): readonly string[] => {
+	const ids = new Set<string>();
+	for (const {activeJob, part, placement} of allPlacedUnits(state)) {
+		if (placement.workerId === workerId) {
+			ids.add(partIdOf(activeJob, part));
+		}
+	}
+
+	return [...ids];
+};
+
+/**
+Reads the roster, again with backoff after each failure; `undefined` if there is none or the signal has aborted.
+
+@example
+```ts
+const roster = await readRoster({store, log, signal: term.signal});
+```
+*/
+export const readRoster = async ({
+	store,
+	log,
+	signal,
+}: Readonly<{store: KeyValueStore; log: Log; signal: AbortSignal}>): Promise<StoredItem | undefined> => {
+	const backoff = createBackoff({minMs: WATCH_RETRY_MIN_MS, maxMs: WATCH_RETRY_MAX_MS});
+	while (!signal.aborted) {
+		try {
+			return await store.get(ROSTER_KEY);
+		} catch (error) {
+			log.warn('roster-not-read', {error: toServiceError(error, 'may-have-run').message});
+			await sleep(backoff.next(), signal);
+		}
+	}
+
+	return undefined;
+};
--- a/packages/scheduler/src/throttle.ts
+++ b/packages/scheduler/src/throttle.ts
@@ -4,7 +4,7 @@
 	THROTTLE_STEP_PERCENT,
 	THROTTLE_INTERVAL_MS,
 	THROTTLE_UP_RATIO,
-} from './constants.js';
+} from './throttle-constants.js';
 
 /** CPU throttle of the best-effort units on one worker. */
 export type ThrottleState = Readonly<{
--- a/packages/scheduler/src/throttler.test.ts
+++ b/packages/scheduler/src/throttler.test.ts
@@ -1,7 +1,7 @@
 import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
 import t from 'tap';
 import type {Placement} from './active-job.js';
-import {THROTTLE_INTERVAL_MS} from './constants.js';
+import {THROTTLE_INTERVAL_MS} from './throttle-constants.js';
 import {createLeaderState, placedByWorker} from './leader-state.js';
 import {DEFAULT_POLICY} from './policy.js';
 import {newActiveJob, newPlacementOn} from './test/active-job.js';
--- a/packages/scheduler/src/throttler.ts
+++ b/packages/scheduler/src/throttler.ts
@@ -1,4 +1,4 @@
-import {FIGURE_MAX_AGE_MS, SUSPEND_AFTER_SHARE, THROTTLE_UP_RATIO} from './constants.js';
+import {FIGURE_MAX_AGE_MS, SUSPEND_AFTER_SHARE, THROTTLE_UP_RATIO} from './throttle-constants.js';
 import {stepOf} from './active-job.js';
 import type {LeaderState, PlacedUnit} from './leader-state.js';
 import {initialThrottle, nextThrottle, type ThrottleState} from './throttle.js';
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -11,9 +11,8 @@
 } from './constants.js';
 import type {Term} from './election.js';
 import {LEADER_KEY, ROSTER_KEY} from './keys.js';
-import {allPlacedUnits, workerHealthOf, type LeaderState} from './leader-state.js';
-import {partIdOf} from './plan-view.js';
-import {readRoster} from './read-roster.js';
+import {workerHealthOf, type LeaderState} from './leader-state.js';
+import {decodeRoster, encodeRoster, partIdsOn, readRoster, type RosterEntry} from './roster.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
 import {createWorkerLink, type WorkerLink} from './worker-link.js';
 
@@ -56,16 +55,6 @@
 	setInUse: (workerIds: ReadonlySet<string>) => void;
 }>;
 
-/** What a later leader has to know about a worker. */
-type RosterEntry = Readonly<{
-	worker: Worker;
-	/** Parts that may run on a worker that gets no more orders; `undefined` for a worker that may still get orders. */
-	partIds?: readonly string[];
-}>;
-
-const encoder = new TextEncoder();
-const decoder = new TextDecoder();
-
 /**
 Creates the fleet of a term.
 
@@ -194,17 +183,6 @@
 		return entry !== undefined && entry.partIds === undefined;
 	};
 
-	const partIdsOn = (workerId: string): readonly string[] => {
-		const ids = new Set<string>();
-		for (const {activeJob, part, placement} of allPlacedUnits(state)) {
-			if (placement.workerId === workerId) {
-				ids.add(partIdOf(activeJob, part));
-			}
-		}
-
-		return [...ids];
-	};
-
 	const entryOf = (link: WorkerLink): RosterEntry => {
 		const {worker} = link;
 		if (acceptsOrders(link)) {
@@ -213,7 +191,7 @@
 
 		// A worker that has never responded to this leader keeps the entry of the earlier leader.
 		const known = storedRoster.get(worker.id);
-		return link.state() === 'unsynced' ? (known ?? {worker}) : {worker, partIds: partIdsOn(worker.id)};
+		return link.state() === 'unsynced' ? (known ?? {worker}) : {worker, partIds: partIdsOn(state, worker.id)};
 	};
 
 	return {
@@ -224,7 +202,7 @@
 			}
 
 			rosterRevision = roster?.revision ?? 0;
-			const entries = roster ? (JSON.parse(decoder.decode(roster.value)) as readonly RosterEntry[]) : [];
+			const entries = roster ? decodeRoster(roster.value) : [];
 			storedRoster = new Map(entries.map((entry) => [entry.worker.id, entry]));
 			for (const {worker} of entries) {
 				openLink(worker);
@@ -275,7 +253,7 @@
 					{key: LEADER_KEY, revision: term.leaderRevision},
 					{key: ROSTER_KEY, revision: rosterRevision},
 				],
-				writes: [{key: ROSTER_KEY, value: encoder.encode(JSON.stringify(entries))}],
+				writes: [{key: ROSTER_KEY, value: encodeRoster(entries)}],
 			});
 			if (result.outcome === 'applied') {
 				rosterRevision = result.revision;
