--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -108,6 +108,7 @@
 		state,
 		lifecycle,
 		now,
+		viewAgeMs: ages.workers.ageMs,
 		onReport(link, running, sentMs) {
 			placements.reconcile(link, running, sentMs);
 			waker.wake();
@@ -222,6 +223,10 @@
 		// Reports of workers can be reconciled only when the jobs are loaded.
 		await loaded.wait(term.signal);
 		await fleet.openRoster();
+		if (term.signal.aborted) {
+			return;
+		}
+
 		log.info('taken-over', {
 			term: term.number,
 			jobs: state.activeJobs.size,
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -11,8 +11,8 @@
 } from './constants.js';
 import type {Term} from './election.js';
 import {LEADER_KEY, ROSTER_KEY} from './keys.js';
-import {allPlacedUnits, workerHealthOf, type LeaderState} from './leader-state.js';
-import {partIdOf} from './plan-view.js';
+import {workerHealthOf, type LeaderState} from './leader-state.js';
+import {decodeRoster, encodeRoster, partIdsOn, readRoster, type RosterEntry} from './roster.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
 import {createWorkerLink, type WorkerLink} from './worker-link.js';
 
@@ -22,6 +22,8 @@
 	state: LeaderState;
 	lifecycle: Lifecycle;
 	now: () => number;
+	/** Time within which changes may be missing from the directory, in milliseconds; infinite before the first listing. */
+	viewAgeMs: () => number;
 	/** Called with all active runs of a worker. */
 	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
 	/** Called with the progress of a worker's active runs. */
@@ -36,7 +38,7 @@
 
 /** The workers of a term: those in the directory and those that earlier leaders used. */
 export type WorkerFleet = Readonly<{
-	/** Opens links to the workers that earlier leaders may have granted leases to. */
+	/** Opens links to the workers that earlier leaders may have granted leases to; none if the term ends before the roster is read. */
 	openRoster: () => Promise<void>;
 	applyDirectoryChanges: (changes: KeyChanges) => void;
 	/** Reopens links to listed workers whose leases have ended, since they may respond again; the store may list a worker that has ended for a while. */
@@ -53,27 +55,17 @@
 	setInUse: (workerIds: ReadonlySet<string>) => void;
 }>;
 
-/** What a later leader has to know about a worker. */
-type RosterEntry = Readonly<{
-	worker: Worker;
-	/** Parts that may run on a worker that gets no more orders; `undefined` for a worker that may still get orders. */
-	partIds?: readonly string[];
-}>;
-
-const encoder = new TextEncoder();
-const decoder = new TextDecoder();
-
 /**
 Creates the fleet of a term.
 
 @example
 ```ts
-const fleet = createWorkerFleet({context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onChanged});
+const fleet = createWorkerFleet({context, term, state, lifecycle, now, viewAgeMs, onReport, onProgress, onEnds, onGone, onChanged});
 await fleet.openRoster();
 ```
 */
 export const createWorkerFleet = (options: WorkerFleetOptions): WorkerFleet => {
-	const {context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onChanged} = options;
+	const {context, term, state, lifecycle, now, viewAgeMs, onReport, onProgress, onEnds, onGone, onChanged} = options;
 	const {store, log, bounds, decodeWorker, workerPrefix} = context;
 	// Leases granted by an earlier leader have expired by then, whether or not their workers are reachable.
 	const earlierLeasesEndMs =
@@ -157,7 +149,10 @@
 		}
 
 		if (worker.state === 'draining') {
-			workerHealthOf(state, worker.id).drainDeadlineMs ??= now() + (worker.remainingMs ?? DEFAULT_REMAINING_MS);
+			// A report has no time, and may have been stored at any time since the last sync. That of a first listing may be so
+			// old that no time is sure to remain.
+			workerHealthOf(state, worker.id).drainDeadlineMs ??=
+				now() - viewAgeMs() + (worker.remainingMs ?? DEFAULT_REMAINING_MS);
 		}
 
 		state.directory.set(worker.id, worker);
@@ -188,17 +183,6 @@
 		return entry !== undefined && entry.partIds === undefined;
 	};
 
-	const partIdsOn = (workerId: string): readonly string[] => {
-		const ids = new Set<string>();
-		for (const {activeJob, part, placement} of allPlacedUnits(state)) {
-			if (placement.workerId === workerId) {
-				ids.add(partIdOf(activeJob, part));
-			}
-		}
-
-		return [...ids];
-	};
-
 	const entryOf = (link: WorkerLink): RosterEntry => {
 		const {worker} = link;
 		if (acceptsOrders(link)) {
@@ -207,14 +191,18 @@
 
 		// A worker that has never responded to this leader keeps the entry of the earlier leader.
 		const known = storedRoster.get(worker.id);
-		return link.state() === 'unsynced' ? (known ?? {worker}) : {worker, partIds: partIdsOn(worker.id)};
+		return link.state() === 'unsynced' ? (known ?? {worker}) : {worker, partIds: partIdsOn(state, worker.id)};
 	};
 
 	return {
 		async openRoster() {
-			const roster = await store.get(ROSTER_KEY);
+			const roster = await readRoster({store, log, signal: term.signal});
+			if (term.signal.aborted) {
+				return;
+			}
+
 			rosterRevision = roster?.revision ?? 0;
-			const entries = roster ? (JSON.parse(decoder.decode(roster.value)) as readonly RosterEntry[]) : [];
+			const entries = roster ? decodeRoster(roster.value) : [];
 			storedRoster = new Map(entries.map((entry) => [entry.worker.id, entry]));
 			for (const {worker} of entries) {
 				openLink(worker);
@@ -265,7 +253,7 @@
 					{key: LEADER_KEY, revision: term.leaderRevision},
 					{key: ROSTER_KEY, revision: rosterRevision},
 				],
-				writes: [{key: ROSTER_KEY, value: encoder.encode(JSON.stringify(entries))}],
+				writes: [{key: ROSTER_KEY, value: encodeRoster(entries)}],
 			});
 			if (result.outcome === 'applied') {
 				rosterRevision = result.revision;
