--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,6 +1,29 @@
 export type {Machine, MachinePort, MachineReply, Wave, WaveRecords, WaveState} from './maintenance/types.js';
 export type * from './types.js';
 export {createJobService, type JobAddress, type JobService} from './job-service.js';
+export {
+	CLOCK_RATE_ERROR,
+	LEADER_WATCH_WAIT_MS,
+	LEASE_EXPIRY_MARGIN_MS,
+	LEASE_SHARE,
+	MAX_CLAIM_DELAY_MS,
+	ORDER_DEADLINES_MS,
+	PENDING_CACHE_MS,
+	PENDING_TTL_MS,
+	PENDING_VIEW_MAX_AGE_MS,
+	PENDING_WRITE_MS,
+	PLAN_INTERVAL_MS,
+	RENEWAL_GRACE_MS,
+	RENEWAL_WAIT_MS,
+	RESTART_MS,
+	SLOW_RESPONSE_MS,
+	START_LEAD_MS,
+	SUBMIT_RESOLVE_MS,
+	THROTTLE_INTERVAL_MS,
+	WATCH_RETRY_MAX_MS,
+	WORKER_RETRY_MAX_MS,
+} from './constants.js';
+export {MIN_START_BOUND_MS} from './start-guard.js';
 export {createStoreHealth, createSuspendClock, type StoreHealth} from './store-health.js';
 export {plan} from './plan/plan.js';
 export type * from './plan/types.js';
--- a/packages/scheduler/src/start-guard.test.ts
+++ b/packages/scheduler/src/start-guard.test.ts
@@ -1,6 +1,7 @@
 import {createLog, createMetrics, parseLine, type LogLine} from '@bergamotgauge/telemetry';
 import t from 'tap';
-import {createStartGuard} from './start-guard.js';
+import {START_LEAD_MS} from './constants.js';
+import {createStartGuard, maxViewAgeMs, MIN_START_BOUND_MS} from './start-guard.js';
 import {BOUNDS} from './test/cluster.js';
 import {createViewAges} from './view-ages.js';
 
@@ -41,3 +42,14 @@
 		['starts-resumed', 'starts-paused', 'starts-resumed'],
 	);
 });
+
+// Guards against a limit from which a bound counts as kept although a start on the oldest view exceeds it.
+await t.test('bounds on starts are kept from their limit on, and not below', async (t) => {
+	const latestMs = (boundMs: number): number => maxViewAgeMs(boundMs) + START_LEAD_MS;
+	const limitMs = Math.ceil(MIN_START_BOUND_MS);
+	for (const boundMs of [limitMs, limitMs + 100, 3 * limitMs]) {
+		t.ok(latestMs(boundMs) <= boundMs, `${boundMs} ms`);
+	}
+
+	t.ok(latestMs(limitMs - 1) > limitMs - 1);
+});
--- a/packages/scheduler/src/start-guard.ts
+++ b/packages/scheduler/src/start-guard.ts
@@ -20,8 +20,15 @@
 	update: () => boolean;
 }>;
 
-/** Age up to which a start may rest on a view, so that it reaches the worker within the bound. Bounds below 0.94 s are not fully kept: no watch keeps a view recent enough. */
-export const maxViewAgeMs = (boundMs: number): number => Math.max(boundMs - START_LEAD_MS, boundMs / 4);
+/** Least share of a bound up to which a start may rest on a view: no watch keeps a view recent enough for less. */
+const MIN_VIEW_AGE_SHARE = 0.25;
+
+/** Bounds on starts below this are not fully kept: a view of the least share and the way to the worker exceed them. */
+export const MIN_START_BOUND_MS = START_LEAD_MS / (1 - MIN_VIEW_AGE_SHARE);
+
+/** Age up to which a start may rest on a view, so that it reaches the worker within the bound, if that is at least `MIN_START_BOUND_MS`. */
+export const maxViewAgeMs = (boundMs: number): number =>
+	Math.max(boundMs - START_LEAD_MS, boundMs * MIN_VIEW_AGE_SHARE);
 
 /**
 Creates the guard of a term.
