Let the disruption budget go to drained machines first

Operators saw a maintenance wave that never ended: with `mayMiss` 1 and two units at work, a wave for the machine of the second unit alone got no order, without a fault.

Cause: of the serving units of a step, the first ones in the order of their indexes could be stopped and the others were protected, whichever machine a wave waited for. A machine whose unit came later was protected for good.

Fix: what is left of the budget goes to the units on drained workers first, worker by worker, in the order of `maintenanceDrains`, which evacuations, evictions and maintenance orders share. A worker keeps its place in that order while it is drained, so a machine that is being emptied is not overtaken by another one. Otherwise each could keep a protected unit while the budget is used up.

With this preference alone, a second machine could go down before the reports show that the first one has: the first is no longer drained once its order is accepted. So units on a worker that an order may end count as absent, from before the order is sent until the worker's placements are removed or the machine is listed as up after the order.

Not changed: a machine that holds more units of a step than the budget, with no room for them elsewhere, cannot go down within the budget, so its wave does not end. The same holds for `mayMiss` 0.

--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -39,8 +39,10 @@
 	policy: Policy;
 	/** Placements as of the last planning pass; some may have ended since. */
 	placementIndex: {byWorker: ReadonlyMap<string, readonly PlacedUnit[]>};
-	/** Workers that are drained for the maintenance of their machines, with their drain deadlines in monotonic time. */
+	/** Workers that are drained for the maintenance of their machines, with their drain deadlines in monotonic time; the disruption budgets go to them in this order. */
 	maintenanceDrains: {deadlineByWorker: ReadonlyMap<string, number>};
+	/** Workers that a maintenance order of this leader may end at any time. */
+	orderedWorkers: Set<string>;
 }>;
 
 export const createLeaderState = (policy: Policy): LeaderState => ({
@@ -53,6 +55,7 @@
 	runTimes: createRunTimes(),
 	placementIndex: {byWorker: new Map()},
 	maintenanceDrains: {deadlineByWorker: new Map()},
+	orderedWorkers: new Set(),
 });
 
 /** The health of a worker, created on first use. */
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -273,6 +273,7 @@
 						state.maintenanceDrains.deadlineByWorker = deadlineByWorker;
 						waker.wake();
 					},
+					orderedWorkers: state.orderedWorkers,
 					signal,
 				}),
 			);
--- a/packages/scheduler/src/maintenance/active-wave.ts
+++ b/packages/scheduler/src/maintenance/active-wave.ts
@@ -16,17 +16,18 @@
 };
 
 /**
-Workers that get no new work because of the waves, with their drain deadlines. An order that is not confirmed is repeated and ends what runs on the machine by then, so its deadline has passed.
+Workers that get no new work because of the waves, with their drain deadlines. An order that is not confirmed is repeated and ends what runs on the machine by then, so its deadline has passed. Workers of the previous result keep their order and come first, so that a worker that is being emptied is not overtaken by one that is drained later.
 
 @example
 ```ts
-setDrainDeadlines(drainDeadlinesOf([...waves.values()], machines, now()));
+drainDeadlines = drainDeadlinesOf([...waves.values()], machines, now(), drainDeadlines);
 ```
 */
 export const drainDeadlinesOf = (
 	waves: readonly ActiveWave[],
 	machines: ReadonlyMap<string, Machine>,
 	nowMs: number,
+	previous: ReadonlyMap<string, number>,
 ): ReadonlyMap<string, number> => {
 	const deadlineByWorker = new Map<string, number>();
 	for (const {drainDeadlines, record, acceptedMs} of waves.filter(({isCompleted}) => !isCompleted)) {
@@ -39,5 +40,6 @@
 		}
 	}
 
-	return deadlineByWorker;
+	const kept = [...previous].filter(([workerId]) => deadlineByWorker.has(workerId));
+	return new Map([...kept, ...deadlineByWorker]);
 };
--- a/packages/scheduler/src/maintenance/run-waves.test.ts
+++ b/packages/scheduler/src/maintenance/run-waves.test.ts
@@ -22,6 +22,8 @@
 	state: () => Promise<string | undefined>;
 	/** Workers that run a unit that may not be stopped. */
 	protectedIds: Set<string>;
+	/** Workers that an order may end. */
+	orderedWorkers: Set<string>;
 	/** Workers that get no new work, as of the latest step of a leader. */
 	drained: () => readonly string[];
 }>;
@@ -34,6 +36,7 @@
 	const running: Array<Promise<void>> = [];
 	const controllers: AbortController[] = [];
 	const protectedIds = new Set<string>();
+	const orderedWorkers = new Set<string>();
 	let drained: readonly string[] = [];
 	t.teardown(async () => {
 		for (const controller of controllers) {
@@ -49,6 +52,7 @@
 		store,
 		machines,
 		protectedIds,
+		orderedWorkers,
 		drained: () => drained,
 		async lead(number) {
 			const controller = new AbortController();
@@ -85,6 +89,7 @@
 					setDrainDeadlines(deadlineByWorker) {
 						drained = [...deadlineByWorker.keys()];
 					},
+					orderedWorkers,
 					signal: controller.signal,
 				}),
 			);
@@ -212,3 +217,27 @@
 	await clock.tickAsync(8000);
 	t.notOk(machines.orders.some(({machineId}) => machineId === 'b'));
 });
+
+// Guards against an order whose effect nobody counts before the reports show it, and against a machine that counts as going
+// down for good, which would use up the disruption budget: the last order of an earlier leader is repeated to a machine whose
+// maintenance has ended.
+await t.test('workers count as ordered down from before the order until they have outlived it', async (t) => {
+	const {clock, machines, orderedWorkers, lead, state} = await createFixture(t);
+	machines.faults.delaysMs.push(300);
+	const end = await lead(1);
+	await clock.tickAsync(200);
+	t.same([...orderedWorkers], ['w-a']);
+	end();
+	orderedWorkers.clear();
+	await lead(2);
+	const repeated = () => machines.orders.find(({token}) => token === 2);
+	for (let passedMs = 0; passedMs < 10_000 && !repeated(); passedMs += 50) {
+		await clock.tickAsync(50);
+	}
+
+	t.match(repeated(), {machineId: 'a'});
+	t.ok(orderedWorkers.has('w-a-next'));
+	await clock.tickAsync(20_000);
+	t.equal(await state(), 'completed');
+	t.notOk(orderedWorkers.has('w-a-next'));
+});
--- a/packages/scheduler/src/maintenance/run-waves.ts
+++ b/packages/scheduler/src/maintenance/run-waves.ts
@@ -1,7 +1,6 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
-import {runKeyWatch, type KeyChanges, type KeyValueStore} from '@bergamotgauge/store';
-import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import {runKeyWatch, type KeyChanges} from '@bergamotgauge/store';
 import {
 	MACHINE_LISTING_MAX_AGE_MS,
 	MAINTENANCE_ORDER_MS,
@@ -11,31 +10,11 @@
 	WATCH_RETRY_MIN_MS,
 	WAVE_WATCH_WAIT_MS,
 } from '../constants.js';
-import type {Term} from '../election.js';
 import {LEADER_KEY, waveKey} from '../keys.js';
 import {createWaker} from '../waker.js';
 import {drainDeadlinesOf, type ActiveWave} from './active-wave.js';
 import {planWave} from './plan-wave.js';
-import type {Machine, MachinePort, Wave, WaveRecord, WaveRecords, WaveState} from './types.js';
-
-export type WavesOptions = Readonly<{
-	port: MachinePort;
-	records: WaveRecords;
-	store: KeyValueStore;
-	term: Term;
-	log: Log;
-	metrics: Metrics;
-	now: () => number;
-	/** Time that the maintenance of one machine takes. */
-	maintenanceMs: () => number;
-	/** Least time between orders of two leaders for one machine. */
-	leaseMs: () => number;
-	lostWorkOf: (machine: Machine) => number;
-	isProtected: (machine: Machine) => boolean;
-	/** Sets the workers to drain: they get no new work, and units that would not finish by the deadline, in monotonic time, are moved. */
-	setDrainDeadlines: (deadlineByWorker: ReadonlyMap<string, number>) => void;
-	signal: AbortSignal;
-}>;
+import type {Machine, Wave, WaveRecord, WavesOptions, WaveState} from './types.js';
 
 /** All machines, with the times between which they were listed. */
 type MachineListing = Readonly<{machines: ReadonlyMap<string, Machine>; sentMs: number; receivedMs: number}>;
@@ -52,8 +31,22 @@
 ```
 */
 export const runWaves = async (options: WavesOptions): Promise<void> => {
-	const {port, records, store, term, log, metrics, now, lostWorkOf, isProtected, setDrainDeadlines, signal} = options;
+	const {
+		port,
+		records,
+		store,
+		term,
+		log,
+		metrics,
+		now,
+		lostWorkOf,
+		isProtected,
+		setDrainDeadlines,
+		orderedWorkers,
+		signal,
+	} = options;
 	const waves = new Map<number, ActiveWave>();
+	let drainDeadlines: ReadonlyMap<string, number> = new Map();
 	const waker = createWaker();
 	const startedMs = now();
 
@@ -153,7 +146,11 @@
 		waker.wake();
 	};
 
-	const markDone = async (active: ActiveWave, machineId: string) => {
+	const markDone = async (active: ActiveWave, machineId: string, workerId: string | undefined) => {
+		if (workerId !== undefined) {
+			orderedWorkers.delete(workerId);
+		}
+
 		const {record} = active;
 		const ordered = record.ordered.filter((id) => id !== machineId);
 		await storeRecord(active, {...record, ordered, done: [...new Set([...record.done, machineId])]});
@@ -169,7 +166,11 @@
 		}
 
 		const {wave} = active;
-		const {id: machineId} = machine;
+		const {id: machineId, workerId} = machine;
+		if (workerId !== undefined) {
+			orderedWorkers.add(workerId);
+		}
+
 		const reply = await port.maintain({machineId, wave: wave.number, token: term.number});
 		metrics.count('upkeep_orders_total', {reply});
 		log.info('upkeep-order', {wave: wave.number, machine: machineId, reply, term: term.number});
@@ -186,7 +187,7 @@
 
 			case 'no-such-machine':
 			case 'not-in-wave': {
-				await markDone(active, machineId);
+				await markDone(active, machineId, workerId);
 				break;
 			}
 
@@ -205,7 +206,7 @@
 			const machine = listing.machines.get(machineId);
 			const isUpAgain = acceptedMs !== undefined && machine?.state === 'up' && listing.sentMs > acceptedMs;
 			if (isUpAgain || !machine) {
-				await markDone(active, machineId);
+				await markDone(active, machineId, machine?.workerId);
 			} else if (acceptedMs === undefined) {
 				await order(active, machine, listing);
 			}
@@ -213,7 +214,8 @@
 	};
 
 	const publishDrains = (machines: ReadonlyMap<string, Machine>) => {
-		setDrainDeadlines(drainDeadlinesOf([...waves.values()], machines, now()));
+		drainDeadlines = drainDeadlinesOf([...waves.values()], machines, now(), drainDeadlines);
+		setDrainDeadlines(drainDeadlines);
 	};
 
 	const advance = async (active: ActiveWave, listing: MachineListing) => {
--- a/packages/scheduler/src/maintenance/types.ts
+++ b/packages/scheduler/src/maintenance/types.ts
@@ -1,3 +1,7 @@
+import type {KeyValueStore} from '@bergamotgauge/store';
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import type {Term} from '../election.js';
+
 /** A machine that hosts one worker at a time; it persists across maintenance and moves between pools. */
 export type Machine = Readonly<{
 	id: string;
@@ -62,3 +66,24 @@
 	/** Machines that are up again after their maintenance, or removed for good. */
 	done: readonly string[];
 }>;
+
+export type WavesOptions = Readonly<{
+	port: MachinePort;
+	records: WaveRecords;
+	store: KeyValueStore;
+	term: Term;
+	log: Log;
+	metrics: Metrics;
+	now: () => number;
+	/** Time that the maintenance of one machine takes. */
+	maintenanceMs: () => number;
+	/** Least time between orders of two leaders for one machine. */
+	leaseMs: () => number;
+	lostWorkOf: (machine: Machine) => number;
+	isProtected: (machine: Machine) => boolean;
+	/** Sets the workers to drain: they get no new work, and units that would not finish by the deadline, in monotonic time, are moved. */
+	setDrainDeadlines: (deadlineByWorker: ReadonlyMap<string, number>) => void;
+	/** Workers that an order may end at any time: added before it is sent, removed when they are known to have outlived it. */
+	orderedWorkers: Set<string>;
+	signal: AbortSignal;
+}>;
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -254,6 +254,7 @@
 		},
 		removeWorker(workerId) {
 			state.orphanedRuns.delete(workerId);
+			state.orderedWorkers.delete(workerId);
 			for (const {activeJob, part, placement} of allPlacedUnits(state)) {
 				if (placement.workerId === workerId) {
 					log.info('unit-lost', {
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -5,7 +5,7 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import type {Test} from 'tap';
 import type {JobAddress, JobService} from '../job-service.js';
-import {DEFAULT_POLICY} from '../policy.js';
+import {DEFAULT_POLICY, type Policy} from '../policy.js';
 import {startScheduler, type Scheduler} from '../scheduler.js';
 import {createStoreHealth, createSuspendClock} from '../store-health.js';
 import type {AdvicePort, Bounds, Declarations, Queue, Worker} from '../types.js';
@@ -79,6 +79,8 @@
 	startInstance: (id: string) => Instance;
 	/** Writes a worker's report to the store. */
 	report: (worker: Worker) => void;
+	/** Adds a worker that joins later. */
+	addWorker: (worker: Worker) => void;
 	/** Number of starts of the unit on all workers. */
 	startsOf: (unit: string) => number;
 	/** Starts on the workers that the protocol forbids. */
@@ -96,11 +98,13 @@
 		advice,
 		machines,
 		log,
+		policy = DEFAULT_POLICY,
 		acceleratorsOf = () => 0,
 	}: Readonly<{
 		advice?: AdvicePort;
 		machines?: MachinePort;
 		log?: Log;
+		policy?: Policy;
 		/** Accelerators that a unit needs, for the check of the workers' capacity. */
 		acceleratorsOf?: (unit: string) => number;
 	}> = {},
@@ -109,17 +113,18 @@
 	const store = createMemoryKeyValue();
 	const models = new Map<string, ModelWorker>();
 	const checker = createRunChecker(models, acceleratorsOf);
-	for (const worker of workers) {
-		models.set(worker.id, createModelWorker(worker, behaviourOf, checker.eventsOf(worker)));
-	}
-
 	const lifecycles: Lifecycle[] = [];
 	const report = (worker: Worker) => {
 		store.put(WORKER_PREFIX + worker.id, Buffer.from(JSON.stringify(worker)));
 	};
 
-	for (const worker of workers) {
+	const addWorker = (worker: Worker) => {
+		models.set(worker.id, createModelWorker(worker, behaviourOf, checker.eventsOf(worker)));
 		report(worker);
+	};
+
+	for (const worker of workers) {
+		addWorker(worker);
 	}
 
 	t.teardown(async () => {
@@ -134,6 +139,7 @@
 		store,
 		workers: models,
 		report,
+		addWorker,
 		violations: checker.violations,
 		startsOf: (unit) => [...models.values()].reduce((sum, {starts}) => sum + (starts.get(unit) ?? 0), 0),
 		startInstance(id) {
@@ -172,7 +178,7 @@
 					log: log ?? createSilentLog(),
 					metrics: createMetrics(),
 					declarations: () => DECLARATIONS,
-					policy: DEFAULT_POLICY,
+					policy,
 					advice,
 					machines,
 					waves: WAVE_RECORDS,
--- a/packages/scheduler/src/test/model-machines.ts
+++ b/packages/scheduler/src/test/model-machines.ts
@@ -24,8 +24,20 @@
 	replaceWorker: (machineId: string) => void;
 }>;
 
+/** Reactions to the maintenance of the machines. */
+export type MachineEvents = Readonly<{
+	/** Called when maintenance ends the worker. */
+	onDown: (workerId: string) => void;
+	/** Called when a new worker joins after the maintenance. */
+	onUp: (workerId: string) => void;
+}>;
+
 /** Creates machines that use the clock of the runtime, each with a worker `w-ID`. */
-export const createModelMachines = (ids: readonly string[], maintenanceMs: number): ModelMachines => {
+export const createModelMachines = (
+	ids: readonly string[],
+	maintenanceMs: number,
+	events?: MachineEvents,
+): ModelMachines => {
 	const machines = new Map<string, Machine>(
 		ids.map((id) => [id, {id, pool: 'matching', state: 'up', workerId: `w-${id}`} as const]),
 	);
@@ -43,9 +55,12 @@
 		machines.set(id, {...machine, state: 'upkeep', workerId: undefined});
 		started.push(id);
 		maxDown = Math.max(maxDown, countMachinesDown());
+		events?.onDown(machine.workerId!);
 		setTimeout(() => {
+			const workerId = `${machine.workerId}-next`;
 			done.add(id);
-			machines.set(id, {...machine, workerId: `${machine.workerId}-next`});
+			machines.set(id, {...machine, workerId});
+			events?.onUp(workerId);
 		}, maintenanceMs);
 	};
 
