Test that a start is withdrawn when its worker drains meanwhile

The check of the worker's state when a start leaves the queue could be removed without a failing test.

--- a/packages/scheduler/src/withdrawn-attempts.test.ts
+++ b/packages/scheduler/src/withdrawn-attempts.test.ts
@@ -210,3 +210,16 @@
 	await cluster.clock.tickAsync(500);
 	t.equal(worker.running().length, 1, 'the worker gets the next job at once');
 });
+
+// Guards against a start on a worker that has begun to drain while the start waited for a connection.
+await t.test('a start that waits for a connection is not sent after its worker began to drain', async (t) => {
+	const {clock, model, link} = createLinkFixture(t);
+	await clock.tickAsync(100);
+	model.faults.connectionWaitMs = CONNECTION_WAIT_MS;
+	const result = link.start({...TARGET, spec: '', checkpoint: '', ticket: undefined}, () => true);
+	await clock.tickAsync(CONNECTION_WAIT_MS - 10);
+	link.worker = {...link.worker, state: 'draining'};
+	await clock.tickAsync(1000);
+	t.same(await result, {outcome: 'refused', reason: 'withdrawn'});
+	t.notOk(model.calls.some(({kind}) => kind === 'start'));
+});
