Test a new leader's old listing with a silent watch

stale-view.test.ts's test of a new leader's slow listing passes with the guard switched off, because the watch after a listing does not wait and brings the cancellation before the first start. It stays as it is. The new test also silences that watch, so that the age of the listing alone tells that a job may have been cancelled since it was read: the cancelled unit must not start, and another waiting unit starts once the watch responds.

--- a/packages/scheduler/src/stale-view.test.ts
+++ b/packages/scheduler/src/stale-view.test.ts
@@ -91,6 +91,29 @@
 	t.equal(await other.scheduler.jobs.state(addressOf(2)), 'cancelled');
 });
 
+// Guards against a new leader whose listing is old on arrival and whose watch then brings no changes: only the age of the
+// listing tells that a job may have been cancelled since.
+await t.test('a new leader with an old listing and a silent watch starts no unit until the watch responds', async (t) => {
+	const {cluster, leader, other, times} = await startWithWaitingUnit(t);
+	await submitStep(other.scheduler.jobs, 3, newStep({accelerators: 8}));
+	cluster.store.faults.slowListings.set(JOBS_PREFIX, 5000);
+	cluster.store.faults.silentWatches.add(JOBS_PREFIX);
+	leader.crash();
+	// The lease of the leader ends, and the other instance begins to list the jobs.
+	await cluster.clock.tickAsync(2500);
+	t.equal(times.get('taken-over')?.length, 1);
+	await cluster.startInstance('three').scheduler.jobs.cancel(addressOf(2));
+	await cluster.clock.tickAsync(12_000);
+	t.equal(times.get('taken-over')?.length, 2, 'the listing has arrived');
+	t.same(cluster.workers.get('w1')!.running(), [], 'the worker is free');
+	t.equal(cluster.startsOf(unitOf(2)) + cluster.startsOf(unitOf(3)), 0);
+	cluster.store.faults.silentWatches.clear();
+	await cluster.clock.tickAsync(5000);
+	t.equal(cluster.startsOf(unitOf(2)), 0);
+	t.equal(cluster.startsOf(unitOf(3)), 1, 'the other waiting unit starts');
+	t.equal(await other.scheduler.jobs.state(addressOf(2)), 'cancelled');
+});
+
 // Guards against starts on a worker that has reported for longer than the limit that it drains.
 await t.test('no unit starts on a draining worker while the watch on workers is silent', async (t) => {
 	const {cluster} = await startWithWaitingUnit(t);
