--- a/packages/scheduler/src/test/model-worker-faults.ts
+++ b/packages/scheduler/src/test/model-worker-faults.ts
@@ -13,7 +13,9 @@
 	/** No response; carried out by `release`, after newer calls. */
 	| 'delayed'
 	/** No response, and never carried out. */
-	| 'dropped';
+	| 'dropped'
+	/** Given up while it waited for a connection; never sent. */
+	| 'unsent';
 
 export type WorkerFaults = {
 	/** Network partition: no order arrives and no response leaves. */
@@ -26,7 +28,7 @@
 	script: Record<CallKind, CallOutcome[]>;
 	/** Outcomes of the calls after the script, repeated without end; an empty pattern serves all calls. */
 	patterns: Record<CallKind, readonly CallOutcome[]>;
-	/** Time after which a call without a response fails at its sender; 0 when the connection ends at once. */
+	/** Time after which a call without a response or a connection fails at its sender; 0 when the connection ends at once. */
 	responseLossMs: number;
 	/** Number of following starts that get no response and are carried out by `release`. */
 	delayedStarts: number;
@@ -83,6 +85,11 @@
 		throw noResponse();
 	};
 
+	const giveUpUnsent = async (signal?: AbortSignal): Promise<never> => {
+		await sleep(faults.responseLossMs, signal);
+		throw new ServiceError('no connection', {code: 'worker-failed', verdict: 'not-run'});
+	};
+
 	const requireResponse = () => {
 		if (faults.isCutOff || faults.isMute) {
 			throw noResponse();
@@ -143,6 +150,10 @@
 				case 'dropped': {
 					return loseResponse(signal);
 				}
+
+				case 'unsent': {
+					return giveUpUnsent(signal);
+				}
 			}
 		},
 		release() {
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -13,7 +13,7 @@
 
 type RunTarget = Readonly<{unit: string; run: number}>;
 
-/** A call that was sent to the worker, whether or not it arrived. */
+/** A call to the worker, whether or not it was sent and arrived. */
 export type WorkerCall = Readonly<{kind: CallKind; atMs: number}> & Partial<RunTarget>;
 
 type Run = {unit: string; run: number; timer: NodeJS.Timeout; startedMs: number; behaviour: UnitBehaviour};
@@ -23,7 +23,7 @@
 	worker: Worker;
 	port: () => WorkerPort;
 	faults: WorkerFaults;
-	/** All calls that were sent to the worker. */
+	/** All calls to the worker. */
 	calls: readonly WorkerCall[];
 	/** Carries out the delayed calls. */
 	release: () => void;
