--- a/packages/scheduler/src/stale-view.test.ts
+++ b/packages/scheduler/src/stale-view.test.ts
@@ -93,7 +93,7 @@
 
 // Guards against a new leader whose listing is old on arrival and whose watch then brings no changes: only the age of the
 // listing tells that a job may have been cancelled since.
-await t.test('a new leader with an old listing and a silent watch starts no unit until the watch responds', async (t) => {
+await t.test('a new leader with an old listing and a silent watch starts nothing', async (t) => {
 	const {cluster, leader, other, times} = await startWithWaitingUnit(t);
 	await submitStep(other.scheduler.jobs, 3, newStep({accelerators: 8}));
 	cluster.store.faults.slowListings.set(JOBS_PREFIX, 5000);
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -96,11 +96,14 @@
 		advice,
 		machines,
 		log,
+		bounds = BOUNDS,
 		acceleratorsOf = () => 0,
 	}: Readonly<{
 		advice?: AdvicePort;
 		machines?: MachinePort;
 		log?: Log;
+		/** Limits of the deployment; a test that changes the object reloads the settings. */
+		bounds?: Bounds;
 		/** Accelerators that a unit needs, for the check of the workers' capacity. */
 		acceleratorsOf?: (unit: string) => number;
 	}> = {},
@@ -168,7 +171,7 @@
 						renewLease: guard(store.renewLease),
 						revokeLease: guard(store.revokeLease),
 					},
-					bounds: BOUNDS,
+					bounds,
 					log: log ?? createSilentLog(),
 					metrics: createMetrics(),
 					declarations: () => DECLARATIONS,
