--- a/packages/scheduler/src/test/memory-key-value.ts
+++ b/packages/scheduler/src/test/memory-key-value.ts
@@ -136,6 +136,17 @@
 		isListing: true,
 	});
 
+	/** Lists as of now, and takes the time of a slow listing for the response. */
+	const respondWithListing = async (prefix: string): Promise<KeyChanges> => {
+		const listing = list(prefix);
+		const slowMs = faults.slowListings.get(prefix);
+		if (slowMs !== undefined) {
+			await sleep(slowMs);
+		}
+
+		return listing;
+	};
+
 	/** Resolves at the next change, after `limitMs`, or when one of the signals aborts. */
 	const waitForChange = async (limitMs: number, signals: readonly AbortSignal[]) =>
 		new Promise<void>((resolve) => {
@@ -207,13 +218,7 @@
 		},
 		async list(prefix) {
 			requireStore();
-			const listing = list(prefix);
-			const slowMs = faults.slowListings.get(prefix);
-			if (slowMs !== undefined) {
-				await sleep(slowMs);
-			}
-
-			return listing;
+			return respondWithListing(prefix);
 		},
 		async watch(prefix, afterRevision, waitMs, signal) {
 			requireStore();
@@ -223,7 +228,7 @@
 			}
 
 			if (afterRevision < compactedRevision) {
-				return list(prefix);
+				return respondWithListing(prefix);
 			}
 
 			const endMs = performance.now() + waitMs;
