--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -19,7 +19,6 @@
 	SLOW_RESPONSE_MS,
 	START_LEAD_MS,
 	SUBMIT_RESOLVE_MS,
-	THROTTLE_INTERVAL_MS,
 	WATCH_RETRY_MAX_MS,
 	WORKER_RETRY_MAX_MS,
 } from './constants.js';
@@ -28,5 +27,6 @@
 export {createStoreHealth, createSuspendClock, type StoreHealth} from './store-health.js';
 export {plan} from './plan/plan.js';
 export type * from './plan/types.js';
+export {THROTTLE_INTERVAL_MS} from './throttle-constants.js';
 export {startScheduler, type Scheduler} from './scheduler.js';
 export {DEFAULT_POLICY, isMechanism, MECHANISMS, policyWithout, type Mechanism, type Policy} from './policy.js';
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -99,12 +99,15 @@
 		machines,
 		log,
 		policy = DEFAULT_POLICY,
+		bounds = BOUNDS,
 		acceleratorsOf = () => 0,
 	}: Readonly<{
 		advice?: AdvicePort;
 		machines?: MachinePort;
 		log?: Log;
 		policy?: Policy;
+		/** Limits of the deployment; a test that changes the object reloads the settings. */
+		bounds?: Bounds;
 		/** Accelerators that a unit needs, for the check of the workers' capacity. */
 		acceleratorsOf?: (unit: string) => number;
 	}> = {},
@@ -174,7 +177,7 @@
 						renewLease: guard(store.renewLease),
 						revokeLease: guard(store.revokeLease),
 					},
-					bounds: BOUNDS,
+					bounds,
 					log: log ?? createSilentLog(),
 					metrics: createMetrics(),
 					declarations: () => DECLARATIONS,
