Revert "Count suspensions that a step of the wall clock hides"

The review showed that os.uptime() is not always what the change needs: with all descriptors of a process in use, Node 20.20.2 returned whole seconds (2815, then 2815.31 once they were closed). That os.uptime() includes suspensions was not shown either.

--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -22,7 +22,6 @@
 	WATCH_RETRY_MAX_MS,
 	WORKER_RETRY_MAX_MS,
 } from './constants.js';
-export {BOOT_CLOCK} from './boot-clock.js';
 export {MIN_START_BOUND_MS} from './start-guard.js';
 export {createStoreHealth, createSuspendClock, type StoreHealth} from './store-health.js';
 export {plan} from './plan/plan.js';
--- a/packages/scheduler/src/store-health.ts
+++ b/packages/scheduler/src/store-health.ts
@@ -1,5 +1,4 @@
 import {performance} from 'node:perf_hooks';
-import {createClockGain} from './clock-gain.js';
 import {STORE_LOST_MS, SUSPENSION_MIN_MS} from './constants.js';
 import {createReplicaAge} from './replica-age.js';
 
@@ -17,47 +16,23 @@
 	now: () => number;
 }>;
 
-/** Least time between two readings of the boot clock, its resolution. */
-const BOOT_READ_INTERVAL_MS = 10;
-
-/** Clocks in milliseconds. Tests replace the first two by those that they advance, and have no boot clock then. */
-type SuspendClockOptions = Readonly<{
-	monotonic?: () => number;
-	wallClock?: () => number;
-	bootClock?: (() => number) | undefined;
-}>;
-
 /**
-A clock that includes the time for which the machine was suspended. The monotonic clock stops during a suspension and the wall clock may jump, so the clock follows the monotonic one and adds what the wall clock gains on it. A boot clock, where there is one, shows a suspension that falls together with a backward step of the wall clock, within 10 ms of its end.
+A clock that includes the time for which the machine was suspended. The monotonic clock stops during a suspension and the wall clock may jump, so the clock follows the monotonic one and adds what the wall clock gains on it.
 
 Gains count from `SUSPENSION_MIN_MS` on. The wall clock has a coarser resolution than the monotonic one, so counting each gain would make the clock run fast on a busy instance, and leases would seem to expire early.
-
-@example
-```ts
-const now = createSuspendClock({bootClock: BOOT_CLOCK});
-```
 */
-export const createSuspendClock = ({
-	monotonic = () => performance.now(),
-	wallClock = () => Date.now(),
-	bootClock,
-}: SuspendClockOptions = {}) => {
+export const createSuspendClock = (monotonic = () => performance.now(), wallClock = () => Date.now()) => {
 	const startMs = monotonic();
-	const wallGain = createClockGain(monotonic, wallClock);
-	const bootGain = bootClock && createClockGain(monotonic, bootClock);
-	let bootReadMs = startMs;
+	let offsetMs = wallClock() - startMs;
 	let suspendedMs = 0;
 	return (): number => {
 		const monotonicMs = monotonic();
-		let isSuspended = wallGain.readMs() >= SUSPENSION_MIN_MS;
-		if (bootGain && monotonicMs - bootReadMs >= BOOT_READ_INTERVAL_MS) {
-			bootReadMs = monotonicMs;
-			isSuspended ||= bootGain.readMs() >= SUSPENSION_MIN_MS;
-		}
-
-		if (isSuspended) {
-			// Both are taken, so that a suspension that both show counts once.
-			suspendedMs += Math.max(wallGain.takeMs(), bootGain?.takeMs() ?? 0);
+		const gainMs = wallClock() - monotonicMs - offsetMs;
+		if (gainMs >= SUSPENSION_MIN_MS) {
+			suspendedMs += gainMs;
+			offsetMs += gainMs;
+		} else if (gainMs < 0) {
+			offsetMs += gainMs;
 		}
 
 		return monotonicMs - startMs + suspendedMs;
