--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -63,7 +63,7 @@
 	orderedRun: number;
 	checkpoint: string;
 	placements: Placement[];
-	/** Time since which the part has been ready to start; `undefined` once all of its units have been started. */
+	/** Time since which the part has been ready but not placed. */
 	waitingSinceMs: number | undefined;
 	/** Workers on which the part failed, stalled or was slow. */
 	avoided: Set<string>;
@@ -250,14 +250,6 @@
 
 export const stepOf = (activeJob: ActiveJob, part: Part): Step => activeJob.job.steps[part.step]!;
 
-/** Ends the wait of a part whose units are all known to have been started. A start that has no effect does not end it. */
-export const endWait = (part: Part): void => {
-	const {placements, indexes} = part;
-	if (placements.length >= indexes.length && placements.every(({acceptedMs}) => acceptedMs !== undefined)) {
-		part.waitingSinceMs = undefined;
-	}
-};
-
 /** Name of a unit on its worker. */
 export const unitNameOf = (activeJob: ActiveJob, part: Part, index: number): string =>
 	formatUnitName({jobId: activeJob.job.id, occurrence: part.occurrence, step: part.step, index});
--- a/packages/scheduler/src/placement-reports.ts
+++ b/packages/scheduler/src/placement-reports.ts
@@ -1,6 +1,6 @@
 import {parseUnitName} from '@bergamotgauge/jobs';
 import type {Log} from '@bergamotgauge/telemetry';
-import {endWait, hasEnded, partOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
+import {hasEnded, partOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {GANG_END_MS, STOP_SETTLE_MS} from './constants.js';
 import type {LeaderState, PlacedUnit} from './leader-state.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
@@ -87,7 +87,6 @@
 
 	const updatePlacement = (part: Part, placement: Placement, runningUnit: RunningUnit) => {
 		placement.acceptedMs ??= now();
-		endWait(part);
 		placement.missedReports = 0;
 		const point = {atMs: now(), percent: runningUnit.percent};
 		placement.window = placement.window ? extendWindow(placement.window, point) : openWindow(point);
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -1,6 +1,6 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
-import {endWait, nextRun, stepOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
+import {nextRun, stepOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
 import {allPlacedUnits, coreEquivalentsOf, type LeaderState, type PlacedUnit} from './leader-state.js';
 import {createPlacementReports, type PlacementReports} from './placement-reports.js';
@@ -70,6 +70,10 @@
 
 	const removePlacement = (part: Part, placement: Placement) => {
 		part.placements = part.placements.filter((other) => other !== placement);
+		if (part.placements.length === 0) {
+			part.waitingSinceMs = undefined;
+		}
+
 		onCapacityFreed();
 	};
 
@@ -141,7 +145,6 @@
 		// A report may have listed the run although the responses to its start were lost.
 		if (result.outcome === 'accepted' || placement.acceptedMs !== undefined) {
 			placement.acceptedMs ??= now();
-			endWait(part);
 			if (placement.phase === 'starting') {
 				placement.phase = 'running';
 			}
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -1,6 +1,6 @@
 import {parseUnitName, type UnitName} from '@bergamotgauge/jobs';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
-import {endWait, partOf, stepOf, type ActiveJob, type Part} from './active-job.js';
+import {partOf, stepOf, type ActiveJob, type Part} from './active-job.js';
 import {recordEnd} from './job-outcome.js';
 import {expectedObjectiveMs, isDataLocal, type LeaderState} from './leader-state.js';
 import type {Placements} from './placements.js';
@@ -56,12 +56,6 @@
 		const placement = part.placements.find(
 			({workerId, index, run: placed}) => workerId === end.workerId && index === name.index && placed === end.run,
 		);
-		if (placement) {
-			// The response to its start may have been lost.
-			placement.acceptedMs ??= now();
-			endWait(part);
-		}
-
 		const isLocal = isDataLocal(state, activeJob, part);
 		const ranMs = placement && Math.round(now() - placement.startedMs);
 		const effect = recordEnd(activeJob, part, {...end, index: name.index}, Date.now());
@@ -98,7 +92,9 @@
 
 			const hadOutcome = activeJob.outcome !== undefined;
 			recordUnitEnd(activeJob, part, {...end, workerId: link.worker.id}, name);
-			if (end.how !== 'done' && part.placements.some(({run}) => run === end.run)) {
+			if (part.placements.length === 0) {
+				part.waitingSinceMs = undefined;
+			} else if (end.how !== 'done' && part.placements.some(({run}) => run === end.run)) {
 				// A gang makes no progress without all of its members.
 				placements.stop(activeJob, part, 'gang-broken');
 			}
