--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -22,7 +22,7 @@
 	slowUntilMs: number;
 	/** Consecutive times that it was found slow. */
 	slowTimes: number;
-	/** Drain deadline: time until which a draining worker is sure to stay; negative infinity if none is known. */
+	/** Drain deadline: time until which a draining worker is sure to stay. */
 	drainDeadlineMs: number | undefined;
 };
 
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -108,7 +108,6 @@
 		state,
 		lifecycle,
 		now,
-		viewAgeMs: ages.workers.ageMs,
 		onReport(link, running, sentMs) {
 			placements.reconcile(link, running, sentMs);
 			waker.wake();
--- a/packages/scheduler/src/worker-fleet.test.ts
+++ b/packages/scheduler/src/worker-fleet.test.ts
@@ -113,7 +113,6 @@
 		state: createLeaderState(DEFAULT_POLICY),
 		lifecycle,
 		now: () => performance.now(),
-		viewAgeMs: () => 0,
 		onReport() {
 			// The stubs run no units.
 		},
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -22,8 +22,6 @@
 	state: LeaderState;
 	lifecycle: Lifecycle;
 	now: () => number;
-	/** Time within which changes may be missing from the directory, in milliseconds; infinite before the first listing. */
-	viewAgeMs: () => number;
 	/** Called with all active runs of a worker. */
 	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
 	/** Called with the progress of a worker's active runs. */
@@ -60,12 +58,12 @@
 
 @example
 ```ts
-const fleet = createWorkerFleet({context, term, state, lifecycle, now, viewAgeMs, onReport, onProgress, onEnds, onGone, onChanged});
+const fleet = createWorkerFleet({context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onChanged});
 await fleet.openRoster();
 ```
 */
 export const createWorkerFleet = (options: WorkerFleetOptions): WorkerFleet => {
-	const {context, term, state, lifecycle, now, viewAgeMs, onReport, onProgress, onEnds, onGone, onChanged} = options;
+	const {context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onChanged} = options;
 	const {store, log, bounds, decodeWorker, workerPrefix} = context;
 	// Leases granted by an earlier leader have expired by then, whether or not their workers are reachable.
 	const earlierLeasesEndMs =
@@ -149,10 +147,7 @@
 		}
 
 		if (worker.state === 'draining') {
-			// A report has no time, and may have been stored at any time since the last sync. That of a first listing may be so
-			// old that no time is sure to remain.
-			workerHealthOf(state, worker.id).drainDeadlineMs ??=
-				now() - viewAgeMs() + (worker.remainingMs ?? DEFAULT_REMAINING_MS);
+			workerHealthOf(state, worker.id).drainDeadlineMs ??= now() + (worker.remainingMs ?? DEFAULT_REMAINING_MS);
 		}
 
 		state.directory.set(worker.id, worker);
