Log why a run was lost with its worker, and how long it had run

The logs did not tell a crash from a planned leave or a lapsed lease: unit-lost had neither the reason nor the time since the start, and no metric counted lost workers or units. worker-gone now has the state and the silence before it, unit-lost the reason, phase and time since the start; workers_gone_total and units_lost_total count both. No decision changes.

--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -70,6 +70,7 @@
 			// The stub renews no lease.
 		},
 		expiryMs: () => Number.POSITIVE_INFINITY,
+		silentSinceMs: () => undefined,
 	});
 	const links = {w1: newLink('w1'), w2: newLink('w2')};
 	state.links.set('w1', links.w1);
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -8,6 +8,7 @@
 import {openWindow} from './progress-window.js';
 import type {Bounds, StartRefusal} from './types.js';
 import type {ViewAges} from './view-ages.js';
+import type {WorkerEnd, WorkerLink} from './worker-link.js';
 import type {OrderResult} from './worker-orders.js';
 
 export type PlacementsOptions = Readonly<{
@@ -39,7 +40,7 @@
 		/** Throttles a unit to a share of its CPU, in percent. */
 		throttle: (activeJob: ActiveJob, part: Part, placement: Placement, percent: number) => void;
 		/** Removes the placements of a worker whose incarnation or lease has ended. */
-		removeWorker: (workerId: string) => void;
+		removeWorker: (link: WorkerLink, reason: WorkerEnd) => void;
 	}>;
 
 /**
@@ -252,7 +253,9 @@
 				})();
 			}
 		},
-		removeWorker(workerId) {
+		removeWorker(link, reason) {
+			const workerId = link.worker.id;
+			const endedMs = link.silentSinceMs() ?? now();
 			state.orphanedRuns.delete(workerId);
 			state.orderedWorkers.delete(workerId);
 			for (const {activeJob, part, placement} of allPlacedUnits(state)) {
@@ -261,7 +264,11 @@
 						unit: unitNameOf(activeJob, part, placement.index),
 						run: placement.run,
 						worker: workerId,
+						reason,
+						phase: placement.phase,
+						ranMs: Math.round(endedMs - placement.startedMs),
 					});
+					metrics.count('units_lost_total', {reason});
 					removePlacement(part, placement);
 					stop(activeJob, part, 'gang-incomplete');
 				}
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -14,7 +14,7 @@
 import {workerHealthOf, type LeaderState} from './leader-state.js';
 import {decodeRoster, encodeRoster, partIdsOn, readRoster, type RosterEntry} from './roster.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
-import {createWorkerLink, type WorkerLink} from './worker-link.js';
+import {createWorkerLink, type WorkerEnd, type WorkerLink} from './worker-link.js';
 
 export type WorkerFleetOptions = Readonly<{
 	context: SchedulerContext;
@@ -29,7 +29,7 @@
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when a worker incarnation, or its lease, has ended, so that nothing runs on it any more. */
-	onGone: (workerId: string) => void;
+	onGone: (link: WorkerLink, reason: WorkerEnd) => void;
 	/** Called when workers are added, removed or changed. */
 	onChanged: () => void;
 }>;
@@ -82,14 +82,14 @@
 	const mayReopen = (workerId: string): boolean =>
 		now() >= (linkEndedMs.get(workerId) ?? Number.NEGATIVE_INFINITY) + WORKER_REOPEN_MS;
 
-	const removeLink = (link: WorkerLink, reason: 'other-life' | 'lease-ended') => {
+	const removeLink = (link: WorkerLink, reason: WorkerEnd) => {
 		linkEndedMs.set(link.worker.id, reason === 'other-life' ? Number.POSITIVE_INFINITY : now());
 		if (state.links.get(link.worker.id) === link) {
 			state.links.delete(link.worker.id);
 		}
 
 		unsynced.delete(link.worker.id);
-		onGone(link.worker.id);
+		onGone(link, reason);
 		onChanged();
 	};
 
@@ -109,7 +109,14 @@
 				onProgress,
 				onEnds,
 				onGone(from, reason) {
-					log.info('worker-gone', {worker: from.worker.id, reason});
+					const silentMs = from.silentSinceMs();
+					log.info('worker-gone', {
+						worker: from.worker.id,
+						reason,
+						state: from.worker.state,
+						silentMs: silentMs === undefined ? undefined : Math.round(now() - silentMs),
+					});
+					context.metrics.count('workers_gone_total', {reason, state: from.worker.state});
 					removeLink(from, reason);
 				},
 				onStaleToken() {
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -25,6 +25,9 @@
 	/** The worker incarnation or its lease has ended. */
 	| 'gone';
 
+/** How a link ends: another incarnation responds, or no lease of the worker can be valid any more. */
+export type WorkerEnd = 'other-life' | 'lease-ended';
+
 export type WorkerLinkEvents = Readonly<{
 	/** Called with all active runs of the worker after each lease renewal. */
 	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
@@ -33,7 +36,7 @@
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when none of the runs that this leader knows of exists any more. */
-	onGone: (link: WorkerLink, reason: 'other-life' | 'lease-ended') => void;
+	onGone: (link: WorkerLink, reason: WorkerEnd) => void;
 	/** Called when the worker has seen a newer fencing token. */
 	onStaleToken: () => void;
 	/** Long-poll timeout of the next lease renewal. */
@@ -66,6 +69,8 @@
 	readonly run: (signal: AbortSignal) => Promise<void>;
 	/** Time, on this instance's clock, after which no lease granted to the worker can be valid. */
 	readonly expiryMs: () => number;
+	/** Time since which the worker has been silent; `undefined` while it responds. */
+	readonly silentSinceMs: () => number | undefined;
 };
 
 export type WorkerLinkOptions = Readonly<{
@@ -102,14 +107,16 @@
 	const isGone = (): boolean => state === 'gone';
 	const isActive = (): boolean => mayOrder() && !isGone();
 	let isPolling = false;
+	let silentSinceMs: number | undefined;
 	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
 		if (state !== next) {
 			log.info('worker-link', {worker: options.worker.id, from: state, to: next, token, ...fields});
 			state = next;
+			silentSinceMs = next === 'synced' ? undefined : (silentSinceMs ?? now());
 		}
 	};
 
-	const end = (reason: 'other-life' | 'lease-ended') => {
+	const end = (reason: WorkerEnd) => {
 		if (!isGone()) {
 			setState('gone', {reason});
 			events.onGone(link, reason);
@@ -261,6 +268,7 @@
 		worker: options.worker,
 		state: () => state,
 		expiryMs: clock.expiryMs,
+		silentSinceMs: () => silentSinceMs,
 		wake: waker.wake,
 		run,
 		async start({unit, run: runNumber, spec, checkpoint, ticket}, isWanted) {
