--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -8,7 +8,7 @@
 import {DEFAULT_POLICY, type Policy} from '../policy.js';
 import {startScheduler, type Scheduler} from '../scheduler.js';
 import {createStoreHealth, createSuspendClock} from '../store-health.js';
-import type {AdvicePort, Bounds, Declarations, Queue, Worker} from '../types.js';
+import type {AdvicePort, Bounds, Declarations, Queue, Resources, Worker} from '../types.js';
 import type {MachinePort, Wave, WaveRecords, WaveState} from '../maintenance/types.js';
 import {createMemoryKeyValue, type MemoryKeyValue} from './memory-key-value.js';
 import {createModelWorker, type ModelWorker, type UnitBehaviour} from './model-worker.js';
@@ -79,6 +79,10 @@
 	startInstance: (id: string) => Instance;
 	/** Writes a worker's report to the store. */
 	report: (worker: Worker) => void;
+	/** Changes the capacity of a worker and reports it. */
+	resize: (workerId: string, capacity: Resources) => void;
+	/** Ends the worker's process; a new incarnation starts after a while. */
+	crashWorker: (workerId: string) => void;
 	/** Adds a worker that joins later. */
 	addWorker: (worker: Worker) => void;
 	/** Number of starts of the unit on all workers. */
@@ -89,6 +93,9 @@
 
 export const WORKER_PREFIX = 'workers/';
 
+/** Time from the crash of a worker until its next incarnation responds. */
+export const WORKER_RESTART_MS = 3000;
+
 /** Creates a cluster on a fake clock; it is closed when the test ends. */
 export const createTestCluster = (
 	t: Test,
@@ -122,10 +129,26 @@
 	};
 
 	const addWorker = (worker: Worker) => {
-		models.set(worker.id, createModelWorker(worker, behaviourOf, checker.eventsOf(worker)));
+		const crash = () => {
+			crashWorker(worker.id);
+		};
+
+		models.set(worker.id, createModelWorker(worker, behaviourOf, checker.eventsOf(worker, crash)));
+		checker.setAccelerators(worker.id, worker.capacity.accelerators);
 		report(worker);
 	};
 
+	const crashWorker = (workerId: string) => {
+		const model = models.get(workerId)!;
+		model.crash();
+		model.setAvailability('down');
+		setTimeout(() => {
+			model.setAvailability('replaced');
+			store.remove(WORKER_PREFIX + workerId);
+			addWorker({...model.worker, id: `${workerId}'`});
+		}, WORKER_RESTART_MS);
+	};
+
 	for (const worker of workers) {
 		addWorker(worker);
 	}
@@ -142,6 +165,11 @@
 		store,
 		workers: models,
 		report,
+		resize(workerId, capacity) {
+			checker.setAccelerators(workerId, capacity.accelerators);
+			report({...models.get(workerId)!.worker, capacity});
+		},
+		crashWorker,
 		addWorker,
 		violations: checker.violations,
 		startsOf: (unit) => [...models.values()].reduce((sum, {starts}) => sum + (starts.get(unit) ?? 0), 0),
--- a/packages/scheduler/src/test/model-worker-events.ts
+++ b/packages/scheduler/src/test/model-worker-events.ts
@@ -6,6 +6,8 @@
 	onEnd: (end: EndedUnit) => void;
 	/** Called when the ends up to the sequence are acknowledged, with the new ones after which the lease has not expired. */
 	onAcknowledged: (sequence: number, ends: readonly EndedUnit[]) => void;
+	/** Called when the unit crashes the worker. */
+	onCrash: (unit: string) => void;
 }>;
 
 export const NO_EVENTS: WorkerEvents = {
@@ -18,4 +20,7 @@
 	onAcknowledged() {
 		// Not needed by most tests.
 	},
+	onCrash() {
+		// Units that crash their worker need a cluster that restarts it.
+	},
 };
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -1,4 +1,5 @@
 import type {RunEnd} from '@bergamotgauge/jobs';
+import {ServiceError} from '@bergamotgauge/model';
 import type {
 	EndedUnit,
 	LeaseRenewal,
@@ -18,8 +19,13 @@
 	how: RunEnd;
 	/** For long-running units: time after which the unit is serving. */
 	startupMs?: number;
+	/** The worker crashes at the end of the run time. */
+	crashesWorker?: boolean;
 }>;
 
+/** Whether a process answers at the worker's address: this incarnation, none, or a later one with another id. */
+export type Availability = 'up' | 'down' | 'replaced';
+
 type RunTarget = Readonly<{unit: string; run: number}>;
 
 /** A call to the worker, whether or not it was sent and arrived. */
@@ -40,6 +46,7 @@
 	starts: ReadonlyMap<string, number>;
 	/** Ends all runs as a crash does, without reporting them. */
 	crash: () => void;
+	setAvailability: (availability: Availability) => void;
 	running: () => ReadonlyArray<Readonly<{unit: string; run: number}>>;
 	/** CPU shares that were ordered, by unit, in percent. */
 	throttles: ReadonlyMap<string, number>;
@@ -80,6 +87,13 @@
 	let expiredSequence = 0;
 	let leaseUntilMs = 0;
 	let leaseTimer: NodeJS.Timeout | undefined;
+	let availability: Availability = 'up';
+
+	const requireProcess = () => {
+		if (availability === 'down') {
+			throw new ServiceError('connection refused', {code: 'worker-failed', verdict: 'not-run'});
+		}
+	};
 
 	const clockMs = () => Math.round(performance.now() * faults.clockRate) + 50_000;
 
@@ -157,7 +171,11 @@
 			behaviour,
 			startedMs: performance.now(),
 			timer: setTimeout(() => {
-				end(started, behaviour.how);
+				if (behaviour.crashesWorker) {
+					events.onCrash(unit);
+				} else {
+					end(started, behaviour.how);
+				}
 			}, behaviour.runMs),
 		};
 		runs.set(runKey(unit, run), started);
@@ -258,6 +276,11 @@
 	): Promise<OrderReply> => {
 		await connect(options);
 		record(kind, {unit, run});
+		requireProcess();
+		if (availability === 'replaced') {
+			return refuse('other-life');
+		}
+
 		const reply = await receive(kind, carryOut, () => refuse('unhealthy'), options?.signal);
 		requireResponse();
 		return reply;
@@ -280,6 +303,12 @@
 
 			runs.clear();
 			clear();
+			for (const wake of waiting) {
+				wake();
+			}
+		},
+		setAvailability(next) {
+			availability = next;
 		},
 		running: () => [...runs.values()].map(({unit, run}) => ({unit, run})),
 		acknowledged: () => acknowledgedSequence,
@@ -295,6 +324,11 @@
 				const {acknowledgedSequence: acknowledged, waitMs} = renewal;
 				await connect(options);
 				record('renewal');
+				requireProcess();
+				if (availability === 'replaced') {
+					return {outcome: 'refused', reason: 'other-life'};
+				}
+
 				const reason = await receive<'accepted' | 'stale-token' | 'unhealthy'>(
 					'renewal',
 					() => acceptRenewal(renewal),
@@ -317,6 +351,10 @@
 					});
 				}
 
+				if (availability !== 'up') {
+					throw new ServiceError('connection closed', {code: 'worker-failed', verdict: 'may-have-run'});
+				}
+
 				requireResponse();
 				return report(acknowledged);
 			},
