Count the crashes of workers against the units that may have caused them

Cause: the end of a worker was no evidence against what ran on it. removeWorker dropped the runs and recorded nothing, so a unit that ends its worker at every start was started every 3.3 s without end. Class: a signal about a shared resource is attributed to nothing, and no leader keeps it.

Ruled out: lost counts (one leader, no failed write, no field to hold one) and ends that were not seen (the next incarnation lists none).

Change: when another incarnation answers, the runs that had just started on the worker become suspects, known suspects before others. A suspect runs alone on an empty worker, a few at a time and fewer of one customer, after a pause. A run that lasts much longer than the crashed ones ends the suspicion. Three crashes, the last with no other possible cause, fail the job with the cause worker-crashes, which its state shows. Many workers that fall silent together have a common cause and blame no run that had gone on for a while; drains, maintenance, cuts and lapsed leases blame none. Counts are stored, and a start on trial is stored before it is sent, so a later leader that finds no report of it counts it. Five starts at most follow from the limits; a sixth is not allowed.

--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -80,6 +80,33 @@
 /** Outcome of a job that has ended. */
 export type JobOutcome = 'completed' | 'failed' | 'cancelled';
 
+/** Why a job has failed. */
+export type JobFailure =
+	/** A unit, or a gang, has failed as often as its queue allows. */
+	| 'failed-runs'
+	/** A unit, or a gang, has crashed the workers that ran it. */
+	| 'worker-crashes';
+
+/** State of a job with the cause of a failure. */
+export type JobStatus = Readonly<{state: JobState; failure: JobFailure | undefined}>;
+
+/** How likely it is that a run caused the crash of its worker. */
+export type CrashSuspicion =
+	/** No other run, and nothing that hit other workers as well, can have caused it. */
+	| 'certain'
+	/** One of the few runs that had just started. */
+	| 'likely'
+	/** One of many runs, or one of many workers that crashed at the same time. */
+	| 'possible';
+
+/** A run whose worker crashed. */
+export type CrashedRun = Readonly<{
+	run: number;
+	/** Time from the start of the run to the crash, in milliseconds. */
+	ranMs: number;
+	suspicion: CrashSuspicion;
+}>;
+
 /** Stored progress of a part: one unit, or all units of a gang. */
 export type PartRecord = Readonly<{
 	isDone: boolean;
@@ -90,6 +117,10 @@
 	failedRun: number;
 	/** Numbers of the runs whose failures were counted; missing in records of older versions. */
 	failedRuns?: readonly number[];
+	/** Runs whose workers crashed since a run outlasted its crashes; missing in records of older versions. */
+	crashes?: readonly CrashedRun[];
+	/** Number of a run that was ordered on trial and whose end is not known; 0 or missing if there is none. */
+	trialRun?: number;
 	/** Latest checkpoint; empty when there is none. */
 	checkpoint: string;
 }>;
@@ -99,6 +130,8 @@
 	/** Whether any unit has started. */
 	hasBegun: boolean;
 	outcome: JobOutcome | undefined;
+	/** Cause of the outcome `failed`; missing in records of older versions. */
+	failure?: JobFailure | undefined;
 	/** Wall-clock time at which the job ended. */
 	endedMs: number | undefined;
 	/** Parts by key; those that have not ended any run are left out. */
--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -1,7 +1,9 @@
 import {
 	formatUnitName,
 	partKey,
+	type CrashedRun,
 	type Job,
+	type JobFailure,
 	type PartRecord,
 	type Progress,
 	type RunEnd,
@@ -69,6 +71,12 @@
 	avoided: Set<string>;
 	/** Times that the part was moved off slow workers. */
 	slowRestarts: number;
+	/** Runs whose workers crashed since a run outlasted its crashes. */
+	crashes: readonly CrashedRun[];
+	/** Number of the run that is ordered on trial; 0 if there is none. It is stored first, so that a later leader knows of the run. */
+	trialRun: number;
+	/** Time until which the part is not started again after a crash. */
+	pausedUntilMs: number;
 };
 
 /** In-memory state of a job on the leader, kept until its outcome is stored and none of its units is placed any more. */
@@ -83,6 +91,7 @@
 	isCancelled: boolean;
 	hasBegun: boolean;
 	outcome: Progress['outcome'];
+	failure: JobFailure | undefined;
 	endedMs: number | undefined;
 	/** Counts changes to the state that is stored; `storedChanges` is the count as of the last write. */
 	changes: number;
@@ -127,6 +136,9 @@
 	waitingSinceMs: undefined,
 	avoided: new Set(),
 	slowRestarts: 0,
+	crashes: record?.crashes ?? [],
+	trialRun: record?.trialRun ?? 0,
+	pausedUntilMs: 0,
 });
 
 /** Adds the parts of the next occurrence. */
@@ -170,6 +182,7 @@
 		isCancelled,
 		hasBegun: progress?.hasBegun ?? false,
 		outcome: progress?.outcome,
+		failure: progress?.failure,
 		endedMs: progress?.endedMs,
 		changes: 0,
 		storedChanges: 0,
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -98,6 +98,28 @@
 /** Interval between checks whether the leadership is vacant. */
 export const ELECTION_RETRY_MS = 50;
 
+/** A run that began within this time before its worker's last response is a likely cause of the worker's crash. */
+export const EARLY_CRASH_MS = 2000;
+
+/** Workers that stop responding within this time of each other, if at least so many, have a cause in common. */
+export const COMMON_CAUSE_WINDOW_MS = 1000;
+export const COMMON_CAUSE_WORKERS = 3;
+
+/** Crashes in a row after which a part is a suspect although each of them may have another cause. */
+export const SUSPECT_CRASHES = 3;
+
+/** Crashes in a row after which a part is not started again: with the last one certain, with any likely one, and in any case. A sixth start is not allowed. */
+export const MAX_CRASHES_IF_CERTAIN = 3;
+export const MAX_CRASHES_IF_LIKELY = 4;
+export const MAX_CRASHES = 5;
+
+/** A run outlasts the crashes before it when it has lasted this many times as long as the longest of them, and the margin more. */
+export const OUTLAST_FACTOR = 2;
+export const OUTLAST_MARGIN_MS = 1000;
+
+/** Pause before a suspect is started again, multiplied by its crashes; each crash takes a worker away for seconds. */
+export const RETRY_AFTER_CRASH_MS = 1000;
+
 /** Interval between retries of a stop that the worker has not acknowledged. */
 export const STOP_RETRY_MS = 200;
 
--- a/packages/scheduler/src/crashing-units.test.ts
+++ b/packages/scheduler/src/crashing-units.test.ts
@@ -92,3 +92,44 @@
 		t.equal(await scheduler.jobs.state(addressOf(id)), 'completed', `job ${id}`);
 	}
 });
+
+// Guards against a planned leave that is taken for a crash.
+await t.test('a worker that leaves after a drain is no evidence against its units', async (t) => {
+	const cluster = createTestCluster(t, newWorkers(4), () => ({runMs: 30_000, how: 'done'}));
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	await submitStep(scheduler.jobs, 2, newStep({accelerators: 8, cpuMillis: 1000}));
+	for (let round = 0; round < 4; round += 1) {
+		await cluster.clock.tickAsync(1500);
+		const [id, model] = [...cluster.workers].findLast(([, {running}]) => running().length > 0)!;
+		cluster.report({...model.worker, state: 'draining', remainingMs: 500});
+		await cluster.clock.tickAsync(600);
+		cluster.crashWorker(id);
+		await cluster.clock.tickAsync(4000);
+	}
+
+	await cluster.clock.tickAsync(60_000);
+	t.equal(await scheduler.jobs.state(addressOf(2)), 'completed');
+});
+
+// Guards against a job that fails without telling its caller that its task took workers down.
+await t.test('the cause of the failure is part of the job status', async (t) => {
+	const cluster = createTestCluster(t, newWorkers(6), behaviourOf);
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	await submitStep(scheduler.jobs, CRASHING_JOB);
+	await cluster.clock.tickAsync(30_000);
+	t.same(await scheduler.jobs.status(addressOf(CRASHING_JOB)), {state: 'failed', failure: 'worker-crashes'});
+});
+
+// Guards against a gang that crashes its workers and is counted once for each member, or never.
+await t.test('a gang that crashes its workers fails its job', async (t) => {
+	const cluster = createTestCluster(t, newWorkers(6), behaviourOf);
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	await submitStep(scheduler.jobs, CRASHING_JOB, newStep({count: 3, gang: true, accelerators: 8, cpuMillis: 1000}));
+	await cluster.clock.tickAsync(60_000);
+	t.same(cluster.violations, []);
+	t.equal(cluster.startsOf(unitOf(CRASHING_JOB)), 3);
+	t.equal(await scheduler.jobs.state(addressOf(CRASHING_JOB)), 'failed');
+});
--- a/packages/scheduler/src/job-outcome.ts
+++ b/packages/scheduler/src/job-outcome.ts
@@ -1,7 +1,9 @@
 import type {Progress, RunEnd} from '@bergamotgauge/jobs';
+import {hasReachedCrashLimit} from './crash-evidence.js';
 import {markEnded, occurrencesOf, stepOf, type ActiveJob, type Part} from './active-job.js';
 
-const updateOutcome = (activeJob: ActiveJob, nowMs: number) => {
+/** Sets the outcome of a job that has just ended; `nowMs` is wall-clock time. */
+export const updateOutcome = (activeJob: ActiveJob, nowMs: number): void => {
 	if (activeJob.outcome) {
 		return;
 	}
@@ -10,9 +12,11 @@
 	const hasFailed = parts.some(
 		(part) => !part.isDone && part.failures >= activeJob.job.attempts && !stepOf(activeJob, part).longRunning,
 	);
+	const hasCrashed = parts.some((part) => !part.isDone && hasReachedCrashLimit(part));
 	const isComplete = activeJob.occurrences === occurrencesOf(activeJob.job) && parts.every(({isDone}) => isDone);
-	if (activeJob.isCancelled || hasFailed || isComplete) {
+	if (activeJob.isCancelled || hasFailed || hasCrashed || isComplete) {
 		activeJob.outcome = isComplete ? 'completed' : activeJob.isCancelled ? 'cancelled' : 'failed';
+		activeJob.failure = activeJob.outcome === 'failed' ? (hasCrashed ? 'worker-crashes' : 'failed-runs') : undefined;
 		activeJob.endedMs = nowMs;
 		activeJob.changes += 1;
 	}
@@ -28,6 +32,7 @@
 export const overruleOutcome = (activeJob: ActiveJob, nowMs: number): void => {
 	activeJob.isCancelled = true;
 	activeJob.outcome = 'cancelled';
+	activeJob.failure = undefined;
 	activeJob.endedMs ??= nowMs;
 	activeJob.changes += 1;
 };
@@ -48,6 +53,10 @@
 		(placement) => placement.workerId !== end.workerId || placement.index !== end.index || placement.run !== end.run,
 	);
 	markEnded(part, end);
+	if (part.trialRun === end.run) {
+		part.trialRun = 0;
+	}
+
 	const isFailure = end.how === 'failed' && !part.failedRuns.has(end.run);
 	// A run that was started after this one's lease had expired takes precedence over its late result.
 	const isResult = end.how === 'done' && part.placements.every((placement) => placement.run <= end.run);
@@ -82,11 +91,12 @@
 export const progressOf = (activeJob: ActiveJob): Progress => ({
 	hasBegun: activeJob.hasBegun,
 	outcome: activeJob.outcome,
+	...(activeJob.failure && {failure: activeJob.failure}),
 	endedMs: activeJob.endedMs,
 	parts: Object.fromEntries(
 		[...activeJob.parts.values()]
-			.filter(({run: ended}) => ended > 0)
-			.map(({key, isDone, run: ended, failures, failedRuns, checkpoint}) => [
+			.filter(({run: ended, crashes, trialRun}) => ended > 0 || crashes.length > 0 || trialRun > 0)
+			.map(({key, isDone, run: ended, failures, failedRuns, crashes, trialRun, checkpoint}) => [
 				key,
 				{
 					isDone,
@@ -94,6 +104,8 @@
 					failures,
 					failedRun: Math.max(0, ...failedRuns),
 					failedRuns: [...failedRuns],
+					...(crashes.length > 0 && {crashes}),
+					...(trialRun > 0 && {trialRun}),
 					checkpoint: isDone ? '' : checkpoint,
 				},
 			]),
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -1,4 +1,4 @@
-import {checkSubmission, decodeJob, encodeJob, type Job, type JobState} from '@bergamotgauge/jobs';
+import {checkSubmission, decodeJob, encodeJob, type Job, type JobState, type JobStatus} from '@bergamotgauge/jobs';
 import {ServiceError, toServiceError} from '@bergamotgauge/model';
 import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
 import type {KeyValueStore, StoredItem, Transaction} from '@bergamotgauge/store';
@@ -32,6 +32,8 @@
 	/** Resolves when the job is stored. */
 	submit: (request: JobRequest) => Promise<void>;
 	state: (address: JobAddress) => Promise<JobState>;
+	/** The state, with the cause if the job has failed. */
+	status: (address: JobAddress) => Promise<JobStatus>;
 	/** Resolves when the cancellation is stored. */
 	cancel: (address: JobAddress) => Promise<void>;
 	/** Number of accepted jobs of the queue of which no unit has started; may be two seconds old. */
@@ -175,6 +177,10 @@
 			});
 		},
 		state: async (address) => stateOf(await find(address)),
+		async status(address) {
+			const entry = await find(address);
+			return {state: stateOf(entry), failure: entry.progress?.failure};
+		},
 		async cancel(address) {
 			const entry = await find(address);
 			if (entry.progress?.outcome) {
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -43,6 +43,8 @@
 	maintenanceDrains: {deadlineByWorker: ReadonlyMap<string, number>};
 	/** Workers that a maintenance order of this leader may end at any time. */
 	orderedWorkers: Set<string>;
+	/** Times since which workers that have crashed had been silent, by worker. */
+	crashTimes: Map<string, number>;
 }>;
 
 export const createLeaderState = (policy: Policy): LeaderState => ({
@@ -56,6 +58,7 @@
 	placementIndex: {byWorker: new Map()},
 	maintenanceDrains: {deadlineByWorker: new Map()},
 	orderedWorkers: new Set(),
+	crashTimes: new Map(),
 });
 
 /** The health of a worker, created on first use. */
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -86,7 +86,6 @@
 		now,
 		signal: term.signal,
 		onCapacityFreed: waker.wake,
-		onBegun: writer.storeLater,
 		onRefused({activeJob, part, placement: {workerId}}, reason) {
 			if (reason === 'no-ticket') {
 				advisor?.dropTicket(stepIdOf(activeJob, part), workerId);
@@ -98,6 +97,8 @@
 		},
 		ticketOf: (activeJob, part, workerId) =>
 			activeJob.job.advice && advisor?.ticketOf(stepIdOf(activeJob, part), workerId),
+		store: async (activeJob) => storeChanges(activeJob),
+		storeLater: writer.storeLater,
 	});
 
 	const ends = createUnitEnds({state, placements, log, metrics, now});
@@ -123,21 +124,36 @@
 			waker.wake();
 			await writer.store([...changed]);
 		},
-		onGone: placements.removeWorker,
+		onGone(link, reason) {
+			for (const activeJob of placements.removeWorker(link, reason)) {
+				onCrashRecorded(activeJob);
+			}
+		},
 		onChanged: waker.wake,
 	});
 
-	const planner = createPlanner({context, term, state, fleet, placements, advisor, now});
-
-	const storeEnded = async (activeJob: ActiveJob) => {
+	/** Resolves to whether the changes of the job are stored. */
+	const storeChanges = async (activeJob: ActiveJob): Promise<boolean> => {
 		try {
 			await writer.store([activeJob]);
+			return true;
 		} catch (error) {
-			// The next leader will find the cancellation in the store.
-			log.info('outcome-not-stored', {job: activeJob.job.id, error: errorOf(error)});
+			// The term has ended. The next leader finds the cancellation of the job, or a run on trial, in the store.
+			log.info('job-not-stored', {job: activeJob.job.id, error: errorOf(error)});
+			return false;
 		}
 	};
 
+	const onCrashRecorded = (activeJob: ActiveJob) => {
+		if (activeJob.outcome !== undefined) {
+			ends.finishJob(activeJob);
+		}
+
+		void storeChanges(activeJob);
+	};
+
+	const planner = createPlanner({context, term, state, fleet, placements, advisor, onCrashRecorded, now});
+
 	const applyJob = (id: string) => {
 		const entry = table.get(id);
 		if (!entry?.job || (entry.progress?.outcome !== undefined && !state.activeJobs.has(id))) {
@@ -158,7 +174,7 @@
 		if (entry.cancelRevision > 0 && activeJob.outcome === undefined) {
 			cancelJob(activeJob, Date.now());
 			ends.finishJob(activeJob);
-			void storeEnded(activeJob);
+			void storeChanges(activeJob);
 		}
 	};
 
--- a/packages/scheduler/src/placement-reports.ts
+++ b/packages/scheduler/src/placement-reports.ts
@@ -2,6 +2,7 @@
 import type {Log} from '@bergamotgauge/telemetry';
 import {hasEnded, partOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {GANG_END_MS, STOP_SETTLE_MS} from './constants.js';
+import {outlastsCrashes} from './crash-evidence.js';
 import type {LeaderState, PlacedUnit} from './leader-state.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
 import {extendWindow, openWindow} from './progress-window.js';
@@ -17,7 +18,9 @@
 	signal: AbortSignal;
 	/** Stops the units of a part, or those that are affected. */
 	stop: (activeJob: ActiveJob, part: Part, reason: string, isAffected?: (placement: Placement) => boolean) => void;
-	removePlacement: (part: Part, placement: Placement) => void;
+	removePlacement: (activeJob: ActiveJob, part: Part, placement: Placement) => void;
+	/** Schedules a write of the changes of the job. */
+	storeLater: (activeJob: ActiveJob) => void;
 }>;
 
 /** Reconciles placements with what workers report. */
@@ -44,7 +47,7 @@
 ```
 */
 export const createPlacementReports = (options: PlacementReportsOptions): PlacementReports => {
-	const {state, bounds, log, now, signal, stop, removePlacement} = options;
+	const {state, bounds, log, now, signal, stop, removePlacement, storeLater} = options;
 	const orphanedRuns = createOrphanedRuns({state, log, signal});
 
 	const adoptRun = (
@@ -85,7 +88,15 @@
 		stop(activeJob, part, 'older-run', (placement) => placement.run !== newest);
 	};
 
-	const updatePlacement = (part: Part, placement: Placement, runningUnit: RunningUnit) => {
+	const updatePlacement = ({activeJob, part, placement}: PlacedUnit, runningUnit: RunningUnit) => {
+		if (outlastsCrashes(part, now() - placement.startedMs)) {
+			log.info('crash-outlasted', {unit: runningUnit.unit, run: runningUnit.run, crashes: part.crashes.length});
+			part.crashes = [];
+			part.trialRun = 0;
+			activeJob.changes += 1;
+			storeLater(activeJob);
+		}
+
 		placement.acceptedMs ??= now();
 		placement.missedReports = 0;
 		const point = {atMs: now(), percent: runningUnit.percent};
@@ -128,7 +139,7 @@
 
 		const placement = part.placements.find((other) => isPlacementOf(other, workerId, index, runningUnit.run));
 		if (placement) {
-			updatePlacement(part, placement, runningUnit);
+			updatePlacement({activeJob, part, placement}, runningUnit);
 		}
 
 		// The other members of a gang finish by themselves shortly after the first one.
@@ -148,10 +159,10 @@
 		stopAcceptedMs !== undefined && sentMs >= stopAcceptedMs + bounds.stopMs + STOP_SETTLE_MS;
 
 	/** Handles a placement that a report of the worker does not list. */
-	const handleMissing = (part: Part, placement: Placement, sentMs: number) => {
+	const handleMissing = ({activeJob, part, placement}: PlacedUnit, sentMs: number) => {
 		if (placement.stopAcceptedMs !== undefined) {
 			if (isStopComplete(placement, sentMs)) {
-				removePlacement(part, placement);
+				removePlacement(activeJob, part, placement);
 			}
 
 			return;
@@ -163,7 +174,7 @@
 			// A long list of ends is split over several reports, so the end may still follow.
 			if (placement.missedReports > 2) {
 				log.warn('unit-vanished', {part: part.key, run: placement.run, worker: placement.workerId});
-				removePlacement(part, placement);
+				removePlacement(activeJob, part, placement);
 			}
 		}
 	};
@@ -178,9 +189,9 @@
 				}
 
 				if (runningUnit) {
-					updatePlacement(part, placement, runningUnit);
+					updatePlacement({activeJob, part, placement}, runningUnit);
 				} else if (isStopComplete(placement, sentMs)) {
-					removePlacement(part, placement);
+					removePlacement(activeJob, part, placement);
 				}
 			}
 		},
@@ -201,9 +212,9 @@
 			}
 
 			orphanedRuns.reconcile(link, orphans);
-			for (const {part, placement} of state.placementIndex.byWorker.get(link.worker.id) ?? []) {
-				if (!listed.has(placement) && part.placements.includes(placement)) {
-					handleMissing(part, placement, sentMs);
+			for (const placed of state.placementIndex.byWorker.get(link.worker.id) ?? []) {
+				if (!listed.has(placed.placement) && placed.part.placements.includes(placed.placement)) {
+					handleMissing(placed, sentMs);
 				}
 			}
 		},
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -71,6 +71,7 @@
 		},
 		expiryMs: () => Number.POSITIVE_INFINITY,
 		silentSinceMs: () => undefined,
+		lastReplyMs: () => undefined,
 	});
 	const links = {w1: newLink('w1'), w2: newLink('w2')};
 	state.links.set('w1', links.w1);
@@ -88,7 +89,8 @@
 		onCapacityFreed() {
 			// No planner runs.
 		},
-		onBegun() {
+		store: async () => true,
+		storeLater() {
 			// Nothing is stored.
 		},
 		onRefused() {
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -3,6 +3,8 @@
 import {nextRun, stepOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
 import {allPlacedUnits, coreEquivalentsOf, type LeaderState, type PlacedUnit} from './leader-state.js';
+import {isCrashSuspect} from './crash-evidence.js';
+import {createCrashRecorder} from './crash-recorder.js';
 import {createPlacementReports, type PlacementReports} from './placement-reports.js';
 import {createPlacementThrottle} from './placement-throttle.js';
 import {openWindow} from './progress-window.js';
@@ -24,9 +26,11 @@
 	signal: AbortSignal;
 	/** Called when capacity may have been freed or a part is pending again. */
 	onCapacityFreed: () => void;
-	/** Called when the first unit of a job has started. */
-	onBegun: (activeJob: ActiveJob) => void;
 	onRefused: (placed: PlacedUnit, reason: StartRefusal) => void;
+	/** Resolves to whether the changes of the job are stored. */
+	store: (activeJob: ActiveJob) => Promise<boolean>;
+	/** Schedules a write of the changes of the job. */
+	storeLater: (activeJob: ActiveJob) => void;
 	/** Ticket of the advice service for the part on the worker; `undefined` if none is needed. */
 	ticketOf: (activeJob: ActiveJob, part: Part, workerId: string) => string | undefined;
 }>;
@@ -39,8 +43,8 @@
 		stop: (activeJob: ActiveJob, part: Part, reason: string) => void;
 		/** Throttles a unit to a share of its CPU, in percent. */
 		throttle: (activeJob: ActiveJob, part: Part, placement: Placement, percent: number) => void;
-		/** Removes the placements of a worker whose incarnation or lease has ended. */
-		removeWorker: (link: WorkerLink, reason: WorkerEnd) => void;
+		/** Removes the placements of a worker whose incarnation or lease has ended. Returns the jobs that have changed. */
+		removeWorker: (link: WorkerLink, reason: WorkerEnd) => ReadonlySet<ActiveJob>;
 	}>;
 
 /**
@@ -64,13 +68,21 @@
 		now,
 		signal,
 		onCapacityFreed,
-		onBegun,
 		onRefused,
 		ticketOf,
+		store,
+		storeLater,
 	} = options;
+	const recordWorkerCrash = createCrashRecorder({state, log, metrics, now});
 
-	const removePlacement = (part: Part, placement: Placement) => {
+	const removePlacement = (activeJob: ActiveJob, part: Part, placement: Placement) => {
 		part.placements = part.placements.filter((other) => other !== placement);
+		if (part.trialRun === placement.run && part.placements.length === 0) {
+			part.trialRun = 0;
+			activeJob.changes += 1;
+			storeLater(activeJob);
+		}
+
 		if (part.placements.length === 0) {
 			part.waitingSinceMs = undefined;
 		}
@@ -153,7 +165,7 @@
 			if (!activeJob.hasBegun) {
 				activeJob.hasBegun = true;
 				activeJob.changes += 1;
-				onBegun(activeJob);
+				storeLater(activeJob);
 			}
 
 			return;
@@ -172,7 +184,7 @@
 		}
 
 		if (result.outcome === 'refused') {
-			removePlacement(part, placement);
+			removePlacement(activeJob, part, placement);
 			// A gang makes no progress without all of its members.
 			stop(activeJob, part, 'gang-incomplete');
 		} else {
@@ -191,6 +203,7 @@
 		signal,
 		stop,
 		removePlacement,
+		storeLater,
 	});
 
 	return {
@@ -234,6 +247,13 @@
 			metrics.observe('start_view_age_milliseconds', ages.jobs.ageMs(), {view: 'jobs'});
 			metrics.observe('start_view_age_milliseconds', ages.workers.ageMs(), {view: 'workers'});
 			const {checkpoint} = part;
+			let stored: Promise<boolean> | undefined;
+			if (isCrashSuspect(part)) {
+				part.trialRun = runNumber;
+				activeJob.changes += 1;
+				stored = store(activeJob);
+			}
+
 			for (const placement of part.placements) {
 				const link = state.links.get(placement.workerId);
 				const unit = unitNameOf(activeJob, part, placement.index);
@@ -246,6 +266,11 @@
 						ticket: ticketOf(activeJob, part, placement.workerId),
 					};
 					const isWanted = () => placement.phase === 'starting' && part.placements.includes(placement) && mayStart();
+					if (stored && !(await stored)) {
+						handleStartResult(activeJob, part, placement, {outcome: 'refused', reason: 'withdrawn'});
+						return;
+					}
+
 					const result: OrderResult = link
 						? await link.start(order, isWanted)
 						: {outcome: 'refused', reason: 'other-life'};
@@ -256,6 +281,7 @@
 		removeWorker(link, reason) {
 			const workerId = link.worker.id;
 			const endedMs = link.silentSinceMs() ?? now();
+			const changed = recordWorkerCrash(link, reason);
 			state.orphanedRuns.delete(workerId);
 			state.orderedWorkers.delete(workerId);
 			for (const {activeJob, part, placement} of allPlacedUnits(state)) {
@@ -269,10 +295,12 @@
 						ranMs: Math.round(endedMs - placement.startedMs),
 					});
 					metrics.count('units_lost_total', {reason});
-					removePlacement(part, placement);
+					removePlacement(activeJob, part, placement);
 					stop(activeJob, part, 'gang-incomplete');
 				}
 			}
+
+			return changed;
 		},
 	};
 };
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -1,3 +1,4 @@
+import {isCrashSuspect} from './crash-evidence.js';
 import {protectedParts} from './disruption-budget.js';
 import {GUARANTEED_RANK_OFFSET, RESTART_MS} from './constants.js';
 import {ageOf, readyParts, stepOf, type ActiveJob, type Part} from './active-job.js';
@@ -82,6 +83,7 @@
 		const health = workerHealthOf(state, worker.id);
 		const placedUnits = placed.get(worker.id) ?? [];
 		const used = sumResources(placedUnits.map(({activeJob, part}) => needOf(activeJob, part)));
+		const isOnTrial = placedUnits.some(({part}) => isCrashSuspect(part));
 		const hasOrphanedRuns = (state.orphanedRuns.get(worker.id)?.size ?? 0) > 0;
 		return {
 			id: worker.id,
@@ -95,6 +97,8 @@
 				isOrderable(worker.id) &&
 				health.pausedUntilMs <= nowMs &&
 				!hasOrphanedRuns &&
+				// Another crash would end the work beside the suspect too.
+				!isOnTrial &&
 				!state.maintenanceDrains.deadlineByWorker.has(worker.id),
 			isDraining: worker.state !== 'ready',
 			isSuspect:
@@ -148,6 +152,7 @@
 		maxPerWorker: step.maxPerWorker,
 		isBestEffort: step.usesLeftover,
 		avoidedWorkers: part.avoided,
+		isCrashSuspect: isCrashSuspect(part),
 		isLastAttempt: part.failures > 0 && part.failures >= activeJob.job.attempts - 1,
 		allowedWorkers: activeJob.job.advice && allowedWorkers(stepIdOf(activeJob, part)),
 		estimateMs,
@@ -202,16 +207,24 @@
 	const {state, bounds, nowMs, isBlocked} = options;
 	const parts: PlanPart[] = [];
 	const units = new Map<string, number>();
+	const trials = new Map<string, number>();
 	const covered = guaranteedJobs(options);
 	for (const activeJob of state.activeJobs.values()) {
 		for (const part of activeJob.parts.values()) {
+			if (part.placements.length > 0 && isCrashSuspect(part)) {
+				const {customer} = activeJob.job;
+				trials.set(customer, (trials.get(customer) ?? 0) + 1);
+			}
+
 			for (const {workerId} of part.placements) {
 				const key = `${stepIdOf(activeJob, part)} ${workerId}`;
 				units.set(key, (units.get(key) ?? 0) + 1);
 			}
 		}
 
-		const ready = readyParts(activeJob).filter((part) => !isBlocked(activeJob, part));
+		const ready = readyParts(activeJob).filter(
+			(part) => !isBlocked(activeJob, part) && part.pausedUntilMs <= options.nowMs,
+		);
 		if (ready.length > 0) {
 			const expectation: Expectation = {
 				activeJob,
@@ -225,6 +238,7 @@
 	return {
 		workers: viewWorkers(options, covered),
 		parts,
+		trials,
 		unitsOnWorker: (stepId, workerId) => units.get(`${stepId} ${workerId}`) ?? 0,
 		nowMs,
 		remoteFactor: bounds.remoteFactor,
--- a/packages/scheduler/src/plan/constants.ts
+++ b/packages/scheduler/src/plan/constants.ts
@@ -1,3 +1,10 @@
+/** Share of all workers on which suspects of worker crashes may run at a time, and the share of these for one customer. */
+export const TRIAL_SHARE = 0.125;
+export const TRIAL_CUSTOMER_SHARE = 0.5;
+
+/** Time for which a suspect waits for an empty worker; then it runs beside other work, on the emptiest worker. */
+export const TRIAL_WAIT_MS = 10_000;
+
 /** Share of all workers that one pass may reserve for parts that can't be placed yet. */
 export const RESERVED_SHARE = 0.25;
 
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -12,6 +12,7 @@
 import {findPlacement, isEligible, allocate, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {freeAtMs} from './reservation.js';
 import {shareOf, subtractResources, sumResources} from './resources.js';
+import {createTrialBudget, needsEmptyWorker, reserveForTrial} from './trials.js';
 import type {Plan, PlanPart, PlanStart, PlanView, PlanWorker} from './types.js';
 
 /** Earliest time at which all members could start without evictions, by the expected ends of running work. */
@@ -32,8 +33,8 @@
 };
 
 /** Key of parts with equal requirements; when one of them can't be placed, the others need not be tried. */
-const shapeOf = ({stepId, members, avoidedWorkers}: PlanPart): string =>
-	`${stepId}/${members}/${[...avoidedWorkers].toSorted().join(',')}`;
+const shapeOf = ({stepId, members, avoidedWorkers, isCrashSuspect}: PlanPart): string =>
+	`${stepId}/${members}/${isCrashSuspect ? 'suspect' : ''}/${[...avoidedWorkers].toSorted().join(',')}`;
 
 /**
 Decides which parts start on which workers. Parts are planned by rank. A part that can't be placed evicts other work if it is urgent or guaranteed, or else reserves workers.
@@ -59,6 +60,7 @@
 	const starts: PlanStart[] = [];
 	const evictions = new Map<string, string>();
 	const failedShapes = new Set<string>();
+	const trials = createTrialBudget(workers, view.trials);
 	let reservationBudget = Math.max(1, Math.floor(slots.length * RESERVED_SHARE));
 	let reservingParts = 0;
 	let evictionSearches = 0;
@@ -104,6 +106,10 @@
 	};
 
 	for (const part of parts) {
+		if (part.isCrashSuspect && !trials.isLeft(part.customer)) {
+			continue;
+		}
+
 		const shape = shapeOf(part);
 		if (failedShapes.has(shape)) {
 			continue;
@@ -113,6 +119,20 @@
 		if (chosen) {
 			allocate(part, chosen, options);
 			starts.push({partId: part.id, workerIds: chosen.map(({worker}) => worker.id)});
+			if (part.isCrashSuspect) {
+				trials.spend(part.customer);
+				for (const slot of chosen) {
+					slot.isReserved = true;
+				}
+			}
+
+			continue;
+		}
+
+		if (needsEmptyWorker(part)) {
+			trials.spend(part.customer);
+			reserveForTrial(slots.filter(({worker}) => isEligible(part, worker)));
+			failedShapes.add(shape);
 			continue;
 		}
 
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -63,6 +63,8 @@
 	/** Best-effort unit: uses only spare cores. */
 	isBestEffort: boolean;
 	avoidedWorkers: ReadonlySet<string>;
+	/** May crash its workers: it runs alone on them, and only a few such parts run at a time. */
+	isCrashSuspect: boolean;
 	/** Another failed run would use up the attempts of the job. */
 	isLastAttempt: boolean;
 	/** The only workers on which the part may run; `undefined` allows all. */
@@ -76,6 +78,8 @@
 export type PlanView = Readonly<{
 	workers: readonly PlanWorker[];
 	parts: readonly PlanPart[];
+	/** Suspects that run now, by customer. */
+	trials: ReadonlyMap<string, number>;
 	/** Units of a step that are on a worker now. */
 	unitsOnWorker: (stepId: string, workerId: string) => number;
 	nowMs: number;
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -5,6 +5,8 @@
 import type {Term} from './election.js';
 import {addDueOccurrences, stepOf, type ActiveJob, type Part} from './active-job.js';
 import {expectedRunMs, placedByWorker, workerHealthOf, type LeaderState} from './leader-state.js';
+import {recordCrash} from './crash-evidence.js';
+import {updateOutcome} from './job-outcome.js';
 import {createThrottler} from './throttler.js';
 import {createPlanView, partIdOf} from './plan-view.js';
 import {expectedEndMs} from './run-forecast.js';
@@ -24,6 +26,8 @@
 	placements: Placements;
 	/** `undefined` if the deployment has no advice service. */
 	advisor: Advisor | undefined;
+	/** Called when a crash has been recorded against a part of the job. */
+	onCrashRecorded: (activeJob: ActiveJob) => void;
 	now: () => number;
 }>;
 
@@ -43,7 +47,7 @@
 
 /** Creates the planner of a term. */
 export const createPlanner = (options: PlannerOptions): Planner => {
-	const {context, term, state, fleet, placements, advisor, now} = options;
+	const {context, term, state, fleet, placements, advisor, onCrashRecorded, now} = options;
 	const {metrics, bounds, declarations} = context;
 
 	const slowWorkers = createSlowWorkers({state, placements, log: context.log, now});
@@ -97,6 +101,26 @@
 	const isBlocked = (activeJob: ActiveJob, part: Part): boolean =>
 		activeJob.jobRevision < term.leaderRevision && fleet.mayRunPart(partIdOf(activeJob, part));
 
+	/** Counts a run that an earlier leader has ordered on trial and that no worker reports: it may have crashed its worker. */
+	const recordLostTrial = (activeJob: ActiveJob, part: Part) => {
+		if (part.trialRun === 0 || part.isDone || part.placements.length > 0 || isBlocked(activeJob, part)) {
+			return;
+		}
+
+		const run = part.trialRun;
+		recordCrash(part, {run, ranMs: 0, suspicion: 'possible'}, now());
+		context.log.info('crash-suspected', {
+			unit: partIdOf(activeJob, part),
+			run,
+			suspicion: 'possible',
+			reason: 'trial-lost',
+			crashes: part.crashes.length,
+		});
+		activeJob.changes += 1;
+		updateOutcome(activeJob, Date.now());
+		onCrashRecorded(activeJob);
+	};
+
 	const collectParts = (): Readonly<{parts: ReadonlyMap<string, readonly [ActiveJob, Part]>; nextDueMs: number}> => {
 		const parts = new Map<string, readonly [ActiveJob, Part]>();
 		let nextDueMs = Number.POSITIVE_INFINITY;
@@ -112,6 +136,7 @@
 			nextDueMs = Math.min(nextDueMs, addDueOccurrences(activeJob, Date.now()) ?? Number.POSITIVE_INFINITY);
 			for (const part of activeJob.parts.values()) {
 				stopStalled(activeJob, part);
+				recordLostTrial(activeJob, part);
 				parts.set(partIdOf(activeJob, part), [activeJob, part]);
 			}
 		}
--- a/packages/scheduler/src/test/plan-view.ts
+++ b/packages/scheduler/src/test/plan-view.ts
@@ -54,6 +54,7 @@
 	maxPerWorker: 0,
 	isBestEffort: false,
 	avoidedWorkers: new Set(),
+	isCrashSuspect: false,
 	isLastAttempt: false,
 	allowedWorkers: undefined,
 	estimateMs: 2500,
@@ -65,6 +66,7 @@
 export const newPlanView = (workers: readonly PlanWorker[], parts: readonly PlanPart[]): PlanView => ({
 	workers,
 	parts,
+	trials: new Map(),
 	unitsOnWorker: () => 0,
 	nowMs: 0,
 	remoteFactor: 3,
--- a/packages/scheduler/src/throttle-orders.test.ts
+++ b/packages/scheduler/src/throttle-orders.test.ts
@@ -67,7 +67,8 @@
 		now,
 		signal: new AbortController().signal,
 		onCapacityFreed: ignore,
-		onBegun: ignore,
+		store: async () => true,
+		storeLater: ignore,
 		onRefused: ignore,
 		ticketOf: () => undefined,
 	});
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -33,12 +33,13 @@
 		log.info('job-ended', {
 			job: id,
 			outcome,
+			cause: activeJob.failure,
 			queue,
 			customer,
 			ageMs,
 			objectiveMs: Math.round(expectedObjectiveMs(state, activeJob)),
 		});
-		metrics.count('jobs_ended_total', {outcome, customer});
+		metrics.count('jobs_ended_total', {outcome, customer, ...(activeJob.failure && {cause: activeJob.failure})});
 		metrics.observe('job_milliseconds', ageMs, {customer, class: String(priority)});
 		if (outcome !== 'completed') {
 			for (const part of activeJob.parts.values()) {
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -71,6 +71,8 @@
 	readonly expiryMs: () => number;
 	/** Time since which the worker has been silent; `undefined` while it responds. */
 	readonly silentSinceMs: () => number | undefined;
+	/** Time of the last response; `undefined` before the first one. */
+	readonly lastReplyMs: () => number | undefined;
 };
 
 export type WorkerLinkOptions = Readonly<{
@@ -108,6 +110,7 @@
 	const isActive = (): boolean => mayOrder() && !isGone();
 	let isPolling = false;
 	let silentSinceMs: number | undefined;
+	let lastReplyMs: number | undefined;
 	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
 		if (state !== next) {
 			log.info('worker-link', {worker: options.worker.id, from: state, to: next, token, ...fields});
@@ -139,6 +142,8 @@
 	};
 
 	const observeReply = (reply: Readonly<{clockMs?: number | undefined}>, sentMs: number) => {
+		// A refusal by another incarnation tells nothing of this one, and has no clock.
+		lastReplyMs = reply.clockMs === undefined ? lastReplyMs : now();
 		if (reply.clockMs !== undefined) {
 			clock.observe(reply.clockMs, sentMs, now());
 		}
@@ -269,6 +274,7 @@
 		state: () => state,
 		expiryMs: clock.expiryMs,
 		silentSinceMs: () => silentSinceMs,
+		lastReplyMs: () => lastReplyMs,
 		wake: waker.wake,
 		run,
 		async start({unit, run: runNumber, spec, checkpoint, ticket}, isWanted) {
