Check the capacity of a worker when a start is sent

Callers could see a start on a worker whose capacity has shrunk since the plan was made (LIMIT): the capacity was read by the planning pass only, and a start is repeated for up to 1.2 s after it.

The attempts at a start now end when the worker, as it reports itself, is too small for what is placed there, or is not listed any more, as after a report that cannot be read. What runs there goes on.

--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -3,6 +3,7 @@
 import {NO_OUTCOMES, type Outcomes} from './failing-workers.js';
 import {stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import type {Policy} from './policy.js';
+import {fits, sumResources} from './plan/resources.js';
 import {createRunTimes, type RunTimes} from './run-times.js';
 import type {Resources, Worker} from './types.js';
 import type {WorkerLink} from './worker-link.js';
@@ -115,6 +116,16 @@
 	return {cpuMillis: isBestEffort ? 0 : cpuMillis, memoryMb, accelerators};
 };
 
+/** Whether the worker, as it reports itself now, has the capacity for the units that are placed there; false for one that is not listed. */
+export const hasCapacity = ({directory, placementIndex}: LeaderState, workerId: string): boolean => {
+	const capacity = directory.get(workerId)?.capacity;
+	const placed = (placementIndex.byWorker.get(workerId) ?? []).filter(({part, placement}) =>
+		part.placements.includes(placement),
+	);
+	const used = sumResources(placed.map(({activeJob, part}) => needOf(activeJob, part)));
+	return capacity !== undefined && fits(used, capacity);
+};
+
 /** Cores that a unit takes, with its accelerators converted to cores. */
 export const coreEquivalentsOf = ({cpuMillis, accelerators}: Step): number =>
 	cpuMillis / 1000 + accelerators * ACCELERATOR_CORES;
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -74,6 +74,10 @@
 		lastReplyMs: () => undefined,
 	});
 	const links = {w1: newLink('w1'), w2: newLink('w2')};
+	for (const id of ['w1', 'w2']) {
+		state.directory.set(id, newWorker(id));
+	}
+
 	state.links.set('w1', links.w1);
 	state.links.set('w2', links.w2);
 	const placements = createPlacements({
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -2,7 +2,7 @@
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {nextRun, stepOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
-import {allPlacedUnits, coreEquivalentsOf, type LeaderState, type PlacedUnit} from './leader-state.js';
+import {allPlacedUnits, coreEquivalentsOf, hasCapacity, type LeaderState, type PlacedUnit} from './leader-state.js';
 import {isCrashSuspect} from './crash-evidence.js';
 import {createCrashRecorder} from './crash-recorder.js';
 import {createPlacementReports, type PlacementReports} from './placement-reports.js';
@@ -265,7 +265,11 @@
 						checkpoint,
 						ticket: ticketOf(activeJob, part, placement.workerId),
 					};
-					const isWanted = () => placement.phase === 'starting' && part.placements.includes(placement) && mayStart();
+					const isWanted = () =>
+						placement.phase === 'starting' &&
+						part.placements.includes(placement) &&
+						mayStart() &&
+						hasCapacity(state, placement.workerId);
 					if (stored && !(await stored)) {
 						handleStartResult(activeJob, part, placement, {outcome: 'refused', reason: 'withdrawn'});
 						return;
