Decode and log the start times of workers

A worker may start again under its id, and the logs showed that as a short silence.

The reports of workers and their lists of runs now have the start time of the incarnation, which is decoded in platform/ and logged by worker-listed and worker-link; ends-repeated is logged when a worker lists ends below the acknowledged number. No decision uses them yet.

--- a/packages/scheduler/src/reported-ends.ts
+++ b/packages/scheduler/src/reported-ends.ts
@@ -60,6 +60,11 @@
 	return {
 		handle(ended) {
 			const fresh = ended.filter(({sequence}) => sequence > forwardedSequence);
+			const unread = ended.filter(({sequence}) => sequence <= acknowledgedSequence).length;
+			if (unread > 0) {
+				log.info('ends-repeated', {worker: workerId, unread, acknowledged: acknowledgedSequence});
+			}
+
 			if (fresh.length === 0) {
 				return;
 			}
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -7,21 +7,30 @@
 /** Resources of a worker, or those that a unit needs. */
 export type Resources = Readonly<{cpuMillis: number; memoryMb: number; accelerators: number}>;
 
-/** One worker incarnation, as its own report describes it. */
-export type Worker = Readonly<{
+/**
+One life of a worker process. A worker may start again under the id that it had, with nothing of before; a worker that does not say when it started has one incarnation for each id.
+*/
+export type Incarnation = Readonly<{
 	id: string;
-	address: string;
-	service: string;
-	availabilityZone: string;
-	state: 'ready' | 'draining';
-	capacity: Resources;
-	/** Hardware kind, rack and other labels. */
-	labels: readonly string[];
-	rack: string;
-	/** Least time until a draining worker leaves; `undefined` when it is not draining or does not say. */
-	remainingMs: number | undefined;
+	/** Wall-clock time of its start. */
+	startedMs?: number | undefined;
 }>;
 
+/** One worker incarnation, as its own report describes it. */
+export type Worker = Incarnation &
+	Readonly<{
+		address: string;
+		service: string;
+		availabilityZone: string;
+		state: 'ready' | 'draining';
+		capacity: Resources;
+		/** Hardware kind, rack and other labels. */
+		labels: readonly string[];
+		rack: string;
+		/** Least time until a draining worker leaves; `undefined` when it is not draining or does not say. */
+		remainingMs: number | undefined;
+	}>;
+
 /** Why an order has had no effect. */
 export type StartRefusal =
 	/** The worker has seen a newer fencing token. */
@@ -82,6 +91,8 @@
 	| Readonly<{
 			outcome: 'accepted';
 			clockMs: number;
+			/** Start time of the incarnation that responds; see `Incarnation`. */
+			startedMs?: number | undefined;
 			running: readonly RunningUnit[];
 			ended: readonly EndedUnit[];
 	  }>
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -149,8 +149,8 @@
 
 	const updateWorker = (worker: Worker) => {
 		if (state.directory.get(worker.id)?.state !== worker.state) {
-			const {id, rack, remainingMs} = worker;
-			log.info('worker-listed', {worker: id, state: worker.state, rack, remainingMs});
+			const {id, rack, remainingMs, startedMs} = worker;
+			log.info('worker-listed', {worker: id, state: worker.state, rack, remainingMs, startedMs});
 		}
 
 		if (worker.state === 'draining') {
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -194,7 +194,10 @@
 		}
 
 		observeReply(report, sentMs);
-		setState('synced', isFirst ? {running: report.running.length, ended: report.ended.length} : {});
+		setState('synced', {
+			...(isFirst && {running: report.running.length, ended: report.ended.length}),
+			...(report.startedMs !== undefined && {startedMs: report.startedMs}),
+		});
 		ends.handle(report.ended);
 		events.onReport(link, report.running, sentMs);
 		return undefined;
