--- /dev/null
+++ b/packages/scheduler/src/restarted-workers.test.ts
@@ -0,0 +1,132 @@
+import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import t from 'tap';
+import {addressOf, createTestCluster, newWorker, submitStep, unitOf, WORKER_RESTART_MS} from './test/cluster.js';
+
+const STARTED_MS = 900_000;
+const STEP = newStep({cpuMillis: 4000, accelerators: 1, estimateMs: 3000});
+
+const newReportingWorker = (id: string) => newWorker(id, {startedMs: STARTED_MS});
+
+// Guards against the sequence numbers of a worker's earlier life: the first ends of the next one were dropped unread and acknowledged.
+await t.test('the ends of a worker that has started again under its id are read', async (t) => {
+	const cluster = createTestCluster(t, [newReportingWorker('w1')], () => ({runMs: 3000, how: 'done'}));
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	for (let id = 1; id <= 4; id += 1) {
+		await submitStep(scheduler.jobs, id, STEP);
+	}
+
+	await cluster.clock.tickAsync(5000);
+	await submitStep(scheduler.jobs, 5, STEP);
+	await cluster.clock.tickAsync(1000);
+	cluster.crashWorker('w1');
+	await cluster.clock.tickAsync(WORKER_RESTART_MS + 25_000);
+	t.same(cluster.violations, []);
+	for (let id = 1; id <= 5; id += 1) {
+		t.equal(await scheduler.jobs.state(addressOf(id)), 'completed', `job ${id}`);
+		t.equal(cluster.startsOf(unitOf(id)), id === 5 ? 2 : 1, `starts of job ${id}`);
+	}
+});
+
+// Guards against the same when the worker was idle, so that no call showed its absence.
+await t.test('a worker that has started again while it was idle is used as a new one', async (t) => {
+	const cluster = createTestCluster(t, [newReportingWorker('w1')], () => ({runMs: 3000, how: 'done'}));
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	for (let id = 1; id <= 4; id += 1) {
+		await submitStep(scheduler.jobs, id, STEP);
+	}
+
+	await cluster.clock.tickAsync(6000);
+	cluster.crashWorker('w1');
+	await cluster.clock.tickAsync(WORKER_RESTART_MS + 2000);
+	for (let id = 5; id <= 7; id += 1) {
+		await submitStep(scheduler.jobs, id, STEP);
+	}
+
+	await cluster.clock.tickAsync(15_000);
+	t.same(cluster.violations, []);
+	for (let id = 5; id <= 7; id += 1) {
+		t.equal(await scheduler.jobs.state(addressOf(id)), 'completed', `job ${id}`);
+		t.equal(cluster.startsOf(unitOf(id)), 1, `starts of job ${id}`);
+	}
+});
+
+// Guards against a worker that is never used again after a restart under its id.
+await t.test('a worker is used again after each of its restarts', async (t) => {
+	const cluster = createTestCluster(t, [newReportingWorker('w1')], () => ({runMs: 1000, how: 'done'}));
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	for (let id = 1; id <= 4; id += 1) {
+		await submitStep(scheduler.jobs, id, STEP);
+		await cluster.clock.tickAsync(3000);
+		t.equal(await scheduler.jobs.state(addressOf(id)), 'completed', `job ${id}`);
+		cluster.crashWorker('w1');
+		await cluster.clock.tickAsync(WORKER_RESTART_MS + 3000);
+	}
+
+	t.same(cluster.violations, []);
+});
+
+// Guards against a delayed start that reaches the next life of a worker, which has seen neither its stop nor a fencing token.
+await t.test('a delayed start that reaches a restarted worker is not a second run', async (t) => {
+	const cluster = createTestCluster(t, [newReportingWorker('w1'), newReportingWorker('w2')], () => ({
+		runMs: 8000,
+		how: 'done',
+	}));
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	for (const {faults} of cluster.workers.values()) {
+		faults.script.start = ['delayed'];
+	}
+
+	await submitStep(scheduler.jobs, 1, STEP);
+	await cluster.clock.tickAsync(100);
+	const target = [...cluster.workers.values()].find(({calls}) => calls.some(({kind}) => kind === 'start'))!;
+	cluster.crashWorker(target.worker.id);
+	await cluster.clock.tickAsync(WORKER_RESTART_MS + 800);
+	target.release();
+	await cluster.clock.tickAsync(20_000);
+	t.same(cluster.violations, []);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+	t.equal(cluster.startsOf(unitOf(1)), 1);
+});
+
+// Guards against crashes that are not counted because the worker comes back under its id.
+await t.test('a unit that crashes workers which keep their ids fails its job', async (t) => {
+	const cluster = createTestCluster(
+		t,
+		['w1', 'w2', 'w3', 'w4'].map((id) => newReportingWorker(id)),
+		() => ({runMs: 10, how: 'failed', crashesWorker: true}),
+	);
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	await submitStep(scheduler.jobs, 1, STEP);
+	await cluster.clock.tickAsync(60_000);
+	t.same(cluster.violations, []);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'failed');
+});
+
+// Guards against a new leader that applies what the roster says of a worker's earlier life to the next one.
+await t.test('a new leader takes over workers that have started again meanwhile', async (t) => {
+	const cluster = createTestCluster(t, [newReportingWorker('w1'), newReportingWorker('w2')], () => ({
+		runMs: 4000,
+		how: 'done',
+	}));
+	const one = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	for (let id = 1; id <= 4; id += 1) {
+		await submitStep(one.scheduler.jobs, id, STEP);
+	}
+
+	await cluster.clock.tickAsync(1000);
+	one.crash();
+	cluster.crashWorker('w1');
+	cluster.crashWorker('w2');
+	const two = cluster.startInstance('two');
+	await cluster.clock.tickAsync(40_000);
+	t.same(cluster.violations, []);
+	for (let id = 1; id <= 4; id += 1) {
+		t.equal(await two.scheduler.jobs.state(addressOf(id)), 'completed', `job ${id}`);
+	}
+});
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -81,7 +81,7 @@
 	report: (worker: Worker) => void;
 	/** Changes the capacity of a worker and reports it. */
 	resize: (workerId: string, capacity: Resources) => void;
-	/** Ends the worker's process; a new incarnation starts after a while. */
+	/** Ends the worker's process; a new incarnation starts after a while, under the same id if the worker reports its start time. */
 	crashWorker: (workerId: string) => void;
 	/** Adds a worker that joins later. */
 	addWorker: (worker: Worker) => void;
@@ -140,9 +140,16 @@
 
 	const crashWorker = (workerId: string) => {
 		const model = models.get(workerId)!;
-		model.crash();
+		const keepsId = model.startedMs() !== undefined;
+		model.crash(keepsId);
 		model.setAvailability('down');
 		setTimeout(() => {
+			if (keepsId) {
+				model.restart();
+				report({...model.worker, startedMs: model.startedMs()});
+				return;
+			}
+
 			model.setAvailability('replaced');
 			store.remove(WORKER_PREFIX + workerId);
 			addWorker({...model.worker, id: `${workerId}'`});
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -44,8 +44,12 @@
 	release: () => void;
 	/** Number of starts, by unit. */
 	starts: ReadonlyMap<string, number>;
-	/** Ends all runs as a crash does, without reporting them. */
-	crash: () => void;
+	/** Ends all runs as a crash does, without reporting them. Delayed calls are lost unless they are kept for a later incarnation under the same id. */
+	crash: (keepsCalls?: boolean) => void;
+	/** Starts a new incarnation under the same id, which knows nothing of before. */
+	restart: () => void;
+	/** Start time of the present incarnation; `undefined` if the worker does not report it. */
+	startedMs: () => number | undefined;
 	setAvailability: (availability: Availability) => void;
 	running: () => ReadonlyArray<Readonly<{unit: string; run: number}>>;
 	/** CPU shares that were ordered, by unit, in percent. */
@@ -78,7 +82,7 @@
 	const calls: WorkerCall[] = [];
 	const faults = createWorkerFaults();
 	const {connect, receive, requireResponse, release, clear} = createFaultyCalls(faults);
-	const ended: EndedUnit[] = [];
+	let ended: EndedUnit[] = [];
 	const waiting = new Set<() => void>();
 	let sequence = 0;
 	let token = 0;
@@ -88,6 +92,8 @@
 	let leaseUntilMs = 0;
 	let leaseTimer: NodeJS.Timeout | undefined;
 	let availability: Availability = 'up';
+	let {startedMs} = worker;
+	let clockOriginMs = -50_000;
 
 	const requireProcess = () => {
 		if (availability === 'down') {
@@ -95,7 +101,7 @@
 		}
 	};
 
-	const clockMs = () => Math.round(performance.now() * faults.clockRate) + 50_000;
+	const clockMs = () => Math.round((performance.now() - clockOriginMs) * faults.clockRate);
 
 	const runKey = (unit: string, run: number): string => `${unit} ${run}`;
 
@@ -107,6 +113,11 @@
 		const listed: EndedUnit = {sequence, unit: run.unit, run: run.run, how, checkpoint: ''};
 		ended.push(listed);
 		events.onEnd(listed);
+		if (sequence <= acknowledgedSequence) {
+			// An acknowledgement may be ahead of the ends.
+			events.onAcknowledged(acknowledgedSequence, [listed]);
+		}
+
 		for (const wake of waiting) {
 			wake();
 		}
@@ -254,6 +265,7 @@
 	const report = (acknowledged: number): WorkerReport => ({
 		outcome: 'accepted',
 		clockMs: clockMs(),
+		startedMs,
 		running: [...runs.values()].map(({unit, run, startedMs, behaviour}) => ({
 			unit,
 			run,
@@ -295,14 +307,31 @@
 		starts,
 		throttles,
 		tailLatencies,
-		crash() {
+		startedMs: () => startedMs,
+		restart() {
+			closedRuns.clear();
+			throttles.clear();
+			ended = [];
+			sequence = 0;
+			token = 0;
+			acknowledgedSequence = 0;
+			expiredSequence = 0;
+			leaseUntilMs = 0;
+			clockOriginMs = performance.now();
+			startedMs = startedMs === undefined ? undefined : Date.now();
+			availability = 'up';
+		},
+		crash(keepsCalls = false) {
 			clearTimeout(leaseTimer);
 			for (const {timer} of runs.values()) {
 				clearTimeout(timer);
 			}
 
 			runs.clear();
-			clear();
+			if (!keepsCalls) {
+				clear();
+			}
+
 			for (const wake of waiting) {
 				wake();
 			}
