Apply what is known of a worker to the incarnation that it was learned from only

Cause: all that the leader knows of a worker was keyed by its id, and a worker may start again under its id with nothing of before. Its ends 1 to N were below the last number that the leader had handled, so they were dropped unread, and the next renewal acknowledged them with the old number; the units counted as vanished and were started again. Class: state of one incarnation is applied to the next.

Change: an incarnation is an id and a start time. A report with a later start time ends the link, with the clock, leases, ends, health and tickets that belong to it; one with an earlier time is left alone, also in the directory and the roster. The acknowledgement is sent until the worker has answered it and not to a worker that has just been silent, since the next incarnation would take it for its own. A run whose start may still arrive, or may have been accepted by the next incarnation, keeps its place until that one has accepted a stop, and earlier starts without a response are stopped there too. Without start times an id is one incarnation, as before.

worker-link.test.ts demanded that the last renewal repeats the acknowledgement; it now demands that it is sent exactly once after all earlier ends are stored, since a repeat is the fault.

--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -24,6 +24,10 @@
 	acceptedMs: number | undefined;
 	/** Time at which the worker accepted a stop. */
 	stopAcceptedMs: number | undefined;
+	/** An attempt at the start got no response, so it may still be carried out, by this incarnation of the worker or the next. */
+	isStartUncertain: boolean;
+	/** Time until which the run may turn up on the next incarnation of its worker, which is asked to stop it; `undefined` while its own incarnation lives. */
+	heldUntilMs: number | undefined;
 	/** Time after which no attempt at the start can take effect; `undefined` unless its outcome is unknown. */
 	startExpiryMs: number | undefined;
 	/** Consecutive reports of the worker that do not list the run though it was accepted or its start has expired. */
@@ -240,10 +244,11 @@
 export const nextRun = (part: Part, term: number): number =>
 	Math.max(part.orderedRun, part.run, (term - 1) * RUNS_PER_TERM) + 1;
 
-/** A run of one unit of a part. */
-export type UnitRun = Readonly<{workerId: string; index: number; run: number}>;
+/** A run of one unit of a part on a worker incarnation. */
+export type UnitRun = Readonly<{workerId: string; startedMs?: number | undefined; index: number; run: number}>;
 
-const unitRunKey = ({workerId, index, run}: UnitRun): string => `${workerId} ${index} ${run}`;
+const unitRunKey = ({workerId, startedMs, index, run}: UnitRun): string =>
+	`${workerId}@${startedMs ?? ''} ${index} ${run}`;
 
 export const markEnded = (part: Part, unitRun: UnitRun): void => {
 	part.endedRuns.add(unitRunKey(unitRun));
--- a/packages/scheduler/src/advisor.test.ts
+++ b/packages/scheduler/src/advisor.test.ts
@@ -95,6 +95,20 @@
 	t.equal(sentRequests.length, 2);
 });
 
+// Guards against a ticket of an earlier incarnation, which the worker refuses.
+await t.test('the tickets of a worker that has started again are renewed', async (t) => {
+	const {clock, advisor, sentRequests} = createFixture(t);
+	advisor.setRequests([newRequest('a', ['good-1', 'good-2'])]);
+	await clock.tickAsync(100);
+	t.same(advisor.allowedWorkers('a'), new Set(['good-1', 'good-2']));
+	advisor.dropWorker('good-1');
+	t.same(advisor.allowedWorkers('a'), new Set(['good-2']));
+	advisor.setRequests([newRequest('a', ['good-1', 'good-2'])]);
+	await clock.tickAsync(100);
+	t.same(sentRequests.at(-1)?.workerIds, ['good-1']);
+	t.same(advisor.allowedWorkers('a'), new Set(['good-1', 'good-2']));
+});
+
 // Guards against concurrent requests when many steps become ready together: the service handles one call of an instance
 // at a time.
 await t.test('requests are sent one at a time, the most urgent step first', async (t) => {
--- a/packages/scheduler/src/advisor.ts
+++ b/packages/scheduler/src/advisor.ts
@@ -33,6 +33,8 @@
 	ticketOf: (stepId: string, workerId: string) => string | undefined;
 	/** Marks a ticket that a worker has refused as expired. */
 	dropTicket: (stepId: string, workerId: string) => void;
+	/** Marks all tickets for a worker as expired, since they are valid for one incarnation. */
+	dropWorker: (workerId: string) => void;
 	run: (signal: AbortSignal) => Promise<void>;
 }>;
 
@@ -100,6 +102,13 @@
 		});
 	};
 
+	const expire = (approved: Map<string, Ticket> | undefined, workerId: string) => {
+		const ticket = approved?.get(workerId);
+		if (approved && ticket) {
+			approved.set(workerId, {...ticket, untilMs: now()});
+		}
+	};
+
 	return {
 		setRequests(next) {
 			requests = next;
@@ -111,10 +120,11 @@
 			new Set([...(steps.get(stepId)?.approved ?? [])].filter(([, ticket]) => isValid(ticket)).map(([id]) => id)),
 		ticketOf: (stepId, workerId) => steps.get(stepId)?.approved.get(workerId)?.ticket,
 		dropTicket(stepId, workerId) {
-			const approved = steps.get(stepId)?.approved;
-			const ticket = approved?.get(workerId);
-			if (approved && ticket) {
-				approved.set(workerId, {...ticket, untilMs: now()});
+			expire(steps.get(stepId)?.approved, workerId);
+		},
+		dropWorker(workerId) {
+			for (const {approved} of steps.values()) {
+				expire(approved, workerId);
 			}
 		},
 		async run(signal) {
--- a/packages/scheduler/src/crash-recorder.ts
+++ b/packages/scheduler/src/crash-recorder.ts
@@ -24,7 +24,7 @@
 		metrics,
 		now,
 	}: Readonly<{state: LeaderState; log: Log; metrics: Metrics; now: () => number}>): CrashRecorder =>
-	(link, end) => {
+	(link, {reason}) => {
 		const {id: workerId} = link.worker;
 		// A planned leave or an ordered maintenance ends the incarnation too.
 		if (link.worker.state !== 'ready' || state.orderedWorkers.has(workerId)) {
@@ -44,8 +44,8 @@
 		const lastReplyMs = link.lastReplyMs() ?? silentSinceMs;
 		const workerCrash = {workerId, lastReplyMs, silentSinceMs, placed};
 		const suspects: readonly Suspect[] =
-			end === 'other-life' ? suspectsOf(state, workerCrash) : suspectsAfterSilence(workerCrash);
-		if (end === 'other-life') {
+			reason === 'other-life' ? suspectsOf(state, workerCrash) : suspectsAfterSilence(workerCrash);
+		if (reason === 'other-life') {
 			state.crashTimes.set(workerId, silentSinceMs);
 			metrics.count('worker_crashes_total');
 			log.info('worker-crashed', {
--- a/packages/scheduler/src/job-outcome.ts
+++ b/packages/scheduler/src/job-outcome.ts
@@ -1,6 +1,6 @@
 import type {Progress, RunEnd} from '@bergamotgauge/jobs';
 import {hasReachedCrashLimit} from './crash-evidence.js';
-import {markEnded, occurrencesOf, stepOf, type ActiveJob, type Part} from './active-job.js';
+import {markEnded, occurrencesOf, stepOf, type ActiveJob, type Part, type UnitRun} from './active-job.js';
 
 /** Sets the outcome of a job that has just ended; `nowMs` is wall-clock time. */
 export const updateOutcome = (activeJob: ActiveJob, nowMs: number): void => {
@@ -46,7 +46,7 @@
 export const recordEnd = (
 	activeJob: ActiveJob,
 	part: Part,
-	end: Readonly<{workerId: string; index: number; run: number; how: RunEnd; checkpoint: string}>,
+	end: Readonly<UnitRun & {how: RunEnd; checkpoint: string}>,
 	nowMs: number,
 ): EndEffect => {
 	part.placements = part.placements.filter(
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -27,6 +27,9 @@
 	drainDeadlineMs: number | undefined;
 };
 
+/** A start of which an attempt may be carried out until the time. */
+export type LateStart = Readonly<{unit: string; run: number; untilMs: number}>;
+
 /** In-memory state of a leader during its term. */
 export type LeaderState = Readonly<{
 	activeJobs: Map<string, ActiveJob>;
@@ -44,6 +47,8 @@
 	maintenanceDrains: {deadlineByWorker: ReadonlyMap<string, number>};
 	/** Workers that a maintenance order of this leader may end at any time. */
 	orderedWorkers: Set<string>;
+	/** Starts without a response, which the next incarnation of a worker may carry out, by worker. */
+	lateStarts: Map<string, readonly LateStart[]>;
 	/** Times since which workers that have crashed had been silent, by worker. */
 	crashTimes: Map<string, number>;
 }>;
@@ -59,6 +64,7 @@
 	placementIndex: {byWorker: new Map()},
 	maintenanceDrains: {deadlineByWorker: new Map()},
 	orderedWorkers: new Set(),
+	lateStarts: new Map(),
 	crashTimes: new Map(),
 });
 
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -124,11 +124,16 @@
 			waker.wake();
 			await writer.store([...changed]);
 		},
-		onGone(link, reason) {
-			for (const activeJob of placements.removeWorker(link, reason)) {
+		onGone(link, end) {
+			for (const activeJob of placements.removeWorker(link, end)) {
 				onCrashRecorded(activeJob);
 			}
+
+			if (end.reason === 'other-life') {
+				advisor?.dropWorker(link.worker.id);
+			}
 		},
+		onRestarted: placements.stopLateStarts,
 		onChanged: waker.wake,
 	});
 
--- a/packages/scheduler/src/placement-reports.ts
+++ b/packages/scheduler/src/placement-reports.ts
@@ -71,6 +71,8 @@
 			startedMs: now(),
 			acceptedMs: now(),
 			stopAcceptedMs: undefined,
+			isStartUncertain: false,
+			heldUntilMs: undefined,
 			startExpiryMs: undefined,
 			missedReports: 0,
 			percent: runningUnit.percent,
@@ -129,7 +131,7 @@
 	): Placement | undefined => {
 		const workerId = link.worker.id;
 		// A report that was composed before the end of the run may arrive after the one that lists the end.
-		if (hasEnded(part, {workerId, index, run: runningUnit.run})) {
+		if (hasEnded(part, {workerId, startedMs: link.startedMs(), index, run: runningUnit.run})) {
 			return undefined;
 		}
 
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -72,6 +72,11 @@
 		expiryMs: () => Number.POSITIVE_INFINITY,
 		silentSinceMs: () => undefined,
 		lastReplyMs: () => undefined,
+		startedMs: () => undefined,
+		confirmedMs: () => 0,
+		replace() {
+			// The stub has one incarnation.
+		},
 	});
 	const links = {w1: newLink('w1'), w2: newLink('w2')};
 	for (const id of ['w1', 'w2']) {
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -1,10 +1,11 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {nextRun, stepOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
-import {STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
+import {LATE_ORDER_MS, STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
 import {allPlacedUnits, coreEquivalentsOf, hasCapacity, type LeaderState, type PlacedUnit} from './leader-state.js';
 import {isCrashSuspect} from './crash-evidence.js';
 import {createCrashRecorder} from './crash-recorder.js';
+import {createLateStarts} from './late-starts.js';
 import {createPlacementReports, type PlacementReports} from './placement-reports.js';
 import {createPlacementThrottle} from './placement-throttle.js';
 import {openWindow} from './progress-window.js';
@@ -44,7 +45,9 @@
 		/** Throttles a unit to a share of its CPU, in percent. */
 		throttle: (activeJob: ActiveJob, part: Part, placement: Placement, percent: number) => void;
 		/** Removes the placements of a worker whose incarnation or lease has ended. Returns the jobs that have changed. */
-		removeWorker: (link: WorkerLink, reason: WorkerEnd) => ReadonlySet<ActiveJob>;
+		removeWorker: (link: WorkerLink, end: WorkerEnd) => ReadonlySet<ActiveJob>;
+		/** Stops what may have been started on the incarnation of the link by orders to an earlier one. */
+		stopLateStarts: (link: WorkerLink) => void;
 	}>;
 
 /**
@@ -73,6 +76,7 @@
 		store,
 		storeLater,
 	} = options;
+	const lateStarts = createLateStarts({state, now, signal});
 	const recordWorkerCrash = createCrashRecorder({state, log, metrics, now});
 
 	const removePlacement = (activeJob: ActiveJob, part: Part, placement: Placement) => {
@@ -98,7 +102,17 @@
 		while (!signal.aborted && part.placements.includes(placement)) {
 			const link = state.links.get(placement.workerId);
 			if (!link || link.state() === 'gone') {
-				return;
+				if (placement.heldUntilMs === undefined) {
+					return;
+				}
+
+				if (now() >= placement.heldUntilMs) {
+					removePlacement(activeJob, part, placement);
+					return;
+				}
+
+				await sleep(STOP_RETRY_MS, signal);
+				continue;
 			}
 
 			if (await link.stop(unit, placement.run)) {
@@ -146,11 +160,16 @@
 	};
 
 	const handleStartResult = (activeJob: ActiveJob, part: Part, placement: Placement, result: OrderResult) => {
+		const unit = unitNameOf(activeJob, part, placement.index);
+		if (result.outcome === 'unknown' || (result.outcome === 'accepted' && result.isUncertain)) {
+			placement.isStartUncertain = true;
+			lateStarts.record(placement.workerId, {unit, run: placement.run});
+		}
+
 		if (!part.placements.includes(placement)) {
 			return;
 		}
 
-		const unit = unitNameOf(activeJob, part, placement.index);
 		metrics.count('unit_starts_total', {
 			outcome: result.outcome === 'refused' ? result.reason : result.outcome,
 			class: String(activeJob.job.priority),
@@ -194,6 +213,20 @@
 		}
 	};
 
+	/** Whether the run may be on the next incarnation of its worker, or may still be started there. */
+	const mayReachSuccessor = (link: WorkerLink, placement: Placement): boolean =>
+		placement.isStartUncertain || placement.acceptedMs === undefined || placement.acceptedMs > link.confirmedMs();
+
+	/** Keeps the placement of a run until the next incarnation of its worker has accepted a stop of it, and so refuses a late start. */
+	const holdPlacement = (activeJob: ActiveJob, part: Part, placement: Placement) => {
+		placement.phase = 'stopping';
+		placement.acceptedMs = undefined;
+		placement.stopAcceptedMs = undefined;
+		placement.startExpiryMs = undefined;
+		placement.heldUntilMs = now() + LATE_ORDER_MS;
+		void stopPlacement(activeJob, part, placement);
+	};
+
 	const throttle = createPlacementThrottle({state, log, now, signal});
 	const {reconcile, updateProgress} = createPlacementReports({
 		state,
@@ -224,6 +257,8 @@
 				startedMs: now(),
 				acceptedMs: undefined,
 				stopAcceptedMs: undefined,
+				isStartUncertain: false,
+				heldUntilMs: undefined,
 				startExpiryMs: undefined,
 				missedReports: 0,
 				percent: 0,
@@ -282,10 +317,12 @@
 				})();
 			}
 		},
-		removeWorker(link, reason) {
+		stopLateStarts: lateStarts.stop,
+		removeWorker(link, workerEnd) {
+			const {reason, successorMs} = workerEnd;
 			const workerId = link.worker.id;
 			const endedMs = link.silentSinceMs() ?? now();
-			const changed = recordWorkerCrash(link, reason);
+			const changed = recordWorkerCrash(link, workerEnd);
 			state.orphanedRuns.delete(workerId);
 			state.orderedWorkers.delete(workerId);
 			for (const {activeJob, part, placement} of allPlacedUnits(state)) {
@@ -299,7 +336,12 @@
 						ranMs: Math.round(endedMs - placement.startedMs),
 					});
 					metrics.count('units_lost_total', {reason});
-					removePlacement(activeJob, part, placement);
+					if (successorMs !== undefined && mayReachSuccessor(link, placement)) {
+						holdPlacement(activeJob, part, placement);
+					} else {
+						removePlacement(activeJob, part, placement);
+					}
+
 					stop(activeJob, part, 'gang-incomplete');
 				}
 			}
--- a/packages/scheduler/src/restarted-workers.test.ts
+++ b/packages/scheduler/src/restarted-workers.test.ts
@@ -76,14 +76,12 @@
 	}));
 	const {scheduler} = cluster.startInstance('one');
 	await cluster.clock.tickAsync(500);
-	for (const {faults} of cluster.workers.values()) {
-		faults.script.start = ['delayed'];
-	}
-
+	const target = cluster.workers.get('w1')!;
+	target.faults.script.start = ['delayed', 'dropped', 'dropped'];
 	await submitStep(scheduler.jobs, 1, STEP);
 	await cluster.clock.tickAsync(100);
-	const target = [...cluster.workers.values()].find(({calls}) => calls.some(({kind}) => kind === 'start'))!;
-	cluster.crashWorker(target.worker.id);
+	t.equal(target.faults.script.start.length, 0, 'all attempts were sent to the first worker');
+	cluster.crashWorker('w1');
 	await cluster.clock.tickAsync(WORKER_RESTART_MS + 800);
 	target.release();
 	await cluster.clock.tickAsync(20_000);
@@ -130,3 +128,45 @@
 		t.equal(await two.scheduler.jobs.state(addressOf(id)), 'completed', `job ${id}`);
 	}
 });
+
+// Guards against a report of an earlier incarnation that is written late and replaces that of the present one.
+await t.test('a report of an earlier incarnation is not applied', async (t) => {
+	const cluster = createTestCluster(t, [newReportingWorker('w1')], () => ({runMs: 3000, how: 'done'}));
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	cluster.crashWorker('w1');
+	await cluster.clock.tickAsync(WORKER_RESTART_MS + 1000);
+	await submitStep(scheduler.jobs, 1, STEP);
+	await cluster.clock.tickAsync(500);
+	cluster.report({...newReportingWorker('w1'), state: 'draining', remainingMs: 100});
+	await cluster.clock.tickAsync(1000);
+	await submitStep(scheduler.jobs, 2, STEP);
+	await cluster.clock.tickAsync(8000);
+	for (let id = 1; id <= 2; id += 1) {
+		t.equal(await scheduler.jobs.state(addressOf(id)), 'completed', `job ${id}`);
+		t.equal(cluster.startsOf(unitOf(id)), 1, `starts of job ${id}`);
+	}
+});
+
+// Guards against a start whose stop the earlier incarnation had accepted: the next one has not seen the stop.
+await t.test('a delayed start that was stopped is stopped again on a restarted worker', async (t) => {
+	const cluster = createTestCluster(t, [newReportingWorker('w1'), newReportingWorker('w2')], () => ({
+		runMs: 20_000,
+		how: 'done',
+	}));
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	const target = cluster.workers.get('w1')!;
+	target.faults.script.start = ['delayed', 'dropped', 'dropped'];
+	target.faults.patterns.start = ['refused'];
+	await submitStep(scheduler.jobs, 1, {...STEP, estimateMs: 20_000});
+	await cluster.clock.tickAsync(3000);
+	t.equal(cluster.workers.get('w2')!.running().length, 1, 'the unit runs elsewhere after the stop of its first run');
+	target.faults.patterns.start = [];
+	cluster.crashWorker('w1');
+	await cluster.clock.tickAsync(WORKER_RESTART_MS + 1000);
+	target.release();
+	await cluster.clock.tickAsync(25_000);
+	t.same(cluster.violations, []);
+	t.equal(cluster.startsOf(unitOf(1)), 1);
+});
--- a/packages/scheduler/src/test/active-job.ts
+++ b/packages/scheduler/src/test/active-job.ts
@@ -22,6 +22,8 @@
 	startedMs: 0,
 	acceptedMs: 0,
 	stopAcceptedMs: undefined,
+	isStartUncertain: false,
+	heldUntilMs: undefined,
 	startExpiryMs: undefined,
 	missedReports: 0,
 	percent: 0,
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -51,7 +51,7 @@
 	const recordUnitEnd = (
 		activeJob: ActiveJob,
 		part: Part,
-		end: EndedUnit & Readonly<{workerId: string}>,
+		end: EndedUnit & Readonly<{workerId: string; startedMs: number | undefined}>,
 		name: UnitName,
 	) => {
 		const placement = part.placements.find(
@@ -92,7 +92,7 @@
 			}
 
 			const hadOutcome = activeJob.outcome !== undefined;
-			recordUnitEnd(activeJob, part, {...end, workerId: link.worker.id}, name);
+			recordUnitEnd(activeJob, part, {...end, workerId: link.worker.id, startedMs: link.startedMs()}, name);
 			if (part.placements.length === 0) {
 				part.waitingSinceMs = undefined;
 			} else if (end.how !== 'done' && part.placements.some(({run}) => run === end.run)) {
--- a/packages/scheduler/src/worker-fleet.test.ts
+++ b/packages/scheduler/src/worker-fleet.test.ts
@@ -122,6 +122,9 @@
 		async onEnds() {
 			// The stubs run no units.
 		},
+		onRestarted() {
+			// No orders are sent.
+		},
 		onGone() {
 			// The stubs run no units.
 		},
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -29,7 +29,9 @@
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when a worker incarnation, or its lease, has ended, so that nothing runs on it any more. */
-	onGone: (link: WorkerLink, reason: WorkerEnd) => void;
+	onGone: (link: WorkerLink, end: WorkerEnd) => void;
+	/** Called with the first report of an incarnation whose predecessor had the same id. */
+	onRestarted: (link: WorkerLink) => void;
 	/** Called when workers are added, removed or changed. */
 	onChanged: () => void;
 }>;
@@ -58,12 +60,12 @@
 
 @example
 ```ts
-const fleet = createWorkerFleet({context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onChanged});
+const fleet = createWorkerFleet({context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onRestarted, onChanged});
 await fleet.openRoster();
 ```
 */
 export const createWorkerFleet = (options: WorkerFleetOptions): WorkerFleet => {
-	const {context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onChanged} = options;
+	const {context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onRestarted, onChanged} = options;
 	const {store, log, bounds, decodeWorker, workerPrefix} = context;
 	// Leases granted by an earlier leader have expired by then, whether or not their workers are reachable.
 	const earlierLeasesEndMs =
@@ -76,20 +78,53 @@
 	let inUse: ReadonlySet<string> = new Set();
 	let shared: ReadonlySet<string> = new Set();
 
-	/** Times at which links have ended; infinite for a worker incarnation that has ended. */
-	const linkEndedMs = new Map<string, number>();
+	/** The last links of workers that have ended; the time is infinite for an incarnation that has ended. */
+	const endedLinks = new Map<string, Readonly<{atMs: number; startedMs: number | undefined}>>();
+	/** Latest known start time of each worker that reports it. */
+	const startTimes = new Map<string, number>();
 
-	const mayReopen = (workerId: string): boolean =>
-		now() >= (linkEndedMs.get(workerId) ?? Number.NEGATIVE_INFINITY) + WORKER_REOPEN_MS;
+	const mayReopen = ({id, startedMs}: Worker): boolean => {
+		const ended = endedLinks.get(id);
+		if (!ended) {
+			return true;
+		}
+
+		const isLater = startedMs !== undefined && startedMs > (ended.startedMs ?? Number.NEGATIVE_INFINITY);
+		return isLater || now() >= ended.atMs + WORKER_REOPEN_MS;
+	};
+
+	/** Records the start time of a worker, and forgets what an earlier incarnation has reported. */
+	const recordStartTime = (workerId: string, startedMs: number | undefined) => {
+		if (startedMs === undefined || startedMs <= (startTimes.get(workerId) ?? Number.NEGATIVE_INFINITY)) {
+			return;
+		}
+
+		startTimes.set(workerId, startedMs);
+		const listedMs = state.directory.get(workerId)?.startedMs;
+		if (listedMs !== undefined && listedMs < startedMs) {
+			state.directory.delete(workerId);
+		}
+	};
 
-	const removeLink = (link: WorkerLink, reason: WorkerEnd) => {
-		linkEndedMs.set(link.worker.id, reason === 'other-life' ? Number.POSITIVE_INFINITY : now());
+	const removeLink = (link: WorkerLink, workerEnd: WorkerEnd) => {
+		const {reason, successorMs} = workerEnd;
+		const {id} = link.worker;
+		endedLinks.set(id, {
+			atMs: reason === 'other-life' ? Number.POSITIVE_INFINITY : now(),
+			startedMs: link.startedMs(),
+		});
 		if (state.links.get(link.worker.id) === link) {
 			state.links.delete(link.worker.id);
 		}
 
-		unsynced.delete(link.worker.id);
-		onGone(link, reason);
+		unsynced.delete(id);
+		onGone(link, workerEnd);
+		if (reason === 'other-life') {
+			// The next incarnation may be another machine.
+			state.workerHealth.delete(id);
+			recordStartTime(id, successorMs);
+		}
+
 		onChanged();
 	};
 
@@ -103,12 +138,19 @@
 			mayOrder: term.isValid,
 			events: {
 				onReport(from, running, sentMs) {
-					unsynced.delete(from.worker.id);
+					const {id} = from.worker;
+					const isFirst = unsynced.delete(id);
+					recordStartTime(id, from.startedMs());
+					if (isFirst && endedLinks.get(id)?.atMs === Number.POSITIVE_INFINITY) {
+						onRestarted(from);
+					}
+
 					onReport(from, running, sentMs);
 				},
 				onProgress,
 				onEnds,
-				onGone(from, reason) {
+				onGone(from, workerEnd) {
+					const {reason} = workerEnd;
 					const silentMs = from.silentSinceMs();
 					log.info('worker-gone', {
 						worker: from.worker.id,
@@ -117,7 +159,7 @@
 						silentMs: silentMs === undefined ? undefined : Math.round(now() - silentMs),
 					});
 					context.metrics.count('workers_gone_total', {reason, state: from.worker.state});
-					removeLink(from, reason);
+					removeLink(from, workerEnd);
 				},
 				onStaleToken() {
 					term.abandon('a worker has seen a newer fencing token');
@@ -138,7 +180,7 @@
 				address: worker.address,
 				error: toServiceError(error, 'not-run').message,
 			});
-			linkEndedMs.set(worker.id, Number.POSITIVE_INFINITY);
+			endedLinks.set(worker.id, {atMs: Number.POSITIVE_INFINITY, startedMs: worker.startedMs});
 			return;
 		}
 
@@ -148,8 +190,21 @@
 	};
 
 	const updateWorker = (worker: Worker) => {
+		const {startedMs} = worker;
+		if (startedMs !== undefined && startedMs < (startTimes.get(worker.id) ?? Number.NEGATIVE_INFINITY)) {
+			// A report of an earlier incarnation was written late.
+			log.info('worker-outdated', {worker: worker.id, startedMs, latestMs: startTimes.get(worker.id)});
+			return;
+		}
+
+		const linkStartedMs = state.links.get(worker.id)?.startedMs();
+		if (startedMs !== undefined && linkStartedMs !== undefined && startedMs > linkStartedMs) {
+			state.links.get(worker.id)?.replace(startedMs);
+		}
+
+		recordStartTime(worker.id, startedMs);
 		if (state.directory.get(worker.id)?.state !== worker.state) {
-			const {id, rack, remainingMs, startedMs} = worker;
+			const {id, rack, remainingMs} = worker;
 			log.info('worker-listed', {worker: id, state: worker.state, rack, remainingMs, startedMs});
 		}
 
@@ -161,7 +216,7 @@
 		const link = state.links.get(worker.id);
 		if (link) {
 			link.worker = worker;
-		} else if (mayReopen(worker.id)) {
+		} else if (mayReopen(worker)) {
 			openLink(worker);
 		}
 	};
@@ -186,7 +241,7 @@
 	};
 
 	const entryOf = (link: WorkerLink): RosterEntry => {
-		const {worker} = link;
+		const worker = {...link.worker, startedMs: link.startedMs()};
 		if (acceptsOrders(link)) {
 			return {worker};
 		}
@@ -233,7 +288,7 @@
 		},
 		reopen() {
 			for (const worker of state.directory.values()) {
-				if (!state.links.has(worker.id) && mayReopen(worker.id)) {
+				if (!state.links.has(worker.id) && mayReopen(worker)) {
 					openLink(worker);
 				}
 			}
--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -161,7 +161,12 @@
 	t.equal(Math.max(...renewals.map(({acknowledgedSequence}) => acknowledgedSequence)), 0);
 	endBatches[0]!.completeStore();
 	await clock.tickAsync(3000);
-	t.equal(renewals.at(-1)?.acknowledgedSequence, 2);
+	const acknowledgements = renewals.map(({acknowledgedSequence}) => acknowledgedSequence);
+	t.same(
+		acknowledgements.filter((sequence) => sequence > 0),
+		[2],
+		'it is acknowledged once; the next incarnation of the worker would take a repeat for its own ends',
+	);
 });
 
 // Guards against an end that its worker keeps reporting as new, because the renewal that acknowledged it was refused.
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -26,7 +26,14 @@
 	| 'gone';
 
 /** How a link ends: another incarnation responds, or no lease of the worker can be valid any more. */
-export type WorkerEnd = 'other-life' | 'lease-ended';
+export type WorkerEnd = Readonly<
+	| {
+			reason: 'other-life';
+			/** Start time of the next incarnation under the same id; `undefined` if the id has gone. */
+			successorMs: number | undefined;
+	  }
+	| {reason: 'lease-ended'; successorMs?: undefined}
+>;
 
 export type WorkerLinkEvents = Readonly<{
 	/** Called with all active runs of the worker after each lease renewal. */
@@ -36,7 +43,7 @@
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when none of the runs that this leader knows of exists any more. */
-	onGone: (link: WorkerLink, reason: WorkerEnd) => void;
+	onGone: (link: WorkerLink, end: WorkerEnd) => void;
 	/** Called when the worker has seen a newer fencing token. */
 	onStaleToken: () => void;
 	/** Long-poll timeout of the next lease renewal. */
@@ -73,6 +80,12 @@
 	readonly silentSinceMs: () => number | undefined;
 	/** Time of the last response; `undefined` before the first one. */
 	readonly lastReplyMs: () => number | undefined;
+	/** Start time of the incarnation; `undefined` if it is not known. */
+	readonly startedMs: () => number | undefined;
+	/** Time at which the last renewal was sent that the incarnation has answered. What it accepted later may have been accepted by the next one. */
+	readonly confirmedMs: () => number;
+	/** Ends the link, since the worker has started again under its id. */
+	readonly replace: (successorMs: number) => void;
 };
 
 export type WorkerLinkOptions = Readonly<{
@@ -111,6 +124,10 @@
 	let isPolling = false;
 	let silentSinceMs: number | undefined;
 	let lastReplyMs: number | undefined;
+	let confirmedMs = Number.NEGATIVE_INFINITY;
+	let {startedMs} = options.worker;
+	/** Last acknowledged end whose acknowledgement the worker has answered. */
+	let confirmedSequence = 0;
 	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
 		if (state !== next) {
 			log.info('worker-link', {worker: options.worker.id, from: state, to: next, token, ...fields});
@@ -119,18 +136,41 @@
 		}
 	};
 
-	const end = (reason: WorkerEnd) => {
+	const end = (workerEnd: WorkerEnd) => {
 		if (!isGone()) {
-			setState('gone', {reason});
-			events.onGone(link, reason);
+			const {reason, successorMs} = workerEnd;
+			setState('gone', {reason, ...(successorMs !== undefined && {successorMs})});
+			events.onGone(link, workerEnd);
 		}
 	};
 
+	/** Whether a report is by the incarnation of this link, or by the first one that responds. A report by a later one ends the link. */
+	const isOwnReport = (reportedMs: number | undefined): boolean => {
+		if (reportedMs === undefined || reportedMs === startedMs) {
+			return true;
+		}
+
+		if (startedMs === undefined || (state === 'unsynced' && reportedMs > startedMs)) {
+			startedMs = reportedMs;
+			return true;
+		}
+
+		if (reportedMs > startedMs) {
+			end({reason: 'other-life', successorMs: reportedMs});
+		}
+
+		return false;
+	};
+
+	/** The acknowledgement to send. Another incarnation would take it for one of its own ends, so none is repeated, and none is sent to a worker that may have started again. */
+	const acknowledgement = (): number =>
+		state === 'synced' && ends.acknowledged() > confirmedSequence ? ends.acknowledged() : 0;
+
 	const handleRefusal = (reason: StartRefusal) => {
 		if (reason === 'stale-token') {
 			events.onStaleToken();
 		} else if (reason === 'other-life') {
-			end('other-life');
+			end({reason: 'other-life', successorMs: undefined});
 		}
 	};
 
@@ -176,12 +216,13 @@
 			clock.recordLease(leaseUntilMs);
 		}
 
+		const acknowledgedSequence = acknowledgement();
 		const waitMs = isFirst || state === 'silent' ? 0 : events.renewalWaitMs(link);
 		const report = await withDeadline(
 			waitMs + RENEWAL_GRACE_MS,
 			async (deadlineSignal) =>
 				port.renewLease(
-					{token, acknowledgedSequence: ends.acknowledged(), waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})},
+					{token, acknowledgedSequence, waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})},
 					{signal: deadlineSignal, maySend},
 				),
 			signal,
@@ -193,7 +234,13 @@
 			return report.reason;
 		}
 
+		if (!isOwnReport(report.startedMs)) {
+			return 'other-life';
+		}
+
 		observeReply(report, sentMs);
+		confirmedMs = sentMs;
+		confirmedSequence = Math.max(confirmedSequence, acknowledgedSequence);
 		setState('synced', {
 			...(isFirst && {running: report.running.length, ended: report.ended.length}),
 			...(report.startedMs !== undefined && {startedMs: report.startedMs}),
@@ -211,7 +258,6 @@
 
 	const run = async (signal: AbortSignal) => {
 		const backoff = createBackoff({minMs: WORKER_RETRY_MS, maxMs: WORKER_RETRY_MAX_MS});
-		let sentSequence = 0;
 		/** Time since which the worker has refused every renewal. */
 		let refusedSinceMs: number | undefined;
 		while (!signal.aborted && !isGone()) {
@@ -229,18 +275,16 @@
 				}
 			}
 
-			const hasUnacknowledgedEnds = ends.acknowledged() > sentSequence;
+			const hasUnacknowledgedEnds = ends.acknowledged() > confirmedSequence;
 			if (state === 'synced' && !events.hasWork(link) && !hasUnacknowledgedEnds && !ends.isStoring()) {
 				await waker.wait(signal);
 				continue;
 			}
 
-			const sendingSequence = ends.acknowledged();
 			const check = createSendCheck(isActive);
 			try {
 				const refusal = await renewLease(signal, check);
 				if (refusal === undefined) {
-					sentSequence = sendingSequence;
 					refusedSinceMs = undefined;
 					backoff.reset();
 					continue;
@@ -262,7 +306,7 @@
 			}
 
 			if (now() > clock.expiryMs()) {
-				end('lease-ended');
+				end({reason: 'lease-ended'});
 				break;
 			}
 
@@ -278,6 +322,11 @@
 		expiryMs: clock.expiryMs,
 		silentSinceMs: () => silentSinceMs,
 		lastReplyMs: () => lastReplyMs,
+		startedMs: () => startedMs,
+		confirmedMs: () => confirmedMs,
+		replace(successorMs) {
+			end({reason: 'other-life', successorMs});
+		},
 		wake: waker.wake,
 		run,
 		async start({unit, run: runNumber, spec, checkpoint, ticket}, isWanted) {
@@ -317,13 +366,13 @@
 			try {
 				const report = await withDeadline(PROGRESS_POLL_DEADLINE_MS, async (deadlineSignal) =>
 					port.renewLease(
-						{token, acknowledgedSequence: ends.acknowledged(), waitMs: 0},
+						{token, acknowledgedSequence: acknowledgement(), waitMs: 0},
 						{signal: deadlineSignal, maySend: isActive},
 					),
 				);
 				if (report.outcome === 'refused') {
 					handleRefusal(report.reason);
-				} else {
+				} else if (isOwnReport(report.startedMs)) {
 					// An earlier report with these ends may have been lost.
 					ends.handle(report.ended);
 					events.onProgress(link, report.running, sentMs);
