Let weak suspects of a crash run beside other work soon

All units that had just started on a crashed worker waited for a worker of their own, one after the other.

Most of them have only started beside the cause. A unit with one crash that others may have caused now waits for an empty worker for half a second, then runs beside other work, but not beside another suspect, so that a second crash still shows the cause. Only strong suspects keep waiting, for 8 s.

--- a/packages/scheduler/src/crash-evidence.ts
+++ b/packages/scheduler/src/crash-evidence.ts
@@ -29,6 +29,10 @@
 export const isCrashSuspect = ({crashes}: Pick<Part, 'crashes'>): boolean =>
 	crashes.length >= SUSPECT_CRASHES || crashes.some(({suspicion}) => suspicion !== 'possible');
 
+/** Whether a part is so likely to crash its workers that it waits for an empty one; others wait for it only for a moment. */
+export const isStrongCrashSuspect = ({crashes}: Pick<Part, 'crashes'>): boolean =>
+	isCrashSuspect({crashes}) && (crashes.length > 1 || crashes.some(({suspicion}) => suspicion === 'certain'));
+
 /** Whether the part has crashed so many workers that it is not started again. */
 export const hasReachedCrashLimit = ({crashes}: Pick<Part, 'crashes'>): boolean =>
 	crashes.length >= (crashes.some(({suspicion}) => suspicion !== 'possible') ? MAX_CRASHES_IF_LIKELY : MAX_CRASHES) ||
@@ -45,7 +49,7 @@
 	}
 
 	part.crashes = [...part.crashes, crash];
-	if (isCrashSuspect(part)) {
+	if (isStrongCrashSuspect(part)) {
 		part.pausedUntilMs = nowMs + RETRY_AFTER_CRASH_MS * part.crashes.length;
 	}
 
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -1,4 +1,4 @@
-import {isCrashSuspect} from './crash-evidence.js';
+import {isCrashSuspect, isStrongCrashSuspect} from './crash-evidence.js';
 import {protectedParts} from './disruption-budget.js';
 import {GUARANTEED_RANK_OFFSET, RESTART_MS} from './constants.js';
 import {ageOf, readyParts, stepOf, type ActiveJob, type Part} from './active-job.js';
@@ -71,6 +71,13 @@
 	};
 };
 
+/** Whether all units on a worker belong to one part. */
+const isAlone = (placedUnits: readonly PlacedUnit[]): boolean => new Set(placedUnits.map(({part}) => part)).size === 1;
+
+/** Whether the part has its workers for itself. */
+const runsAlone = ({placementIndex}: LeaderState, {placements}: Part): boolean =>
+	placements.length > 0 && placements.every(({workerId}) => isAlone(placementIndex.byWorker.get(workerId) ?? []));
+
 const viewWorkers = (options: PlanViewOptions, covered: ReadonlySet<ActiveJob>): readonly PlanWorker[] => {
 	const {state, nowMs, isOrderable, isContended} = options;
 	const {byWorker: placed} = state.placementIndex;
@@ -83,7 +90,7 @@
 		const health = workerHealthOf(state, worker.id);
 		const placedUnits = placed.get(worker.id) ?? [];
 		const used = sumResources(placedUnits.map(({activeJob, part}) => needOf(activeJob, part)));
-		const isOnTrial = placedUnits.some(({part}) => isCrashSuspect(part));
+		const hasCrashSuspect = placedUnits.some(({part}) => isCrashSuspect(part));
 		const hasOrphanedRuns = (state.orphanedRuns.get(worker.id)?.size ?? 0) > 0;
 		return {
 			id: worker.id,
@@ -97,13 +104,14 @@
 				isOrderable(worker.id) &&
 				health.pausedUntilMs <= nowMs &&
 				!hasOrphanedRuns &&
-				// Another crash would end the work beside the suspect too.
-				!isOnTrial &&
+				// Another crash would end the work beside a suspect that is alone.
+				!(hasCrashSuspect && isAlone(placedUnits)) &&
 				!state.maintenanceDrains.deadlineByWorker.has(worker.id),
 			isDraining: worker.state !== 'ready',
 			isSuspect:
 				Math.max(health.suspectUntilMs, health.slowUntilMs) > nowMs ||
 				(failureShares.get(worker.id) ?? 0) > failureLimit,
+			hasCrashSuspect,
 			unprovenShare: unprovenShare(health.outcomes, nowMs),
 			isContended: isContended(worker.id),
 			placements: placedUnits.map((placedUnit) =>
@@ -152,7 +160,7 @@
 		maxPerWorker: step.maxPerWorker,
 		isBestEffort: step.usesLeftover,
 		avoidedWorkers: part.avoided,
-		isCrashSuspect: isCrashSuspect(part),
+		crashSuspicion: isStrongCrashSuspect(part) ? 'strong' : isCrashSuspect(part) ? 'weak' : 'none',
 		isLastAttempt: part.failures > 0 && part.failures >= activeJob.job.attempts - 1,
 		allowedWorkers: activeJob.job.advice && allowedWorkers(stepIdOf(activeJob, part)),
 		estimateMs,
@@ -211,7 +219,7 @@
 	const covered = guaranteedJobs(options);
 	for (const activeJob of state.activeJobs.values()) {
 		for (const part of activeJob.parts.values()) {
-			if (part.placements.length > 0 && isCrashSuspect(part)) {
+			if (isCrashSuspect(part) && runsAlone(state, part)) {
 				const {customer} = activeJob.job;
 				trials.set(customer, (trials.get(customer) ?? 0) + 1);
 			}
--- a/packages/scheduler/src/plan/constants.ts
+++ b/packages/scheduler/src/plan/constants.ts
@@ -1,9 +1,9 @@
-/** Share of all workers on which suspects of worker crashes may run at a time, and the share of these for one customer. */
-export const TRIAL_SHARE = 0.125;
+/** Share of all workers on which suspects of worker crashes may run alone at a time, and the share of these for one customer. */
+export const TRIAL_SHARE = 0.2;
 export const TRIAL_CUSTOMER_SHARE = 0.5;
 
-/** Time for which a suspect waits for an empty worker; then it runs beside other work, on the emptiest worker. */
-export const TRIAL_WAIT_MS = 10_000;
+/** Time for which a suspect waits for a worker of its own, by suspicion; then it runs beside other work, on the emptiest worker. Most weak suspects have only started beside the cause of a crash. */
+export const TRIAL_WAIT_MS = {none: 0, weak: 500, strong: 8000} as const;
 
 /** Share of all workers that one pass may reserve for parts that can't be placed yet. */
 export const RESERVED_SHARE = 0.25;
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -2,7 +2,7 @@
 import {LAST_ATTEMPT_WAIT_MS} from './constants.js';
 import type {PlanPolicy} from './policy.js';
 import {fits, shareOf, subtractResources} from './resources.js';
-import {isEmpty, needsEmptyWorker} from './trials.js';
+import {hasOtherSuspect, isEmpty, needsEmptyWorker} from './trials.js';
 import type {PlanPart, PlanWorker} from './types.js';
 
 /** State of a worker that changes during a pass. */
@@ -68,7 +68,7 @@
 		(part.isLastAttempt ? 5 * worker.unprovenShare : 0) +
 		10 * (isRemote ? options.remoteFactor : 1) +
 		// Filling the fullest worker first keeps other workers empty for large units. The crash of an empty one harms least.
-		(part.isCrashSuspect ? -1 : 1) * shareOf(remaining, worker.capacity)
+		(part.crashSuspicion === 'none' ? 1 : -1) * shareOf(remaining, worker.capacity)
 	);
 };
 
@@ -82,6 +82,7 @@
 const isCandidate = (part: PlanPart, slot: WorkerSlot, isRemoteAccepted: boolean): boolean =>
 	!slot.isReserved &&
 	(!needsEmptyWorker(part) || isEmpty(slot)) &&
+	!hasOtherSuspect(part, slot.worker) &&
 	!isTooRisky(part, slot.worker) &&
 	isEligible(part, slot.worker) &&
 	(isRemoteAccepted || slot.worker.rack === part.dataRack);
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -33,8 +33,8 @@
 };
 
 /** Key of parts with equal requirements; when one of them can't be placed, the others need not be tried. */
-const shapeOf = ({stepId, members, avoidedWorkers, isCrashSuspect}: PlanPart): string =>
-	`${stepId}/${members}/${isCrashSuspect ? 'suspect' : ''}/${[...avoidedWorkers].toSorted().join(',')}`;
+const shapeOf = ({stepId, members, avoidedWorkers, crashSuspicion}: PlanPart): string =>
+	`${stepId}/${members}/${crashSuspicion}/${[...avoidedWorkers].toSorted().join(',')}`;
 
 /**
 Decides which parts start on which workers. Parts are planned by rank. A part that can't be placed evicts other work if it is urgent or guaranteed, or else reserves workers.
@@ -106,7 +106,8 @@
 	};
 
 	for (const part of parts) {
-		if (part.isCrashSuspect && !trials.isLeft(part.customer)) {
+		const isTrial = needsEmptyWorker(part);
+		if (isTrial && !trials.isLeft(part.customer)) {
 			continue;
 		}
 
@@ -119,8 +120,11 @@
 		if (chosen) {
 			allocate(part, chosen, options);
 			starts.push({partId: part.id, workerIds: chosen.map(({worker}) => worker.id)});
-			if (part.isCrashSuspect) {
+			if (isTrial) {
 				trials.spend(part.customer);
+			}
+
+			if (part.crashSuspicion !== 'none') {
 				for (const slot of chosen) {
 					slot.isReserved = true;
 				}
@@ -129,7 +133,7 @@
 			continue;
 		}
 
-		if (needsEmptyWorker(part)) {
+		if (isTrial) {
 			trials.spend(part.customer);
 			reserveForTrial(slots.filter(({worker}) => isEligible(part, worker)));
 			failedShapes.add(shape);
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -35,6 +35,8 @@
 	isSuspect: boolean;
 	/** From 0 for a worker that has just completed a run to 1 for one without a recent success. */
 	unprovenShare: number;
+	/** Runs a part that may crash it. */
+	hasCrashSuspect: boolean;
 	/** Latency-sensitive units on the worker suffer from contention. */
 	isContended: boolean;
 	placements: readonly PlanPlacement[];
@@ -63,8 +65,8 @@
 	/** Best-effort unit: uses only spare cores. */
 	isBestEffort: boolean;
 	avoidedWorkers: ReadonlySet<string>;
-	/** May crash its workers: it runs alone on them, and only a few such parts run at a time. */
-	isCrashSuspect: boolean;
+	/** May crash its workers; `strong` after several crashes, or after one without another possible cause. */
+	crashSuspicion: 'none' | 'weak' | 'strong';
 	/** Another failed run would use up the attempts of the job. */
 	isLastAttempt: boolean;
 	/** The only workers on which the part may run; `undefined` allows all. */
@@ -78,7 +80,7 @@
 export type PlanView = Readonly<{
 	workers: readonly PlanWorker[];
 	parts: readonly PlanPart[];
-	/** Suspects that run now, by customer. */
+	/** Suspects that run alone on their workers now, by customer. */
 	trials: ReadonlyMap<string, number>;
 	/** Units of a step that are on a worker now. */
 	unitsOnWorker: (stepId: string, workerId: string) => number;
