Count every unit that may have crashed a worker, also beside a known suspect

Known suspects were blamed before others, and since suspects may run beside other work, one that was a suspect by mistake took the blame for six crashes of the unit beside it.

All units that had just started are counted now.

--- a/packages/scheduler/src/crash-evidence.ts
+++ b/packages/scheduler/src/crash-evidence.ts
@@ -73,12 +73,10 @@
 	return others.size >= COMMON_CAUSE_WORKERS - 1;
 };
 
-/** The units among which the cause of the crash is: known suspects, else those that had just started, else all. */
+/** The units among which the cause of the crash is: those that had just started, else all. */
 const findCandidates = ({placed, lastReplyMs}: WorkerCrash, isCommon: boolean): readonly PlacedUnit[] => {
 	const early = placed.filter(({placement}) => placement.startedMs >= lastReplyMs - EARLY_CRASH_MS);
-	const pool = early.length > 0 || isCommon ? early : placed;
-	const suspects = pool.filter(({part}) => isCrashSuspect(part));
-	return suspects.length > 0 ? suspects : pool;
+	return early.length > 0 || isCommon ? early : placed;
 };
 
 const crashOf = ({placement}: PlacedUnit, silentSinceMs: number, suspicion: CrashSuspicion): CrashedRun => ({
@@ -114,9 +112,12 @@
 	const isCommon = hasCommonCause(state, workerCrash);
 	const candidates = findCandidates(workerCrash, isCommon);
 	const isSingle = new Set(candidates.map(({part}) => part)).size === 1;
+	const hasStrong = candidates.some(({part}) => isStrongCrashSuspect(part));
 	return candidates.map((placed) => {
 		const isEarly = placed.placement.startedMs >= lastReplyMs - EARLY_CRASH_MS;
-		const suspicion: CrashSuspicion = isCommon ? 'possible' : isSingle ? 'certain' : isEarly ? 'likely' : 'possible';
+		// Each candidate is counted, also beside a known suspect, which may have been one by mistake.
+		const isLikely = isEarly && (!hasStrong || isStrongCrashSuspect(placed.part));
+		const suspicion: CrashSuspicion = isCommon ? 'possible' : isSingle ? 'certain' : isLikely ? 'likely' : 'possible';
 		return {...placed, crash: crashOf(placed, silentSinceMs, suspicion)};
 	});
 };
