Stop late starts on each new link to a worker

Starts without a response were to be stopped on the next incarnation of the worker with its first report, but only if its first call was answered: otherwise the link ended, and the next one did not count as that of a restarted worker. A late start of 12 s before then ran beside the new one.

The stops are now sent with each link that is opened, before its first report. The new case of restarted-workers.test.ts fails without the change (a start and a violation too many) and passes with it. A late start that reaches an incarnation before any call of the leader cannot be refused by it; that remains open.

--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -133,7 +133,7 @@
 				advisor?.dropWorker(link.worker.id);
 			}
 		},
-		onRestarted: placements.stopLateStarts,
+		onOpened: placements.stopLateStarts,
 		onChanged: waker.wake,
 	});
 
--- a/packages/scheduler/src/restarted-workers.test.ts
+++ b/packages/scheduler/src/restarted-workers.test.ts
@@ -170,3 +170,27 @@
 	t.same(cluster.violations, []);
 	t.equal(cluster.startsOf(unitOf(1)), 1);
 });
+
+// Guards against late starts that are forgotten when the first call to the next incarnation gets no response.
+await t.test('late starts are stopped although the restarted worker does not respond at first', async (t) => {
+	const cluster = createTestCluster(t, [newReportingWorker('w1'), newReportingWorker('w2')], () => ({
+		runMs: 4000,
+		how: 'done',
+	}));
+	const {scheduler} = cluster.startInstance('one');
+	// By then, no lease of an earlier leader is waited for.
+	await cluster.clock.tickAsync(12_000);
+	const target = cluster.workers.get('w1')!;
+	target.faults.script.start = ['delayed', 'dropped', 'dropped'];
+	target.faults.patterns.start = ['refused'];
+	await submitStep(scheduler.jobs, 1, STEP);
+	await cluster.clock.tickAsync(3000);
+	target.faults.script.renewal = ['dropped', 'dropped', 'dropped'];
+	cluster.crashWorker('w1');
+	target.faults.patterns.start = [];
+	await cluster.clock.tickAsync(WORKER_RESTART_MS + 4000);
+	target.release();
+	await cluster.clock.tickAsync(10_000);
+	t.same(cluster.violations, []);
+	t.equal(cluster.startsOf(unitOf(1)), 1);
+});
--- a/packages/scheduler/src/worker-fleet.test.ts
+++ b/packages/scheduler/src/worker-fleet.test.ts
@@ -122,7 +122,7 @@
 		async onEnds() {
 			// The stubs run no units.
 		},
-		onRestarted() {
+		onOpened() {
 			// No orders are sent.
 		},
 		onGone() {
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -30,8 +30,8 @@
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when a worker incarnation, or its lease, has ended, so that nothing runs on it any more. */
 	onGone: (link: WorkerLink, end: WorkerEnd) => void;
-	/** Called with the first report of an incarnation whose predecessor had the same id. */
-	onRestarted: (link: WorkerLink) => void;
+	/** Called with each link that is opened, before it is synced. */
+	onOpened: (link: WorkerLink) => void;
 	/** Called when workers are added, removed or changed. */
 	onChanged: () => void;
 }>;
@@ -60,12 +60,12 @@
 
 @example
 ```ts
-const fleet = createWorkerFleet({context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onRestarted, onChanged});
+const fleet = createWorkerFleet({context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onOpened, onChanged});
 await fleet.openRoster();
 ```
 */
 export const createWorkerFleet = (options: WorkerFleetOptions): WorkerFleet => {
-	const {context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onRestarted, onChanged} = options;
+	const {context, term, state, lifecycle, now, onReport, onProgress, onEnds, onGone, onOpened, onChanged} = options;
 	const {store, log, bounds, decodeWorker, workerPrefix} = context;
 	// Leases granted by an earlier leader have expired by then, whether or not their workers are reachable.
 	const earlierLeasesEndMs =
@@ -139,12 +139,8 @@
 			events: {
 				onReport(from, running, sentMs) {
 					const {id} = from.worker;
-					const isFirst = unsynced.delete(id);
+					unsynced.delete(id);
 					recordStartTime(id, from.startedMs());
-					if (isFirst && endedLinks.get(id)?.atMs === Number.POSITIVE_INFINITY) {
-						onRestarted(from);
-					}
-
 					onReport(from, running, sentMs);
 				},
 				onProgress,
@@ -187,6 +183,7 @@
 		state.links.set(worker.id, link);
 		unsynced.add(worker.id);
 		lifecycle.run(`worker/${worker.id}`, link.run);
+		onOpened(link);
 	};
 
 	const updateWorker = (worker: Worker) => {
