Bound the rate of lease renewals, and end the link to a worker that numbers its ends anew

What callers saw: nothing ended while a worker that does not report start times had started again under its id. Its ends carry numbers that this leader had handled, so they were dropped unread; the worker responds at once while it lists ends, and the renewal loop asked again without a pause, for as long as the term lasted (the test ran until it was killed, with a full processor).

Ruled out: a wrong acknowledgement. None is sent again, since the next incarnation would take it for its own.

Change: a report that lists an end whose acknowledgement was confirmed before the report was requested, or another run under a number that was reported before, shows another incarnation: the link ends with reason renumbered and opens again after a second. Renewals that bring no new end are at least 100 ms apart.

The scripted worker of worker-link.test.ts now forgets acknowledged ends, as workers do; its assertions are unchanged.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -34,6 +34,9 @@
 /** Long-poll timeout of a lease renewal: how long a worker may wait for a unit to end before it responds. */
 export const RENEWAL_WAIT_MS = 2000;
 
+/** Least time between two renewals of which the first brought no new end, also if the worker does not wait with its response. */
+export const MIN_RENEWAL_INTERVAL_MS = 100;
+
 /** Added to the long-poll timeout of a lease renewal; a renewal that takes longer counts as missed. */
 export const RENEWAL_GRACE_MS = 1000;
 
--- a/packages/scheduler/src/crash-recorder.ts
+++ b/packages/scheduler/src/crash-recorder.ts
@@ -44,8 +44,8 @@
 		const lastReplyMs = link.lastReplyMs() ?? silentSinceMs;
 		const workerCrash = {workerId, lastReplyMs, silentSinceMs, placed};
 		const suspects: readonly Suspect[] =
-			reason === 'other-life' ? suspectsOf(state, workerCrash) : suspectsAfterSilence(workerCrash);
-		if (reason === 'other-life') {
+			reason === 'lease-ended' ? suspectsAfterSilence(workerCrash) : suspectsOf(state, workerCrash);
+		if (reason !== 'lease-ended') {
 			state.crashTimes.set(workerId, silentSinceMs);
 			metrics.count('worker_crashes_total');
 			log.info('worker-crashed', {
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -129,7 +129,7 @@
 				onCrashRecorded(activeJob);
 			}
 
-			if (end.reason === 'other-life') {
+			if (end.reason !== 'lease-ended') {
 				advisor?.dropWorker(link.worker.id);
 			}
 		},
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -336,7 +336,8 @@
 						ranMs: Math.round(endedMs - placement.startedMs),
 					});
 					metrics.count('units_lost_total', {reason});
-					if (successorMs !== undefined && mayReachSuccessor(link, placement)) {
+					const hasSuccessor = successorMs !== undefined || reason === 'renumbered';
+					if (hasSuccessor && mayReachSuccessor(link, placement)) {
 						holdPlacement(activeJob, part, placement);
 					} else {
 						removePlacement(activeJob, part, placement);
--- a/packages/scheduler/src/reported-ends.ts
+++ b/packages/scheduler/src/reported-ends.ts
@@ -13,8 +13,16 @@
 
 /** Ends that one worker incarnation reports until they are acknowledged. */
 export type ReportedEnds = Readonly<{
-	/** Stores the ends of a report that are new. */
-	handle: (ended: readonly EndedUnit[]) => void;
+	/** Stores the ends of a report that are new; returns whether there were any. */
+	handle: (ended: readonly EndedUnit[]) => boolean;
+	/**
+	Whether the worker numbers its ends anew, as another incarnation does: the report lists an end that the worker was told to forget before the report was requested, or another end under a number that was reported before.
+	*/
+	isRenumbered: (ended: readonly EndedUnit[], requestedMs: number) => boolean;
+	/** Records that the worker has answered an acknowledgement. */
+	confirm: (sequence: number, atMs: number) => void;
+	/** Sequence of the last end whose acknowledgement the worker has answered. */
+	confirmed: () => number;
 	/** Sequence of the last end that is stored and may be acknowledged to the worker. */
 	acknowledged: () => number;
 	/** Whether ends are being stored. */
@@ -23,6 +31,8 @@
 	settled: () => Promise<void>;
 }>;
 
+const runOf = ({unit, run}: EndedUnit): string => `${unit} ${run}`;
+
 /**
 Creates the ends of one worker incarnation. Acknowledgement is cumulative and the ends of a later report may be stored first, so each batch waits for the earlier ones.
 
@@ -36,6 +46,10 @@
 	/** Last end that has been passed to `store`. */
 	let forwardedSequence = 0;
 	let acknowledgedSequence = 0;
+	let confirmedSequence = 0;
+	let confirmedMs = Number.NEGATIVE_INFINITY;
+	/** Runs of the reported ends whose acknowledgement is not confirmed, by sequence. */
+	const reportedRuns = new Map<number, string>();
 	/** The store of ends in progress; resolves to whether all ends so far are stored. */
 	let pendingStore: Promise<boolean> | undefined;
 
@@ -66,7 +80,11 @@
 			}
 
 			if (fresh.length === 0) {
-				return;
+				return false;
+			}
+
+			for (const end of fresh) {
+				reportedRuns.set(end.sequence, runOf(end));
 			}
 
 			forwardedSequence = Math.max(...fresh.map(({sequence}) => sequence));
@@ -80,7 +98,29 @@
 
 				onSettled();
 			})();
+
+			return true;
+		},
+		isRenumbered: (ended, requestedMs) =>
+			ended.some((end) => {
+				const known = reportedRuns.get(end.sequence);
+				return (
+					(end.sequence <= confirmedSequence && requestedMs > confirmedMs) ||
+					(known !== undefined && known !== runOf(end))
+				);
+			}),
+		confirm(sequence, atMs) {
+			if (sequence > confirmedSequence) {
+				confirmedSequence = sequence;
+				confirmedMs = atMs;
+				for (const reported of reportedRuns.keys()) {
+					if (reported <= sequence) {
+						reportedRuns.delete(reported);
+					}
+				}
+			}
 		},
+		confirmed: () => confirmedSequence,
 		acknowledged: () => acknowledgedSequence,
 		isStoring: () => pendingStore !== undefined,
 		async settled() {
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -81,8 +81,8 @@
 	report: (worker: Worker) => void;
 	/** Changes the capacity of a worker and reports it. */
 	resize: (workerId: string, capacity: Resources) => void;
-	/** Ends the worker's process; a new incarnation starts after a while, under the same id if the worker reports its start time. */
-	crashWorker: (workerId: string) => void;
+	/** Ends the worker's process; a new incarnation starts after a while, by default under the same id if the worker reports its start time. */
+	crashWorker: (workerId: string, keepsId?: boolean) => void;
 	/** Adds a worker that joins later. */
 	addWorker: (worker: Worker) => void;
 	/** Number of starts of the unit on all workers. */
@@ -138,9 +138,8 @@
 		report(worker);
 	};
 
-	const crashWorker = (workerId: string) => {
+	const crashWorker = (workerId: string, keepsId = models.get(workerId)!.startedMs() !== undefined) => {
 		const model = models.get(workerId)!;
-		const keepsId = model.startedMs() !== undefined;
 		model.crash(keepsId);
 		model.setAvailability('down');
 		setTimeout(() => {
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -119,7 +119,7 @@
 
 		unsynced.delete(id);
 		onGone(link, workerEnd);
-		if (reason === 'other-life') {
+		if (reason !== 'lease-ended') {
 			// The next incarnation may be another machine.
 			state.workerHealth.delete(id);
 			recordStartTime(id, successorMs);
--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -91,7 +91,9 @@
 				return {outcome: 'refused', reason: 'unhealthy'};
 			}
 
-			const ended = script.ended.filter(({sequence}) => sequence > order.acknowledgedSequence);
+			// A worker forgets the ends that it is told to.
+			script.ended = script.ended.filter(({sequence}) => sequence > order.acknowledgedSequence);
+			const ended = [...script.ended];
 			await new Promise((resolve) => {
 				setTimeout(resolve, ended.length > 0 ? 1 : order.waitMs);
 			});
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -2,6 +2,7 @@
 import {toServiceError} from '@bergamotgauge/model';
 import {
 	DRAINING_LEASE_MS,
+	MIN_RENEWAL_INTERVAL_MS,
 	RENEWAL_GRACE_MS,
 	RENEWAL_WAIT_MS,
 	LEASE_SHARE,
@@ -9,7 +10,16 @@
 	WORKER_RETRY_MAX_MS,
 	WORKER_RETRY_MS,
 } from './constants.js';
-import type {EndedUnit, RunningUnit, SchedulerContext, SendOptions, StartRefusal, Worker, WorkerPort} from './types.js';
+import type {
+	EndedUnit,
+	RunningUnit,
+	SchedulerContext,
+	SendOptions,
+	StartRefusal,
+	Worker,
+	WorkerPort,
+	WorkerReport,
+} from './types.js';
 import {createReportedEnds} from './reported-ends.js';
 import {createSendCheck, type SendCheck} from './send-check.js';
 import {createWaker} from './waker.js';
@@ -32,9 +42,18 @@
 			/** Start time of the next incarnation under the same id; `undefined` if the id has gone. */
 			successorMs: number | undefined;
 	  }
+	/** Another incarnation responds under the same id, which only its ends show. */
+	| {reason: 'renumbered'; successorMs?: undefined}
 	| {reason: 'lease-ended'; successorMs?: undefined}
 >;
 
+type AcceptedReport = Extract<WorkerReport, {outcome: 'accepted'}>;
+
+type RenewalOutcome = Readonly<
+	/** `hasNews` is set by new ends, and by the first response. */
+	{outcome: 'renewed'; hasNews: boolean} | {outcome: 'refused'; reason: StartRefusal}
+>;
+
 export type WorkerLinkEvents = Readonly<{
 	/** Called with all active runs of the worker after each lease renewal. */
 	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
@@ -126,8 +145,6 @@
 	let lastReplyMs: number | undefined;
 	let confirmedMs = Number.NEGATIVE_INFINITY;
 	let {startedMs} = options.worker;
-	/** Last acknowledged end whose acknowledgement the worker has answered. */
-	let confirmedSequence = 0;
 	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
 		if (state !== next) {
 			log.info('worker-link', {worker: options.worker.id, from: state, to: next, token, ...fields});
@@ -145,9 +162,13 @@
 	};
 
 	/** Whether a report is by the incarnation of this link, or by the first one that responds. A report by a later one ends the link. */
-	const isOwnReport = (reportedMs: number | undefined): boolean => {
+	const isOwnReport = ({startedMs: reportedMs, ended}: AcceptedReport, sentMs: number): boolean => {
 		if (reportedMs === undefined || reportedMs === startedMs) {
-			return true;
+			if (ends.isRenumbered(ended, sentMs)) {
+				end({reason: 'renumbered'});
+			}
+
+			return !isGone();
 		}
 
 		if (startedMs === undefined || (state === 'unsynced' && reportedMs > startedMs)) {
@@ -164,7 +185,7 @@
 
 	/** The acknowledgement to send. Another incarnation would take it for one of its own ends, so none is repeated, and none is sent to a worker that may have started again. */
 	const acknowledgement = (): number =>
-		state === 'synced' && ends.acknowledged() > confirmedSequence ? ends.acknowledged() : 0;
+		state === 'synced' && ends.acknowledged() > ends.confirmed() ? ends.acknowledged() : 0;
 
 	const handleRefusal = (reason: StartRefusal) => {
 		if (reason === 'stale-token') {
@@ -205,8 +226,7 @@
 		onSettled: waker.wake,
 	});
 
-	/** Resolves to the reason for which the worker has refused the renewal, `undefined` if it has renewed the lease. */
-	const renewLease = async (signal: AbortSignal, {maySend}: SendCheck): Promise<StartRefusal | undefined> => {
+	const renewLease = async (signal: AbortSignal, {maySend}: SendCheck): Promise<RenewalOutcome> => {
 		const isFirst = state === 'unsynced';
 		const hasWork = events.hasWork(link);
 		const sentMs = now();
@@ -231,23 +251,23 @@
 			metrics.count('lease_renewals_refused_total', {reason: report.reason});
 			log.info('renewal-refused', {worker: options.worker.id, reason: report.reason, leaseUntilMs});
 			handleRefusal(report.reason);
-			return report.reason;
+			return {outcome: 'refused', reason: report.reason};
 		}
 
-		if (!isOwnReport(report.startedMs)) {
-			return 'other-life';
+		if (!isOwnReport(report, sentMs)) {
+			return {outcome: 'refused', reason: 'other-life'};
 		}
 
 		observeReply(report, sentMs);
 		confirmedMs = sentMs;
-		confirmedSequence = Math.max(confirmedSequence, acknowledgedSequence);
+		ends.confirm(acknowledgedSequence, now());
 		setState('synced', {
 			...(isFirst && {running: report.running.length, ended: report.ended.length}),
 			...(report.startedMs !== undefined && {startedMs: report.startedMs}),
 		});
-		ends.handle(report.ended);
+		const hasNews = ends.handle(report.ended) || isFirst;
 		events.onReport(link, report.running, sentMs);
-		return undefined;
+		return {outcome: 'renewed', hasNews};
 	};
 
 	const silence = (error: string) => {
@@ -275,25 +295,30 @@
 				}
 			}
 
-			const hasUnacknowledgedEnds = ends.acknowledged() > confirmedSequence;
+			const hasUnacknowledgedEnds = ends.acknowledged() > ends.confirmed();
 			if (state === 'synced' && !events.hasWork(link) && !hasUnacknowledgedEnds && !ends.isStoring()) {
 				await waker.wait(signal);
 				continue;
 			}
 
 			const check = createSendCheck(isActive);
+			const startedAtMs = now();
 			try {
-				const refusal = await renewLease(signal, check);
-				if (refusal === undefined) {
+				const renewal = await renewLease(signal, check);
+				if (renewal.outcome === 'renewed') {
 					refusedSinceMs = undefined;
 					backoff.reset();
+					if (!renewal.hasNews) {
+						await sleep(MIN_RENEWAL_INTERVAL_MS - (now() - startedAtMs), signal);
+					}
+
 					continue;
 				}
 
 				// A refusal shows that the worker is there, so only lasting refusals count as silence.
 				refusedSinceMs ??= now();
 				if (now() - refusedSinceMs > RENEWAL_GRACE_MS) {
-					silence(`the worker refuses renewals: ${refusal}`);
+					silence(`the worker refuses renewals: ${renewal.reason}`);
 				}
 			} catch (error) {
 				if (signal.aborted) {
@@ -372,7 +397,7 @@
 				);
 				if (report.outcome === 'refused') {
 					handleRefusal(report.reason);
-				} else if (isOwnReport(report.startedMs)) {
+				} else if (isOwnReport(report, sentMs)) {
 					// An earlier report with these ends may have been lost.
 					ends.handle(report.ended);
 					events.onProgress(link, report.running, sentMs);
