Count the deadline of an order from its sending, and judge it after reading what has arrived

Cause: the deadline of an attempt ran from its creation, while hundreds of others were created and connections opened, and a timer that came due while the event loop was held up fired before the loop had read the responses that were there. The leader took its own delay for the silence of workers and of the store.

Ruled out: silence of the workers.

Change: a deadline takes effect only after the loop has read once more (startTimeout, for all calls with a deadline). An attempt has its deadline for getting a connection, and again for its response from the moment at which it is written. Safety is unchanged: leases and terms are still judged by their own clocks at once.

--- a/packages/lifecycle/src/deadline.ts
+++ b/packages/lifecycle/src/deadline.ts
@@ -3,6 +3,26 @@
 	override readonly name = 'DeadlineError';
 }
 
+/**
+Calls `onExpired` after `ms` and returns a function that prevents that. The event loop runs due timers before it reads, so when it was held up, what has arrived meanwhile is read before the call: the delay may be this process's own.
+
+@example
+```ts
+const cancel = startTimeout(2000, () => controller.abort());
+socket.once('data', cancel);
+```
+*/
+export const startTimeout = (ms: number, onExpired: () => void): (() => void) => {
+	let immediate: NodeJS.Immediate | undefined;
+	const timer = setTimeout(() => {
+		immediate = setImmediate(onExpired);
+	}, ms);
+	return () => {
+		clearTimeout(timer);
+		clearImmediate(immediate);
+	};
+};
+
 /**
 Runs `work` with a signal that aborts after `ms` or together with `callerSignal`. The returned promise then rejects immediately, even when `work` ignores its signal.
 
@@ -21,7 +41,7 @@
 	const controller = new AbortController();
 	return new Promise<Result>((resolve, reject) => {
 		const settle = (action: () => void) => {
-			clearTimeout(timer);
+			cancelTimeout();
 			callerSignal?.removeEventListener('abort', abort);
 			action();
 		};
@@ -34,13 +54,13 @@
 			});
 		};
 
-		const timer = setTimeout(() => {
+		const cancelTimeout = startTimeout(ms, () => {
 			settle(() => {
 				const reason = new DeadlineError(`deadline of ${ms} ms exceeded`);
 				controller.abort(reason);
 				reject(reason);
 			});
-		}, ms);
+		});
 
 		if (callerSignal?.aborted) {
 			abort();
--- a/packages/lifecycle/src/lifecycle.test.ts
+++ b/packages/lifecycle/src/lifecycle.test.ts
@@ -50,9 +50,32 @@
 	const result = withDeadline(100, async () => new Promise<never>(() => {}));
 	const rejected = t.rejects(result, DeadlineError);
 	await clock.tickAsync(100);
+	// The loop reads once more before the deadline takes effect.
+	await clock.tickAsync(1);
 	await rejected;
 });
 
+// Guards against a peer that counts as silent because this process was held up: due timers fire before what has arrived
+// is read.
+await t.test('work that settles when the loop reads after a delay is within its deadline', async (t) => {
+	const clock = FakeTimers.install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	let arrive = (_value: string) => {};
+	const result = withDeadline(
+		100,
+		async () =>
+			new Promise<string>((resolve) => {
+				arrive = resolve;
+			}),
+	);
+	clock.jump(3000);
+	arrive('read');
+	await clock.tickAsync(1);
+	t.equal(await result, 'read');
+});
+
 // Guards against an unhandled rejection, which ends the process, when a resource opens while its owner closes.
 await t.test('a resource that is added after the close and fails to close is reported', async (t) => {
 	const failures: string[] = [];
--- a/packages/scheduler/src/worker-orders.ts
+++ b/packages/scheduler/src/worker-orders.ts
@@ -1,4 +1,4 @@
-import {DeadlineError} from '@bergamotgauge/lifecycle';
+import {DeadlineError, startTimeout} from '@bergamotgauge/lifecycle';
 import {toServiceError, type Verdict} from '@bergamotgauge/model';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {ORDER_DEADLINES_MS} from './constants.js';
@@ -60,7 +60,9 @@
 	mayOrder,
 	observeReply,
 }: OrderSenderOptions): OrderSender => {
-	/** Sends one attempt, which is given up at its deadline. Resolves to its verdict when it got no response. */
+	/**
+	Sends one attempt, which is given up when it could not be written within the deadline, or got no response within the deadline since then. Resolves to its verdict when it got no response.
+	*/
 	const sendAttempt = async (
 		attempt: OrderTarget & Readonly<{kind: OrderKind; attempt: number}>,
 		deadlineMs: number,
@@ -68,17 +70,31 @@
 		holds: () => boolean,
 	): Promise<OrderReply | Verdict | 'withdrawn'> => {
 		const {kind} = attempt;
-		const sentMs = now();
+		const startedMs = now();
+		let sentMs = startedMs;
 		const controller = new AbortController();
-		const {maySend, isWithdrawn} = createSendCheck(holds);
+		const check = createSendCheck(holds);
 		// The port rejects when the signal aborts, and its error says whether the attempt was sent.
-		const timer = setTimeout(() => {
+		const giveUp = () => {
 			controller.abort(new DeadlineError(`deadline of ${deadlineMs} ms exceeded`));
-		}, deadlineMs);
+		};
+
+		let cancelTimeout = startTimeout(deadlineMs, giveUp);
+		const maySend = () => {
+			if (!check.maySend()) {
+				return false;
+			}
+
+			cancelTimeout();
+			cancelTimeout = startTimeout(deadlineMs, giveUp);
+			sentMs = now();
+			return true;
+		};
+
 		try {
 			const reply = await send({signal: controller.signal, maySend});
 			const outcome = reply.outcome === 'refused' ? reply.reason : reply.outcome;
-			metrics.observe('worker_order_milliseconds', now() - sentMs, {kind});
+			metrics.observe('worker_order_milliseconds', now() - startedMs, {kind});
 			metrics.count('worker_order_attempts_total', {kind, outcome});
 			if (reply.outcome === 'refused') {
 				log.info('order-refused', {...attempt, worker: workerId, reason: reply.reason});
@@ -88,8 +104,8 @@
 			return reply;
 		} catch (error) {
 			const {message, verdict} = toServiceError(error, 'may-have-run');
-			const waitedMs = Math.round(now() - sentMs);
-			if (isWithdrawn()) {
+			const waitedMs = Math.round(now() - startedMs);
+			if (check.isWithdrawn()) {
 				metrics.count('worker_order_attempts_total', {kind, outcome: 'withdrawn'});
 				log.info('order-withdrawn', {...attempt, worker: workerId, waitedMs});
 				return 'withdrawn';
@@ -99,7 +115,7 @@
 			log.info('order-unanswered', {...attempt, worker: workerId, verdict, waitedMs, error: message});
 			return verdict;
 		} finally {
-			clearTimeout(timer);
+			cancelTimeout();
 		}
 	};
 
