Limit the starts that await their responses by the delay of the event loop

Cause: a planning pass sent all of its starts at once. Each one costs the leader processor time, so the responses, and the renewals of its own lease, were read after their deadlines; the repeats then added to the load.

Ruled out: planning alone. Passes take a third of the processor at most by their pauses (27 of 100 ms measured), and the overload stays between them.

Change: a window of starts that await their responses, which grows while the loop is on time and is halved when it is more than 100 ms late, as TCP does with segments. Starts beyond it stay in the plan: they are sent as responses come, and the next pass plans them again, so that urgent work overtakes them. New: event_loop_delay_milliseconds, starts_held_back, and the line starts-held-back.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -45,6 +45,17 @@
 */
 export const ORDER_DEADLINES_MS = [200, 400, 600] as const;
 
+/** Interval between measurements of the delay of the event loop. */
+export const LOOP_SAMPLE_MS = 50;
+
+/** Delay of the event loop from which fewer starts are sent; half of the first deadline of an order. */
+export const LOOP_DELAY_LIMIT_MS = 100;
+
+/** Starts that may await their responses at the same time: at the begin of a term, at least and at most. */
+export const START_WINDOW_INITIAL = 16;
+export const START_WINDOW_MIN = 8;
+export const START_WINDOW_MAX = 256;
+
 /** Longest time from the check of an attempt at a start to its arrival at the worker: its deadline and the way there. */
 export const START_LEAD_MS = 700;
 
@@ -290,6 +301,9 @@
 */
 export const SLOW_SUSPICION_MS = 6000;
 
+/** Least time between two searches for slow workers, each of which visits all placements; reports come less often. */
+export const SLOW_CHECK_INTERVAL_MS = 100;
+
 /** Times that a part is moved off slow workers; where all seem slow, moving does not help. */
 export const MAX_SLOW_RESTARTS = 2;
 
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -42,7 +42,7 @@
 	runTimes: RunTimes;
 	policy: Policy;
 	/** Placements as of the last planning pass; some may have ended since. */
-	placementIndex: {byWorker: ReadonlyMap<string, readonly PlacedUnit[]>};
+	placementIndex: {byWorker: Map<string, PlacedUnit[]>};
 	/** Workers that are drained for the maintenance of their machines, with their drain deadlines in monotonic time; the disruption budgets go to them in this order. */
 	maintenanceDrains: {deadlineByWorker: ReadonlyMap<string, number>};
 	/** Workers that a maintenance order of this leader may end at any time. */
@@ -102,15 +102,26 @@
 	}
 };
 
-export const placedByWorker = (state: LeaderState): ReadonlyMap<string, readonly PlacedUnit[]> => {
+const addPlacedUnit = (byWorker: Map<string, PlacedUnit[]>, placed: PlacedUnit) => {
+	const list = byWorker.get(placed.placement.workerId);
+	if (list) {
+		list.push(placed);
+	} else {
+		byWorker.set(placed.placement.workerId, [placed]);
+	}
+};
+
+/** Adds the placements of a part that has just been placed to the index by worker. */
+export const indexPart = ({placementIndex}: LeaderState, {activeJob, part}: Omit<PlacedUnit, 'placement'>): void => {
+	for (const placement of part.placements) {
+		addPlacedUnit(placementIndex.byWorker, {activeJob, part, placement});
+	}
+};
+
+export const placedByWorker = (state: LeaderState): Map<string, PlacedUnit[]> => {
 	const byWorker = new Map<string, PlacedUnit[]>();
 	for (const placed of allPlacedUnits(state)) {
-		const list = byWorker.get(placed.placement.workerId);
-		if (list) {
-			list.push(placed);
-		} else {
-			byWorker.set(placed.placement.workerId, [placed]);
-		}
+		addPlacedUnit(byWorker, placed);
 	}
 
 	return byWorker;
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -9,6 +9,7 @@
 import {createJobTable} from './job-table.js';
 import {JOBS_PREFIX} from './keys.js';
 import {createLeaderState} from './leader-state.js';
+import {watchLoopDelay} from './loop-delay.js';
 import {publishPendingCounts} from './pending-counts.js';
 import {createPlacements} from './placements.js';
 import {lostWorkOf, stepIdOf} from './plan-view.js';
@@ -22,6 +23,7 @@
 import type {SchedulerContext} from './types.js';
 import {createUnitEnds} from './unit-ends.js';
 import {createStartGuard, maxViewAgeMs} from './start-guard.js';
+import {createStartWindow} from './start-window.js';
 import {createViewAges} from './view-ages.js';
 import {createWaker} from './waker.js';
 import {watchView} from './watch-view.js';
@@ -75,10 +77,12 @@
 
 	const advisor = context.advice && createAdvisor({port: context.advice, log, metrics, now, onAdvice: waker.wake});
 
+	const startWindow = createStartWindow();
 	const placements = createPlacements({
 		state,
 		ages,
 		mayStart: guard.mayStart,
+		startWindow,
 		term: term.number,
 		bounds,
 		log,
@@ -86,6 +90,9 @@
 		now,
 		signal: term.signal,
 		onCapacityFreed: waker.wake,
+		onStartSettled() {
+			planner.sendHeldBack();
+		},
 		onRefused({activeJob, part, placement: {workerId}}, reason) {
 			if (reason === 'no-ticket') {
 				advisor?.dropTicket(stepIdOf(activeJob, part), workerId);
@@ -157,7 +164,7 @@
 		void storeChanges(activeJob);
 	};
 
-	const planner = createPlanner({context, term, state, fleet, placements, advisor, onCrashRecorded, now});
+	const planner = createPlanner({context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, now});
 
 	const applyJob = (id: string) => {
 		const entry = table.get(id);
@@ -216,6 +223,7 @@
 		});
 
 	try {
+		lifecycle.run('loop-delay', async (signal) => watchLoopDelay({metrics, onDelay: startWindow.observeDelay, signal}));
 		lifecycle.add(
 			'table',
 			table.events.on('changed', (ids) => {
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -10,6 +10,7 @@
 import {BOUNDS, newWorker} from './test/cluster.js';
 import type {RunningUnit} from './types.js';
 import {createUnitEnds} from './unit-ends.js';
+import {createStartWindow} from './start-window.js';
 import {createViewAges} from './view-ages.js';
 import type {WorkerLink} from './worker-link.js';
 import type {OrderResult} from './worker-orders.js';
@@ -89,6 +90,7 @@
 		state,
 		ages: createViewAges(now),
 		mayStart: () => views.areRecent,
+		startWindow: createStartWindow(),
 		term: 1,
 		bounds: BOUNDS,
 		log: createSilentLog(),
@@ -98,6 +100,9 @@
 		onCapacityFreed() {
 			// No planner runs.
 		},
+		onStartSettled() {
+			// No starts are held back.
+		},
 		store: async () => true,
 		storeLater() {
 			// Nothing is stored.
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -2,7 +2,14 @@
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {nextRun, stepOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {LATE_ORDER_MS, STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
-import {allPlacedUnits, coreEquivalentsOf, hasCapacity, type LeaderState, type PlacedUnit} from './leader-state.js';
+import {
+	allPlacedUnits,
+	coreEquivalentsOf,
+	hasCapacity,
+	indexPart,
+	type LeaderState,
+	type PlacedUnit,
+} from './leader-state.js';
 import {isCrashSuspect} from './crash-evidence.js';
 import {createCrashRecorder} from './crash-recorder.js';
 import {createLateStarts} from './late-starts.js';
@@ -10,6 +17,7 @@
 import {createPlacementThrottle} from './placement-throttle.js';
 import {openWindow} from './progress-window.js';
 import type {Bounds, StartRefusal} from './types.js';
+import type {StartWindow} from './start-window.js';
 import type {ViewAges} from './view-ages.js';
 import type {WorkerEnd, WorkerLink} from './worker-link.js';
 import type {OrderResult} from './worker-orders.js';
@@ -19,6 +27,7 @@
 	ages: ViewAges;
 	/** Whether the views are recent enough for starts. */
 	mayStart: () => boolean;
+	startWindow: StartWindow;
 	term: number;
 	bounds: Bounds;
 	log: Log;
@@ -27,6 +36,8 @@
 	signal: AbortSignal;
 	/** Called when capacity may have been freed or a part is pending again. */
 	onCapacityFreed: () => void;
+	/** Called when the outcome of a start is known, so that another one may be sent. */
+	onStartSettled: () => void;
 	onRefused: (placed: PlacedUnit, reason: StartRefusal) => void;
 	/** Resolves to whether the changes of the job are stored. */
 	store: (activeJob: ActiveJob) => Promise<boolean>;
@@ -55,7 +66,7 @@
 
 @example
 ```ts
-const placements = createPlacements({state, ages, mayStart, term: 3, bounds, log, metrics, now, signal, onCapacityFreed, onBegun, onRefused, ticketOf});
+const placements = createPlacements({state, ages, mayStart, startWindow, term: 3, bounds, log, metrics, now, signal, onCapacityFreed, onStartSettled, onRefused, store, storeLater, ticketOf});
 placements.start(activeJob, part, ['i-1']);
 ```
 */
@@ -64,6 +75,7 @@
 		state,
 		ages,
 		mayStart,
+		startWindow,
 		term,
 		bounds,
 		log,
@@ -71,6 +83,7 @@
 		now,
 		signal,
 		onCapacityFreed,
+		onStartSettled,
 		onRefused,
 		ticketOf,
 		store,
@@ -160,6 +173,9 @@
 	};
 
 	const handleStartResult = (activeJob: ActiveJob, part: Part, placement: Placement, result: OrderResult) => {
+		startWindow.close();
+		onStartSettled();
+
 		const unit = unitNameOf(activeJob, part, placement.index);
 		if (result.outcome === 'unknown' || (result.outcome === 'accepted' && result.isUncertain)) {
 			placement.isStartUncertain = true;
@@ -279,8 +295,10 @@
 				waitedMs: Math.round(now() - (part.waitingSinceMs ?? now())),
 				...ages.fields(),
 			});
+			indexPart(state, {activeJob, part});
 			metrics.observe('start_view_age_milliseconds', ages.jobs.ageMs(), {view: 'jobs'});
 			metrics.observe('start_view_age_milliseconds', ages.workers.ageMs(), {view: 'workers'});
+			startWindow.open(workerIds.length);
 			const {checkpoint} = part;
 			let stored: Promise<boolean> | undefined;
 			if (isCrashSuspect(part)) {
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -121,26 +121,41 @@
 	});
 };
 
-/** Guarantee and objective of a job, determined once a pass. */
-type Expectation = Readonly<{activeJob: ActiveJob; isGuaranteed: boolean; objectiveMs: number}>;
+/** Guarantee, objective and expected run times of a job, determined once a pass. */
+type Expectation = Readonly<{
+	activeJob: ActiveJob;
+	isGuaranteed: boolean;
+	objectiveMs: number;
+	/** Expected run time of a unit of the step. */
+	runMsOf: (step: number) => number;
+}>;
+
+const createRunMsOf = (state: LeaderState, activeJob: ActiveJob): Expectation['runMsOf'] => {
+	const runMsByStep = new Map<number, number>();
+	return (step) => {
+		const runMs = runMsByStep.get(step) ?? expectedRunMs(state, activeJob, step);
+		runMsByStep.set(step, runMs);
+		return runMs;
+	};
+};
 
 /** Time for which a pending part can still wait before its job misses its objective or its customer's guarantee. */
 const slackOf = (
-	{activeJob, isGuaranteed, objectiveMs}: Expectation,
+	{activeJob, isGuaranteed, objectiveMs, runMsOf}: Expectation,
 	part: Part,
-	{state, nowMs, wallClockMs, bounds}: PlanViewOptions,
+	{nowMs, wallClockMs, bounds}: PlanViewOptions,
 ): number => {
 	const ageMs = ageOf(activeJob, part, {nowMs, wallClockMs});
-	const slackMs = objectiveMs - ageMs - expectedRunMs(state, activeJob, part.step);
+	const slackMs = objectiveMs - ageMs - runMsOf(part.step);
 	// Half of the limit is reserved for slow stops.
 	return isGuaranteed ? Math.min(slackMs, bounds.reclaimMs / 2 - ageMs) : slackMs;
 };
 
 const viewPart = (expectation: Expectation, part: Part, options: PlanViewOptions): PlanPart => {
-	const {activeJob, isGuaranteed, objectiveMs} = expectation;
+	const {activeJob, isGuaranteed, objectiveMs, runMsOf} = expectation;
 	const {nowMs, wallClockMs, state, allowedWorkers} = options;
 	const step = stepOf(activeJob, part);
-	const estimateMs = expectedRunMs(state, activeJob, part.step);
+	const estimateMs = runMsOf(part.step);
 	part.waitingSinceMs ??= nowMs;
 	const slackMs = slackOf(expectation, part, options);
 	return {
@@ -238,6 +253,7 @@
 				activeJob,
 				isGuaranteed: covered.has(activeJob),
 				objectiveMs: expectedObjectiveMs(state, activeJob),
+				runMsOf: createRunMsOf(state, activeJob),
 			};
 			parts.push(...ready.map((part) => viewPart(expectation, part, options)));
 		}
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -14,6 +14,7 @@
 import type {Plan} from './plan/types.js';
 import type {Placements} from './placements.js';
 import {createSlowWorkers} from './slow-workers.js';
+import type {StartWindow} from './start-window.js';
 import type {SchedulerContext} from './types.js';
 import {recordStall} from './worker-evidence.js';
 import type {WorkerFleet} from './worker-fleet.js';
@@ -24,6 +25,7 @@
 	state: LeaderState;
 	fleet: WorkerFleet;
 	placements: Placements;
+	startWindow: StartWindow;
 	/** `undefined` if the deployment has no advice service. */
 	advisor: Advisor | undefined;
 	/** Called when a crash has been recorded against a part of the job. */
@@ -33,6 +35,8 @@
 
 /** Decides which units start and stop, and orders the starts and stops. */
 export type Planner = Readonly<{
+	/** Sends the planned starts that were held back, as far as the window has room for them. */
+	sendHeldBack: () => void;
 	/** Runs one planning pass, without starts and evictions if the views are outdated. Returns the wall-clock time at which the next occurrence of a scheduled job is due. */
 	pass: (areViewsRecent: boolean) => number;
 }>;
@@ -45,15 +49,28 @@
 	activeJob.storedChanges === activeJob.changes &&
 	[...activeJob.parts.values()].every(({placements}) => placements.length === 0);
 
+type PlannedStart = Readonly<{activeJob: ActiveJob; part: Part; workerIds: readonly string[]}>;
+
+/** Whether the part may be started; its step was ready when the start was planned. */
+const isPending = (activeJob: ActiveJob, part: Part): boolean =>
+	activeJob.outcome === undefined && !activeJob.isCancelled && !part.isDone && part.placements.length === 0;
+
 /** Creates the planner of a term. */
 export const createPlanner = (options: PlannerOptions): Planner => {
-	const {context, term, state, fleet, placements, advisor, onCrashRecorded, now} = options;
+	const {context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, now} = options;
 	const {metrics, bounds, declarations} = context;
 
 	const slowWorkers = createSlowWorkers({state, placements, log: context.log, now});
 	const throttler = createThrottler({state, placements, bounds, now});
+	let isHoldingBack = false;
+	/** Starts of the last pass that have not been sent, by rank. */
+	let plannedStarts: PlannedStart[] = [];
 
 	const stopStalled = (activeJob: ActiveJob, part: Part) => {
+		if (part.placements.length === 0) {
+			return;
+		}
+
 		const {longRunning, usesLeftover} = stepOf(activeJob, part);
 		const stalled = state.policy.findStalled(part, {
 			expectedMs: expectedRunMs(state, activeJob, part.step),
@@ -121,6 +138,28 @@
 		onCrashRecorded(activeJob);
 	};
 
+	const reportHeldBack = (starts: number) => {
+		metrics.gauge('starts_held_back', starts);
+		if (starts > 0 && !isHoldingBack) {
+			context.log.info('starts-held-back', {starts, window: startWindow.size()});
+		}
+
+		isHoldingBack = starts > 0;
+	};
+
+	/** Whether a planned start can still be sent, although things may have changed since the pass. */
+	const isStillPossible = ({activeJob, part, workerIds}: PlannedStart): boolean =>
+		isPending(activeJob, part) && workerIds.every((workerId) => fleet.isOrderable(workerId));
+
+	const sendHeldBack = () => {
+		while (plannedStarts.length > 0 && startWindow.hasRoom(plannedStarts[0]!.workerIds.length)) {
+			const planned = plannedStarts.shift()!;
+			if (isStillPossible(planned)) {
+				placements.start(planned.activeJob, planned.part, planned.workerIds);
+			}
+		}
+	};
+
 	const collectParts = (): Readonly<{parts: ReadonlyMap<string, readonly [ActiveJob, Part]>; nextDueMs: number}> => {
 		const parts = new Map<string, readonly [ActiveJob, Part]>();
 		let nextDueMs = Number.POSITIVE_INFINITY;
@@ -145,6 +184,7 @@
 	};
 
 	return {
+		sendHeldBack,
 		pass(areViewsRecent) {
 			const startedMs = performance.now();
 			const {parts, nextDueMs} = collectParts();
@@ -164,10 +204,13 @@
 			});
 			advisor?.setRequests(pendingAdviceRequests(view, (partId) => parts.get(partId)?.[0].job.advice));
 			const {starts, evictions} = areViewsRecent ? plan(view) : NO_STARTS;
-			for (const {partId, workerIds} of starts) {
+			// Those of the last pass that were held back are planned again, so that more urgent work may come before them.
+			plannedStarts = starts.map(({partId, workerIds}) => {
 				const [activeJob, part] = parts.get(partId)!;
-				placements.start(activeJob, part, workerIds);
-			}
+				return {activeJob, part, workerIds};
+			});
+			sendHeldBack();
+			reportHeldBack(plannedStarts.length);
 
 			for (const {partId, forPartId} of evictions) {
 				const victim = parts.get(partId);
@@ -182,7 +225,7 @@
 			state.placementIndex.byWorker = placedByWorker(state);
 			fleet.setShared(throttler.pass());
 			fleet.setInUse(new Set(state.placementIndex.byWorker.keys()));
-			metrics.gauge('parts_waiting', view.parts.length - starts.length);
+			metrics.gauge('parts_waiting', view.parts.length - starts.length + plannedStarts.length);
 			metrics.observe('plan_milliseconds', performance.now() - startedMs);
 			return nextDueMs;
 		},
--- a/packages/scheduler/src/throttle-orders.test.ts
+++ b/packages/scheduler/src/throttle-orders.test.ts
@@ -9,6 +9,7 @@
 import {newActiveJob, newPlacementOn} from './test/active-job.js';
 import {BOUNDS, newWorker} from './test/cluster.js';
 import {createModelWorker} from './test/model-worker.js';
+import {createStartWindow} from './start-window.js';
 import {createViewAges} from './view-ages.js';
 import {createWorkerLink} from './worker-link.js';
 
@@ -60,6 +61,7 @@
 		state,
 		ages: createViewAges(now),
 		mayStart: () => true,
+		startWindow: createStartWindow(),
 		term: 1,
 		bounds: BOUNDS,
 		log,
@@ -67,6 +69,7 @@
 		now,
 		signal: new AbortController().signal,
 		onCapacityFreed: ignore,
+		onStartSettled: ignore,
 		store: async () => true,
 		storeLater: ignore,
 		onRefused: ignore,
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -161,7 +161,8 @@
 					term.abandon('a worker has seen a newer fencing token');
 				},
 				renewalWaitMs: ({worker}) => (shared.has(worker.id) ? SHARED_RENEWAL_WAIT_MS : RENEWAL_WAIT_MS),
-				hasWork: (from) => state.orphanedRuns.has(from.worker.id) || inUse.has(from.worker.id),
+				hasWork: ({worker: {id}}) =>
+					state.orphanedRuns.has(id) || inUse.has(id) || state.placementIndex.byWorker.has(id),
 			},
 		});
 
