Date reports by the workers' clocks, not by when the leader reads them

Cause: the progress of a run was dated by the moment at which this process read the report. A report that lay unread for 1.2 s showed a run without progress for 1.2 s, and two reports read at unequal delays showed a wrong speed; a report overtaken by a newer one took the progress back.

Ruled out: the time since the last report, which does not count towards a stall.

Change: each report carries the worker's clock. The smallest difference between the clocks over the last two to five seconds dates it on the leader's clock, between its request and its reading; an older report changes nothing.

The calls of reconcile in placements.test.ts name both times; their assertions are unchanged.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -75,6 +75,9 @@
 /** A worker's clock may run slower than this instance's by this share. */
 export const CLOCK_RATE_ERROR = 0.02;
 
+/** Interval over which the difference between a worker's clock and this instance's is observed; a slow clock changes it by 50 ms meanwhile. */
+export const OFFSET_INTERVAL_MS = 2500;
+
 /** Safety margin between the end of a worker's lease and the start of its work elsewhere. */
 export const LEASE_EXPIRY_MARGIN_MS = 250;
 
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -116,12 +116,12 @@
 		state,
 		lifecycle,
 		now,
-		onReport(link, running, sentMs) {
-			placements.reconcile(link, running, sentMs);
+		onReport(link, running, times) {
+			placements.reconcile(link, running, times);
 			waker.wake();
 		},
-		onProgress(link, running, sentMs) {
-			placements.updateProgress(link, running, sentMs);
+		onProgress(link, running, times) {
+			placements.updateProgress(link, running, times);
 			waker.wake();
 		},
 		async onEnds(link, ended) {
--- a/packages/scheduler/src/placement-reports.ts
+++ b/packages/scheduler/src/placement-reports.ts
@@ -7,7 +7,7 @@
 import {createOrphanedRuns} from './orphaned-runs.js';
 import {extendWindow, openWindow} from './progress-window.js';
 import type {Bounds, RunningUnit} from './types.js';
-import type {WorkerLink} from './worker-link.js';
+import type {ReportTimes, WorkerLink} from './worker-link.js';
 import type {OrderTarget} from './worker-orders.js';
 
 export type PlacementReportsOptions = Readonly<{
@@ -26,9 +26,9 @@
 /** Reconciles placements with what workers report. */
 export type PlacementReports = Readonly<{
 	/** Reconciles the placements with a full report of a worker. */
-	reconcile: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	reconcile: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
 	/** Updates the progress of listed runs, and removes the placements of stopped ones that are not listed any more. */
-	updateProgress: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	updateProgress: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
 }>;
 
 /** A unit of an active job. */
@@ -43,7 +43,7 @@
 @example
 ```ts
 const reports = createPlacementReports({state, bounds, log, now, signal, stop, removePlacement});
-reports.reconcile(link, report.running, sentMs);
+reports.reconcile(link, report.running, {sentMs, composedMs});
 ```
 */
 export const createPlacementReports = (options: PlacementReportsOptions): PlacementReports => {
@@ -90,7 +90,11 @@
 		stop(activeJob, part, 'older-run', (placement) => placement.run !== newest);
 	};
 
-	const updatePlacement = ({activeJob, part, placement}: PlacedUnit, runningUnit: RunningUnit) => {
+	const updatePlacement = (
+		{activeJob, part, placement}: PlacedUnit,
+		runningUnit: RunningUnit,
+		{composedMs}: ReportTimes,
+	) => {
 		if (outlastsCrashes(part, now() - placement.startedMs)) {
 			log.info('crash-outlasted', {unit: runningUnit.unit, run: runningUnit.run, crashes: part.crashes.length});
 			part.crashes = [];
@@ -101,13 +105,16 @@
 
 		placement.acceptedMs ??= now();
 		placement.missedReports = 0;
-		const point = {atMs: now(), percent: runningUnit.percent};
-		placement.window = placement.window ? extendWindow(placement.window, point) : openWindow(point);
-		placement.reportedMs = now();
-		placement.recentFigure = runningUnit.recentFigure;
-		if (runningUnit.percent !== placement.percent) {
-			placement.percent = runningUnit.percent;
-			placement.progressMs = now();
+		// Reports on different connections overtake each other, and this process may read them late.
+		if (composedMs >= placement.reportedMs) {
+			const point = {atMs: composedMs, percent: runningUnit.percent};
+			placement.window = placement.window ? extendWindow(placement.window, point) : openWindow(point);
+			placement.reportedMs = composedMs;
+			placement.recentFigure = runningUnit.recentFigure;
+			if (runningUnit.percent !== placement.percent) {
+				placement.percent = runningUnit.percent;
+				placement.progressMs = composedMs;
+			}
 		}
 
 		if (runningUnit.checkpoint && placement.run >= part.orderedRun) {
@@ -128,6 +135,7 @@
 		link: WorkerLink,
 		runningUnit: RunningUnit,
 		{activeJob, part, index}: KnownUnit,
+		times: ReportTimes,
 	): Placement | undefined => {
 		const workerId = link.worker.id;
 		// A report that was composed before the end of the run may arrive after the one that lists the end.
@@ -141,7 +149,7 @@
 
 		const placement = part.placements.find((other) => isPlacementOf(other, workerId, index, runningUnit.run));
 		if (placement) {
-			updatePlacement({activeJob, part, placement}, runningUnit);
+			updatePlacement({activeJob, part, placement}, runningUnit, times);
 		}
 
 		// The other members of a gang finish by themselves shortly after the first one.
@@ -182,7 +190,7 @@
 	};
 
 	return {
-		updateProgress(link, running, sentMs) {
+		updateProgress(link, running, times) {
 			for (const {activeJob, part, placement} of state.placementIndex.byWorker.get(link.worker.id) ?? []) {
 				const unit = unitNameOf(activeJob, part, placement.index);
 				const runningUnit = running.find((listedUnit) => listedUnit.unit === unit && listedUnit.run === placement.run);
@@ -191,13 +199,13 @@
 				}
 
 				if (runningUnit) {
-					updatePlacement({activeJob, part, placement}, runningUnit);
-				} else if (isStopComplete(placement, sentMs)) {
+					updatePlacement({activeJob, part, placement}, runningUnit, times);
+				} else if (isStopComplete(placement, times.sentMs)) {
 					removePlacement(activeJob, part, placement);
 				}
 			}
 		},
-		reconcile(link, running, sentMs) {
+		reconcile(link, running, times) {
 			const listed = new Set<Placement>();
 			const orphans: OrderTarget[] = [];
 			for (const runningUnit of running) {
@@ -207,7 +215,7 @@
 					continue;
 				}
 
-				const placement = reconcileUnit(link, runningUnit, known);
+				const placement = reconcileUnit(link, runningUnit, known, times);
 				if (placement) {
 					listed.add(placement);
 				}
@@ -216,7 +224,7 @@
 			orphanedRuns.reconcile(link, orphans);
 			for (const placed of state.placementIndex.byWorker.get(link.worker.id) ?? []) {
 				if (!listed.has(placed.placement) && placed.part.placements.includes(placed.placement)) {
-					handleMissing(placed, sentMs);
+					handleMissing(placed, times.sentMs);
 				}
 			}
 		},
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -144,7 +144,7 @@
 	placements.start(activeJob, part, ['w1']);
 	index();
 	await clock.tickAsync(100);
-	placements.reconcile(links.w1, [listed(1)], now());
+	placements.reconcile(links.w1, [listed(1)], {sentMs: now(), composedMs: now()});
 	startResults[0]!({outcome: 'refused', reason: 'unhealthy'});
 	await clock.tickAsync(100);
 	t.equal(part.placements.length, 1);
@@ -164,7 +164,7 @@
 	startResults[1]!({outcome: 'accepted', isUncertain: false});
 	index();
 	await clock.tickAsync(100);
-	placements.reconcile(links.w1, [listed(1)], sentMs);
+	placements.reconcile(links.w1, [listed(1)], {sentMs, composedMs: now()});
 	await clock.tickAsync(100);
 	t.same(stops, []);
 	t.same(
@@ -181,7 +181,7 @@
 	startResults[0]!({outcome: 'accepted', isUncertain: false});
 	index();
 	await clock.tickAsync(100);
-	placements.reconcile(links.w1, [listed(1)], now());
+	placements.reconcile(links.w1, [listed(1)], {sentMs: now(), composedMs: now()});
 	await clock.tickAsync(100);
 	t.same(stops, [1]);
 });
--- a/packages/scheduler/src/test/model-worker-faults.ts
+++ b/packages/scheduler/src/test/model-worker-faults.ts
@@ -25,6 +25,8 @@
 	isMute: boolean;
 	/** Time for which each call waits for a connection before it is sent. */
 	connectionWaitMs: number;
+	/** Time after which a report that the worker has composed is read by its requester. */
+	reportDelayMs: number;
 	/** Speed of the worker's clock. */
 	clockRate: number;
 	/** Outcomes of the following calls; each call removes the first one of its kind. */
@@ -52,6 +54,7 @@
 	isCutOff: false,
 	isMute: false,
 	connectionWaitMs: 0,
+	reportDelayMs: 0,
 	clockRate: 1,
 	script: {start: [], stop: [], throttle: [], renewal: []},
 	patterns: {start: [], stop: [], throttle: [], renewal: []},
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -1,4 +1,5 @@
 import type {RunEnd} from '@bergamotgauge/jobs';
+import {sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError} from '@bergamotgauge/model';
 import type {
 	EndedUnit,
@@ -385,7 +386,12 @@
 				}
 
 				requireResponse();
-				return report(acknowledged);
+				const composed = report(acknowledged);
+				if (faults.reportDelayMs > 0) {
+					await sleep(faults.reportDelayMs);
+				}
+
+				return composed;
 			},
 		}),
 	};
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -14,7 +14,7 @@
 import {workerHealthOf, type LeaderState} from './leader-state.js';
 import {decodeRoster, encodeRoster, partIdsOn, readRoster, type RosterEntry} from './roster.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
-import {createWorkerLink, type WorkerEnd, type WorkerLink} from './worker-link.js';
+import {createWorkerLink, type ReportTimes, type WorkerEnd, type WorkerLink} from './worker-link.js';
 
 export type WorkerFleetOptions = Readonly<{
 	context: SchedulerContext;
@@ -23,9 +23,9 @@
 	lifecycle: Lifecycle;
 	now: () => number;
 	/** Called with all active runs of a worker. */
-	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	onReport: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
 	/** Called with the progress of a worker's active runs. */
-	onProgress: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	onProgress: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when a worker incarnation, or its lease, has ended, so that nothing runs on it any more. */
@@ -137,11 +137,11 @@
 			earlierLeasesEndMs,
 			mayOrder: term.isValid,
 			events: {
-				onReport(from, running, sentMs) {
+				onReport(from, running, times) {
 					const {id} = from.worker;
 					unsynced.delete(id);
 					recordStartTime(id, from.startedMs());
-					onReport(from, running, sentMs);
+					onReport(from, running, times);
 				},
 				onProgress,
 				onEnds,
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -54,11 +54,19 @@
 	{outcome: 'renewed'; hasNews: boolean} | {outcome: 'refused'; reason: StartRefusal}
 >;
 
+/** Times of a report, on this instance's clock. */
+export type ReportTimes = Readonly<{
+	/** Time at which the report was requested. */
+	sentMs: number;
+	/** Estimate of the time at which the worker composed it. */
+	composedMs: number;
+}>;
+
 export type WorkerLinkEvents = Readonly<{
 	/** Called with all active runs of the worker after each lease renewal. */
-	onReport: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	onReport: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
 	/** Called with the active runs after a progress poll. */
-	onProgress: (link: WorkerLink, running: readonly RunningUnit[], sentMs: number) => void;
+	onProgress: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when none of the runs that this leader knows of exists any more. */
@@ -210,6 +218,11 @@
 		}
 	};
 
+	const timesOf = ({clockMs}: AcceptedReport, sentMs: number): ReportTimes => ({
+		sentMs,
+		composedMs: clock.timeOf(clockMs, sentMs, now()),
+	});
+
 	const order = createOrderSender({
 		workerId: options.worker.id,
 		log,
@@ -266,7 +279,7 @@
 			...(report.startedMs !== undefined && {startedMs: report.startedMs}),
 		});
 		const hasNews = ends.handle(report.ended) || isFirst;
-		events.onReport(link, report.running, sentMs);
+		events.onReport(link, report.running, timesOf(report, sentMs));
 		return {outcome: 'renewed', hasNews};
 	};
 
@@ -398,9 +411,10 @@
 				if (report.outcome === 'refused') {
 					handleRefusal(report.reason);
 				} else if (isOwnReport(report, sentMs)) {
+					observeReply(report, sentMs);
 					// An earlier report with these ends may have been lost.
 					ends.handle(report.ended);
-					events.onProgress(link, report.running, sentMs);
+					events.onProgress(link, report.running, timesOf(report, sentMs));
 				}
 			} catch (error) {
 				// Only the renewal loop decides whether the worker counts as silent.
