Pause between watches that bring no change

Cause: a watch without changes was followed by the next one at once, so a store, or something before it, that responds without waiting takes the whole processor of every instance.

Ruled out in the other loops by reading: listings, elections, stops, throttles, retention, pending counts, submissions and advice have a sleep or a backoff in each turn; a progress write that succeeds takes its jobs off the list.

Change: at least 50 ms between two watches of which the first was to wait and brought nothing.

--- a/packages/store/src/constants.ts
+++ b/packages/store/src/constants.ts
@@ -59,3 +59,6 @@
 export const WATCH_RETRY_MIN_MS = 100;
 
 export const WATCH_RETRY_MAX_MS = 2000;
+
+/** Least time between two watches of which the first brought no change, also if the store does not wait with its response. */
+export const MIN_WATCH_INTERVAL_MS = 50;
--- a/packages/store/src/key-watch.test.ts
+++ b/packages/store/src/key-watch.test.ts
@@ -1,4 +1,6 @@
+import FakeTimers from '@sinonjs/fake-timers';
 import t from 'tap';
+import {MIN_WATCH_INTERVAL_MS} from './constants.js';
 import type {KeyChanges, KeyValueStore, StoredItem} from './key-value.js';
 import {runKeyWatch} from './key-watch.js';
 
@@ -120,3 +122,40 @@
 	});
 	t.same(waits, [0, 500, 500, 0, 500, 0, 500]);
 });
+
+// Guards against a loop that takes the whole processor: a store that does not wait responds to each watch at once.
+await t.test('a store that responds at once without changes is asked a few times a second', async (t) => {
+	const clock = FakeTimers.install({now: 1000});
+	const controller = new AbortController();
+	let watches = 0;
+	const store: KeyValueStore = {
+		...unusedCalls,
+		list: async () => ({...newChanges(1, []), isListing: true}),
+		async watch() {
+			watches += 1;
+			// Ends a loop without a pause instead of hanging the test.
+			return watches > 2000 ? new Promise(() => {}) : newChanges(1, []);
+		},
+	};
+	const running = runKeyWatch({
+		store,
+		prefix: '',
+		waitMs: () => 500,
+		pauseMs: () => 0,
+		retryMinMs: 1,
+		retryMaxMs: 1,
+		onChanges() {
+			// Only the number of calls is checked.
+		},
+		now: () => performance.now(),
+		signal: controller.signal,
+	});
+	await clock.tickAsync(5000);
+	controller.abort();
+	await clock.tickAsync(1000);
+	await running;
+	clock.uninstall();
+	// The first one after a listing is not followed by a pause.
+	t.ok(watches <= 5000 / MIN_WATCH_INTERVAL_MS + 2, `${watches} watches in 5 s`);
+	t.ok(watches > 5, 'it is still watched');
+});
--- a/packages/store/src/key-watch.ts
+++ b/packages/store/src/key-watch.ts
@@ -1,4 +1,5 @@
 import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
+import {MIN_WATCH_INTERVAL_MS} from './constants.js';
 import type {KeyChanges, KeyValueStore} from './key-value.js';
 
 export type KeyWatchOptions = Readonly<{
@@ -42,6 +43,7 @@
 				return;
 			}
 
+			const wasCaughtUp = isCaughtUp;
 			onChanges(changes);
 			// A change that could not be handled is requested again, so that success means that all changes were handled.
 			revision = changes.revision;
@@ -50,6 +52,8 @@
 			backoff.reset();
 			if (changes.items.length + changes.removed.length > 0) {
 				await sleep(pauseMs(), signal);
+			} else if (wasCaughtUp) {
+				await sleep(MIN_WATCH_INTERVAL_MS - (now() - startedMs), signal);
 			}
 		} catch (error) {
 			if (signal.aborted) {
