Split the worker link, the stops of placements and the waves out of large files

No change of behaviour; the gauge starts_held_back is set to 0 at the end of a term, as starts_paused is.

--- a/packages/scheduler/src/crash-recorder.ts
+++ b/packages/scheduler/src/crash-recorder.ts
@@ -5,7 +5,7 @@
 import {COMMON_CAUSE_WINDOW_MS, RENEWAL_GRACE_MS, RENEWAL_WAIT_MS} from './constants.js';
 import {updateOutcome} from './job-outcome.js';
 import {allPlacedUnits, type LeaderState, type PlacedUnit} from './leader-state.js';
-import type {WorkerEnd, WorkerLink} from './worker-link.js';
+import type {WorkerEnd, WorkerLink} from './worker-link-types.js';
 
 /** Records the end of a worker against the units that may have crashed it. Returns their jobs, whose outcomes may have changed. */
 export type CrashRecorder = (link: WorkerLink, end: WorkerEnd) => ReadonlySet<ActiveJob>;
--- a/packages/scheduler/src/late-starts.ts
+++ b/packages/scheduler/src/late-starts.ts
@@ -1,7 +1,7 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import {LATE_ORDER_MS, STOP_RETRY_MS} from './constants.js';
 import type {LeaderState} from './leader-state.js';
-import type {WorkerLink} from './worker-link.js';
+import type {WorkerLink} from './worker-link-types.js';
 import type {OrderTarget} from './worker-orders.js';
 
 /** Starts that got no response. The next incarnation of a worker knows none of the stops that followed them, so they are stopped there again. */
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -6,7 +6,7 @@
 import {fits, sumResources} from './plan/resources.js';
 import {createRunTimes, type RunTimes} from './run-times.js';
 import type {Resources, Worker} from './types.js';
-import type {WorkerLink} from './worker-link.js';
+import type {WorkerLink} from './worker-link-types.js';
 
 /** Health of a worker, derived from its runs. */
 export type WorkerHealth = {
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -12,9 +12,8 @@
 import {watchLoopDelay} from './loop-delay.js';
 import {publishPendingCounts} from './pending-counts.js';
 import {createPlacements} from './placements.js';
-import {lostWorkOf, stepIdOf} from './plan-view.js';
-import {runWaves} from './maintenance/run-waves.js';
-import {mayRunProtectedParts} from './disruption-budget.js';
+import {stepIdOf} from './plan-view.js';
+import {runLeaderWaves} from './maintenance/leader-waves.js';
 import {createPlanner} from './planner.js';
 import {runPlanLoop} from './plan-loop.js';
 import {createProgressWriter} from './progress-writer.js';
@@ -286,29 +285,7 @@
 		const {machines} = context;
 		if (machines) {
 			lifecycle.run('waves', async (signal) =>
-				runWaves({
-					port: machines,
-					records: context.waves,
-					store,
-					term,
-					log,
-					metrics,
-					now,
-					maintenanceMs: () => bounds.maintenanceMs,
-					leaseMs: () => bounds.machineLeaseMs,
-					lostWorkOf: ({workerId = ''}) =>
-						(state.placementIndex.byWorker.get(workerId) ?? []).reduce(
-							(sum, placed) => sum + lostWorkOf(placed, now()),
-							0,
-						),
-					isProtected: ({workerId = ''}) => mayRunProtectedParts(state, workerId, now()),
-					setDrainDeadlines(deadlineByWorker) {
-						state.maintenanceDrains.deadlineByWorker = deadlineByWorker;
-						waker.wake();
-					},
-					orderedWorkers: state.orderedWorkers,
-					signal,
-				}),
+				runLeaderWaves({context, port: machines, state, term, now, onDrainsChanged: waker.wake, signal}),
 			);
 		}
 
@@ -318,6 +295,7 @@
 		term.signal.removeEventListener('abort', endLifecycle);
 		// An instance that does not lead holds no starts back.
 		metrics.gauge('starts_paused', 0);
+		metrics.gauge('starts_held_back', 0);
 		await lifecycle.close();
 	}
 };
--- a/packages/scheduler/src/orphaned-runs.ts
+++ b/packages/scheduler/src/orphaned-runs.ts
@@ -2,7 +2,7 @@
 import type {Log} from '@bergamotgauge/telemetry';
 import {STOP_RETRY_MS} from './constants.js';
 import type {LeaderState} from './leader-state.js';
-import type {WorkerLink} from './worker-link.js';
+import type {WorkerLink} from './worker-link-types.js';
 import type {OrderTarget} from './worker-orders.js';
 
 export type OrphanedRunsOptions = Readonly<{state: LeaderState; log: Log; signal: AbortSignal}>;
--- a/packages/scheduler/src/placement-reports.ts
+++ b/packages/scheduler/src/placement-reports.ts
@@ -7,7 +7,7 @@
 import {createOrphanedRuns} from './orphaned-runs.js';
 import {extendWindow, openWindow} from './progress-window.js';
 import type {Bounds, RunningUnit} from './types.js';
-import type {ReportTimes, WorkerLink} from './worker-link.js';
+import type {ReportTimes, WorkerLink} from './worker-link-types.js';
 import type {OrderTarget} from './worker-orders.js';
 
 export type PlacementReportsOptions = Readonly<{
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -12,7 +12,7 @@
 import {createUnitEnds} from './unit-ends.js';
 import {createStartWindow} from './start-window.js';
 import {createViewAges} from './view-ages.js';
-import type {WorkerLink} from './worker-link.js';
+import type {WorkerLink} from './worker-link-types.js';
 import type {OrderResult} from './worker-orders.js';
 
 const createFixture = (t: Test) => {
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -1,7 +1,6 @@
-import {sleep} from '@bergamotgauge/lifecycle';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
-import {nextRun, stepOf, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
-import {LATE_ORDER_MS, STOP_RETRY_MS, STOP_SETTLE_MS} from './constants.js';
+import {nextRun, unitNameOf, type ActiveJob, type Part, type Placement} from './active-job.js';
+import {LATE_ORDER_MS} from './constants.js';
 import {
 	allPlacedUnits,
 	coreEquivalentsOf,
@@ -13,13 +12,14 @@
 import {isCrashSuspect} from './crash-evidence.js';
 import {createCrashRecorder} from './crash-recorder.js';
 import {createLateStarts} from './late-starts.js';
+import {createPlacementStops} from './placement-stops.js';
 import {createPlacementReports, type PlacementReports} from './placement-reports.js';
 import {createPlacementThrottle} from './placement-throttle.js';
 import {openWindow} from './progress-window.js';
 import type {Bounds, StartRefusal} from './types.js';
 import type {StartWindow} from './start-window.js';
 import type {ViewAges} from './view-ages.js';
-import type {WorkerEnd, WorkerLink} from './worker-link.js';
+import type {WorkerEnd, WorkerLink} from './worker-link-types.js';
 import type {OrderResult} from './worker-orders.js';
 
 export type PlacementsOptions = Readonly<{
@@ -107,70 +107,7 @@
 		onCapacityFreed();
 	};
 
-	/**
-	Retries the stop until the worker has accepted it or is gone. The reported end, or a report without the run, then removes the placement.
-	*/
-	const stopPlacement = async (activeJob: ActiveJob, part: Part, placement: Placement) => {
-		const unit = unitNameOf(activeJob, part, placement.index);
-		while (!signal.aborted && part.placements.includes(placement)) {
-			const link = state.links.get(placement.workerId);
-			if (!link || link.state() === 'gone') {
-				if (placement.heldUntilMs === undefined) {
-					return;
-				}
-
-				if (now() >= placement.heldUntilMs) {
-					removePlacement(activeJob, part, placement);
-					return;
-				}
-
-				await sleep(STOP_RETRY_MS, signal);
-				continue;
-			}
-
-			if (await link.stop(unit, placement.run)) {
-				placement.stopAcceptedMs ??= now();
-				link.wake();
-				await sleep(bounds.stopMs + STOP_SETTLE_MS, signal);
-				// The report with the end may be lost, and the next one comes seconds later.
-				if (part.placements.includes(placement)) {
-					await link.pollProgress();
-				}
-
-				return;
-			}
-
-			await sleep(STOP_RETRY_MS, signal);
-		}
-	};
-
-	const lostCoreSeconds = (activeJob: ActiveJob, part: Part, placement: Placement): number => {
-		const step = stepOf(activeJob, part);
-		return step.checkpoints ? 0 : Math.round((coreEquivalentsOf(step) * (now() - placement.startedMs)) / 1000);
-	};
-
-	const stop = (
-		activeJob: ActiveJob,
-		part: Part,
-		reason: string,
-		isAffected: (placement: Placement) => boolean = () => true,
-	) => {
-		for (const placement of part.placements) {
-			if (placement.phase !== 'stopping' && isAffected(placement)) {
-				placement.phase = 'stopping';
-				log.info('unit-stop', {
-					unit: unitNameOf(activeJob, part, placement.index),
-					run: placement.run,
-					worker: placement.workerId,
-					reason,
-					ranMs: Math.round(now() - placement.startedMs),
-					unsavedCoreS: lostCoreSeconds(activeJob, part, placement),
-				});
-				metrics.count('unit_stops_total', {reason});
-				void stopPlacement(activeJob, part, placement);
-			}
-		}
-	};
+	const {stop, stopPlacement} = createPlacementStops({state, bounds, log, metrics, now, signal, removePlacement});
 
 	const handleStartResult = (activeJob: ActiveJob, part: Part, placement: Placement, result: OrderResult) => {
 		startWindow.close();
--- a/packages/scheduler/src/renumbered-ends.test.ts
+++ b/packages/scheduler/src/renumbered-ends.test.ts
@@ -13,7 +13,8 @@
 	WORKER_RESTART_MS,
 } from './test/cluster.js';
 import type {EndedUnit, WorkerPort} from './types.js';
-import {createWorkerLink, type WorkerEnd} from './worker-link.js';
+import {createWorkerLink} from './worker-link.js';
+import type {WorkerEnd} from './worker-link-types.js';
 
 const STEP = newStep({cpuMillis: 4000, accelerators: 1, estimateMs: 3000});
 
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -6,7 +6,7 @@
 import type {Placements} from './placements.js';
 import type {EndedUnit} from './types.js';
 import {isSlow, recordFailure, recordSuccess} from './worker-evidence.js';
-import type {WorkerLink} from './worker-link.js';
+import type {WorkerLink} from './worker-link-types.js';
 
 export type UnitEndsOptions = Readonly<{
 	state: LeaderState;
--- a/packages/scheduler/src/withdrawn-attempts.test.ts
+++ b/packages/scheduler/src/withdrawn-attempts.test.ts
@@ -8,7 +8,8 @@
 import {createModelWorker} from './test/model-worker.js';
 import type {CallKind} from './test/model-worker-faults.js';
 import type {OrderReply, SendOptions} from './types.js';
-import {createWorkerLink, type WorkerLink} from './worker-link.js';
+import {createWorkerLink} from './worker-link.js';
+import type {WorkerLink} from './worker-link-types.js';
 import {createOrderSender} from './worker-orders.js';
 
 /** Time that each call waits for a connection; shorter than the deadline of the first attempt at an order. */
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -14,7 +14,8 @@
 import {workerHealthOf, type LeaderState} from './leader-state.js';
 import {decodeRoster, encodeRoster, partIdsOn, readRoster, type RosterEntry} from './roster.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
-import {createWorkerLink, type ReportTimes, type WorkerEnd, type WorkerLink} from './worker-link.js';
+import {createWorkerLink} from './worker-link.js';
+import type {ReportTimes, WorkerEnd, WorkerLink} from './worker-link-types.js';
 
 export type WorkerFleetOptions = Readonly<{
 	context: SchedulerContext;
--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -4,7 +4,8 @@
 import t, {type Test} from 'tap';
 import {BOUNDS, newWorker} from './test/cluster.js';
 import type {EndedUnit, LeaseRenewal, OrderReply, RunningUnit, WorkerPort} from './types.js';
-import {createWorkerLink, type WorkerLink} from './worker-link.js';
+import {createWorkerLink} from './worker-link.js';
+import type {WorkerLink} from './worker-link-types.js';
 
 type WorkerScript = {
 	/** Ends that the worker reports until they are acknowledged. */
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -1,132 +1,17 @@
-import {createBackoff, sleep, withDeadline} from '@bergamotgauge/lifecycle';
+import {withDeadline} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
-import {
-	DRAINING_LEASE_MS,
-	MIN_RENEWAL_INTERVAL_MS,
-	RENEWAL_GRACE_MS,
-	RENEWAL_WAIT_MS,
-	LEASE_SHARE,
-	PROGRESS_POLL_DEADLINE_MS,
-	WORKER_RETRY_MAX_MS,
-	WORKER_RETRY_MS,
-} from './constants.js';
-import type {
-	EndedUnit,
-	RunningUnit,
-	SchedulerContext,
-	SendOptions,
-	StartRefusal,
-	Worker,
-	WorkerPort,
-	WorkerReport,
-} from './types.js';
+import {DRAINING_LEASE_MS, LEASE_SHARE, PROGRESS_POLL_DEADLINE_MS, RENEWAL_GRACE_MS} from './constants.js';
+import {runRenewalLoop, type RenewalOutcome} from './renewal-loop.js';
 import {createReportedEnds} from './reported-ends.js';
-import {createSendCheck, type SendCheck} from './send-check.js';
+import type {SendCheck} from './send-check.js';
+import type {SendOptions, StartRefusal, WorkerPort, WorkerReport} from './types.js';
 import {createWaker} from './waker.js';
 import {createWorkerClock} from './worker-clock.js';
+import type {ReportTimes, WorkerEnd, WorkerLink, WorkerLinkOptions, WorkerLinkState} from './worker-link-types.js';
 import {createOrderSender, type OrderResult} from './worker-orders.js';
 
-export type WorkerLinkState =
-	/** The worker has not responded to this leader yet. */
-	| 'unsynced'
-	| 'synced'
-	/** The latest lease renewals got no response. */
-	| 'silent'
-	/** The worker incarnation or its lease has ended. */
-	| 'gone';
-
-/** How a link ends: another incarnation responds, or no lease of the worker can be valid any more. */
-export type WorkerEnd = Readonly<
-	| {
-			reason: 'other-life';
-			/** Start time of the next incarnation under the same id; `undefined` if the id has gone. */
-			successorMs: number | undefined;
-	  }
-	/** Another incarnation responds under the same id, which only its ends show. */
-	| {reason: 'renumbered'; successorMs?: undefined}
-	| {reason: 'lease-ended'; successorMs?: undefined}
->;
-
 type AcceptedReport = Extract<WorkerReport, {outcome: 'accepted'}>;
 
-type RenewalOutcome = Readonly<
-	/** `hasNews` is set by new ends, and by the first response. */
-	{outcome: 'renewed'; hasNews: boolean} | {outcome: 'refused'; reason: StartRefusal}
->;
-
-/** Times of a report, on this instance's clock. */
-export type ReportTimes = Readonly<{
-	/** Time at which the report was requested. */
-	sentMs: number;
-	/** Estimate of the time at which the worker composed it. */
-	composedMs: number;
-}>;
-
-export type WorkerLinkEvents = Readonly<{
-	/** Called with all active runs of the worker after each lease renewal. */
-	onReport: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
-	/** Called with the active runs after a progress poll. */
-	onProgress: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
-	/** Called with newly ended runs; resolves when they are stored. */
-	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
-	/** Called when none of the runs that this leader knows of exists any more. */
-	onGone: (link: WorkerLink, end: WorkerEnd) => void;
-	/** Called when the worker has seen a newer fencing token. */
-	onStaleToken: () => void;
-	/** Long-poll timeout of the next lease renewal. */
-	renewalWaitMs: (link: WorkerLink) => number;
-	/** Whether the worker may have active runs. */
-	hasWork: (link: WorkerLink) => boolean;
-}>;
-
-/** Connection of the leader to one worker incarnation: orders, lease renewals and reports. */
-export type WorkerLink = {
-	worker: Worker;
-	readonly state: () => WorkerLinkState;
-	readonly start: (
-		order: Readonly<{unit: string; run: number; spec: string; checkpoint: string; ticket: string | undefined}>,
-		/** Whether the unit is still to be started. */
-		isWanted: () => boolean,
-	) => Promise<OrderResult>;
-	/** Resolves to whether the run is stopped: it has ended or is ending, and a later start of it would be refused. */
-	readonly stop: (unit: string, run: number) => Promise<boolean>;
-	/** Polls the progress of the active runs, independently of the renewal loop. */
-	readonly pollProgress: () => Promise<void>;
-	readonly throttle: (
-		order: Readonly<{unit: string; run: number; percent: number}>,
-		/** Whether the unit is still to run at this share. */
-		isWanted: () => boolean,
-	) => Promise<OrderResult>;
-	/** Starts the next lease renewal at once if the loop is idle. */
-	readonly wake: () => void;
-	/** Renews the lease and receives reports until the signal aborts or the worker is gone. */
-	readonly run: (signal: AbortSignal) => Promise<void>;
-	/** Time, on this instance's clock, after which no lease granted to the worker can be valid. */
-	readonly expiryMs: () => number;
-	/** Time since which the worker has been silent; `undefined` while it responds. */
-	readonly silentSinceMs: () => number | undefined;
-	/** Time of the last response; `undefined` before the first one. */
-	readonly lastReplyMs: () => number | undefined;
-	/** Start time of the incarnation; `undefined` if it is not known. */
-	readonly startedMs: () => number | undefined;
-	/** Time at which the last renewal was sent that the incarnation has answered. What it accepted later may have been accepted by the next one. */
-	readonly confirmedMs: () => number;
-	/** Ends the link, since the worker has started again under its id. */
-	readonly replace: (successorMs: number) => void;
-};
-
-export type WorkerLinkOptions = Readonly<{
-	context: Pick<SchedulerContext, 'connectWorker' | 'log' | 'metrics' | 'bounds'>;
-	worker: Worker;
-	token: number;
-	now: () => number;
-	/** Time after which leases granted by earlier leaders have expired. */
-	earlierLeasesEndMs: number;
-	/** Whether this instance's term is still valid. */
-	mayOrder: () => boolean;
-	events: WorkerLinkEvents;
-}>;
-
 /**
 Creates the connection to one worker incarnation; its renewal loop is started with `run`.
 
@@ -289,71 +174,6 @@
 		}
 	};
 
-	const run = async (signal: AbortSignal) => {
-		const backoff = createBackoff({minMs: WORKER_RETRY_MS, maxMs: WORKER_RETRY_MAX_MS});
-		/** Time since which the worker has refused every renewal. */
-		let refusedSinceMs: number | undefined;
-		while (!signal.aborted && !isGone()) {
-			if (!mayOrder()) {
-				await sleep(WORKER_RETRY_MS, signal);
-				continue;
-			}
-
-			if (ends.isStoring()) {
-				// A worker responds at once while it has unacknowledged ends, so until these are stored, renewals only extend the lease.
-				await Promise.race([ends.settled(), sleep(RENEWAL_WAIT_MS / 2, signal)]);
-				// The term may have lapsed meanwhile, and a later leader does not wait for leases that are granted after it.
-				if (!mayOrder()) {
-					continue;
-				}
-			}
-
-			const hasUnacknowledgedEnds = ends.acknowledged() > ends.confirmed();
-			if (state === 'synced' && !events.hasWork(link) && !hasUnacknowledgedEnds && !ends.isStoring()) {
-				await waker.wait(signal);
-				continue;
-			}
-
-			const check = createSendCheck(isActive);
-			const startedAtMs = now();
-			try {
-				const renewal = await renewLease(signal, check);
-				if (renewal.outcome === 'renewed') {
-					refusedSinceMs = undefined;
-					backoff.reset();
-					if (!renewal.hasNews) {
-						await sleep(MIN_RENEWAL_INTERVAL_MS - (now() - startedAtMs), signal);
-					}
-
-					continue;
-				}
-
-				// A refusal shows that the worker is there, so only lasting refusals count as silence.
-				refusedSinceMs ??= now();
-				if (now() - refusedSinceMs > RENEWAL_GRACE_MS) {
-					silence(`the worker refuses renewals: ${renewal.reason}`);
-				}
-			} catch (error) {
-				if (signal.aborted) {
-					break;
-				}
-
-				if (!check.isWithdrawn()) {
-					silence(toServiceError(error, 'may-have-run').message);
-				}
-			}
-
-			if (now() > clock.expiryMs()) {
-				end({reason: 'lease-ended'});
-				break;
-			}
-
-			await sleep(backoff.next(), signal);
-		}
-
-		port.close();
-	};
-
 	const link: WorkerLink = {
 		worker: options.worker,
 		state: () => state,
@@ -366,7 +186,24 @@
 			end({reason: 'other-life', successorMs});
 		},
 		wake: waker.wake,
-		run,
+		async run(signal) {
+			await runRenewalLoop({
+				ends,
+				waker,
+				now,
+				mayOrder,
+				isGone,
+				isIdle: () => state === 'synced' && !events.hasWork(link),
+				renew: renewLease,
+				onSilence: silence,
+				expiryMs: clock.expiryMs,
+				onExpired() {
+					end({reason: 'lease-ended'});
+				},
+				signal,
+			});
+			port.close();
+		},
 		async start({unit, run: runNumber, spec, checkpoint, ticket}, isWanted) {
 			const send = async (sendOptions: SendOptions) => {
 				const leaseUntilMs = clock.leaseUntil(now(), leaseLengthMs()) ?? 0;
