Revert the least time between searches for slow workers

Failed try: searched for slow workers every 100 ms at most, to save processor time in passes.

Cause, from the log of a failed run: the other times of the searches move runs to other workers at other times, and one job then meets four crashes in a row, the last of them on the only busy worker, which counts as certain. That an innocent unit on crashing workers in a row fails is open (docs/incidents/issue-31-budget.md); the change made it frequent here.

Ruled out: the dates of reports (8 of 30 with and without them), the window of starts (18 starts, 0 of 30 without the interval).

Change: the search runs in each pass again.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -304,9 +304,6 @@
 */
 export const SLOW_SUSPICION_MS = 6000;
 
-/** Least time between two searches for slow workers, each of which visits all placements; reports come less often. */
-export const SLOW_CHECK_INTERVAL_MS = 100;
-
 /** Times that a part is moved off slow workers; where all seem slow, moving does not help. */
 export const MAX_SLOW_RESTARTS = 2;
 
--- a/packages/scheduler/src/slow-workers.ts
+++ b/packages/scheduler/src/slow-workers.ts
@@ -9,7 +9,6 @@
 	RESTART_GAIN,
 	RESTART_MS,
 	NORMAL_SPEED_RATIO,
-	SLOW_CHECK_INTERVAL_MS,
 } from './constants.js';
 import {ageOf, stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import {expectedObjectiveMs, expectedRunMs, type LeaderState, type PlacedUnit} from './leader-state.js';
@@ -127,14 +126,8 @@
 
 	const isRunning = ({phase}: Placement): boolean => phase === 'running';
 
-	let nextCheckMs = 0;
 	return {
 		pass() {
-			if (now() < nextCheckMs) {
-				return;
-			}
-
-			nextCheckMs = now() + SLOW_CHECK_INTERVAL_MS;
 			const unitsByPart = new Map<Part, MeasuredUnit[]>();
 			for (const [workerId, placed] of state.placementIndex.byWorker) {
 				pollIfDue(workerId, placed);
