Keep starts on silent workers from holding back those on others

Cause: a start counted against the window until all of its attempts were over, 2.4 s with a silent worker, so a few of these filled the window.

Change: a start counts for 400 ms at most, the time of its first attempt. A held-back start is also dropped when its worker is to be drained for maintenance meanwhile.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -56,6 +56,9 @@
 export const START_WINDOW_MIN = 8;
 export const START_WINDOW_MAX = 256;
 
+/** Time after which a start no longer counts as awaiting its response: that of a first attempt without a connection or a response. */
+export const START_PENDING_MS = 2 * ORDER_DEADLINES_MS[0];
+
 /** Longest time from the check of an attempt at a start to its arrival at the worker: its deadline and the way there. */
 export const START_LEAD_MS = 700;
 
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -76,7 +76,9 @@
 
 	const advisor = context.advice && createAdvisor({port: context.advice, log, metrics, now, onAdvice: waker.wake});
 
-	const startWindow = createStartWindow();
+	const startWindow = createStartWindow(() => {
+		planner.sendHeldBack();
+	});
 	const placements = createPlacements({
 		state,
 		ages,
@@ -89,9 +91,6 @@
 		now,
 		signal: term.signal,
 		onCapacityFreed: waker.wake,
-		onStartSettled() {
-			planner.sendHeldBack();
-		},
 		onRefused({activeJob, part, placement: {workerId}}, reason) {
 			if (reason === 'no-ticket') {
 				advisor?.dropTicket(stepIdOf(activeJob, part), workerId);
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -90,7 +90,7 @@
 		state,
 		ages: createViewAges(now),
 		mayStart: () => views.areRecent,
-		startWindow: createStartWindow(),
+		startWindow: createStartWindow(() => {}),
 		term: 1,
 		bounds: BOUNDS,
 		log: createSilentLog(),
@@ -100,9 +100,6 @@
 		onCapacityFreed() {
 			// No planner runs.
 		},
-		onStartSettled() {
-			// No starts are held back.
-		},
 		store: async () => true,
 		storeLater() {
 			// Nothing is stored.
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -36,8 +36,6 @@
 	signal: AbortSignal;
 	/** Called when capacity may have been freed or a part is pending again. */
 	onCapacityFreed: () => void;
-	/** Called when the outcome of a start is known, so that another one may be sent. */
-	onStartSettled: () => void;
 	onRefused: (placed: PlacedUnit, reason: StartRefusal) => void;
 	/** Resolves to whether the changes of the job are stored. */
 	store: (activeJob: ActiveJob) => Promise<boolean>;
@@ -66,7 +64,7 @@
 
 @example
 ```ts
-const placements = createPlacements({state, ages, mayStart, startWindow, term: 3, bounds, log, metrics, now, signal, onCapacityFreed, onStartSettled, onRefused, store, storeLater, ticketOf});
+const placements = createPlacements({state, ages, mayStart, startWindow, term: 3, bounds, log, metrics, now, signal, onCapacityFreed, onRefused, store, storeLater, ticketOf});
 placements.start(activeJob, part, ['i-1']);
 ```
 */
@@ -83,7 +81,6 @@
 		now,
 		signal,
 		onCapacityFreed,
-		onStartSettled,
 		onRefused,
 		ticketOf,
 		store,
@@ -110,9 +107,6 @@
 	const {stop, stopPlacement} = createPlacementStops({state, bounds, log, metrics, now, signal, removePlacement});
 
 	const handleStartResult = (activeJob: ActiveJob, part: Part, placement: Placement, result: OrderResult) => {
-		startWindow.close();
-		onStartSettled();
-
 		const unit = unitNameOf(activeJob, part, placement.index);
 		if (result.outcome === 'unknown' || (result.outcome === 'accepted' && result.isUncertain)) {
 			placement.isStartUncertain = true;
@@ -235,7 +229,6 @@
 			indexPart(state, {activeJob, part});
 			metrics.observe('start_view_age_milliseconds', ages.jobs.ageMs(), {view: 'jobs'});
 			metrics.observe('start_view_age_milliseconds', ages.workers.ageMs(), {view: 'workers'});
-			startWindow.open(workerIds.length);
 			const {checkpoint} = part;
 			let stored: Promise<boolean> | undefined;
 			if (isCrashSuspect(part)) {
@@ -247,6 +240,7 @@
 			for (const placement of part.placements) {
 				const link = state.links.get(placement.workerId);
 				const unit = unitNameOf(activeJob, part, placement.index);
+				const settle = startWindow.open();
 				void (async () => {
 					const order = {
 						unit,
@@ -261,6 +255,7 @@
 						mayStart() &&
 						hasCapacity(state, placement.workerId);
 					if (stored && !(await stored)) {
+						settle();
 						handleStartResult(activeJob, part, placement, {outcome: 'refused', reason: 'withdrawn'});
 						return;
 					}
@@ -268,6 +263,7 @@
 					const result: OrderResult = link
 						? await link.start(order, isWanted)
 						: {outcome: 'refused', reason: 'other-life'};
+					settle();
 					handleStartResult(activeJob, part, placement, result);
 				})();
 			}
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -149,7 +149,10 @@
 
 	/** Whether a planned start can still be sent, although things may have changed since the pass. */
 	const isStillPossible = ({activeJob, part, workerIds}: PlannedStart): boolean =>
-		isPending(activeJob, part) && workerIds.every((workerId) => fleet.isOrderable(workerId));
+		isPending(activeJob, part) &&
+		workerIds.every(
+			(workerId) => fleet.isOrderable(workerId) && !state.maintenanceDrains.deadlineByWorker.has(workerId),
+		);
 
 	const sendHeldBack = () => {
 		while (plannedStarts.length > 0 && startWindow.hasRoom(plannedStarts[0]!.workerIds.length)) {
