Log which members of a gang its leader knows when one ends alone

Change: gang-alone gives the terms of the reader and of the run, and how many members are placed, accepted and stopping; unit_ends_total counts ends by kind, gang_start_spread_milliseconds measures the starts of each gang. The simulated workers let the members of a gang wait for each other, and the checker of runs reports those that end alone.

--- a/packages/scheduler/src/crashing-units.test.ts
+++ b/packages/scheduler/src/crashing-units.test.ts
@@ -1,7 +1,7 @@
 import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
 import t from 'tap';
 import {addressOf, createTestCluster, newWorker, submitStep, unitOf} from './test/cluster.js';
-import type {UnitBehaviour} from './test/model-worker.js';
+import type {UnitBehaviour} from './test/model-runs.js';
 
 const CRASHING_JOB = 1;
 const CRASH_AFTER_MS = 10;
--- /dev/null
+++ b/packages/scheduler/src/gang-takeover.test.ts
@@ -0,0 +1,102 @@
+/** Pattern: a change of leader between the starts of one gang. Workers let a member that began wait for the others. */
+import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import {createLog, parseLine, type LogLine} from '@bergamotgauge/telemetry';
+import t, {type Test} from 'tap';
+import {addressOf, createTestCluster, newWorker, submitStep, unitOf} from './test/cluster.js';
+
+const MEMBERS = [unitOf(1, 0), unitOf(1, 1)];
+const RUN_MS = 3000;
+
+/** So long that a run without progress does not count as stalled before its worker gives it up. */
+const ESTIMATE_MS = 20_000;
+
+/** Two workers, each of which has room for one member of a gang of two, and two instances of which the first one leads. */
+const createFixture = async (t: Test) => {
+	const lines: LogLine[] = [];
+	const log = createLog({
+		level: 'info',
+		output: {
+			write(text: string) {
+				const line = parseLine(text);
+				if (line) {
+					lines.push(line);
+				}
+			},
+		},
+	});
+	const cluster = createTestCluster(t, [newWorker('w1'), newWorker('w2')], () => ({runMs: RUN_MS, how: 'done'}), {
+		log,
+		acceleratorsOf: () => 8,
+		gangUnitsOf: () => MEMBERS,
+	});
+	const first = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	const second = cluster.startInstance('two');
+	await cluster.clock.tickAsync(500);
+	return {cluster, lines, first, second, faults: cluster.workers.get('w2')!.faults};
+};
+
+type Fixture = Awaited<ReturnType<typeof createFixture>>;
+
+/** How a leader loses its term between two starts of a gang. */
+type TermLoss = Readonly<{
+	name: string;
+	/** Runs before the gang is submitted. */
+	prepare?: (fixture: Fixture) => Promise<void>;
+	/** Runs when the first member has been started. */
+	end?: (fixture: Fixture) => void;
+}>;
+
+const TERM_LOSSES: readonly TermLoss[] = [
+	{
+		name: 'crashes',
+		end({first}) {
+			first.crash();
+		},
+	},
+	{
+		name: 'resigns',
+		end({first}) {
+			first.scheduler.resign();
+		},
+	},
+	{
+		name: 'cannot renew its lease',
+		// The lease ends between the first two attempts at the start of the second member.
+		async prepare({cluster}) {
+			cluster.store.faults.silentRenewals = 6;
+			await cluster.clock.tickAsync(850);
+		},
+	},
+];
+
+/** Submits the gang and ends the term of the leader while the start of the second member has no connection. */
+const splitGang = async (fixture: Fixture, {prepare, end}: TermLoss) => {
+	const {cluster, first, faults} = fixture;
+	await prepare?.(fixture);
+	faults.patterns.start = ['unsent'];
+	faults.responseLossMs = 10_000;
+	await submitStep(first.scheduler.jobs, 1, newStep({count: 2, gang: true, accelerators: 8, estimateMs: ESTIMATE_MS}));
+	await cluster.clock.tickAsync(150);
+	end?.(fixture);
+	await cluster.clock.tickAsync(100);
+	faults.patterns.start = [];
+};
+
+// Guards against a report of a run that ended alone that does not tell a leader's own split of a gang from one that it took over.
+await t.test('the end of a member that waited in vain is logged with the terms and the known members', async (t) => {
+	const fixture = await createFixture(t);
+	const {cluster, lines, second} = fixture;
+	await splitGang(fixture, TERM_LOSSES[0]!);
+	second.crash();
+	await cluster.clock.tickAsync(4000);
+	cluster.startInstance('three');
+	await cluster.clock.tickAsync(12_000);
+	const end = lines.find(({event}) => event === 'gang-alone');
+	t.match(end?.fields, {unit: MEMBERS[0], run: '1', runTerm: '1', term: '2', members: '2', placed: '0'});
+	t.same(
+		cluster.violations.map(({rule}) => rule),
+		['alone'],
+		'no leader could have prevented it',
+	);
+});
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -106,7 +106,7 @@
 		storeLater: writer.storeLater,
 	});
 
-	const ends = createUnitEnds({state, placements, log, metrics, now});
+	const ends = createUnitEnds({state, placements, term: term.number, log, metrics, now});
 
 	const fleet = createWorkerFleet({
 		context,
--- a/packages/scheduler/src/lease-safety.property.test.ts
+++ b/packages/scheduler/src/lease-safety.property.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import t, {type Test} from 'tap';
 import {addressOf, createTestCluster, newWorker, submitStep, type Instance, type TestCluster} from './test/cluster.js';
-import type {UnitBehaviour} from './test/model-worker.js';
+import type {UnitBehaviour} from './test/model-runs.js';
 import type {CallKind, CallOutcome} from './test/model-worker-faults.js';
 
 type WorkerFault = 'cut-off' | 'mute' | 'draining' | 'healed';
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -109,7 +109,7 @@
 		},
 		ticketOf: () => undefined,
 	});
-	const ends = createUnitEnds({state, placements, log: createSilentLog(), metrics: createMetrics(), now});
+	const ends = createUnitEnds({state, placements, term: 1, log: createSilentLog(), metrics: createMetrics(), now});
 	const index = () => {
 		state.placementIndex.byWorker = placedByWorker(state);
 	};
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -10,6 +10,7 @@
 	type PlacedUnit,
 } from './leader-state.js';
 import {isCrashSuspect} from './crash-evidence.js';
+import {startSpreadMs} from './gangs.js';
 import {createCrashRecorder} from './crash-recorder.js';
 import {createLateStarts} from './late-starts.js';
 import {createPlacementStops} from './placement-stops.js';
@@ -106,6 +107,13 @@
 
 	const {stop, stopPlacement} = createPlacementStops({state, bounds, log, metrics, now, signal, removePlacement});
 
+	const observeGangStart = (part: Part) => {
+		const spreadMs = startSpreadMs(part);
+		if (spreadMs !== undefined) {
+			metrics.observe('gang_start_spread_milliseconds', spreadMs);
+		}
+	};
+
 	const handleStartResult = (activeJob: ActiveJob, part: Part, placement: Placement, result: OrderResult) => {
 		const unit = unitNameOf(activeJob, part, placement.index);
 		if (result.outcome === 'unknown' || (result.outcome === 'accepted' && result.isUncertain)) {
@@ -126,6 +134,7 @@
 			placement.acceptedMs ??= now();
 			if (placement.phase === 'starting') {
 				placement.phase = 'running';
+				observeGangStart(part);
 			}
 
 			if (!activeJob.hasBegun) {
--- a/packages/scheduler/src/stalled-units.test.ts
+++ b/packages/scheduler/src/stalled-units.test.ts
@@ -1,36 +1,28 @@
 import t from 'tap';
-import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
-import {partOf, type Part, type Placement} from './active-job.js';
+import type {Placement} from './active-job.js';
 import {findStalled, type StallExpectation} from './stalled-units.js';
-import {newActiveJob, newPlacementOn} from './test/active-job.js';
+import {newGang} from './test/active-job.js';
 
 const URGENT: StallExpectation = {expectedMs: 2500, isLongRunning: false, isBestEffort: false};
 
-const newPart = (changes: ReadonlyArray<Partial<Placement>>): Part => {
-	const activeJob = newActiveJob({steps: [newStep({count: changes.length, gang: true})]});
-	const part = partOf(activeJob, 0, 0, 0)!;
-	part.placements = changes.map((change, index) => newPlacementOn(`w${index}`, {index, ...change}));
-	return part;
-};
-
 // Guards against urgent gangs that miss their objective because a hanging worker is noticed only after seconds.
 await t.test('a run that stops progressing is found by its own speed', async (t) => {
 	const sound: Partial<Placement> = {percent: 60, progressMs: 1500, reportedMs: 1500};
 	const hanging: Partial<Placement> = {percent: 28, progressMs: 700, reportedMs: 1500};
-	t.equal(findStalled(newPart([sound, hanging]), URGENT)?.workerId, 'w1');
-	t.equal(findStalled(newPart([sound, {...hanging, reportedMs: 1300}]), URGENT), undefined);
+	t.equal(findStalled(newGang([sound, hanging]), URGENT)?.workerId, 'w1');
+	t.equal(findStalled(newGang([sound, {...hanging, reportedMs: 1300}]), URGENT), undefined);
 });
 
 // Guards against stops of long runs whose percentage changes seldom.
 await t.test('a slow run that takes seconds for a percent is not stalled', async (t) => {
-	const slow = newPart([{percent: 3, progressMs: 6000, reportedMs: 10_000}]);
+	const slow = newGang([{percent: 3, progressMs: 6000, reportedMs: 10_000}]);
 	t.equal(findStalled(slow, URGENT), undefined);
 });
 
 await t.test('a run that never progresses is found within the time that urgent work can spare', async (t) => {
-	t.ok(findStalled(newPart([{percent: 0, progressMs: 0, reportedMs: 1300}]), URGENT));
+	t.ok(findStalled(newGang([{percent: 0, progressMs: 0, reportedMs: 1300}]), URGENT));
 	t.equal(
-		findStalled(newPart([{percent: 0, progressMs: 0, reportedMs: 1300}]), {...URGENT, expectedMs: 8000}),
+		findStalled(newGang([{percent: 0, progressMs: 0, reportedMs: 1300}]), {...URGENT, expectedMs: 8000}),
 		undefined,
 	);
 });
@@ -38,12 +30,12 @@
 // Guards against a worker that is blamed for the wait for another member of its gang.
 await t.test('the wait for a member whose start is unanswered is no stall', async (t) => {
 	const waiting: Partial<Placement> = {percent: 0, progressMs: 0, reportedMs: 1800};
-	t.equal(findStalled(newPart([waiting, {acceptedMs: undefined, phase: 'starting'}]), URGENT), undefined);
-	t.equal(findStalled(newPart([waiting, {acceptedMs: 1200, reportedMs: 1800}]), URGENT), undefined);
+	t.equal(findStalled(newGang([waiting, {acceptedMs: undefined, phase: 'starting'}]), URGENT), undefined);
+	t.equal(findStalled(newGang([waiting, {acceptedMs: 1200, reportedMs: 1800}]), URGENT), undefined);
 });
 
 await t.test('time without reports, and best-effort units without CPU, do not count as stalled', async (t) => {
-	t.equal(findStalled(newPart([{percent: 50, progressMs: 1000, reportedMs: 1000}]), URGENT), undefined);
-	const idle = newPart([{percent: 50, progressMs: 1000, reportedMs: 4000, throttlePercent: 100}]);
+	t.equal(findStalled(newGang([{percent: 50, progressMs: 1000, reportedMs: 1000}]), URGENT), undefined);
+	const idle = newGang([{percent: 50, progressMs: 1000, reportedMs: 4000, throttlePercent: 100}]);
 	t.equal(findStalled(idle, {...URGENT, isBestEffort: true}), undefined);
 });
--- a/packages/scheduler/src/test/active-job.ts
+++ b/packages/scheduler/src/test/active-job.ts
@@ -1,6 +1,6 @@
-import {newJob} from '@bergamotgauge/jobs/test/fixtures.js';
+import {newJob, newStep} from '@bergamotgauge/jobs/test/fixtures.js';
 import type {Job} from '@bergamotgauge/jobs';
-import {createActiveJob, type ActiveJob, type Placement} from '../active-job.js';
+import {createActiveJob, partOf, type ActiveJob, type Part, type Placement} from '../active-job.js';
 
 /** Creates a job that has not begun, with changes to the accepted job. */
 export const newActiveJob = (change: Partial<Job> = {}): ActiveJob =>
@@ -36,3 +36,11 @@
 	throttleDoubtUntilMs: 0,
 	...change,
 });
+
+/** Creates a gang of `count` members, of which the first ones are placed, each on its own worker, with changes to their placements. */
+export const newGang = (changes: ReadonlyArray<Partial<Placement>>, count = changes.length): Part => {
+	const activeJob = newActiveJob({steps: [newStep({count, gang: true})]});
+	const part = partOf(activeJob, 0, 0, 0)!;
+	part.placements = changes.map((change, index) => newPlacementOn(`w${index}`, {index, ...change}));
+	return part;
+};
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -11,7 +11,9 @@
 import type {AdvicePort, Bounds, Declarations, Queue, Resources, Worker} from '../types.js';
 import type {MachinePort, Wave, WaveRecords, WaveState} from '../maintenance/types.js';
 import {createMemoryKeyValue, type MemoryKeyValue} from './memory-key-value.js';
-import {createModelWorker, type ModelWorker, type UnitBehaviour} from './model-worker.js';
+import {createModelGangs, NO_GANGS} from './model-gangs.js';
+import type {UnitBehaviour} from './model-runs.js';
+import {createModelWorker, type ModelWorker} from './model-worker.js';
 import {createRunChecker, type RunViolation} from './run-checker.js';
 
 export const BOUNDS: Bounds = {
@@ -96,6 +98,9 @@
 /** Time from the crash of a worker until its next incarnation responds. */
 export const WORKER_RESTART_MS = 3000;
 
+/** Time for which a member of a gang waits for the others. */
+export const MAX_GANG_WAIT_MS = 3000;
+
 /** Creates a cluster on a fake clock; it is closed when the test ends. */
 export const createTestCluster = (
 	t: Test,
@@ -108,6 +113,7 @@
 		policy = DEFAULT_POLICY,
 		bounds = BOUNDS,
 		acceleratorsOf = () => 0,
+		gangUnitsOf,
 	}: Readonly<{
 		advice?: AdvicePort;
 		machines?: MachinePort;
@@ -117,11 +123,14 @@
 		bounds?: Bounds;
 		/** Accelerators that a unit needs, for the check of the workers' capacity. */
 		acceleratorsOf?: (unit: string) => number;
+		/** Units of a unit's gang, which wait for each other on the workers; without it, members of gangs begin at once. */
+		gangUnitsOf?: (unit: string) => readonly string[];
 	}> = {},
 ): TestCluster => {
 	const clock = FakeTimers.install({now: 1_000_000});
 	const store = createMemoryKeyValue();
 	const models = new Map<string, ModelWorker>();
+	const gangs = gangUnitsOf ? createModelGangs(gangUnitsOf, MAX_GANG_WAIT_MS) : NO_GANGS;
 	const checker = createRunChecker(models, acceleratorsOf);
 	const lifecycles: Lifecycle[] = [];
 	const report = (worker: Worker) => {
@@ -133,7 +142,7 @@
 			crashWorker(worker.id);
 		};
 
-		models.set(worker.id, createModelWorker(worker, behaviourOf, checker.eventsOf(worker, crash)));
+		models.set(worker.id, createModelWorker(worker, behaviourOf, checker.eventsOf(worker, crash), gangs));
 		checker.setAccelerators(worker.id, worker.capacity.accelerators);
 		report(worker);
 	};
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -11,19 +11,11 @@
 	WorkerPort,
 	WorkerReport,
 } from '../types.js';
+import {NO_GANGS, type ModelGangs} from './model-gangs.js';
+import {beginRun, createModelRun, percentOf, type ModelRun, type UnitBehaviour} from './model-runs.js';
 import {NO_EVENTS, type WorkerEvents} from './model-worker-events.js';
 import {createFaultyCalls, createWorkerFaults, type CallKind, type WorkerFaults} from './model-worker-faults.js';
 
-/** Simulated behaviour of a unit. */
-export type UnitBehaviour = Readonly<{
-	runMs: number;
-	how: RunEnd;
-	/** For long-running units: time after which the unit is serving. */
-	startupMs?: number;
-	/** The worker crashes at the end of the run time. */
-	crashesWorker?: boolean;
-}>;
-
 /** Whether a process answers at the worker's address: this incarnation, none, or a later one with another id. */
 export type Availability = 'up' | 'down' | 'replaced';
 
@@ -32,8 +24,6 @@
 /** A call to the worker, whether or not it was sent and arrived. */
 export type WorkerCall = Readonly<{kind: CallKind; atMs: number}> & Partial<RunTarget>;
 
-type Run = {unit: string; run: number; timer: NodeJS.Timeout; startedMs: number; behaviour: UnitBehaviour};
-
 /** A simulated worker that follows the protocol for fencing tokens, leases, stopped runs and acknowledged ends. */
 export type ModelWorker = Readonly<{
 	worker: Worker;
@@ -63,19 +53,15 @@
 	acknowledged: () => number;
 }>;
 
-const percentOf = ({runMs, startupMs}: UnitBehaviour, ranMs: number): number =>
-	startupMs === undefined
-		? Math.min(99, Math.round((100 * ranMs) / runMs))
-		: Math.min(100, Math.round((100 * ranMs) / startupMs));
-
 /** Creates a worker that uses the clock of the runtime, which tests may fake. */
 export const createModelWorker = (
 	worker: Worker,
 	behave: (unit: string) => UnitBehaviour,
 	events: WorkerEvents = NO_EVENTS,
+	gangs: ModelGangs = NO_GANGS,
 ): ModelWorker => {
 	/** Active runs, by unit and run: a delayed start may bring up an older run of a unit beside a newer one. */
-	const runs = new Map<string, Run>();
+	const runs = new Map<string, ModelRun>();
 	const closedRuns = new Map<string, number>();
 	const starts = new Map<string, number>();
 	const throttles = new Map<string, number>();
@@ -106,7 +92,7 @@
 
 	const runKey = (unit: string, run: number): string => `${unit} ${run}`;
 
-	const end = (run: Run, how: RunEnd) => {
+	const end = (run: ModelRun, how: RunEnd) => {
 		clearTimeout(run.timer);
 		runs.delete(runKey(run.unit, run.run));
 		closedRuns.set(run.unit, Math.max(closedRuns.get(run.unit) ?? 0, run.run));
@@ -122,6 +108,8 @@
 		for (const wake of waiting) {
 			wake();
 		}
+
+		run.leaveGang(how);
 	};
 
 	const extendLease = (untilMs: number) => {
@@ -177,22 +165,26 @@
 
 		const usual = behave(unit);
 		const behaviour = {...usual, runMs: usual.runMs * faults.slowness};
-		const started: Run = {
-			unit,
-			run,
-			behaviour,
-			startedMs: performance.now(),
-			timer: setTimeout(() => {
-				if (behaviour.crashesWorker) {
-					events.onCrash(unit);
-				} else {
-					end(started, behaviour.how);
-				}
-			}, behaviour.runMs),
-		};
+		const started = createModelRun(unit, run, behaviour);
 		runs.set(runKey(unit, run), started);
 		starts.set(unit, (starts.get(unit) ?? 0) + 1);
 		events.onStart(order);
+		const finish = () => {
+			if (behaviour.crashesWorker) {
+				events.onCrash(unit);
+			} else {
+				end(started, behaviour.how);
+			}
+		};
+
+		started.leaveGang = gangs.join(unit, run, {
+			begin() {
+				beginRun(started, finish);
+			},
+			end(how) {
+				end(started, how);
+			},
+		});
 		return accept();
 	};
 
@@ -267,12 +259,12 @@
 		outcome: 'accepted',
 		clockMs: clockMs(),
 		startedMs,
-		running: [...runs.values()].map(({unit, run, startedMs, behaviour}) => ({
-			unit,
-			run,
+		running: [...runs.values()].map((active) => ({
+			unit: active.unit,
+			run: active.run,
 			checkpoint: '',
-			recentFigure: tailLatencies.get(unit),
-			percent: percentOf(behaviour, performance.now() - startedMs),
+			recentFigure: tailLatencies.get(active.unit),
+			percent: percentOf(active),
 		})),
 		ended: listEnded(acknowledged),
 	});
@@ -324,11 +316,13 @@
 		},
 		crash(keepsCalls = false) {
 			clearTimeout(leaseTimer);
-			for (const {timer} of runs.values()) {
+			const lost = [...runs.values()];
+			runs.clear();
+			for (const {timer, leaveGang} of lost) {
 				clearTimeout(timer);
+				leaveGang('lapsed');
 			}
 
-			runs.clear();
 			if (!keepsCalls) {
 				clear();
 			}
--- a/packages/scheduler/src/test/run-checker.ts
+++ b/packages/scheduler/src/test/run-checker.ts
@@ -11,6 +11,8 @@
 		| 'start-after-success'
 		/** The runs on the worker need more accelerators than it has, or had when its report could still be unknown. */
 		| 'over-capacity'
+		/** A member of a gang waited for the others until it was stopped. */
+		| 'alone'
 		/** The unit was started more often than allowed after it had crashed as many workers as allowed. */
 		| 'start-after-crashes';
 	unit: string;
@@ -133,6 +135,9 @@
 			onEnd(end) {
 				position += 1;
 				endPositions.set(end, position);
+				if (end.how === 'alone') {
+					violations.push({rule: 'alone', unit: end.unit, worker: worker.id, atMs: performance.now()});
+				}
 			},
 			onAcknowledged(_sequence, ends) {
 				for (const end of ends) {
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -1,6 +1,7 @@
 import {parseUnitName, type UnitName} from '@bergamotgauge/jobs';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {partOf, stepOf, type ActiveJob, type Part} from './active-job.js';
+import {describeGang} from './gangs.js';
 import {recordEnd} from './job-outcome.js';
 import {expectedObjectiveMs, isDataLocal, type LeaderState} from './leader-state.js';
 import type {Placements} from './placements.js';
@@ -11,6 +12,8 @@
 export type UnitEndsOptions = Readonly<{
 	state: LeaderState;
 	placements: Placements;
+	/** Number of the term. */
+	term: number;
 	log: Log;
 	metrics: Metrics;
 	now: () => number;
@@ -25,7 +28,7 @@
 }>;
 
 /** Creates the handler of unit and job ends for a term. */
-export const createUnitEnds = ({state, placements, log, metrics, now}: UnitEndsOptions): UnitEnds => {
+export const createUnitEnds = ({state, placements, term, log, metrics, now}: UnitEndsOptions): UnitEnds => {
 	const finishJob = (activeJob: ActiveJob) => {
 		const {id, queue, customer, priority, acceptedMs} = activeJob.job;
 		const ageMs = Date.now() - acceptedMs;
@@ -57,6 +60,17 @@
 		const placement = part.placements.find(
 			({workerId, index, run: placed}) => workerId === end.workerId && index === name.index && placed === end.run,
 		);
+		if (end.how === 'alone') {
+			log.warn('gang-alone', {
+				unit: end.unit,
+				run: end.run,
+				worker: end.workerId,
+				term,
+				...describeGang(part, end.run),
+			});
+		}
+
+		metrics.count('unit_ends_total', {how: end.how});
 		const isLocal = isDataLocal(state, activeJob, part);
 		const ranMs = placement && Math.round(now() - placement.startedMs);
 		const effect = recordEnd(activeJob, part, {...end, index: name.index}, Date.now());
