--- a/packages/scheduler/src/gang-takeover.test.ts
+++ b/packages/scheduler/src/gang-takeover.test.ts
@@ -83,6 +83,20 @@
 	faults.patterns.start = [];
 };
 
+// Guards against a member of a gang that a new leader adopts and leaves alone: it waits for the others until its worker gives
+// it up, and the gang keeps its accelerators meanwhile.
+for (const loss of TERM_LOSSES) {
+	await t.test(`a gang of which one member was started when the leader ${loss.name} runs whole`, async (t) => {
+		const fixture = await createFixture(t);
+		const {cluster, second} = fixture;
+		await splitGang(fixture, loss);
+		t.equal(cluster.startsOf(MEMBERS[0]!) + cluster.startsOf(MEMBERS[1]!), 1, 'one member was started');
+		await cluster.clock.tickAsync(12_000);
+		t.same(cluster.violations, []);
+		t.equal(await second.scheduler.jobs.state(addressOf(1)), 'completed');
+	});
+}
+
 // Guards against a report of a run that ended alone that does not tell a leader's own split of a gang from one that it took over.
 await t.test('the end of a member that waited in vain is logged with the terms and the known members', async (t) => {
 	const fixture = await createFixture(t);
