Stop members of a gang that wait for one that nobody starts

Users saw part of a gang run alone: its members held their accelerators and waited until their workers gave them up.

Cause: a leader that lost its term between two starts of one gang left the first member waiting. The next leader adopted it, and since a part with a placement is not pending, nothing started the missing member or stopped the other. Only the events that break up a gang were handled, by the leader that saw them; no rule looked at the state that a takeover finds. A run with a short estimate was stopped as stalled, and its worker was blamed. Ruled out: starting the missing member under the same run number, since it may still run on a worker that has not responded; stopping at once on adoption, since the other members are reported by other workers. Change: each planning pass compares the placements of a gang with its members. A missing member ends the others when no worker can have it; while a worker has not responded, a gang that shows progress goes on, and one that shows none for 500 ms is stopped. A gang with a missing member is no stall.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -212,6 +212,9 @@
 /** Time within which the other members of a gang report the end of their work. */
 export const GANG_END_MS = 1000;
 
+/** Time within which a run that works shows progress, since reports have whole percents and few runs take over 50 s. */
+export const GANG_PROGRESS_MS = 500;
+
 /** Shortest time without progress after which a run that has progressed counts as stalled; longer than a short stop of its worker. */
 export const MIN_STALL_MS = 700;
 
--- a/packages/scheduler/src/placement-reports.ts
+++ b/packages/scheduler/src/placement-reports.ts
@@ -56,6 +56,7 @@
 		workerId: string,
 		index: number,
 	) => {
+		const adoptedMs = now();
 		const newest = Math.max(runningUnit.run, ...part.placements.map((placement) => placement.run));
 		log.info('run-adopted', {
 			unit: runningUnit.unit,
@@ -68,8 +69,8 @@
 			index,
 			run: runningUnit.run,
 			phase: 'running',
-			startedMs: now(),
-			acceptedMs: now(),
+			startedMs: adoptedMs,
+			acceptedMs: adoptedMs,
 			stopAcceptedMs: undefined,
 			isStartUncertain: false,
 			heldUntilMs: undefined,
@@ -77,9 +78,9 @@
 			missedReports: 0,
 			percent: runningUnit.percent,
 			isFullRun: false,
-			progressMs: now(),
-			reportedMs: now(),
-			window: openWindow({atMs: now(), percent: runningUnit.percent}),
+			progressMs: adoptedMs,
+			reportedMs: adoptedMs,
+			window: openWindow({atMs: adoptedMs, percent: runningUnit.percent}),
 			recentFigure: runningUnit.recentFigure,
 			// An earlier leader may have throttled the unit.
 			throttlePercent: undefined,
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,9 +1,10 @@
-import {EVACUATION_MARGIN_MS} from './constants.js';
+import {EVACUATION_MARGIN_MS, GANG_PROGRESS_MS} from './constants.js';
 import {protectedParts} from './disruption-budget.js';
 import {pendingAdviceRequests} from './advice-requests.js';
 import type {Advisor} from './advisor.js';
 import type {Term} from './election.js';
 import {addDueOccurrences, stepOf, type ActiveJob, type Part} from './active-job.js';
+import {describeGang, gangStateOf} from './gangs.js';
 import {expectedRunMs, placedByWorker, workerHealthOf, type LeaderState} from './leader-state.js';
 import {recordCrash} from './crash-evidence.js';
 import {updateOutcome} from './job-outcome.js';
@@ -118,6 +119,24 @@
 	const isBlocked = (activeJob: ActiveJob, part: Part): boolean =>
 		activeJob.jobRevision < term.leaderRevision && fleet.mayRunPart(partIdOf(activeJob, part));
 
+	/**
+	Stops members of a gang that wait for one that nobody starts: an earlier leader lost its term between their starts, or a placement was removed. The part is then started again as a whole.
+	*/
+	const stopIncompleteGang = (activeJob: ActiveJob, part: Part) => {
+		const gangState = part.indexes.length > 1 ? gangStateOf(part, isBlocked(activeJob, part)) : 'whole';
+		if (gangState === 'undecided') {
+			for (const {workerId, startedMs} of part.placements) {
+				if (now() - startedMs >= GANG_PROGRESS_MS) {
+					void state.links.get(workerId)?.pollProgress();
+				}
+			}
+		} else if (gangState === 'incomplete') {
+			const run = Math.max(...part.placements.map((placement) => placement.run));
+			context.log.info('gang-incomplete', {part: partIdOf(activeJob, part), run, ...describeGang(part, run)});
+			placements.stop(activeJob, part, 'gang-incomplete');
+		}
+	};
+
 	/** Counts a run that an earlier leader has ordered on trial and that no worker reports: it may have crashed its worker. */
 	const recordLostTrial = (activeJob: ActiveJob, part: Part) => {
 		if (part.trialRun === 0 || part.isDone || part.placements.length > 0 || isBlocked(activeJob, part)) {
@@ -178,6 +197,7 @@
 			nextDueMs = Math.min(nextDueMs, addDueOccurrences(activeJob, Date.now()) ?? Number.POSITIVE_INFINITY);
 			for (const part of activeJob.parts.values()) {
 				stopStalled(activeJob, part);
+				stopIncompleteGang(activeJob, part);
 				recordLostTrial(activeJob, part);
 				parts.set(partIdOf(activeJob, part), [activeJob, part]);
 			}
--- a/packages/scheduler/src/stalled-units.test.ts
+++ b/packages/scheduler/src/stalled-units.test.ts
@@ -39,3 +39,10 @@
 	const idle = newGang([{percent: 50, progressMs: 1000, reportedMs: 4000, throttlePercent: 100}]);
 	t.equal(findStalled(idle, {...URGENT, isBestEffort: true}), undefined);
 });
+
+// Guards against a worker that is blamed for the wait for a member that an earlier leader has not started.
+await t.test('the wait for a member that is not placed is no stall', async (t) => {
+	const waiting: Partial<Placement> = {percent: 0, progressMs: 0, reportedMs: 1800};
+	t.equal(findStalled(newGang([waiting], 2), URGENT), undefined);
+	t.ok(findStalled(newGang([waiting]), URGENT));
+});
--- a/packages/scheduler/src/stalled-units.ts
+++ b/packages/scheduler/src/stalled-units.ts
@@ -21,7 +21,11 @@
 }>;
 
 /** Time at which the part began; `undefined` while a member of the gang has not started, since the others wait for it. */
-const beganMs = ({placements}: Part): number | undefined => {
+const beganMs = ({indexes, placements}: Part): number | undefined => {
+	if (placements.length < indexes.length) {
+		return undefined;
+	}
+
 	const times = placements.map(({acceptedMs}) => acceptedMs);
 	return times.every((atMs) => atMs !== undefined) ? Math.max(...times) : undefined;
 };
