--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -45,6 +45,9 @@
 */
 export const ORDER_DEADLINES_MS = [200, 400, 600] as const;
 
+/** Longest time of an order: each attempt may wait for a connection until its deadline, and again for its response. */
+export const MAX_ORDER_MS = 2 * ORDER_DEADLINES_MS.reduce((sum, deadlineMs) => sum + deadlineMs, 0);
+
 /** Interval between measurements of the delay of the event loop. */
 export const LOOP_SAMPLE_MS = 50;
 
--- a/packages/scheduler/src/order-deadlines.test.ts
+++ b/packages/scheduler/src/order-deadlines.test.ts
@@ -3,7 +3,7 @@
 import {ServiceError} from '@bergamotgauge/model';
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import t, {type Test} from 'tap';
-import {ORDER_DEADLINES_MS} from './constants.js';
+import {MAX_ORDER_MS, ORDER_DEADLINES_MS} from './constants.js';
 import type {OrderReply, SendOptions} from './types.js';
 import {createOrderSender, type OrderResult} from './worker-orders.js';
 
@@ -128,3 +128,17 @@
 
 	t.same(await result, {outcome: 'unknown', refusal: undefined});
 });
+
+// Guards against a bound on gangs that counts as kept although the other members may wait longer for the last attempt.
+await t.test('the longest order waits for a connection and then for a response in each attempt', async (t) => {
+	const {attempts, result, clock} = createFixture(t);
+	const startedMs = performance.now();
+	for (const [index, deadlineMs] of ORDER_DEADLINES_MS.entries()) {
+		await clock.tickAsync(deadlineMs - 1);
+		t.ok(attempts[index]?.write());
+		await clock.tickAsync(deadlineMs + 1);
+	}
+
+	t.same(await result, {outcome: 'unknown', refusal: undefined});
+	t.equal(performance.now() - startedMs, MAX_ORDER_MS);
+});
