Test a member of a gang that is adopted after the end of another one

A new leader handles the end of one member, which stops the members it has adopted so far; one that it adopts later waits in vain.

--- a/packages/scheduler/src/gang-start-guard.test.ts
+++ b/packages/scheduler/src/gang-start-guard.test.ts
@@ -1,11 +1,11 @@
 import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
-import {createLog, parseLine, type LogLine} from '@bergamotgauge/telemetry';
 import t, {type Test} from 'tap';
 import {ORDER_DEADLINES_MS} from './constants.js';
 import {JOBS_PREFIX} from './keys.js';
 import {maxViewAgeMs} from './start-guard.js';
 import {addressOf, BOUNDS, createTestCluster, newWorker, submitStep, unitOf} from './test/cluster.js';
 import type {CallOutcome} from './test/model-worker-faults.js';
+import {createRecordedLog} from './test/recorded-log.js';
 
 const GANG = newStep({count: 2, gang: true, accelerators: 8, estimateMs: 3000});
 const MEMBERS = new Set([unitOf(2, 0), unitOf(2, 1)]);
@@ -18,22 +18,6 @@
 
 const STEP_MS = 50;
 
-const createRecordedLog = () => {
-	const lines: LogLine[] = [];
-	const log = createLog({
-		level: 'info',
-		output: {
-			write(text: string) {
-				const line = parseLine(text);
-				if (line) {
-					lines.push(line);
-				}
-			},
-		},
-	});
-	return {log, lines};
-};
-
 /** Two workers that a gang needs whole, while unit 1 occupies one of them; the clock is at 1 s. */
 const startWithWaitingGang = async (t: Test) => {
 	const {log, lines} = createRecordedLog();
--- a/packages/scheduler/src/gang-takeover.test.ts
+++ b/packages/scheduler/src/gang-takeover.test.ts
@@ -1,10 +1,12 @@
 /** Pattern: a change of leader between the starts of one gang. Workers let a member that began wait for the others. */
 import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
-import {createLog, parseLine, type LogLine} from '@bergamotgauge/telemetry';
 import t, {type Test} from 'tap';
 import {addressOf, createTestCluster, newWorker, submitStep, unitOf} from './test/cluster.js';
+import {createRecordedLog} from './test/recorded-log.js';
 
 const MEMBERS = [unitOf(1, 0), unitOf(1, 1)];
+
+const LARGER_GANG = [0, 1, 2].map((index) => unitOf(2, index));
 const RUN_MS = 3000;
 
 /** So long that a run without progress does not count as stalled before its worker gives it up. */
@@ -14,18 +16,7 @@
 
 /** Workers, each of which has room for one member of a gang of two, and two instances of which the first one leads. */
 const createFixture = async (t: Test, workers: readonly string[] = ['w1', 'w2']) => {
-	const lines: LogLine[] = [];
-	const log = createLog({
-		level: 'info',
-		output: {
-			write(text: string) {
-				const line = parseLine(text);
-				if (line) {
-					lines.push(line);
-				}
-			},
-		},
-	});
+	const {log, lines} = createRecordedLog();
 	const cluster = createTestCluster(
 		t,
 		workers.map((id) => newWorker(id)),
@@ -33,7 +24,7 @@
 		{
 			log,
 			acceleratorsOf: () => 8,
-			gangUnitsOf: () => MEMBERS,
+			gangUnitsOf: (unit) => (LARGER_GANG.includes(unit) ? LARGER_GANG : MEMBERS),
 		},
 	);
 	const first = cluster.startInstance('one');
@@ -115,6 +106,36 @@
 	t.equal(await second.scheduler.jobs.state(addressOf(1)), 'completed');
 });
 
+// Guards against a member that is adopted after the end of another one was taken up, so that this end does not stop it.
+await t.test('a member that waits is stopped although the end of another one was reported first', async (t) => {
+	const {cluster, first, second} = await createFixture(t, ['w1', 'w2', 'w3']);
+	const waiting = cluster.workers.get('w3')!.faults;
+	waiting.patterns.start = ['unsent'];
+	waiting.responseLossMs = 10_000;
+	cluster.workers.get('w2')!.faults.reportDelayMs = 200;
+	await submitStep(first.scheduler.jobs, 2, {...GANG, count: 3});
+	await cluster.clock.tickAsync(150);
+	const runs = ['w1', 'w2'].flatMap((id) => cluster.workers.get(id)!.running());
+	t.equal(runs.length, 2);
+	// The last order of the first leader.
+	await cluster.workers
+		.get('w1')!
+		.port()
+		.stop(
+			{...cluster.workers.get('w1')!.running()[0]!, token: 1},
+			{
+				signal: new AbortController().signal,
+				maySend: () => true,
+			},
+		);
+	first.crash();
+	await cluster.clock.tickAsync(100);
+	waiting.patterns.start = [];
+	await cluster.clock.tickAsync(12_000);
+	t.same(cluster.violations, []);
+	t.equal(await second.scheduler.jobs.state(addressOf(2)), 'completed');
+});
+
 // Guards against a gang at work that is stopped and run again because one of its workers is slow to respond.
 await t.test('a gang at work is left alone while one of its workers does not respond to the new leader', async (t) => {
 	const fixture = await createFixture(t);
