Acknowledge ends only on a recent report of the worker

Cause: the leader's term was paused during a store outage, and it sent nothing to its workers, so their links stayed synced. A worker started again under its id meanwhile. When the store was back, the leader stored the ends of the earlier incarnation and acknowledged them at once; the new incarnation, which numbers its ends from 1, then forgot its own ends unread. They show as unit-vanished, and the units were started again. Change: an acknowledgement needs a report that the worker has composed within 500 ms, also after a wait for a connection; otherwise the next renewal carries none and shows which incarnation is there. A renewal that is withdrawn for this does not make the worker silent. A restart within 500 ms of a report is still open.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -65,6 +65,9 @@
 /** Longest time from the check of an attempt at a start to its arrival at the worker: its deadline and the way there. */
 export const START_LEAD_MS = 700;
 
+/** Oldest report of a worker on which an acknowledgement of its ends may rest; shorter than most restarts of a worker, longer than a store takes to write the ends. */
+export const MAX_ACKNOWLEDGED_REPORT_AGE_MS = 500;
+
 /** Deadline of a progress poll of a worker's units. */
 export const PROGRESS_POLL_DEADLINE_MS = 500;
 
--- a/packages/scheduler/src/renewal-loop.ts
+++ b/packages/scheduler/src/renewal-loop.ts
@@ -14,7 +14,10 @@
 
 export type RenewalOutcome = Readonly<
 	/** `hasNews` is set by new ends, and by the first response. */
-	{outcome: 'renewed'; hasNews: boolean} | {outcome: 'refused'; reason: StartRefusal}
+	| {outcome: 'renewed'; hasNews: boolean}
+	| {outcome: 'refused'; reason: StartRefusal}
+	/** Its reasons ended while it waited for a connection. */
+	| {outcome: 'withdrawn'}
 >;
 
 export type RenewalLoopOptions = Readonly<{
@@ -68,6 +71,10 @@
 				return true;
 			}
 
+			if (renewal.outcome === 'withdrawn') {
+				return false;
+			}
+
 			// A refusal shows that the worker is there, so only lasting refusals count as silence.
 			refusedSinceMs ??= now();
 			if (now() - refusedSinceMs > RENEWAL_GRACE_MS) {
--- a/packages/scheduler/src/restarted-workers.test.ts
+++ b/packages/scheduler/src/restarted-workers.test.ts
@@ -1,6 +1,14 @@
 import {newStep} from '@bergamotgauge/jobs/test/fixtures.js';
 import t from 'tap';
-import {addressOf, createTestCluster, newWorker, submitStep, unitOf, WORKER_RESTART_MS} from './test/cluster.js';
+import {
+	addressOf,
+	createTestCluster,
+	newWorker,
+	submitStep,
+	unitOf,
+	WORKER_PREFIX,
+	WORKER_RESTART_MS,
+} from './test/cluster.js';
 
 const STARTED_MS = 900_000;
 const STEP = newStep({cpuMillis: 4000, accelerators: 1, estimateMs: 3000});
@@ -194,3 +202,54 @@
 	t.same(cluster.violations, []);
 	t.equal(cluster.startsOf(unitOf(1)), 1);
 });
+
+// Guards against a leader that, after a pause, acknowledges ends to the next life of a worker, which then forgets its own ends:
+// work that has succeeded there is run again.
+await t.test(
+	'a leader that was paused acknowledges nothing to a worker that has started again meanwhile',
+	async (t) => {
+		const cluster = createTestCluster(t, [newReportingWorker('w1')], () => ({runMs: 1000, how: 'done'}));
+		const {scheduler} = cluster.startInstance('one');
+		await cluster.clock.tickAsync(500);
+		for (let id = 1; id <= 3; id += 1) {
+			await submitStep(scheduler.jobs, id, STEP);
+		}
+
+		// The ends are reported and cannot be stored; the term is paused before the worker is away.
+		await cluster.clock.tickAsync(900);
+		cluster.store.faults.isDown = true;
+		await cluster.clock.tickAsync(2000);
+		cluster.store.faults.silentWatches.add(WORKER_PREFIX);
+		cluster.store.silenceWatches(WORKER_PREFIX);
+		cluster.crashWorker('w1');
+		await cluster.clock.tickAsync(WORKER_RESTART_MS + 100);
+		cluster.store.faults.isDown = false;
+		await cluster.clock.tickAsync(1000);
+		cluster.store.faults.silentWatches.clear();
+		t.equal(cluster.workers.get('w1')!.acknowledged(), 0);
+		await submitStep(scheduler.jobs, 4, STEP);
+		await cluster.clock.tickAsync(15_000);
+		t.same(cluster.violations, []);
+		t.equal(cluster.startsOf(unitOf(4)), 1);
+		t.equal(await scheduler.jobs.state(addressOf(4)), 'completed');
+	},
+);
+
+// Guards against a worker that counts as silent because an acknowledgement was not sent after a long wait for a connection.
+await t.test('an acknowledgement that waits too long for a connection is sent later', async (t) => {
+	const {log, lines} = createRecordedLog();
+	const cluster = createTestCluster(t, [newReportingWorker('w1')], () => ({runMs: 1000, how: 'done'}), {log});
+	const {scheduler} = cluster.startInstance('one');
+	await cluster.clock.tickAsync(500);
+	await submitStep(scheduler.jobs, 1, STEP);
+	await cluster.clock.tickAsync(500);
+	const {faults} = cluster.workers.get('w1')!;
+	faults.connectionWaitMs = 700;
+	await cluster.clock.tickAsync(6000);
+	t.equal(await scheduler.jobs.state(addressOf(1)), 'completed');
+	faults.connectionWaitMs = 0;
+	await cluster.clock.tickAsync(3000);
+	t.equal(cluster.workers.get('w1')!.acknowledged(), 1);
+	t.notOk(lines.some(({event, fields}) => event === 'worker-link' && fields.to === 'silent'));
+	t.equal(cluster.startsOf(unitOf(1)), 1);
+});
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -1,9 +1,15 @@
 import {withDeadline} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
-import {DRAINING_LEASE_MS, LEASE_SHARE, PROGRESS_POLL_DEADLINE_MS, RENEWAL_GRACE_MS} from './constants.js';
+import {
+	DRAINING_LEASE_MS,
+	LEASE_SHARE,
+	MAX_ACKNOWLEDGED_REPORT_AGE_MS,
+	PROGRESS_POLL_DEADLINE_MS,
+	RENEWAL_GRACE_MS,
+} from './constants.js';
 import {runRenewalLoop, type RenewalOutcome} from './renewal-loop.js';
 import {createReportedEnds} from './reported-ends.js';
-import type {SendCheck} from './send-check.js';
+import {createSendCheck, type SendCheck} from './send-check.js';
 import type {SendOptions, StartRefusal, WorkerPort, WorkerReport} from './types.js';
 import {createWaker} from './waker.js';
 import {createWorkerClock} from './worker-clock.js';
@@ -37,6 +43,8 @@
 	let silentSinceMs: number | undefined;
 	let lastReplyMs: number | undefined;
 	let confirmedMs = Number.NEGATIVE_INFINITY;
+	/** Time at which the worker composed its last report. */
+	let reportedMs = Number.NEGATIVE_INFINITY;
 	let {startedMs} = options.worker;
 	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
 		if (state !== next) {
@@ -76,9 +84,15 @@
 		return false;
 	};
 
+	/** Whether a report is so recent that the worker has hardly started again since. A link stays synced while a paused term sends nothing. */
+	const isReportRecent = (): boolean => now() - reportedMs <= MAX_ACKNOWLEDGED_REPORT_AGE_MS;
+
 	/** The acknowledgement to send. Another incarnation would take it for one of its own ends, so none is repeated, and none is sent to a worker that may have started again. */
 	const acknowledgement = (): number =>
-		state === 'synced' && ends.acknowledged() > ends.confirmed() ? ends.acknowledged() : 0;
+		state === 'synced' && isReportRecent() && ends.acknowledged() > ends.confirmed() ? ends.acknowledged() : 0;
+
+	/** Whether a call with the acknowledgement may still be sent, after a wait for a connection. */
+	const mayAcknowledge = (sequence: number): boolean => sequence === 0 || isReportRecent();
 
 	const handleRefusal = (reason: StartRefusal) => {
 		if (reason === 'stale-token') {
@@ -103,10 +117,11 @@
 		}
 	};
 
-	const timesOf = ({clockMs}: AcceptedReport, sentMs: number): ReportTimes => ({
-		sentMs,
-		composedMs: clock.timeOf(clockMs, sentMs, now()),
-	});
+	const observeReport = ({clockMs}: AcceptedReport, sentMs: number): ReportTimes => {
+		const composedMs = clock.timeOf(clockMs, sentMs, now());
+		reportedMs = Math.max(reportedMs, composedMs);
+		return {sentMs, composedMs};
+	};
 
 	const order = createOrderSender({
 		workerId: options.worker.id,
@@ -136,15 +151,26 @@
 
 		const acknowledgedSequence = acknowledgement();
 		const waitMs = isFirst || state === 'silent' ? 0 : events.renewalWaitMs(link);
-		const report = await withDeadline(
-			waitMs + RENEWAL_GRACE_MS,
-			async (deadlineSignal) =>
-				port.renewLease(
-					{token, acknowledgedSequence, waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})},
-					{signal: deadlineSignal, maySend},
-				),
-			signal,
-		);
+		const check = createSendCheck(() => maySend() && mayAcknowledge(acknowledgedSequence));
+		let report: WorkerReport;
+		try {
+			report = await withDeadline(
+				waitMs + RENEWAL_GRACE_MS,
+				async (deadlineSignal) =>
+					port.renewLease(
+						{token, acknowledgedSequence, waitMs, ...(leaseUntilMs !== undefined && {leaseUntilMs})},
+						{signal: deadlineSignal, maySend: check.maySend},
+					),
+				signal,
+			);
+		} catch (error) {
+			if (check.isWithdrawn()) {
+				return {outcome: 'withdrawn'};
+			}
+
+			throw error;
+		}
+
 		if (report.outcome === 'refused') {
 			metrics.count('lease_renewals_refused_total', {reason: report.reason});
 			log.info('renewal-refused', {worker: options.worker.id, reason: report.reason, leaseUntilMs});
@@ -164,7 +190,7 @@
 			...(report.startedMs !== undefined && {startedMs: report.startedMs}),
 		});
 		const hasNews = ends.handle(report.ended) || isFirst;
-		events.onReport(link, report.running, timesOf(report, sentMs));
+		events.onReport(link, report.running, observeReport(report, sentMs));
 		return {outcome: 'renewed', hasNews};
 	};
 
@@ -238,11 +264,12 @@
 
 			isPolling = true;
 			const sentMs = now();
+			const acknowledgedSequence = acknowledgement();
 			try {
 				const report = await withDeadline(PROGRESS_POLL_DEADLINE_MS, async (deadlineSignal) =>
 					port.renewLease(
-						{token, acknowledgedSequence: acknowledgement(), waitMs: 0},
-						{signal: deadlineSignal, maySend: isActive},
+						{token, acknowledgedSequence, waitMs: 0},
+						{signal: deadlineSignal, maySend: () => mayAcknowledge(acknowledgedSequence) && isActive()},
 					),
 				);
 				if (report.outcome === 'refused') {
@@ -251,7 +278,7 @@
 					observeReply(report, sentMs);
 					// An earlier report with these ends may have been lost.
 					ends.handle(report.ended);
-					events.onProgress(link, report.running, timesOf(report, sentMs));
+					events.onProgress(link, report.running, observeReport(report, sentMs));
 				}
 			} catch (error) {
 				// Only the renewal loop decides whether the worker counts as silent.
