--- a/packages/scheduler/src/restarted-workers.test.ts
+++ b/packages/scheduler/src/restarted-workers.test.ts
@@ -9,6 +9,7 @@
 	WORKER_PREFIX,
 	WORKER_RESTART_MS,
 } from './test/cluster.js';
+import {createRecordedLog} from './test/recorded-log.js';
 
 const STARTED_MS = 900_000;
 const STEP = newStep({cpuMillis: 4000, accelerators: 1, estimateMs: 3000});
