--- a/packages/scheduler/src/decision-log.test.ts
+++ b/packages/scheduler/src/decision-log.test.ts
@@ -1,7 +1,7 @@
 import {newStep, newSubmission} from '@bergamotgauge/jobs/test/fixtures.js';
-import {createLog, parseLine, type LogLine} from '@bergamotgauge/telemetry';
 import t from 'tap';
 import {createTestCluster, newWorker, QUEUE} from './test/cluster.js';
+import {createRecordedLog} from './test/recorded-log.js';
 
 const idOf = (id: number): string => id.toString(16).padStart(16, '0');
 
@@ -10,18 +10,7 @@
 await t.test(
 	'each failed or cancelled job has one log line with its outcome, and its failed runs are logged',
 	async (t) => {
-		const lines: LogLine[] = [];
-		const log = createLog({
-			level: 'info',
-			output: {
-				write(text: string) {
-					const line = parseLine(text);
-					if (line) {
-						lines.push(line);
-					}
-				},
-			},
-		});
+		const {log, lines} = createRecordedLog();
 		const cluster = createTestCluster(
 			t,
 			['w1', 'w2', 'w3'].map((id) => newWorker(id)),
--- a/packages/scheduler/src/start-guard.test.ts
+++ b/packages/scheduler/src/start-guard.test.ts
@@ -1,24 +1,14 @@
-import {createLog, createMetrics, parseLine, type LogLine} from '@bergamotgauge/telemetry';
+import {createMetrics} from '@bergamotgauge/telemetry';
 import t from 'tap';
 import {START_LEAD_MS} from './constants.js';
 import {createStartGuard, maxViewAgeMs, MIN_START_BOUND_MS} from './start-guard.js';
 import {BOUNDS} from './test/cluster.js';
+import {createRecordedLog} from './test/recorded-log.js';
 import {createViewAges} from './view-ages.js';
 
 // Guards against starts on outdated views, and against log lines for each check.
 await t.test('starts are paused while a view is outdated, with one log line for each change', async (t) => {
-	const lines: LogLine[] = [];
-	const log = createLog({
-		level: 'info',
-		output: {
-			write(text: string) {
-				const line = parseLine(text);
-				if (line) {
-					lines.push(line);
-				}
-			},
-		},
-	});
+	const {log, lines} = createRecordedLog();
 	let nowMs = 0;
 	const ages = createViewAges(() => nowMs);
 	const guard = createStartGuard({ages, bounds: BOUNDS, log, metrics: createMetrics()});
--- a/packages/scheduler/src/watch-view.test.ts
+++ b/packages/scheduler/src/watch-view.test.ts
@@ -1,25 +1,14 @@
-import {createLog, parseLine, type LogLine} from '@bergamotgauge/telemetry';
 import FakeTimers from '@sinonjs/fake-timers';
 import t from 'tap';
 import {createReplicaAge} from './replica-age.js';
 import {createMemoryKeyValue} from './test/memory-key-value.js';
+import {createRecordedLog} from './test/recorded-log.js';
 import {watchView} from './watch-view.js';
 
 // Guards against a leader that stops hearing of changes without a line in its log, or with one for each attempt.
 await t.test('a lost watch is logged once, and again when it responds', async (t) => {
 	const clock = FakeTimers.install();
-	const lines: LogLine[] = [];
-	const log = createLog({
-		level: 'info',
-		output: {
-			write(text: string) {
-				const line = parseLine(text);
-				if (line) {
-					lines.push(line);
-				}
-			},
-		},
-	});
+	const {log, lines} = createRecordedLog();
 	const controller = new AbortController();
 	const now = () => performance.now();
 	const store = createMemoryKeyValue();
