--- a/review/lib/runner.js
+++ b/review/lib/runner.js
@@ -5,6 +5,10 @@
 const TICK_MS = 20;
 const MAX_ENDS_IN_REPORT = 500;
 const STARTUP_MS = 300;
+/** A grey runner fails one of this many units that it starts, the first one included. */
+const GREY_PERIOD = 3;
+/** Time after which such a unit fails. */
+const GREY_FAILURE_MS = 50;
 
 const percentOf = (ranMs, lengthMs) =>
 	lengthMs === Number.POSITIVE_INFINITY
@@ -44,7 +48,7 @@
 
 /**
 Starts a runner, which registers itself in the store. The text of a unit's `spec` says how long it works: {"ms": 300}.
-With {"lasting": true} it works until it is stopped, and is at work after a short startup. With {"failsAfterMs": 50} it fails.
+With {"lasting": true} it works until it is stopped, and is at work after a short startup.
 `shapeOf` returns the resources of a unit, since orders do not carry them.
 */
 export const startRunner = async ({
@@ -72,6 +76,8 @@
 	let leaseEndMs = 0;
 	let sequence = 0;
 	const waiting = new Set();
+	let isGrey = false;
+	let greyStarts = 0;
 
 	const used = (field) => [...running.values()].reduce((sum, {shape}) => sum + (shape[field] ?? 0), 0);
 	const hasRoom = (shape) =>
@@ -159,7 +165,10 @@
 		}
 
 		extendLease(untilMs);
-		const {ms, lasting, failsAfterMs} = JSON.parse(spec);
+		const {ms, lasting} = JSON.parse(spec);
+		const isFailing = isGrey && greyStarts % GREY_PERIOD === 0;
+		greyStarts += isGrey ? 1 : 0;
+		const failsAfterMs = isFailing ? GREY_FAILURE_MS : Number.POSITIVE_INFINITY;
 		const lengthMs = lasting ? Number.POSITIVE_INFINITY : ms;
 		const entry = {run, shape, startedMs: clockMs(), beganMs: undefined, lengthMs, failsAfterMs, stopAtMs: undefined};
 		running.set(task, entry);
@@ -269,6 +278,11 @@
 		hasRoom,
 		runs: () => [...running].map(([task, {run}]) => ({task, run})),
 		unacknowledged: () => finished.length,
+		/** While it is grey, the runner fails a part of what it starts. */
+		setGrey(next) {
+			isGrey = next;
+			record('grey', {runner: id, isGrey});
+		},
 		close() {
 			clearInterval(tick);
 			clearInterval(beat);
--- a/review/lib/scenario.js
+++ b/review/lib/scenario.js
@@ -91,7 +91,7 @@
 		isServing: deployment.isServing,
 		async submit(job) {
 			const {id, queue, steps, note, ...spec} = job;
-			const body = {spec: JSON.stringify({ms: spec.ms, lasting: spec.lasting, failsAfterMs: spec.failsAfterMs}), steps};
+			const body = {spec: JSON.stringify({ms: spec.ms, lasting: spec.lasting}), steps};
 			for (let attempt = 1; attempt <= RETRIES && !job.isAccepted; attempt += 1) {
 				const {status} = await ask('POST', job, body);
 				record.add('submitted', {job: id, queue, attempt, status, ...(note && {note})});
@@ -117,12 +117,12 @@
 };
 
 /**
-Submits the jobs at their times, waits `finish_s` after the last one, and then watches for `IDLE_MS` whether a job has
+Submits the jobs at their times, waits `finish_s` after the last one, and then watches for `watchMs` whether, for `IDLE_MS`, a job has
 nothing running though there is capacity for its next unit twice over and under half of the capacity is in use.
 Resolves to the exit code.
 */
 export const runScenario = async (options) => {
-	const {jobs} = options;
+	const {jobs, watchMs = IDLE_MS + 1500, onTraffic} = options;
 	const {record, store, runners, ask, submit, isServing, finish} = await openDeployment(options);
 	if (!isServing()) {
 		record.add('not-serving');
@@ -133,6 +133,7 @@
 	await sleep(5000);
 	record.add('traffic-starts');
 	const startMs = performance.now();
+	onTraffic?.({runners, record});
 	await Promise.all(
 		jobs.map(async (job) => {
 			await sleep(job.atMs);
@@ -145,6 +146,7 @@
 
 	/** Since when each job has had nothing running in spite of free capacity. */
 	const idleSince = new Map();
+	const longestIdleMs = new Map();
 	let broken = 0;
 	const readStates = async () => {
 		for (const job of jobs.filter(({isAccepted, state}) => isAccepted && !isEnded(state))) {
@@ -172,14 +174,16 @@
 		});
 
 	await readStates();
-	const untilMs = performance.now() + IDLE_MS + 1500;
+	const untilMs = performance.now() + watchMs;
 	while (performance.now() < untilMs) {
 		const busy = new Set(runners.flatMap(({runs}) => runs().map(({task}) => jobIdOf(task))));
 		for (const job of jobs.filter(({isAccepted, state}) => isAccepted && !isEnded(state))) {
 			if (busy.has(job.id) || !isUnderHalf() || !hasRoomTwice(job)) {
 				idleSince.delete(job.id);
-			} else if (!idleSince.has(job.id)) {
-				idleSince.set(job.id, performance.now());
+			} else {
+				const sinceMs = idleSince.get(job.id) ?? performance.now();
+				idleSince.set(job.id, sinceMs);
+				longestIdleMs.set(job.id, Math.max(longestIdleMs.get(job.id) ?? 0, performance.now() - sinceMs));
 			}
 		}
 
@@ -187,8 +191,8 @@
 	}
 
 	await readStates();
-	for (const job of jobs.filter(({id, state}) => idleSince.has(id) && !isEnded(state))) {
-		const idleMs = Math.round(performance.now() - idleSince.get(job.id));
+	for (const job of jobs.filter(({state}) => !isEnded(state))) {
+		const idleMs = Math.round(longestIdleMs.get(job.id) ?? 0);
 		if (idleMs >= IDLE_MS) {
 			broken += 1;
 			record.add('LOST', {job: job.id, queue: job.queue, state: job.state, nothingRunsForMs: idleMs});
