--- a/review/6/standins.js
+++ b/review/6/standins.js
@@ -460,6 +460,18 @@
 			state = 'draining';
 			beat();
 		},
+		/** Leaves: what runs there terminates, and its entry is removed. */
+		leave() {
+			clearInterval(timer);
+			store.remove(`servers/${id}`);
+			for (const run of running.values()) {
+				clearTimeout(run.timer);
+			}
+
+			running.clear();
+			server.closeAllConnections();
+			server.close();
+		},
 		close() {
 			clearInterval(timer);
 			clearInterval(lapse);
@@ -591,6 +603,19 @@
 ttlMinMs = 1000
 ${cloudAddress ? `[cloud]\naddress = "${cloudAddress}"\nratePerS = 60.0\ndutyPerS = 60.0\n` : ''}`;
 
+/** Processes that were started here and have not ended. */
+const children = new Set();
+
+const endChildren = async () => {
+	while (children.size > 0) {
+		for (const child of children) {
+			child.kill('SIGKILL');
+		}
+
+		await sleep(50);
+	}
+};
+
 /** Starts an instance with the command of the deploy file. */
 export const startInstance = async ({name, directory, storeAddress, cloudAddress, onExit, onLine}) => {
 	const settingsFile = path.join(directory, `${name}.toml`);
@@ -604,6 +629,10 @@
 			stdio: ['ignore', 'pipe', 'pipe'],
 		},
 	);
+	children.add(child);
+	child.once('exit', () => {
+		children.delete(child);
+	});
 	let rest = '';
 	let front;
 	const onData = (chunk) => {
@@ -710,25 +739,42 @@
 
 			return runners;
 		},
-		async addInstances(count, storeAddressOf = async () => store.address) {
-			for (let index = 0; index < count; index += 1) {
-				const instance = await startInstance({
-					name: `edge-${index + 1}`,
+		async addInstances(count, {storeAddressOf = async () => store.address, restartMs} = {}) {
+			const startOne = async (name, storeAddress) =>
+				startInstance({
+					name,
 					directory,
-					storeAddress: await storeAddressOf(index),
-					onLine(name, line) {
+					storeAddress,
+					onLine(from, line) {
 						if (line.includes('event=term-started')) {
-							leader = name;
-							note(`${name} leads: ${/term=\d+/v.exec(line)?.[0]}`);
+							leader = from;
+							note(`${from} leads: ${/term=\d+/v.exec(line)?.[0]}`);
 						}
 					},
-					onExit(name, code, signal) {
+					async onExit(from, code, signal) {
+						if (isEnding) {
+							return;
+						}
+
+						exits.push({name: from, code, signal});
+						note(`${from} has ended: code ${code}, signal ${signal}`);
+						if (restartMs === undefined) {
+							return;
+						}
+
+						// The platform starts a process that has ended again after a short delay.
+						await sleep(restartMs);
 						if (!isEnding) {
-							exits.push({name, code, signal});
-							note(`${name} has ended: code ${code}, signal ${signal}`);
+							const index = instances.findIndex((instance) => instance.name === from);
+							instances[index] = await startOne(from, storeAddress);
+							if (isEnding) {
+								instances[index].child.kill('SIGKILL');
+							}
 						}
 					},
 				});
+			for (let index = 0; index < count; index += 1) {
+				const instance = await startOne(`edge-${index + 1}`, await storeAddressOf(index));
 				instances.push(instance);
 				if (!instance.front) {
 					throw new Error(`${instance.name} did not start`);
@@ -745,7 +791,7 @@
 			await sleep(2000);
 		},
 		async send(instance, method, callPath, {body, timeoutMs, text = ''} = {}) {
-			const reply = await call({front: instance.front, method, callPath, body, timeoutMs});
+			const reply = await call({front: instance.front ?? `${HOST}:1`, method, callPath, body, timeoutMs});
 			note(`${instance.name} ${method} ${callPath} ${text} -> ${reply.status} ${JSON.stringify(reply.body ?? {})}`);
 			return reply;
 		},
@@ -767,11 +813,8 @@
 	}
 
 	isEnding = true;
-	for (const {child} of instances) {
-		child.kill('SIGKILL');
-	}
+	await endChildren();
 
-	await Promise.all(instances.map(async ({exited}) => exited));
 	for (const close of closers) {
 		close();
 	}
