--- a/review/6/case.js
+++ b/review/6/case.js
@@ -25,7 +25,8 @@
 			events.push({...event, atMs: performance.now()});
 		},
 	});
-	await environment.addInstances(3);
+	// The platform starts a killed process again after a short delay.
+	await environment.addInstances(3, {restartMs: 1000});
 	const starts = () => events.filter(({event}) => event === 'start');
 	const front = environment.instances.find((instance) => instance !== environment.leader());
 	const reply = await send(front, 'POST', `/batch/${JOB}`, {
