Refuse a submission whose job was cancelled before it was stored

A cancellation that found no job was answered with 410 and left nothing in the store, while the submission was still being repeated at an instance that is cut off, or held by the store.

The cancellation now stores a mark under a shared lease, and the write of a submission expects that there is none. Ruled out: a stale listing and the cache of ended jobs.

--- a/packages/jobs/src/check-submission.ts
+++ b/packages/jobs/src/check-submission.ts
@@ -16,6 +16,9 @@
 	}
 };
 
+/** Whether a job can have this id. */
+export const isJobId = (id: string): boolean => /^[\da-f]{16}$/v.test(id);
+
 /**
 Checks that a submission is well formed. The scheduler decides whether any worker can run it.
 
@@ -27,7 +30,7 @@
 @throws {ServiceError} `bad-request`, with the fault.
 */
 export const checkSubmission = ({id, spec, steps, schedule}: Submission): void => {
-	if (!/^[\da-f]{16}$/v.test(id)) {
+	if (!isJobId(id)) {
 		refuse('a job id has 16 hexadecimal digits');
 	}
 
--- /dev/null
+++ b/packages/scheduler/src/callers/withdrawals.ts
@@ -0,0 +1,80 @@
+import {createHash} from 'node:crypto';
+import {ServiceError} from '@bergamotgauge/model';
+import type {KeyValueStore} from '@bergamotgauge/store';
+import {ROOT_PREFIX} from '../constants.js';
+import type {Queue} from '../types.js';
+import {MAX_WITHDRAWALS_PER_LEASE, WITHDRAWAL_LEASE_REUSE_MS, WITHDRAWAL_TTL_MS} from './constants.js';
+
+/** Marks of jobs that were cancelled before they were stored; the write of their submission expects that there is none. */
+export type Withdrawals = Readonly<{
+	/** Lease for one more mark, which lives for at least `WITHDRAWAL_TTL_MS - WITHDRAWAL_LEASE_REUSE_MS`. */
+	takeLease: () => Promise<number>;
+	/** Requests a new lease for the next mark. */
+	dropLease: () => void;
+}>;
+
+/**
+Key of the mark. It differs by queue and customer, so that no customer can block the id of another one's job; on a public queue, any caller may cancel.
+
+@example
+```ts
+withdrawalKey({queue, customer: 'acme', id: '5c0e7a21d94b36f8'});
+```
+*/
+export const withdrawalKey = ({
+	queue,
+	customer,
+	id,
+}: Readonly<{queue: Queue; customer: string; id: string}>): string => {
+	const owner = JSON.stringify([queue.name, queue.isPublic ? '' : customer]);
+	return `${ROOT_PREFIX}withdrawn/${id}/${createHash('sha256').update(owner).digest('base64url').slice(0, 22)}`;
+};
+
+/**
+Creates the lease of an instance's marks. One lease serves all marks of a while, so that a burst of cancellations needs no lease each.
+
+@example
+```ts
+const withdrawals = createWithdrawals(store, clocks.latestNow);
+const lease = await withdrawals.takeLease();
+```
+
+`takeLease` throws `overloaded`, verdict `not-run`, when the lease holds `MAX_WITHDRAWALS_PER_LEASE` marks.
+*/
+export const createWithdrawals = (store: KeyValueStore, now: () => number): Withdrawals => {
+	let current: Readonly<{lease: Promise<number>; requestedMs: number}> | undefined;
+	let marks = 0;
+
+	const requestLease = async (): Promise<number> => {
+		try {
+			const {lease} = await store.grantLease(WITHDRAWAL_TTL_MS);
+			return lease;
+		} catch (error) {
+			current = undefined;
+			throw error;
+		}
+	};
+
+	return {
+		async takeLease() {
+			if (!current || now() - current.requestedMs > WITHDRAWAL_LEASE_REUSE_MS) {
+				marks = 0;
+				current = {requestedMs: now(), lease: requestLease()};
+			}
+
+			if (marks >= MAX_WITHDRAWALS_PER_LEASE) {
+				throw new ServiceError('too many jobs that are not stored have been cancelled', {
+					code: 'overloaded',
+					verdict: 'not-run',
+					retryAfterMs: current.requestedMs + WITHDRAWAL_LEASE_REUSE_MS - now(),
+				});
+			}
+
+			marks += 1;
+			return current.lease;
+		},
+		dropLease() {
+			current = undefined;
+		},
+	};
+};
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -1,9 +1,18 @@
-import {checkSubmission, decodeJob, encodeJob, type Job, type JobState, type JobStatus} from '@bergamotgauge/jobs';
+import {
+	checkSubmission,
+	decodeJob,
+	encodeJob,
+	isJobId,
+	type Job,
+	type JobState,
+	type JobStatus,
+} from '@bergamotgauge/jobs';
 import {ServiceError, toServiceError} from '@bergamotgauge/model';
 import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
 import type {KeyValueStore, StoredItem, Transaction} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {LRUCache} from 'lru-cache';
+import {createWithdrawals, withdrawalKey} from './callers/withdrawals.js';
 import {
 	ENDED_CACHE_ENTRIES,
 	RESOLVE_RETRY_MAX_MS,
@@ -34,7 +43,7 @@
 	state: (address: JobAddress) => Promise<JobState>;
 	/** The state, with the cause if the job has failed. */
 	status: (address: JobAddress) => Promise<JobStatus>;
-	/** Resolves when the cancellation is stored. */
+	/** Resolves when the cancellation is stored. For a job that is not stored it fails with `not-found`, and a submission that is still under way is refused. */
 	cancel: (address: JobAddress) => Promise<void>;
 	/** Number of accepted jobs of the queue of which no unit has started; may be two seconds old. */
 	countPending: (queue: Queue) => Promise<number>;
@@ -64,6 +73,7 @@
 */
 export const createJobService = ({store, health, log, metrics}: JobServiceOptions): JobService => {
 	const readPending = createPendingReader(store, health.clocks.latestNow);
+	const withdrawals = createWithdrawals(store, health.clocks.latestNow);
 	/** Ended jobs, which are immutable. */
 	const ended = new LRUCache<string, JobEntry>({max: ENDED_CACHE_ENTRIES});
 
@@ -123,8 +133,8 @@
 		return entry;
 	};
 
-	const find = async ({queue, customer, id}: JobAddress): Promise<JobEntry> => {
-		const entry = await readEntry(id);
+	/** The entry of a job that the caller may see. */
+	const checkVisible = (entry: JobEntry, {queue, customer, id}: JobAddress): JobEntry => {
 		const isVisible = entry.job?.queue === queue.name && (queue.isPublic || entry.job.customer === customer);
 		if (!isVisible) {
 			throw noSuchJob(id);
@@ -133,6 +143,43 @@
 		return entry;
 	};
 
+	const find = async (address: JobAddress): Promise<JobEntry> => checkVisible(await readEntry(address.id), address);
+
+	/** Stores that a job without a submission is cancelled, so that one under way is refused. Returns false if it has been stored meanwhile. */
+	const withdraw = async (address: JobAddress): Promise<boolean> => {
+		const lease = await withdrawals.takeLease();
+		try {
+			const conflict = await transactUntilResolved({
+				expected: [{key: jobKey(address.id, 'submission'), revision: 0}],
+				writes: [{key: withdrawalKey(address), value: new Uint8Array(0), lease}],
+			});
+			if (conflict) {
+				return false;
+			}
+		} catch (error) {
+			withdrawals.dropLease();
+			throw error;
+		}
+
+		metrics.count('jobs_withdrawn_total', {queue: address.queue.name});
+		log.info('job-withdrawn', {job: address.id, queue: address.queue.name, customer: address.customer});
+		return true;
+	};
+
+	/** The job to cancel. A job that is not stored is withdrawn. */
+	const findToCancel = async (address: JobAddress): Promise<JobEntry> => {
+		const entry = await readEntry(address.id);
+		if (entry.job !== undefined || !isJobId(address.id)) {
+			return checkVisible(entry, address);
+		}
+
+		if (await withdraw(address)) {
+			throw noSuchJob(address.id);
+		}
+
+		return find(address);
+	};
+
 	return {
 		async submit({queue, customer, submission}) {
 			checkSubmission(submission);
@@ -156,10 +203,21 @@
 
 			const key = jobKey(job.id, 'submission');
 			const current = await transactUntilResolved({
-				expected: [{key, revision: 0}],
+				expected: [
+					{key, revision: 0},
+					{key: withdrawalKey({queue, customer, id: job.id}), revision: 0},
+				],
 				writes: [{key, value: encodeJob(job)}],
 			});
-			const stored = current?.[0] && decodeJob(current[0].value);
+			const item = current?.find((one) => one.key === key);
+			if (current && !item) {
+				throw new ServiceError(`job ${job.id} was cancelled before it was stored`, {
+					code: 'conflict',
+					verdict: 'not-run',
+				});
+			}
+
+			const stored = item && decodeJob(item.value);
 			if (stored && !isSameSubmission(stored, job)) {
 				throw new ServiceError(`job ${job.id} already exists with different content`, {
 					code: 'conflict',
@@ -182,7 +240,7 @@
 			return {state: stateOf(entry), failure: entry.progress?.failure};
 		},
 		async cancel(address) {
-			const entry = await find(address);
+			const entry = await findToCancel(address);
 			if (entry.progress?.outcome) {
 				throw noSuchJob(address.id);
 			}
