Serve requests to evacuate an availability zone

A leader now keeps a view of the requests beside those of jobs and workers. Workers of an evacuated zone are unusable for plans, and starts that are held back, under way or due for another attempt are withdrawn there. What runs there goes on; what fits only there waits.

--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,5 +1,6 @@
 export type {Machine, MachinePort, MachineReply, Wave, WaveRecords, WaveState} from './maintenance/types.js';
 export type * from './types.js';
+export type * from './evacuation/types.js';
 export {createJobService, type JobAddress, type JobService} from './job-service.js';
 export {
 	CLOCK_RATE_ERROR,
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -45,6 +45,8 @@
 	placementIndex: {byWorker: Map<string, PlacedUnit[]>};
 	/** Workers that are drained for the maintenance of their machines, with their drain deadlines in monotonic time; the disruption budgets go to them in this order. */
 	maintenanceDrains: {deadlineByWorker: ReadonlyMap<string, number>};
+	/** Availability zones in which nothing may start. */
+	evacuatedZones: Set<string>;
 	/** Workers that a maintenance order of this leader may end at any time. */
 	orderedWorkers: Set<string>;
 	/** Starts without a response, which the next incarnation of a worker may carry out, by worker. */
@@ -63,6 +65,7 @@
 	runTimes: createRunTimes(),
 	placementIndex: {byWorker: new Map()},
 	maintenanceDrains: {deadlineByWorker: new Map()},
+	evacuatedZones: new Set(),
 	orderedWorkers: new Set(),
 	lateStarts: new Map(),
 	crashTimes: new Map(),
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -20,6 +20,7 @@
 import {removeEndedJobs} from './retention.js';
 import type {StoreHealth} from './store-health.js';
 import type {SchedulerContext} from './types.js';
+import {watchEvacuations} from './evacuation/watch-evacuations.js';
 import {createUnitEnds} from './unit-ends.js';
 import {createStartGuard, maxViewAgeMs} from './start-guard.js';
 import {createStartWindow} from './start-window.js';
@@ -234,6 +235,9 @@
 				onSynced,
 			}),
 		);
+		lifecycle.run('evacuations', async (signal) =>
+			watchEvacuations({context, state, ages, clocks, onChanged: waker.wake, onSynced, signal}),
+		);
 		// Reports of workers can be reconciled only when the jobs are loaded.
 		await loaded.wait(term.signal);
 		await fleet.openRoster();
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -10,6 +10,7 @@
 	type PlacedUnit,
 } from './leader-state.js';
 import {isCrashSuspect} from './crash-evidence.js';
+import {isInEvacuatedZone} from './evacuation/evacuated-zones.js';
 import {startSpreadMs} from './gangs.js';
 import {createCrashRecorder} from './crash-recorder.js';
 import {createLateStarts} from './late-starts.js';
@@ -153,6 +154,7 @@
 			worker: placement.workerId,
 			reason: refusal ?? 'no-answer',
 			mayHaveRun: result.outcome === 'unknown',
+			isZoneEvacuated: isInEvacuatedZone(state, placement.workerId) || undefined,
 		});
 		if (refusal && refusal !== 'withdrawn') {
 			onRefused({activeJob, part, placement}, refusal);
@@ -262,7 +264,8 @@
 						placement.phase === 'starting' &&
 						part.placements.includes(placement) &&
 						mayStart() &&
-						hasCapacity(state, placement.workerId);
+						hasCapacity(state, placement.workerId) &&
+						!isInEvacuatedZone(state, placement.workerId);
 					if (stored && !(await stored)) {
 						settle();
 						handleStartResult(activeJob, part, placement, {outcome: 'refused', reason: 'withdrawn'});
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -109,7 +109,8 @@
 				!hasOrphanedRuns &&
 				// Another crash would end the work beside a suspect that is alone.
 				!(hasCrashSuspect && isAlone(placedUnits)) &&
-				!state.maintenanceDrains.deadlineByWorker.has(worker.id),
+				!state.maintenanceDrains.deadlineByWorker.has(worker.id) &&
+				!state.evacuatedZones.has(worker.availabilityZone),
 			isDraining: worker.state !== 'ready',
 			isSuspect:
 				Math.max(health.suspectUntilMs, health.slowUntilMs) > nowMs ||
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -2,6 +2,7 @@
 import {protectedParts} from './disruption-budget.js';
 import {pendingAdviceRequests} from './advice-requests.js';
 import type {Advisor} from './advisor.js';
+import {isInEvacuatedZone} from './evacuation/evacuated-zones.js';
 import type {Term} from './election.js';
 import {addDueOccurrences, stepOf, type ActiveJob, type Part} from './active-job.js';
 import {describeGang, gangStateOf} from './gangs.js';
@@ -177,7 +178,10 @@
 	const isStillPossible = ({activeJob, part, workerIds}: PlannedStart): boolean =>
 		isPending(activeJob, part) &&
 		workerIds.every(
-			(workerId) => fleet.isOrderable(workerId) && !state.maintenanceDrains.deadlineByWorker.has(workerId),
+			(workerId) =>
+				fleet.isOrderable(workerId) &&
+				!state.maintenanceDrains.deadlineByWorker.has(workerId) &&
+				!isInEvacuatedZone(state, workerId),
 		);
 
 	const sendHeldBack = () => {
--- a/packages/scheduler/src/start-guard.ts
+++ b/packages/scheduler/src/start-guard.ts
@@ -42,7 +42,8 @@
 export const createStartGuard = ({ages, bounds, log, metrics}: StartGuardOptions): StartGuard => {
 	const mayStart = (): boolean =>
 		ages.jobs.ageMs() <= maxViewAgeMs(bounds.cancellationMs) &&
-		ages.workers.ageMs() <= maxViewAgeMs(bounds.drainNoticeMs);
+		ages.workers.ageMs() <= maxViewAgeMs(bounds.drainNoticeMs) &&
+		(bounds.evacuationMs === undefined || ages.evacuations.ageMs() <= maxViewAgeMs(bounds.evacuationMs));
 	let isPaused = true;
 	metrics.gauge('starts_paused', 1);
 	return {
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -30,6 +30,7 @@
 	machineLeaseMs: 3000,
 	cancellationMs: 3000,
 	drainNoticeMs: 2000,
+	evacuationMs: undefined,
 };
 
 export const QUEUE: Queue = {
@@ -64,6 +65,8 @@
 
 const WAVE_PREFIX = 'waves/';
 
+export const EVACUATION_PREFIX = 'evacuations/';
+
 const WAVE_RECORDS: WaveRecords = {
 	prefix: WAVE_PREFIX,
 	decode: (_key, value) => JSON.parse(Buffer.from(value).toString()) as Wave,
@@ -258,6 +261,7 @@
 					advice,
 					machines,
 					waves: WAVE_RECORDS,
+					evacuations: {prefix: EVACUATION_PREFIX, zoneOf: (key) => key.slice(EVACUATION_PREFIX.length)},
 					connectWorker(worker) {
 						const port = portTo(worker);
 						return {
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -1,6 +1,7 @@
 import type {AdviceTerms, RunEnd, Submission} from '@bergamotgauge/jobs';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import type {KeyValueStore} from '@bergamotgauge/store';
+import type {EvacuationRequests} from './evacuation/types.js';
 import type {MachinePort, WaveRecords} from './maintenance/types.js';
 import type {Policy} from './policy.js';
 
@@ -197,6 +198,8 @@
 	cancellationMs: number;
 	/** Time after a worker's report that it drains from which no unit may start on it. */
 	drainNoticeMs: number;
+	/** Time after the request to evacuate an availability zone from which no unit may start there; `undefined` if the deployment has no such requests. */
+	evacuationMs: number | undefined;
 }>;
 
 export type SchedulerContext = Readonly<{
@@ -217,6 +220,7 @@
 	/** Client for the workers' machines; `undefined` if the deployment does not manage machines. */
 	machines: MachinePort | undefined;
 	waves: WaveRecords;
+	evacuations: EvacuationRequests;
 	/** Decodes a worker report; `undefined` for one that describes no usable worker. */
 	decodeWorker: (key: string, value: Uint8Array) => Worker | undefined;
 	/** Key prefix of the worker reports in the store. */
--- a/packages/scheduler/src/view-ages.ts
+++ b/packages/scheduler/src/view-ages.ts
@@ -5,8 +5,10 @@
 	jobs: ReplicaAge;
 	/** The workers' reports about themselves. */
 	workers: ReplicaAge;
+	/** The requests to evacuate availability zones; has no age in a deployment without them. */
+	evacuations: ReplicaAge;
 	/** The ages as fields of a log line, in whole milliseconds. */
-	fields: () => Readonly<{jobsAgeMs: number; workersAgeMs: number}>;
+	fields: () => Readonly<{jobsAgeMs: number; workersAgeMs: number; evacuationsAgeMs: number | undefined}>;
 }>;
 
 /**
@@ -21,9 +23,18 @@
 export const createViewAges = (latestNow: () => number): ViewAges => {
 	const jobs = createReplicaAge(latestNow);
 	const workers = createReplicaAge(latestNow);
+	const evacuations = createReplicaAge(latestNow);
 	return {
 		jobs,
 		workers,
-		fields: () => ({jobsAgeMs: Math.round(jobs.ageMs()), workersAgeMs: Math.round(workers.ageMs())}),
+		evacuations,
+		fields() {
+			const evacuationsAgeMs = Math.round(evacuations.ageMs());
+			return {
+				jobsAgeMs: Math.round(jobs.ageMs()),
+				workersAgeMs: Math.round(workers.ageMs()),
+				evacuationsAgeMs: Number.isFinite(evacuationsAgeMs) ? evacuationsAgeMs : undefined,
+			};
+		},
 	};
 };
--- a/packages/scheduler/src/worker-fleet.test.ts
+++ b/packages/scheduler/src/worker-fleet.test.ts
@@ -98,6 +98,7 @@
 				encodeState: () => new Uint8Array(0),
 				decodeState: () => undefined,
 			},
+			evacuations: {prefix: 'evacuations/', zoneOf: () => undefined},
 			connectWorker,
 			decodeWorker: (_key, value) => JSON.parse(Buffer.from(value).toString()) as Worker,
 			workerPrefix: WORKER_PREFIX,
