Count a worker as synced when it has listed all its ends

Cause: a worker lists up to 500 ends in a report and further ones when these are acknowledged. In the middle of a term, a placement that three reports did not list was given up in the same way while the store did not take the ends of the first page.

Change: a report says whether it may not list all ends. A worker is syncing until one does: it gets no starts, the parts that may be on it are held back, and its roster entry stays that of the earlier leader. A report that does not list all ends gives up no placement.

Ruled out: the ends of one page are recorded before the report is reconciled, so the order of the two is not at fault.

--- a/packages/scheduler/src/disruption-budget.ts
+++ b/packages/scheduler/src/disruption-budget.ts
@@ -83,7 +83,7 @@
 };
 
 /**
-Whether a worker runs a unit that may not be stopped, or may run one because it has not reported to this leader yet and leases of earlier leaders may still be valid.
+Whether a worker runs a unit that may not be stopped, or may run one because it has not listed all its ends to this leader yet and leases of earlier leaders may still be valid.
 
 @example
 ```ts
@@ -94,7 +94,7 @@
 */
 export const mayRunProtectedParts = (state: LeaderState, workerId: string, nowMs: number): boolean => {
 	const link = state.links.get(workerId);
-	if (link?.state() === 'unsynced' && nowMs < link.expiryMs()) {
+	if (link && !link.hasListedAll() && nowMs < link.expiryMs()) {
 		return true;
 	}
 
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -117,12 +117,12 @@
 		state,
 		lifecycle,
 		clocks,
-		onReport(link, running, times) {
-			placements.reconcile(link, running, times);
+		onReport(link, running, details) {
+			placements.reconcile(link, running, details);
 			waker.wake();
 		},
-		onProgress(link, running, times) {
-			placements.updateProgress(link, running, times);
+		onProgress(link, running, details) {
+			placements.updateProgress(link, running, details);
 			waker.wake();
 		},
 		async onEnds(link, ended) {
--- a/packages/scheduler/src/order-attempts.test.ts
+++ b/packages/scheduler/src/order-attempts.test.ts
@@ -11,8 +11,8 @@
 	type Instance,
 	type TestCluster,
 } from './test/cluster.js';
-import type {ModelWorker} from './test/model-worker.js';
 import type {CallKind, CallOutcome} from './test/model-worker-faults.js';
+import type {ModelWorker} from './test/model-worker-types.js';
 
 /** Time after the confirmation of a cancellation until which its runs may be started. */
 const CANCEL_MS = 3000;
--- a/packages/scheduler/src/placement-reports.ts
+++ b/packages/scheduler/src/placement-reports.ts
@@ -7,7 +7,7 @@
 import {createOrphanedRuns} from './orphaned-runs.js';
 import {extendWindow, openWindow} from './progress-window.js';
 import type {Bounds, RunningUnit} from './types.js';
-import type {ReportTimes, WorkerLink} from './worker-link-types.js';
+import type {ReportDetails, WorkerLink} from './worker-link-types.js';
 import type {OrderTarget} from './worker-orders.js';
 
 export type PlacementReportsOptions = Readonly<{
@@ -26,9 +26,9 @@
 /** Reconciles placements with what workers report. */
 export type PlacementReports = Readonly<{
 	/** Reconciles the placements with a full report of a worker. */
-	reconcile: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
+	reconcile: (link: WorkerLink, running: readonly RunningUnit[], details: ReportDetails) => void;
 	/** Updates the progress of listed runs, and removes the placements of stopped ones that are not listed any more. */
-	updateProgress: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
+	updateProgress: (link: WorkerLink, running: readonly RunningUnit[], details: ReportDetails) => void;
 }>;
 
 /** A unit of an active job. */
@@ -94,7 +94,7 @@
 	const updatePlacement = (
 		{activeJob, part, placement}: PlacedUnit,
 		runningUnit: RunningUnit,
-		{composedMs}: ReportTimes,
+		{composedMs}: ReportDetails,
 	) => {
 		if (outlastsCrashes(part, now() - placement.startedMs)) {
 			log.info('crash-outlasted', {unit: runningUnit.unit, run: runningUnit.run, crashes: part.crashes.length});
@@ -136,7 +136,7 @@
 		link: WorkerLink,
 		runningUnit: RunningUnit,
 		{activeJob, part, index}: KnownUnit,
-		times: ReportTimes,
+		details: ReportDetails,
 	): Placement | undefined => {
 		const workerId = link.worker.id;
 		// A report that was composed before the end of the run may arrive after the one that lists the end.
@@ -150,7 +150,7 @@
 
 		const placement = part.placements.find((other) => isPlacementOf(other, workerId, index, runningUnit.run));
 		if (placement) {
-			updatePlacement({activeJob, part, placement}, runningUnit, times);
+			updatePlacement({activeJob, part, placement}, runningUnit, details);
 		}
 
 		// The other members of a gang finish by themselves shortly after the first one.
@@ -166,13 +166,13 @@
 	};
 
 	/** Whether a report that was sent at the time and does not list the run proves that it has ended, since its stop was accepted. */
-	const isStopComplete = ({stopAcceptedMs}: Placement, sentMs: number): boolean =>
+	const isStopComplete = ({stopAcceptedMs}: Placement, {sentMs}: ReportDetails): boolean =>
 		stopAcceptedMs !== undefined && sentMs >= stopAcceptedMs + bounds.stopMs + STOP_SETTLE_MS;
 
-	/** Handles a placement that a report of the worker does not list. */
-	const handleMissing = ({activeJob, part, placement}: PlacedUnit, sentMs: number) => {
+	/** Handles a placement that a report of the worker does not list, while it lists all ends. */
+	const handleMissing = ({activeJob, part, placement}: PlacedUnit, details: ReportDetails) => {
 		if (placement.stopAcceptedMs !== undefined) {
-			if (isStopComplete(placement, sentMs)) {
+			if (isStopComplete(placement, details)) {
 				removePlacement(activeJob, part, placement);
 			}
 
@@ -180,9 +180,9 @@
 		}
 
 		const mustBeListedMs = placement.acceptedMs ?? placement.startExpiryMs;
-		if (mustBeListedMs !== undefined && sentMs > mustBeListedMs) {
+		if (mustBeListedMs !== undefined && details.sentMs > mustBeListedMs) {
 			placement.missedReports += 1;
-			// A long list of ends is split over several reports, so the end may still follow.
+			// Reports on different connections overtake each other, so the end may be in one that is read later.
 			if (placement.missedReports > 2) {
 				log.warn('unit-vanished', {part: part.key, run: placement.run, worker: placement.workerId});
 				removePlacement(activeJob, part, placement);
@@ -191,7 +191,7 @@
 	};
 
 	return {
-		updateProgress(link, running, times) {
+		updateProgress(link, running, details) {
 			for (const {activeJob, part, placement} of state.placementIndex.byWorker.get(link.worker.id) ?? []) {
 				const unit = unitNameOf(activeJob, part, placement.index);
 				const runningUnit = running.find((listedUnit) => listedUnit.unit === unit && listedUnit.run === placement.run);
@@ -200,13 +200,13 @@
 				}
 
 				if (runningUnit) {
-					updatePlacement({activeJob, part, placement}, runningUnit, times);
-				} else if (isStopComplete(placement, times.sentMs)) {
+					updatePlacement({activeJob, part, placement}, runningUnit, details);
+				} else if (details.listsAllEnds && isStopComplete(placement, details)) {
 					removePlacement(activeJob, part, placement);
 				}
 			}
 		},
-		reconcile(link, running, times) {
+		reconcile(link, running, details) {
 			const listed = new Set<Placement>();
 			const orphans: OrderTarget[] = [];
 			for (const runningUnit of running) {
@@ -216,16 +216,20 @@
 					continue;
 				}
 
-				const placement = reconcileUnit(link, runningUnit, known, times);
+				const placement = reconcileUnit(link, runningUnit, known, details);
 				if (placement) {
 					listed.add(placement);
 				}
 			}
 
 			orphanedRuns.reconcile(link, orphans);
+			if (!details.listsAllEnds) {
+				return;
+			}
+
 			for (const placed of state.placementIndex.byWorker.get(link.worker.id) ?? []) {
 				if (!listed.has(placed.placement) && placed.part.placements.includes(placed.placement)) {
-					handleMissing(placed, times.sentMs);
+					handleMissing(placed, details);
 				}
 			}
 		},
--- a/packages/scheduler/src/placements.test.ts
+++ b/packages/scheduler/src/placements.test.ts
@@ -74,6 +74,7 @@
 		silentSinceMs: () => undefined,
 		lastReplyMs: () => undefined,
 		startedMs: () => undefined,
+		hasListedAll: () => true,
 		confirmedMs: () => 0,
 		readdress() {
 			// The stub is called nowhere.
@@ -144,7 +145,7 @@
 	placements.start(activeJob, part, ['w1']);
 	index();
 	await clock.tickAsync(100);
-	placements.reconcile(links.w1, [listed(1)], {sentMs: now(), composedMs: now()});
+	placements.reconcile(links.w1, [listed(1)], {sentMs: now(), composedMs: now(), listsAllEnds: true});
 	startResults[0]!({outcome: 'refused', reason: 'unhealthy'});
 	await clock.tickAsync(100);
 	t.equal(part.placements.length, 1);
@@ -164,7 +165,7 @@
 	startResults[1]!({outcome: 'accepted', isUncertain: false});
 	index();
 	await clock.tickAsync(100);
-	placements.reconcile(links.w1, [listed(1)], {sentMs, composedMs: now()});
+	placements.reconcile(links.w1, [listed(1)], {sentMs, composedMs: now(), listsAllEnds: true});
 	await clock.tickAsync(100);
 	t.same(stops, []);
 	t.same(
@@ -181,7 +182,7 @@
 	startResults[0]!({outcome: 'accepted', isUncertain: false});
 	index();
 	await clock.tickAsync(100);
-	placements.reconcile(links.w1, [listed(1)], {sentMs: now(), composedMs: now()});
+	placements.reconcile(links.w1, [listed(1)], {sentMs: now(), composedMs: now(), listsAllEnds: true});
 	await clock.tickAsync(100);
 	t.same(stops, [1]);
 });
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -14,7 +14,8 @@
 import {createMemoryKeyValue, type MemoryKeyValue} from './memory-key-value.js';
 import {createModelGangs, NO_GANGS} from './model-gangs.js';
 import type {UnitBehaviour} from './model-runs.js';
-import {createModelWorker, type ModelWorker} from './model-worker.js';
+import {createModelWorker} from './model-worker.js';
+import type {ModelWorker} from './model-worker-types.js';
 import {createRunChecker, type RunViolation} from './run-checker.js';
 
 export const BOUNDS: Bounds = {
--- a/packages/scheduler/src/test/memory-key-value.ts
+++ b/packages/scheduler/src/test/memory-key-value.ts
@@ -2,6 +2,7 @@
 import {ServiceError, type Verdict} from '@bergamotgauge/model';
 import type {KeyChanges, KeyValueStore, StoredItem, Transaction, TransactionResult} from '@bergamotgauge/store';
 import Emittery from 'emittery';
+import {createMemoryItems} from './memory-items.js';
 import {createStoreFaults, type StoreFaults} from './store-faults.js';
 
 /** An in-memory store with revisions, leases, watches and fault injection. */
@@ -21,8 +22,6 @@
 		remove: (key: string) => void;
 	}>;
 
-type Event = Readonly<{key: string; revision: number; item: StoredItem | undefined}>;
-
 /** Client timeout of a call without a response. */
 const CALL_TIMEOUT_MS = 800;
 
@@ -34,36 +33,16 @@
 
 /** Creates an empty store; leases use the clock of the runtime, which tests may fake. */
 export const createMemoryKeyValue = (): MemoryKeyValue => {
-	const items = new Map<string, StoredItem>();
-	const events: Event[] = [];
+	const items = createMemoryItems();
 	const changed = new Emittery<{changed: undefined}>();
 	/** Watches in progress, by the controllers that silence them. */
 	const openWatches = new Map<AbortController, string>();
 	const leases = new Map<number, {ttlMs: number; timer: NodeJS.Timeout}>();
 	const delayed: Transaction[] = [];
 	const faults = createStoreFaults();
-	let revision = 1;
 	let nextLease = 1;
 	let compactedRevision = 0;
 
-	const setItem = (key: string, value: Uint8Array, lease: number) => {
-		const item: StoredItem = {
-			key,
-			value,
-			revision,
-			createRevision: items.get(key)?.createRevision ?? revision,
-			lease,
-		};
-		items.set(key, item);
-		events.push({key, revision, item});
-	};
-
-	const removeItem = (key: string) => {
-		if (items.delete(key)) {
-			events.push({key, revision, item: undefined});
-		}
-	};
-
 	const announce = () => {
 		void changed.emit('changed');
 	};
@@ -76,13 +55,7 @@
 
 		clearTimeout(entry.timer);
 		leases.delete(lease);
-		revision += 1;
-		for (const item of items.values()) {
-			if (item.lease === lease) {
-				removeItem(item.key);
-			}
-		}
-
+		items.removeLease(lease);
 		announce();
 	};
 
@@ -98,29 +71,28 @@
 			revokeLease(lease);
 		}, ttlMs);
 
-	const apply = ({expected, writes, removals = []}: Transaction): TransactionResult => {
-		if (expected.some(({key, revision: expectedRevision}) => (items.get(key)?.revision ?? 0) !== expectedRevision)) {
-			return {
-				outcome: 'conflict',
-				current: expected.map(({key}) => items.get(key)).filter((item) => item !== undefined),
-			};
+	const apply = (transaction: Transaction): TransactionResult => {
+		const result = items.apply(transaction, (lease) => leases.has(lease));
+		if (result.outcome === 'applied') {
+			announce();
 		}
 
-		if (writes.some(({lease}) => lease !== undefined && !leases.has(lease))) {
-			return {outcome: 'lease-ended'};
-		}
-
-		revision += 1;
-		for (const {key, value, lease = 0} of writes) {
-			setItem(key, value, lease);
-		}
+		return result;
+	};
 
-		for (const key of removals) {
-			removeItem(key);
+	/** Throws for a transaction that the store will never take, as it is. */
+	const requireAcceptable = ({writes}: Transaction) => {
+		if (
+			writes.some(
+				({key, value}) =>
+					value.length > faults.valueBytes || [...faults.refusedKeys].some((prefix) => key.startsWith(prefix)),
+			)
+		) {
+			throw new ServiceError('the store refused a transaction with status 400', {
+				code: 'bad-request',
+				verdict: 'not-run',
+			});
 		}
-
-		announce();
-		return {outcome: 'applied', revision};
 	};
 
 	const requireStore = () => {
@@ -129,16 +101,9 @@
 		}
 	};
 
-	const list = (prefix: string): KeyChanges => ({
-		revision,
-		items: [...items.values()].filter(({key}) => key.startsWith(prefix)),
-		removed: [],
-		isListing: true,
-	});
-
 	/** Lists as of now, and takes the time of a slow listing for the response. */
 	const respondWithListing = async (prefix: string): Promise<KeyChanges> => {
-		const listing = list(prefix);
+		const listing = items.list(prefix);
 		const slowMs = faults.slowListings.get(prefix);
 		if (slowMs !== undefined) {
 			await sleep(slowMs);
@@ -167,23 +132,9 @@
 			}
 		});
 
-	const changesAfter = (prefix: string, afterRevision: number): KeyChanges => {
-		const last = new Map(
-			events
-				.filter((event) => event.revision > afterRevision && event.key.startsWith(prefix))
-				.map((event) => [event.key, event]),
-		);
-		return {
-			revision,
-			items: [...last.values()].map(({item}) => item).filter((item) => item !== undefined),
-			removed: [...last.values()].filter(({item}) => item === undefined).map(({key}) => key),
-			isListing: false,
-		};
-	};
-
 	return {
 		faults,
-		items: () => [...items.values()],
+		items: items.all,
 		silenceWatches(prefix) {
 			for (const [silenced, watched] of openWatches) {
 				if (watched === prefix) {
@@ -224,7 +175,7 @@
 			requireStore();
 			if (faults.isCompacted) {
 				faults.isCompacted = false;
-				compactedRevision = revision;
+				compactedRevision = items.revision();
 			}
 
 			if (afterRevision < compactedRevision) {
@@ -241,7 +192,7 @@
 						throw unavailable('may-have-run');
 					}
 
-					const changes = changesAfter(prefix, afterRevision);
+					const changes = items.changesAfter(prefix, afterRevision);
 					const isOver = changes.items.length + changes.removed.length > 0 || performance.now() >= endMs;
 					if (isOver || signal.aborted) {
 						return changes;
@@ -256,6 +207,7 @@
 		},
 		async transact(transaction) {
 			requireStore();
+			requireAcceptable(transaction);
 			if (faults.delayed > 0) {
 				faults.delayed -= 1;
 				delayed.push(transaction);
--- a/packages/scheduler/src/test/model-worker-faults.ts
+++ b/packages/scheduler/src/test/model-worker-faults.ts
@@ -27,6 +27,8 @@
 	connectionWaitMs: number;
 	/** Time after which a report that the worker has composed is read by its requester. */
 	reportDelayMs: number;
+	/** Ends that one report lists at most; the others follow when these are acknowledged. */
+	endsPerReport: number;
 	/** Speed of the worker's clock. */
 	clockRate: number;
 	/** Outcomes of the following calls; each call removes the first one of its kind. */
@@ -55,6 +57,7 @@
 	isMute: false,
 	connectionWaitMs: 0,
 	reportDelayMs: 0,
+	endsPerReport: 500,
 	clockRate: 1,
 	script: {start: [], stop: [], throttle: [], renewal: []},
 	patterns: {start: [], stop: [], throttle: [], renewal: []},
--- a/packages/scheduler/src/test/model-worker.ts
+++ b/packages/scheduler/src/test/model-worker.ts
@@ -2,56 +2,21 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError} from '@bergamotgauge/model';
 import type {
-	EndedUnit,
 	LeaseRenewal,
 	OrderReply,
+	RunOrder,
 	SendOptions,
 	StartOrder,
 	Worker,
 	WorkerPort,
 	WorkerReport,
 } from '../types.js';
+import {createModelEnds} from './model-ends.js';
 import {NO_GANGS, type ModelGangs} from './model-gangs.js';
 import {beginRun, createModelRun, percentOf, type ModelRun, type UnitBehaviour} from './model-runs.js';
+import type {Availability, ModelWorker, RunTarget, WorkerCall} from './model-worker-types.js';
 import {NO_EVENTS, type WorkerEvents} from './model-worker-events.js';
-import {createFaultyCalls, createWorkerFaults, type CallKind, type WorkerFaults} from './model-worker-faults.js';
-
-/** Whether a process answers at the worker's address: this incarnation, none, or a later one with another id. */
-export type Availability = 'up' | 'down' | 'replaced';
-
-type RunTarget = Readonly<{unit: string; run: number}>;
-
-/** A call to the worker, whether or not it was sent and arrived. */
-export type WorkerCall = Readonly<{kind: CallKind; atMs: number}> & Partial<RunTarget>;
-
-/** A simulated worker that follows the protocol for fencing tokens, leases, stopped runs and acknowledged ends. */
-export type ModelWorker = Readonly<{
-	worker: Worker;
-	port: () => WorkerPort;
-	faults: WorkerFaults;
-	/** All calls to the worker. */
-	calls: readonly WorkerCall[];
-	/** Carries out the delayed calls. */
-	release: () => void;
-	/** Number of starts, by unit. */
-	starts: ReadonlyMap<string, number>;
-	/** Ends all runs as a crash does, without reporting them. Delayed calls are lost unless they are kept for a later incarnation under the same id. */
-	crash: (keepsCalls?: boolean) => void;
-	/** Starts a new incarnation under the same id, which knows nothing of before. */
-	restart: () => void;
-	/** Start time of the present incarnation; `undefined` if the worker does not report it. */
-	startedMs: () => number | undefined;
-	setAvailability: (availability: Availability) => void;
-	running: () => ReadonlyArray<Readonly<{unit: string; run: number}>>;
-	/** CPU shares that were ordered, by unit, in percent. */
-	throttles: ReadonlyMap<string, number>;
-	/** Tail latency to report, by unit. */
-	tailLatencies: Map<string, number>;
-	/** Reading of the worker's clock. */
-	clockMs: () => number;
-	/** Sequence of the last acknowledged end. */
-	acknowledged: () => number;
-}>;
+import {createFaultyCalls, createWorkerFaults, type CallKind} from './model-worker-faults.js';
 
 /** Creates a worker that uses the clock of the runtime, which tests may fake. */
 export const createModelWorker = (
@@ -69,13 +34,8 @@
 	const calls: WorkerCall[] = [];
 	const faults = createWorkerFaults();
 	const {connect, receive, requireResponse, release, clear} = createFaultyCalls(faults);
-	let ended: EndedUnit[] = [];
-	const waiting = new Set<() => void>();
-	let sequence = 0;
+	const ends = createModelEnds(events);
 	let token = 0;
-	let acknowledgedSequence = 0;
-	/** Last end before the latest expiry of the lease. */
-	let expiredSequence = 0;
 	let leaseUntilMs = 0;
 	let leaseTimer: NodeJS.Timeout | undefined;
 	let availability: Availability = 'up';
@@ -96,19 +56,7 @@
 		clearTimeout(run.timer);
 		runs.delete(runKey(run.unit, run.run));
 		closedRuns.set(run.unit, Math.max(closedRuns.get(run.unit) ?? 0, run.run));
-		sequence += 1;
-		const listed: EndedUnit = {sequence, unit: run.unit, run: run.run, how, checkpoint: ''};
-		ended.push(listed);
-		events.onEnd(listed);
-		if (sequence <= acknowledgedSequence) {
-			// An acknowledgement may be ahead of the ends.
-			events.onAcknowledged(acknowledgedSequence, [listed]);
-		}
-
-		for (const wake of waiting) {
-			wake();
-		}
-
+		ends.record(run.unit, run.run, how);
 		run.leaveGang(how);
 	};
 
@@ -121,7 +69,7 @@
 					end(run, 'lapsed');
 				}
 
-				expiredSequence = sequence;
+				ends.expire();
 			},
 			(leaseUntilMs - clockMs()) / faults.clockRate,
 		);
@@ -188,7 +136,7 @@
 		return accept();
 	};
 
-	const stop: (order: Parameters<WorkerPort['stop']>[0]) => OrderReply = ({unit, run, token: given}) => {
+	const stop = ({unit, run, token: given}: RunOrder): OrderReply => {
 		if (isStale(given)) {
 			return refuse('stale-token');
 		}
@@ -202,12 +150,7 @@
 		return accept();
 	};
 
-	const throttle: (order: Parameters<WorkerPort['throttle']>[0]) => OrderReply = ({
-		unit,
-		run,
-		percent,
-		token: given,
-	}) => {
+	const throttle = ({unit, run, percent, token: given}: RunOrder & Readonly<{percent: number}>): OrderReply => {
 		if (isStale(given)) {
 			return refuse('stale-token');
 		}
@@ -220,21 +163,12 @@
 		return accept();
 	};
 
-	/** A worker forgets the ends that were acknowledged, whoever asks for them. */
-	const listEnded = (limit: number) =>
-		ended.filter((endedUnit) => endedUnit.sequence > Math.max(limit, acknowledgedSequence));
-
 	const acceptRenewal = ({token: given, acknowledgedSequence: acknowledged, leaseUntilMs: untilMs}: LeaseRenewal) => {
 		if (isStale(given)) {
 			return 'stale-token';
 		}
 
-		const fresh = listEnded(expiredSequence);
-		acknowledgedSequence = Math.max(acknowledgedSequence, acknowledged);
-		events.onAcknowledged(
-			acknowledgedSequence,
-			fresh.filter((endedUnit) => endedUnit.sequence <= acknowledgedSequence),
-		);
+		ends.acknowledge(acknowledged);
 		if (untilMs !== undefined) {
 			extendLease(untilMs);
 		}
@@ -242,32 +176,23 @@
 		return 'accepted';
 	};
 
-	const waitForEnd = async (waitMs: number, signal: AbortSignal) =>
-		new Promise<void>((resolve) => {
-			const finish = () => {
-				clearTimeout(timer);
-				waiting.delete(finish);
-				resolve();
-			};
-
-			const timer = setTimeout(finish, waitMs);
-			waiting.add(finish);
-			signal.addEventListener('abort', finish, {once: true});
-		});
-
-	const report = (acknowledged: number): WorkerReport => ({
-		outcome: 'accepted',
-		clockMs: clockMs(),
-		startedMs,
-		running: [...runs.values()].map((active) => ({
-			unit: active.unit,
-			run: active.run,
-			checkpoint: '',
-			recentFigure: tailLatencies.get(active.unit),
-			percent: percentOf(active),
-		})),
-		ended: listEnded(acknowledged),
-	});
+	const report = (acknowledged: number): WorkerReport => {
+		const listed = ends.listedAfter(acknowledged);
+		return {
+			outcome: 'accepted',
+			clockMs: clockMs(),
+			startedMs,
+			running: [...runs.values()].map((active) => ({
+				unit: active.unit,
+				run: active.run,
+				checkpoint: '',
+				recentFigure: tailLatencies.get(active.unit),
+				percent: percentOf(active),
+			})),
+			ended: listed.slice(0, faults.endsPerReport),
+			hasMoreEnds: listed.length >= faults.endsPerReport,
+		};
+	};
 
 	const record = (kind: CallKind, target: Partial<RunTarget> = {}) => {
 		calls.push({kind, atMs: performance.now(), ...target});
@@ -304,11 +229,8 @@
 		restart() {
 			closedRuns.clear();
 			throttles.clear();
-			ended = [];
-			sequence = 0;
+			ends.clear();
 			token = 0;
-			acknowledgedSequence = 0;
-			expiredSequence = 0;
 			leaseUntilMs = 0;
 			clockOriginMs = performance.now();
 			startedMs = startedMs === undefined ? undefined : Date.now();
@@ -327,15 +249,13 @@
 				clear();
 			}
 
-			for (const wake of waiting) {
-				wake();
-			}
+			ends.wake();
 		},
 		setAvailability(next) {
 			availability = next;
 		},
 		running: () => [...runs.values()].map(({unit, run}) => ({unit, run})),
-		acknowledged: () => acknowledgedSequence,
+		acknowledged: ends.acknowledged,
 		port: () => ({
 			close() {
 				// The simulated worker has no connections.
@@ -364,8 +284,8 @@
 					return {outcome: 'refused', reason};
 				}
 
-				if (waitMs > 0 && listEnded(acknowledged).length === 0) {
-					await waitForEnd(waitMs, signal);
+				if (waitMs > 0 && ends.listedAfter(acknowledged).length === 0) {
+					await ends.waitForNext(waitMs, signal);
 				}
 
 				if (waitMs > 0 && faults.lostLongPolls > 0) {
--- a/packages/scheduler/src/test/run-checker.ts
+++ b/packages/scheduler/src/test/run-checker.ts
@@ -1,6 +1,6 @@
 import type {EndedUnit, Worker} from '../types.js';
-import type {ModelWorker} from './model-worker.js';
 import type {WorkerEvents} from './model-worker-events.js';
+import type {ModelWorker} from './model-worker-types.js';
 
 /** A start that the protocol forbids. */
 export type RunViolation = Readonly<{
--- a/packages/scheduler/src/test/store-faults.ts
+++ b/packages/scheduler/src/test/store-faults.ts
@@ -14,6 +14,10 @@
 	readonly silentWatches: Set<string>;
 	/** Time that listings of a prefix take after they were read; changes made meanwhile are not in them. */
 	readonly slowListings: Map<string, number>;
+	/** Largest value that a transaction may write. */
+	valueBytes: number;
+	/** Prefixes of keys whose writes are refused for good. */
+	readonly refusedKeys: Set<string>;
 	/** The history before the current revision is compacted. */
 	isCompacted: boolean;
 };
@@ -27,5 +31,7 @@
 	silentRenewals: 0,
 	silentWatches: new Set(),
 	slowListings: new Map(),
+	valueBytes: 1_048_576,
+	refusedKeys: new Set(),
 	isCompacted: false,
 });
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -95,7 +95,10 @@
 			/** Start time of the incarnation that responds; see `Incarnation`. */
 			startedMs?: number | undefined;
 			running: readonly RunningUnit[];
+			/** Ends that are not acknowledged, the earliest first. */
 			ended: readonly EndedUnit[];
+			/** Whether the worker may have further ends, which it lists when these are acknowledged; left out if it lists all. */
+			hasMoreEnds?: boolean;
 	  }>
 	| Readonly<{outcome: 'refused'; reason: StartRefusal}>;
 
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -4,14 +4,14 @@
 import type {Clocks} from './clocks.js';
 import {CLOCK_RATE_ERROR, RENEWAL_WAIT_MS, LEASE_EXPIRY_MARGIN_MS, SHARED_RENEWAL_WAIT_MS} from './constants.js';
 import type {Term} from './election.js';
-import {LEADER_KEY, ROSTER_KEY} from './keys.js';
 import {createEndedLinks} from './ended-links.js';
 import type {LeaderState} from './leader-state.js';
-import {decodeRoster, encodeRoster, partIdsOn, readRoster, type RosterEntry} from './roster.js';
+import {partIdsOn, type RosterEntry} from './roster.js';
+import {createStoredRoster} from './stored-roster.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
 import {createWorkerDirectory} from './worker-directory.js';
 import {createWorkerLink} from './worker-link.js';
-import type {ReportTimes, WorkerEnd, WorkerLink} from './worker-link-types.js';
+import type {ReportDetails, WorkerEnd, WorkerLink} from './worker-link-types.js';
 
 export type WorkerFleetOptions = Readonly<{
 	context: SchedulerContext;
@@ -20,9 +20,9 @@
 	lifecycle: Lifecycle;
 	clocks: Clocks;
 	/** Called with all active runs of a worker. */
-	onReport: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
+	onReport: (link: WorkerLink, running: readonly RunningUnit[], details: ReportDetails) => void;
 	/** Called with the progress of a worker's active runs. */
-	onProgress: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
+	onProgress: (link: WorkerLink, running: readonly RunningUnit[], details: ReportDetails) => void;
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when a worker incarnation, or its lease, has ended, so that nothing runs on it any more. */
@@ -44,7 +44,7 @@
 	isRosterStale: () => boolean;
 	storeRoster: () => Promise<void>;
 	isOrderable: (workerId: string) => boolean;
-	/** Whether a run ordered by an earlier leader may exist on a worker that has not responded yet. */
+	/** Whether a run ordered by an earlier leader may exist, or have ended, on a worker that has not listed all its ends yet. */
 	mayRunPart: (partId: string) => boolean;
 	/** Sets the workers that run both latency-sensitive and best-effort units, which are asked to report more often. */
 	setShared: (workerIds: ReadonlySet<string>) => void;
@@ -68,11 +68,9 @@
 	// Leases granted by an earlier leader have expired by then, whether or not their workers are reachable.
 	const earlierLeasesEndMs =
 		now() + bounds.maxLeaseMs * (1 + CLOCK_RATE_ERROR + CLOCK_RATE_ERROR ** 2) + LEASE_EXPIRY_MARGIN_MS;
-	/** Workers whose runs from earlier terms are not known yet. */
+	/** Workers whose runs from earlier terms are not known yet: they have not listed all their ends to this leader. */
 	const unsynced = new Set<string>();
-	/** The roster as stored, which a later leader will read. */
-	let storedRoster: ReadonlyMap<string, RosterEntry> = new Map();
-	let rosterRevision = 0;
+	const storedRoster = createStoredRoster({store, log, term});
 	let inUse: ReadonlySet<string> = new Set();
 	let shared: ReadonlySet<string> = new Set();
 
@@ -108,15 +106,18 @@
 			earlierLeasesEndMs,
 			mayOrder: term.isValid,
 			events: {
-				onReport(from, running, times) {
+				onReport(from, running, details) {
 					const {id} = from.worker;
-					unsynced.delete(id);
+					if (from.hasListedAll()) {
+						unsynced.delete(id);
+					}
+
 					directory.confirm(id, from.startedMs());
-					onReport(from, running, times);
+					onReport(from, running, details);
 				},
-				onProgress(from, running, times) {
+				onProgress(from, running, details) {
 					directory.confirm(from.worker.id, from.startedMs());
-					onProgress(from, running, times);
+					onProgress(from, running, details);
 				},
 				onEnds,
 				onGone(from, workerEnd) {
@@ -161,22 +162,12 @@
 		onOpened(link);
 	};
 
-	/** Whether orders of an earlier leader may be in effect on a worker that has not answered this one. */
-	const mayHaveRuns = (workerId: string): boolean => {
-		const entry = storedRoster.get(workerId);
-		if (!entry) {
-			return false;
-		}
-
-		return entry.partIds === undefined || entry.partIds.length > 0;
-	};
-
 	/**
 	Applies a report to a link. The worker is called where it has answered, since a report may give the address of another one, whose refusal would show that this one has ended.
 	*/
 	const updateLink = (link: WorkerLink, worker: Worker) => {
 		const {id, address} = link.worker;
-		if (worker.address === address || link.state() !== 'unsynced' || mayHaveRuns(id)) {
+		if (worker.address === address || link.state() !== 'unsynced' || storedRoster.mayHaveRuns(id)) {
 			link.worker = {...worker, address};
 			return;
 		}
@@ -207,33 +198,20 @@
 
 	const acceptsOrders = (link: WorkerLink): boolean => isSynced(link) && link.worker.state === 'ready';
 
-	const isOrderableInRoster = (workerId: string): boolean => {
-		const entry = storedRoster.get(workerId);
-		return entry !== undefined && entry.partIds === undefined;
-	};
-
 	const entryOf = (link: WorkerLink): RosterEntry => {
 		const worker = {...link.worker, startedMs: link.startedMs()};
 		if (acceptsOrders(link)) {
 			return {worker};
 		}
 
-		// A worker that has never responded to this leader keeps the entry of the earlier leader; without one it has had no orders.
+		// A worker that has not listed all its ends to this leader keeps the entry of the earlier leader; without one it has had no orders.
 		const known = storedRoster.get(worker.id);
-		return link.state() === 'unsynced' && known ? known : {worker, partIds: partIdsOn(state, worker.id)};
+		return unsynced.has(worker.id) && known ? known : {worker, partIds: partIdsOn(state, worker.id)};
 	};
 
 	return {
 		async openRoster() {
-			const roster = await readRoster({store, log, signal: term.signal});
-			if (term.signal.aborted) {
-				return;
-			}
-
-			rosterRevision = roster?.revision ?? 0;
-			const entries = roster ? decodeRoster(roster.value) : [];
-			storedRoster = new Map(entries.map((entry) => [entry.worker.id, entry]));
-			for (const {worker} of entries) {
+			for (const worker of await storedRoster.read()) {
 				openLink(worker);
 			}
 		},
@@ -250,47 +228,27 @@
 		},
 		// A new leader waits for the leases of unreachable workers to expire unless the roster says what they run.
 		isRosterStale: () =>
-			[...storedRoster.keys()].some((id) => !state.links.has(id)) ||
-			[...state.links.values()].some(
-				(link) => link.state() !== 'unsynced' && acceptsOrders(link) !== isOrderableInRoster(link.worker.id),
-			),
+			[...storedRoster.workerIds()].some((id) => !state.links.has(id)) ||
+			[...state.links].some(([id, link]) => !unsynced.has(id) && acceptsOrders(link) !== storedRoster.isOrderable(id)),
 		async storeRoster() {
-			const entries = [...state.links.values()].filter((link) => link.state() !== 'gone').map((link) => entryOf(link));
-			// The write may take effect without a response, so until its outcome is known, only workers that both rosters list
-			// as open for orders get any. What a later leader has to know about the others stays valid either way.
-			const openIds = new Set(entries.filter(({partIds}) => !partIds).map(({worker}) => worker.id));
-			storedRoster = new Map([...storedRoster].filter(([id, {partIds}]) => partIds !== undefined || openIds.has(id)));
-			const result = await store.transact({
-				expected: [
-					{key: LEADER_KEY, revision: term.leaderRevision},
-					{key: ROSTER_KEY, revision: rosterRevision},
-				],
-				writes: [{key: ROSTER_KEY, value: encodeRoster(entries)}],
-			});
-			if (result.outcome === 'applied') {
-				rosterRevision = result.revision;
-				storedRoster = new Map(entries.map((entry) => [entry.worker.id, entry]));
-				return;
-			}
-
-			const current = result.outcome === 'conflict' ? result.current : [];
-			if (current.find(({key}) => key === LEADER_KEY)?.revision !== term.leaderRevision) {
-				term.abandon('another instance leads');
-			}
-
-			// An earlier write of this term may have taken effect without a response.
-			rosterRevision = current.find(({key}) => key === ROSTER_KEY)?.revision ?? 0;
+			const openLinks = [...state.links.values()].filter((link) => link.state() !== 'gone');
+			await storedRoster.store(openLinks.map((link) => entryOf(link)));
 		},
 		isOrderable(workerId) {
 			const link = state.links.get(workerId);
-			return link !== undefined && acceptsOrders(link) && isOrderableInRoster(workerId);
+			return link !== undefined && acceptsOrders(link) && storedRoster.isOrderable(workerId);
 		},
 		mayRunPart(partId) {
-			if (unsynced.size === 0 || now() >= earlierLeasesEndMs) {
+			if (unsynced.size === 0) {
 				return false;
 			}
 
-			return [...unsynced].some((id) => storedRoster.get(id)?.partIds?.includes(partId) ?? true);
+			// The lease of a worker that has answered is renewed, so that its ends still count after the leases of earlier leaders.
+			const areEarlierLeasesValid = now() < earlierLeasesEndMs;
+			return [...unsynced].some(
+				(id) =>
+					(areEarlierLeasesValid || state.links.get(id)?.state() !== 'unsynced') && storedRoster.mayRunPart(id, partId),
+			);
 		},
 		setShared(workerIds) {
 			shared = workerIds;
--- a/packages/scheduler/src/worker-link-types.ts
+++ b/packages/scheduler/src/worker-link-types.ts
@@ -5,6 +5,8 @@
 export type WorkerLinkState =
 	/** The worker has not responded to this leader yet. */
 	| 'unsynced'
+	/** The worker responds, and has not listed all its ends to this leader yet. */
+	| 'syncing'
 	| 'synced'
 	/** The latest lease renewals got no response. */
 	| 'silent'
@@ -23,19 +25,21 @@
 	| {reason: 'lease-ended'; successorMs?: undefined}
 >;
 
-/** Times of a report, on this instance's clock. */
-export type ReportTimes = Readonly<{
-	/** Time at which the report was requested. */
+/** What is known of a report beside its lists. */
+export type ReportDetails = Readonly<{
+	/** Time at which the report was requested, on this instance's clock. */
 	sentMs: number;
-	/** Estimate of the time at which the worker composed it. */
+	/** Estimate of the time at which the worker composed it, on this instance's clock. */
 	composedMs: number;
+	/** Whether a run that the report lists neither as active nor as ended is not on the worker; otherwise its end may follow. */
+	listsAllEnds: boolean;
 }>;
 
 export type WorkerLinkEvents = Readonly<{
 	/** Called with all active runs of the worker after each lease renewal. */
-	onReport: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
+	onReport: (link: WorkerLink, running: readonly RunningUnit[], details: ReportDetails) => void;
 	/** Called with the active runs after a progress poll. */
-	onProgress: (link: WorkerLink, running: readonly RunningUnit[], times: ReportTimes) => void;
+	onProgress: (link: WorkerLink, running: readonly RunningUnit[], details: ReportDetails) => void;
 	/** Called with newly ended runs; resolves when they are stored. */
 	onEnds: (link: WorkerLink, ended: readonly EndedUnit[]) => Promise<void>;
 	/** Called when none of the runs that this leader knows of exists any more. */
@@ -76,6 +80,8 @@
 	readonly silentSinceMs: () => number | undefined;
 	/** Time of the last response; `undefined` before the first one. */
 	readonly lastReplyMs: () => number | undefined;
+	/** Whether the worker has listed all its ends to this leader, so that the runs of earlier terms on it are known. */
+	readonly hasListedAll: () => boolean;
 	/** Start time of the incarnation; `undefined` if it is not known. */
 	readonly startedMs: () => number | undefined;
 	/** Time at which the last renewal was sent that the incarnation has answered. What it accepted later may have been accepted by the next one. */
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -1,6 +1,7 @@
 import {withDeadline} from '@bergamotgauge/lifecycle';
 import {toServiceError} from '@bergamotgauge/model';
 import {DRAINING_LEASE_MS, LEASE_SHARE, PROGRESS_POLL_DEADLINE_MS, RENEWAL_GRACE_MS} from './constants.js';
+import {createIncarnation} from './incarnation.js';
 import {runRenewalLoop, type RenewalOutcome} from './renewal-loop.js';
 import {createReportAge, type RequestTime} from './report-age.js';
 import {createReportedEnds} from './reported-ends.js';
@@ -8,7 +9,7 @@
 import type {SendOptions, StartRefusal, WorkerPort, WorkerReport} from './types.js';
 import {createWaker} from './waker.js';
 import {createWorkerClock} from './worker-clock.js';
-import type {ReportTimes, WorkerEnd, WorkerLink, WorkerLinkOptions, WorkerLinkState} from './worker-link-types.js';
+import type {ReportDetails, WorkerEnd, WorkerLink, WorkerLinkOptions, WorkerLinkState} from './worker-link-types.js';
 import {createOrderSender, type OrderResult} from './worker-orders.js';
 
 type AcceptedReport = Extract<WorkerReport, {outcome: 'accepted'}>;
@@ -34,18 +35,28 @@
 		link.worker.state === 'draining' ? DRAINING_LEASE_MS : bounds.maxLeaseMs * LEASE_SHARE;
 	let state: WorkerLinkState = 'unsynced';
 	const isGone = (): boolean => state === 'gone';
+	/** Whether the worker has responded to the latest renewal. */
+	const isResponding = (): boolean => state === 'synced' || state === 'syncing';
+	let hasListedAll = false;
 	const isActive = (): boolean => mayOrder() && !isGone();
 	let isPolling = false;
 	let silentSinceMs: number | undefined;
 	let lastReplyMs: number | undefined;
 	let confirmedMs = Number.NEGATIVE_INFINITY;
 	const reportAge = createReportAge(clocks);
-	let {startedMs} = options.worker;
+	const ends = createReportedEnds({
+		workerId: options.worker.id,
+		log,
+		store: async (ended) => events.onEnds(link, ended),
+		onSettled: waker.wake,
+	});
+	const incarnation = createIncarnation(options.worker.startedMs, ends);
+
 	const setState = (next: WorkerLinkState, fields: Readonly<Record<string, string | number>> = {}) => {
 		if (state !== next) {
 			log.info('worker-link', {worker: options.worker.id, from: state, to: next, token, ...fields});
 			state = next;
-			silentSinceMs = next === 'synced' ? undefined : (silentSinceMs ?? now());
+			silentSinceMs = isResponding() ? undefined : (silentSinceMs ?? now());
 		}
 	};
 
@@ -57,32 +68,19 @@
 		}
 	};
 
-	/** Whether a report is by the incarnation of this link, or by the first one that responds. A report by a later one ends the link. */
-	const isOwnReport = ({startedMs: reportedMs, ended}: AcceptedReport, sentMs: number): boolean => {
-		if (reportedMs === undefined || reportedMs === startedMs) {
-			if (ends.isRenumbered(ended, sentMs)) {
-				end({reason: 'renumbered'});
-			}
-
-			return !isGone();
-		}
-
-		// Until the worker has answered, its start time is only known from a report that anyone may have written.
-		if (startedMs === undefined || state === 'unsynced') {
-			startedMs = reportedMs;
-			return true;
-		}
-
-		if (reportedMs > startedMs) {
-			end({reason: 'other-life', successorMs: reportedMs});
+	/** Whether a report is by the incarnation of this link. A report by a later one ends the link. */
+	const isOwnReport = (report: AcceptedReport, sentMs: number): boolean => {
+		const source = incarnation.identify(report, {sentMs, isFirst: state === 'unsynced'});
+		if (typeof source === 'object') {
+			end(source);
 		}
 
-		return false;
+		return source === 'own' && !isGone();
 	};
 
 	/** The acknowledgement to send. Another incarnation would take it for one of its own ends, so none is repeated, and none is sent to a worker that may have started again. */
 	const acknowledgement = (): number =>
-		state === 'synced' && reportAge.isRecent() && ends.acknowledged() > ends.confirmed() ? ends.acknowledged() : 0;
+		isResponding() && reportAge.isRecent() && ends.acknowledged() > ends.confirmed() ? ends.acknowledged() : 0;
 
 	/** Whether a call with the acknowledgement may still be sent, after a wait for a connection. */
 	const mayAcknowledge = (sequence: number): boolean => sequence === 0 || reportAge.isRecent();
@@ -110,10 +108,13 @@
 		}
 	};
 
-	const observeReport = ({clockMs}: AcceptedReport, {sentMs, suspendedMs}: RequestTime): ReportTimes => {
+	const observeReport = (
+		{clockMs, hasMoreEnds = false}: AcceptedReport,
+		{sentMs, suspendedMs}: RequestTime,
+	): ReportDetails => {
 		const composedMs = clock.timeOf(clockMs, sentMs, now());
 		reportAge.record(composedMs, suspendedMs);
-		return {sentMs, composedMs};
+		return {sentMs, composedMs, listsAllEnds: !hasMoreEnds};
 	};
 
 	const order = createOrderSender({
@@ -125,26 +126,19 @@
 		observeReply,
 	});
 
-	const ends = createReportedEnds({
-		workerId: options.worker.id,
-		log,
-		store: async (ended) => events.onEnds(link, ended),
-		onSettled: waker.wake,
-	});
-
 	const renewLease = async (signal: AbortSignal, {maySend}: SendCheck): Promise<RenewalOutcome> => {
 		const isFirst = state === 'unsynced';
 		const hasWork = events.hasWork(link);
 		const requestTime = reportAge.requestTime();
 		const {sentMs} = requestTime;
 		// A renewal without a response may still extend the lease, so the lease of a worker that does not respond is left to expire.
-		const leaseUntilMs = hasWork && state === 'synced' ? clock.leaseUntil(sentMs, leaseLengthMs()) : undefined;
+		const leaseUntilMs = hasWork && isResponding() ? clock.leaseUntil(sentMs, leaseLengthMs()) : undefined;
 		if (leaseUntilMs !== undefined) {
 			clock.recordLease(leaseUntilMs);
 		}
 
 		const acknowledgedSequence = acknowledgement();
-		const waitMs = isFirst || state === 'silent' ? 0 : events.renewalWaitMs(link);
+		const waitMs = state === 'synced' ? events.renewalWaitMs(link) : 0;
 		const check = createSendCheck(() => maySend() && mayAcknowledge(acknowledgedSequence));
 		let report: WorkerReport;
 		try {
@@ -179,7 +173,8 @@
 		observeReply(report, sentMs);
 		confirmedMs = sentMs;
 		ends.confirm(acknowledgedSequence, now());
-		setState('synced', {
+		hasListedAll ||= !report.hasMoreEnds;
+		setState(hasListedAll ? 'synced' : 'syncing', {
 			...(isFirst && {running: report.running.length, ended: report.ended.length}),
 			...(report.startedMs !== undefined && {startedMs: report.startedMs}),
 		});
@@ -189,7 +184,7 @@
 	};
 
 	const silence = (error: string) => {
-		if (state === 'synced') {
+		if (isResponding()) {
 			setState('silent', {error});
 		}
 	};
@@ -197,10 +192,11 @@
 	const link: WorkerLink = {
 		worker: options.worker,
 		state: () => state,
+		hasListedAll: () => hasListedAll,
 		expiryMs: clock.expiryMs,
 		silentSinceMs: () => silentSinceMs,
 		lastReplyMs: () => lastReplyMs,
-		startedMs: () => startedMs,
+		startedMs: incarnation.startedMs,
 		confirmedMs: () => confirmedMs,
 		replace(successorMs) {
 			end({reason: 'other-life', successorMs});
@@ -258,7 +254,7 @@
 			return result.outcome === 'accepted' || (result.outcome === 'refused' && result.reason === 'old-run');
 		},
 		async pollProgress() {
-			if (isPolling || state !== 'synced' || !mayOrder()) {
+			if (isPolling || !isResponding() || !mayOrder()) {
 				return;
 			}
 
