Write the records of jobs so that none holds up another

Cause: the writer of progress repeated a failed batch of up to ten jobs as it was.

Change: checkpoints are left out of a record as far as it is over valueBytes. A batch that the store refuses for good is split, a record that is refused alone is written without checkpoints, and one that is refused still is held and tried every 5 s. Each step is logged and counted. A batch is no larger than one value, and records that have waited come first.

Ruled out: parts of a record under keys of their own, which take more keys than a transaction may have and more memory at a takeover.

Five tests in progress-writer.test.ts; the one on the order was seen failing without it.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -102,6 +102,9 @@
 /** Maximum jobs in one transaction. Each takes up to three of the 32 entries that the store accepts; the leader key takes one. */
 export const COMMIT_BATCH = 10;
 
+/** Pause before a record is written again that the store has refused in each form; each attempt may send a megabyte. */
+export const REFUSED_RECORD_RETRY_MS = 5000;
+
 /** Delay of progress commits that no caller waits for, so that they share transactions. */
 export const LAZY_COMMIT_MS = 300;
 
--- a/packages/scheduler/src/job-outcome.ts
+++ b/packages/scheduler/src/job-outcome.ts
@@ -106,7 +106,8 @@
 					failedRuns: [...failedRuns],
 					...(crashes.length > 0 && {crashes}),
 					...(trialRun > 0 && {trialRun}),
-					checkpoint: isDone ? '' : checkpoint,
+					// Nothing of an ended job is resumed.
+					checkpoint: isDone || activeJob.outcome !== undefined ? '' : checkpoint,
 				},
 			]),
 	),
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -70,6 +70,8 @@
 		store,
 		term,
 		log,
+		metrics,
+		maxValueBytes: context.maxValueBytes,
 		onStored: table.mergeWritten,
 		onCancelled(activeJob) {
 			ends.finishJob(activeJob);
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -1,6 +1,7 @@
 import {newJob, newStep} from '@bergamotgauge/jobs/test/fixtures.js';
+import {sleep} from '@bergamotgauge/lifecycle';
 import {decodeProgress} from '@bergamotgauge/jobs';
-import {createSilentLog} from '@bergamotgauge/telemetry';
+import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import FakeTimers from '@sinonjs/fake-timers';
 import t, {type Test} from 'tap';
 import type {Term} from './election.js';
@@ -33,6 +34,8 @@
 		store,
 		term,
 		log: createSilentLog(),
+		metrics: createMetrics(),
+		maxValueBytes: store.faults.valueBytes,
 		onStored() {
 			// The tests read the store directly.
 		},
@@ -64,6 +67,134 @@
 	return {clock, store, term, writer, activeJob, finish, storedOutcome, cancelled};
 };
 
+/** A job whose units were stopped, each with a checkpoint of so many bytes. */
+const newStoppedJob = (id: number, units: number, checkpointBytes: number): ActiveJob => {
+	const activeJob = createActiveJob({
+		job: newJob({id: String(id).padStart(16, '0'), steps: [newStep({count: units})]}),
+		progress: undefined,
+		progressRevision: 0,
+		jobRevision: 1,
+		isCancelled: false,
+		nowMs: 0,
+	});
+	for (let index = 0; index < units; index += 1) {
+		const checkpoint = 'x'.repeat(checkpointBytes);
+		recordEnd(
+			activeJob,
+			partOf(activeJob, 0, 0, index)!,
+			{workerId: 'w', index, run: 1, how: 'stopped', checkpoint},
+			5,
+		);
+	}
+
+	return activeJob;
+};
+
+const progressKey = ({job}: ActiveJob): string => jobKey(job.id, 'progress');
+
+// Guards against a record over the store's limit for a value: the batch with it was repeated for good, and no end of any
+// other job was stored.
+await t.test('a record with large checkpoints is stored without some of them, beside others', async (t) => {
+	const {clock, store, writer} = await createFixture(t);
+	const large = newStoppedJob(1, 600, 3000);
+	const small = newStoppedJob(2, 1, 10);
+	const stored = writer.store([large, small]);
+	await clock.tickAsync(1000);
+	await stored;
+	const record = await store.get(progressKey(large));
+	const parts = Object.values(decodeProgress(record!.value).parts);
+	const kept = parts.filter(({checkpoint}) => checkpoint.length === 3000).length;
+	t.equal(parts.length, 600, 'all ends are kept');
+	t.ok(kept > 250 && kept < 350, `${kept} checkpoints are kept`);
+	t.ok(record!.value.length <= store.faults.valueBytes);
+	t.ok(await store.get(progressKey(small)));
+});
+
+// Guards against the same where the store takes less than the settings say.
+await t.test('a record that the store refuses is stored without its checkpoints', async (t) => {
+	const {clock, store, writer} = await createFixture(t);
+	store.faults.valueBytes = 5000;
+	const large = newStoppedJob(1, 10, 1000);
+	const small = newStoppedJob(2, 1, 10);
+	const stored = writer.store([large, small]);
+	await clock.tickAsync(1000);
+	await stored;
+	const record = decodeProgress((await store.get(progressKey(large)))!.value);
+	t.same(
+		Object.values(record.parts).map(({run, checkpoint}) => [run, checkpoint]),
+		Array.from({length: 10}, () => [1, '']),
+	);
+	t.equal(decodeProgress((await store.get(progressKey(small)))!.value).parts['0.0.0']?.checkpoint.length, 10);
+});
+
+// Guards against a record that is refused for any reason and stops the others with it.
+await t.test('records beside one that is refused for good are stored, and it is tried again', async (t) => {
+	const {clock, store, writer} = await createFixture(t);
+	const jobs = Array.from({length: 25}, (_, index) => newStoppedJob(index + 1, 1, 10));
+	const refused = jobs[3]!;
+	store.faults.refusedKeys.add(progressKey(refused));
+	let isStored = false;
+	const stored = (async () => {
+		await writer.store(jobs);
+		isStored = true;
+	})();
+	await clock.tickAsync(1000);
+	const missing = [];
+	for (const activeJob of jobs) {
+		if (!(await store.get(progressKey(activeJob)))) {
+			missing.push(activeJob);
+		}
+	}
+
+	t.same(missing, [refused]);
+	t.notOk(isStored, 'the ends of the refused record are not acknowledged');
+	const later = newStoppedJob(30, 1, 10);
+	const laterStored = writer.store([later]);
+	await clock.tickAsync(100);
+	await laterStored;
+	store.faults.refusedKeys.clear();
+	await clock.tickAsync(6000);
+	await stored;
+	t.ok(await store.get(progressKey(refused)));
+});
+
+// Guards against a stored record of a newer version, which cannot be read and made each write of its batch fail.
+await t.test('a conflict with an unreadable record does not stop other records', async (t) => {
+	const {clock, store, writer} = await createFixture(t);
+	const unreadable = newStoppedJob(1, 1, 10);
+	const other = newStoppedJob(2, 1, 10);
+	store.put(progressKey(unreadable), Uint8Array.of(0xff));
+	void writer.store([unreadable]);
+	const stored = writer.store([other]);
+	await clock.tickAsync(2000);
+	await stored;
+	t.ok(await store.get(progressKey(other)));
+	t.same((await store.get(progressKey(unreadable)))!.value, Uint8Array.of(0xff), 'it is not overwritten');
+});
+
+// Guards against a large record that changes with each write and is always written before the others.
+await t.test('a record that keeps changing does not hold up others', async (t) => {
+	const {clock, store, writer} = await createFixture(t);
+	const busy = newStoppedJob(1, 600, 3000);
+	// Both do not fit in one batch.
+	const other = newStoppedJob(2, 4, 3000);
+	const {transact} = store;
+	let writes = 0;
+	const isWritten = (activeJob: ActiveJob) => store.items().some(({key}) => key === progressKey(activeJob));
+	Object.assign(store, {
+		async transact(...[transaction]: Parameters<typeof transact>) {
+			busy.changes += 1;
+			writes += 1;
+			await sleep(10);
+			return transact(transaction);
+		},
+	});
+	writer.storeLater(busy);
+	writer.storeLater(other);
+	await clock.tickAsync(400);
+	t.ok(isWritten(busy) && isWritten(other), `after ${writes} writes`);
+});
+
 // Guards against a delayed write that reverts ends which have been acknowledged to the workers.
 await t.test('a delayed write does not overwrite newer progress', async (t) => {
 	const {clock, store, writer, activeJob, finish, storedOutcome} = await createFixture(t);
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -1,13 +1,14 @@
-import {decodeProgress, encodeProgress} from '@bergamotgauge/jobs';
+import {decodeProgress} from '@bergamotgauge/jobs';
 import {createBackoff, sleep} from '@bergamotgauge/lifecycle';
 import {ServiceError, toServiceError} from '@bergamotgauge/model';
 import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
-import type {Log} from '@bergamotgauge/telemetry';
-import {COMMIT_BATCH, LAZY_COMMIT_MS, WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import {LAZY_COMMIT_MS, REFUSED_RECORD_RETRY_MS, WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
 import {type ActiveJob} from './active-job.js';
-import {overruleOutcome, progressOf} from './job-outcome.js';
+import {overruleOutcome} from './job-outcome.js';
 import type {Term} from './election.js';
 import {jobKey, LEADER_KEY} from './keys.js';
+import {createRecordBatches, type RecordWrite} from './record-batches.js';
 
 /** Writes the progress of jobs to the store during a term. */
 export type ProgressWriter = Readonly<{
@@ -23,6 +24,9 @@
 	store: KeyValueStore;
 	term: Term;
 	log: Log;
+	metrics: Metrics;
+	/** Largest value that the store takes. */
+	maxValueBytes: number;
 	/** Called with the written items, so that this instance sees them before its watch does. */
 	onStored: (items: readonly StoredItem[]) => void;
 	/** Called when a cancellation that was stored first has replaced the outcome. */
@@ -32,20 +36,24 @@
 /**
 Creates the writer of a term. Changes of several jobs are batched into a transaction, which is applied only if this instance still holds the leader key and the stored progress is at the known revision.
 
+A batch that the store refuses for good is split, so that each of its records is written by itself. A record that is refused alone is written without checkpoints, and if that is refused too, it is repeated at long intervals while the others go on.
+
 @example
 ```ts
-const writer = createProgressWriter({store, term, log, onStored: table.mergeWritten, onCancelled});
+const writer = createProgressWriter({store, term, log, metrics, maxValueBytes, onStored: table.mergeWritten, onCancelled});
 await writer.store([activeJob]);
 ```
 */
 export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
-	const {store, term, log, onStored, onCancelled} = options;
+	const {store, term, log, metrics, maxValueBytes, onStored, onCancelled} = options;
 	const dirty = new Set<ActiveJob>();
 	/** Jobs whose outcome is known to be stored; a cancellation that is stored later does not change it. */
 	const withStoredOutcome = new WeakSet<ActiveJob>();
 	let pendingWrites: PendingWrite[] = [];
 	let isWriting = false;
 	let flushTimer: NodeJS.Timeout | undefined;
+	let retryTimer: NodeJS.Timeout | undefined;
+	const batches = createRecordBatches({log, metrics, maxValueBytes});
 
 	const resolveStored = () => {
 		const remaining: PendingWrite[] = [];
@@ -64,49 +72,50 @@
 	const isOverrulable = (activeJob: ActiveJob): boolean =>
 		activeJob.outcome !== undefined && activeJob.outcome !== 'cancelled' && !withStoredOutcome.has(activeJob);
 
-	const handleConflict = (batch: readonly ActiveJob[], current: readonly StoredItem[]) => {
+	const recordConflict = (activeJob: ActiveJob, stored: StoredItem | undefined, isCancellationStored: boolean) => {
+		// An earlier write of this term may have taken effect without a response, before the cancellation was stored.
+		if (stored && decodeProgress(stored.value).outcome !== undefined) {
+			withStoredOutcome.add(activeJob);
+		}
+
+		if (isCancellationStored && isOverrulable(activeJob)) {
+			// The cancellation was confirmed to the caller before this outcome was stored, so it takes precedence.
+			overruleOutcome(activeJob, Date.now());
+			onCancelled(activeJob);
+		}
+	};
+
+	const handleConflict = (batch: readonly RecordWrite[], current: readonly StoredItem[]) => {
 		const byKey = new Map(current.map((item) => [item.key, item]));
 		if (byKey.get(LEADER_KEY)?.revision !== term.leaderRevision) {
 			term.abandon('another instance leads');
 			return;
 		}
 
-		for (const activeJob of batch) {
-			const stored = byKey.get(jobKey(activeJob.job.id, 'progress'));
-			activeJob.progressRevision = stored?.revision ?? 0;
-			// An earlier write of this term may have taken effect without a response, before the cancellation was stored.
-			if (stored && decodeProgress(stored.value).outcome !== undefined) {
-				withStoredOutcome.add(activeJob);
-			}
-
-			if (byKey.has(jobKey(activeJob.job.id, 'cancellation')) && isOverrulable(activeJob)) {
-				// The cancellation was confirmed to the caller before this outcome was stored, so it takes precedence.
-				overruleOutcome(activeJob, Date.now());
-				onCancelled(activeJob);
+		for (const {activeJob, key} of batch) {
+			const stored = byKey.get(key);
+			try {
+				recordConflict(activeJob, stored, byKey.has(jobKey(activeJob.job.id, 'cancellation')));
+				activeJob.progressRevision = stored?.revision ?? 0;
+			} catch (error) {
+				// A record that this version cannot read stays as it is.
+				batches.hold(activeJob, error);
 			}
 		}
 	};
 
 	/** Returns whether the batch was applied; otherwise it has to be retried. */
-	const writeBatch = async (batch: readonly ActiveJob[]): Promise<boolean> => {
-		const changes = new Map(batch.map((activeJob) => [activeJob, activeJob.changes]));
-		const ended = batch.filter(({outcome}) => outcome !== undefined);
-		const writes = batch.map((activeJob) => ({
-			key: jobKey(activeJob.job.id, 'progress'),
-			value: encodeProgress(progressOf(activeJob)),
-		}));
+	const writeBatch = async (batch: readonly RecordWrite[]): Promise<boolean> => {
+		const ended = batch.filter(({activeJob}) => activeJob.outcome !== undefined);
 		const result = await store.transact({
 			expected: [
 				{key: LEADER_KEY, revision: term.leaderRevision},
-				...batch.map((activeJob) => ({
-					key: jobKey(activeJob.job.id, 'progress'),
-					revision: activeJob.progressRevision,
-				})),
+				...batch.map(({activeJob, key}) => ({key, revision: activeJob.progressRevision})),
 				...batch
-					.filter((activeJob) => isOverrulable(activeJob))
-					.map(({job}) => ({key: jobKey(job.id, 'cancellation'), revision: 0})),
+					.filter(({activeJob}) => isOverrulable(activeJob))
+					.map(({activeJob}) => ({key: jobKey(activeJob.job.id, 'cancellation'), revision: 0})),
 			],
-			writes,
+			writes: batch.map(({key, value}) => ({key, value})),
 		});
 		if (result.outcome === 'conflict') {
 			handleConflict(batch, result.current);
@@ -118,19 +127,22 @@
 			return false;
 		}
 
-		for (const activeJob of ended) {
+		for (const {activeJob} of ended) {
 			withStoredOutcome.add(activeJob);
 		}
 
-		for (const activeJob of batch) {
+		for (const {activeJob, changes} of batch) {
 			activeJob.progressRevision = result.revision;
-			activeJob.storedChanges = changes.get(activeJob)!;
-			if (activeJob.changes === activeJob.storedChanges) {
-				dirty.delete(activeJob);
+			activeJob.storedChanges = changes;
+			batches.settle(activeJob);
+			dirty.delete(activeJob);
+			if (activeJob.changes !== activeJob.storedChanges) {
+				// Those that have waited come first: a large record that keeps changing fills a batch by itself.
+				dirty.add(activeJob);
 			}
 		}
 
-		onStored(writes.map(({key, value}) => ({key, value, revision: result.revision, createRevision: 0, lease: 0})));
+		onStored(batch.map(({key, value}) => ({key, value, revision: result.revision, createRevision: 0, lease: 0})));
 		resolveStored();
 		return true;
 	};
@@ -144,6 +156,7 @@
 		pendingWrites = [];
 		dirty.clear();
 		clearTimeout(flushTimer);
+		clearTimeout(retryTimer);
 	};
 
 	const flush = async () => {
@@ -153,15 +166,21 @@
 
 		isWriting = true;
 		const backoff = createBackoff({minMs: WATCH_RETRY_MIN_MS, maxMs: WATCH_RETRY_MAX_MS});
-		while (dirty.size > 0 && !term.signal.aborted) {
+		for (let batch = batches.next(dirty); batch.length > 0 && !term.signal.aborted; batch = batches.next(dirty)) {
 			try {
-				if (await writeBatch([...dirty].slice(0, COMMIT_BATCH))) {
+				if (await writeBatch(batch)) {
 					backoff.reset();
 				} else {
 					await sleep(backoff.next(), term.signal);
 				}
-			} catch (error) {
-				log.warn('progress-not-stored', {jobs: dirty.size, error: toServiceError(error, 'may-have-run').message});
+			} catch (error_) {
+				const error = toServiceError(error_, 'may-have-run');
+				if (error.code === 'bad-request') {
+					batches.refuse(batch, error);
+					continue;
+				}
+
+				log.warn('progress-not-stored', {jobs: dirty.size, error: error.message});
 				await sleep(backoff.next(), term.signal);
 			}
 		}
@@ -169,6 +188,11 @@
 		isWriting = false;
 		if (term.signal.aborted) {
 			rejectAll();
+		} else if (dirty.size > 0) {
+			retryTimer ??= setTimeout(() => {
+				retryTimer = undefined;
+				void flush();
+			}, REFUSED_RECORD_RETRY_MS);
 		}
 	};
 
--- a/packages/scheduler/src/test/cluster.ts
+++ b/packages/scheduler/src/test/cluster.ts
@@ -254,6 +254,7 @@
 						renewLease: guard(store.renewLease),
 						revokeLease: guard(store.revokeLease),
 					},
+					maxValueBytes: store.faults.valueBytes,
 					bounds,
 					log: log ?? createSilentLog(),
 					metrics: createMetrics(),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -210,6 +210,8 @@
 	/** Processor cores that the instance may use. */
 	cores: number;
 	store: KeyValueStore;
+	/** Largest value that the store takes. */
+	maxValueBytes: number;
 	bounds: Bounds;
 	log: Log;
 	metrics: Metrics;
--- a/packages/scheduler/src/worker-fleet.test.ts
+++ b/packages/scheduler/src/worker-fleet.test.ts
@@ -84,6 +84,7 @@
 			instanceId: 'one',
 			cores: 1,
 			store,
+			maxValueBytes: store.faults.valueBytes,
 			bounds: BOUNDS,
 			log: createSilentLog(),
 			metrics: createMetrics(),
--- a/packages/store/src/key-value.ts
+++ b/packages/store/src/key-value.ts
@@ -36,7 +36,7 @@
 /**
 Client of the platform's key-value store: multi-key transactions, leases and watches.
 
-All calls throw a `ServiceError` with code `store-unavailable`; its verdict is `may-have-run` when the call may have been or may still be executed.
+All calls throw a `ServiceError` with code `store-unavailable`; its verdict is `may-have-run` when the call may have been or may still be executed. The code is `bad-request` for a call that the store will never take as it is.
 */
 export type KeyValueStore = Readonly<{
 	get: (key: string) => Promise<StoredItem | undefined>;
