Stop late starts with the first call to a restarted worker

Cause: an order names a worker by its id, which its next incarnation may have too, and that one has seen no fencing token and no stop. An idle worker was not called, so its crash was not noticed.

Change: a worker with a start that may still be carried out is asked although it is idle. When it stops responding, it is called every 10 ms with a stop of the late start until it answers. Workers that crash together share the rate.

Ruled out: a raised fencing token needs the same first call; untilMs, run and the expected instance do not tell the incarnations apart; acknowledging ends later delays all ends of the worker.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -256,6 +256,14 @@
 /** Time within which a worker carries out an order that got no response. */
 export const LATE_ORDER_MS = 12_000;
 
+/**
+Pause between calls to a worker that has stopped responding and may have a late start, multiplied by the number of such workers. It bounds the time in which the next incarnation can carry out the start, and all such calls to 100 a second.
+*/
+export const LATE_START_PROBE_PAUSE_MS = 10;
+
+/** Deadline of such a call: a connection that is not answered is opened again. */
+export const LATE_START_PROBE_DEADLINE_MS = 100;
+
 /** Interval between repeats of a throttle while an earlier one may still be carried out. */
 export const THROTTLE_REPEAT_MS = 1000;
 
--- a/packages/scheduler/src/late-starts.ts
+++ b/packages/scheduler/src/late-starts.ts
@@ -1,6 +1,6 @@
 import {sleep} from '@bergamotgauge/lifecycle';
 import {LATE_ORDER_MS, STOP_RETRY_MS} from './constants.js';
-import type {LeaderState} from './leader-state.js';
+import type {LateStart, LeaderState} from './leader-state.js';
 import type {WorkerLink} from './worker-link-types.js';
 import type {OrderTarget} from './worker-orders.js';
 
@@ -11,14 +11,16 @@
 	stop: (link: WorkerLink) => void;
 }>;
 
+/** Starts without a response that a worker may still carry out. */
+export const pendingLateStarts = ({lateStarts}: LeaderState, workerId: string, nowMs: number): readonly LateStart[] =>
+	(lateStarts.get(workerId) ?? []).filter(({untilMs}) => untilMs > nowMs);
+
 /** Creates the late starts of a term. */
 export const createLateStarts = ({
 	state,
 	now,
 	signal,
 }: Readonly<{state: LeaderState; now: () => number; signal: AbortSignal}>): LateStarts => {
-	const pendingOn = (workerId: string) => (state.lateStarts.get(workerId) ?? []).filter(({untilMs}) => untilMs > now());
-
 	const stopOn = async (link: WorkerLink, {unit, run}: OrderTarget, untilMs: number) => {
 		while (!signal.aborted && link.state() !== 'gone' && now() < untilMs && !(await link.stop(unit, run))) {
 			await sleep(STOP_RETRY_MS, signal);
@@ -27,10 +29,13 @@
 
 	return {
 		record(workerId, target) {
-			state.lateStarts.set(workerId, [...pendingOn(workerId), {...target, untilMs: now() + LATE_ORDER_MS}]);
+			state.lateStarts.set(workerId, [
+				...pendingLateStarts(state, workerId, now()),
+				{...target, untilMs: now() + LATE_ORDER_MS},
+			]);
 		},
 		stop(link) {
-			for (const lateStart of pendingOn(link.worker.id)) {
+			for (const lateStart of pendingLateStarts(state, link.worker.id, now())) {
 				void stopOn(link, lateStart, lateStart.untilMs);
 			}
 		},
--- a/packages/scheduler/src/renumbered-ends.test.ts
+++ b/packages/scheduler/src/renumbered-ends.test.ts
@@ -88,6 +88,9 @@
 			},
 			renewalWaitMs: () => 2000,
 			hasWork: () => true,
+			onSilent() {
+				// No start is late.
+			},
 		},
 	});
 	return {link, ends, calls: () => calls};
--- a/packages/scheduler/src/throttle-orders.test.ts
+++ b/packages/scheduler/src/throttle-orders.test.ts
@@ -55,6 +55,9 @@
 			onStaleToken: ignore,
 			renewalWaitMs: () => 2000,
 			hasWork: () => true,
+			onSilent() {
+				// No start is late.
+			},
 		},
 	});
 	state.links.set(worker.id, link);
--- a/packages/scheduler/src/withdrawn-attempts.test.ts
+++ b/packages/scheduler/src/withdrawn-attempts.test.ts
@@ -133,6 +133,9 @@
 			onStaleToken: ignore,
 			renewalWaitMs: () => 500,
 			hasWork: () => true,
+			onSilent() {
+				// No start is late.
+			},
 		},
 	});
 	const controller = new AbortController();
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -5,6 +5,8 @@
 import {CLOCK_RATE_ERROR, RENEWAL_WAIT_MS, LEASE_EXPIRY_MARGIN_MS, SHARED_RENEWAL_WAIT_MS} from './constants.js';
 import type {Term} from './election.js';
 import {createEndedLinks} from './ended-links.js';
+import {createLateStartProbe} from './late-start-probe.js';
+import {pendingLateStarts} from './late-starts.js';
 import type {LeaderState} from './leader-state.js';
 import {partIdsOn, type RosterEntry} from './roster.js';
 import {createStoredRoster} from './stored-roster.js';
@@ -75,6 +77,7 @@
 	let shared: ReadonlySet<string> = new Set();
 
 	const endedLinks = createEndedLinks(now);
+	const lateStartProbe = createLateStartProbe({context, term, state, lifecycle, now});
 
 	const removeLink = (link: WorkerLink, workerEnd: WorkerEnd) => {
 		const {reason, successorMs} = workerEnd;
@@ -136,8 +139,13 @@
 					term.abandon('a worker has seen a newer fencing token');
 				},
 				renewalWaitMs: ({worker}) => (shared.has(worker.id) ? SHARED_RENEWAL_WAIT_MS : RENEWAL_WAIT_MS),
+				// An idle worker with late starts is asked too, so that its crash is noticed at once.
 				hasWork: ({worker: {id}}) =>
-					state.orphanedRuns.has(id) || inUse.has(id) || state.placementIndex.byWorker.has(id),
+					state.orphanedRuns.has(id) ||
+					inUse.has(id) ||
+					state.placementIndex.byWorker.has(id) ||
+					pendingLateStarts(state, id, now()).length > 0,
+				onSilent: lateStartProbe.watch,
 			},
 		});
 
--- a/packages/scheduler/src/worker-link-types.ts
+++ b/packages/scheduler/src/worker-link-types.ts
@@ -46,6 +46,8 @@
 	onGone: (link: WorkerLink, end: WorkerEnd) => void;
 	/** Called when the worker has seen a newer fencing token. */
 	onStaleToken: () => void;
+	/** Called when the worker has stopped responding. */
+	onSilent: (link: WorkerLink) => void;
 	/** Long-poll timeout of the next lease renewal. */
 	renewalWaitMs: (link: WorkerLink) => number;
 	/** Whether the worker may have active runs. */
--- a/packages/scheduler/src/worker-link.test.ts
+++ b/packages/scheduler/src/worker-link.test.ts
@@ -138,6 +138,9 @@
 			},
 			renewalWaitMs: () => 2000,
 			hasWork: () => script.hasWork,
+			onSilent() {
+				// No start is late.
+			},
 		},
 	});
 	const running = link.run(controller.signal);
--- a/packages/scheduler/src/worker-link.ts
+++ b/packages/scheduler/src/worker-link.ts
@@ -186,6 +186,7 @@
 	const silence = (error: string) => {
 		if (isResponding()) {
 			setState('silent', {error});
+			events.onSilent(link);
 		}
 	};
 
