Learn the speed of workers and place work by it

Workers of one fleet differ in speed by up to 2.2 times for good. The only states were normal and suspected slow, so a quarter of such a fleet made every urgent job late that got one unit there, and slow workers of that kind were close to the limit from which work is moved off them.

Single units are compared with the other units of their step; a filter keeps an estimate for each worker. Urgent work and gangs prefer fast workers, work with time to spare takes slow ones; expected ends, the judgement of stalls and of slow workers and learned run times take the worker's speed into account. Ruled out: estimates of callers and gangs as evidence, since the first are off by up to 2.5 times and the second show their slowest member only.

Mechanism worker-speeds switches it off.

--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -48,6 +48,8 @@
 	throttlePercent: number | undefined;
 	/** Time until which a throttle order without a response may be carried out, after newer ones. */
 	throttleDoubtUntilMs: number;
+	/** Its run time has been counted for the speed of its worker. */
+	isSpeedCounted: boolean;
 };
 
 /** The smallest group of units that starts and ends together: a single unit, or all units of a gang. */
@@ -86,13 +88,16 @@
 	pausedUntilMs: number;
 };
 
+/** Mean run time of units on a typical worker, in milliseconds, and their number. */
+export type StepTime = Readonly<{runMs: number; units: number}>;
+
 /** In-memory state of a job on the leader, kept until its outcome is stored and none of its units is placed any more. */
 export type ActiveJob = {
 	readonly job: Job;
 	/** Parts of the due occurrences, by key. */
 	readonly parts: Map<string, Part>;
-	/** Run time of a unit, by step, for steps of which a unit has ended. */
-	readonly stepTimes: Map<number, number>;
+	/** Mean run time of the units that have ended, by step. */
+	readonly stepTimes: Map<number, StepTime>;
 	/** Number of occurrences whose parts have been added. */
 	occurrences: number;
 	isCancelled: boolean;
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -5,6 +5,7 @@
 import type {Policy} from './policy.js';
 import {fits, sumResources} from './plan/resources.js';
 import {createRunTimes, type RunTimes} from './run-times.js';
+import {createWorkerSpeeds, type WorkerSpeeds} from './speed/worker-speeds.js';
 import type {Resources, Worker} from './types.js';
 import type {WorkerLink} from './worker-link-types.js';
 
@@ -40,6 +41,7 @@
 	/** Orphaned runs, which belong to no active job, by worker: the name of the unit and the number of the run. */
 	orphanedRuns: Map<string, ReadonlySet<string>>;
 	runTimes: RunTimes;
+	workerSpeeds: WorkerSpeeds;
 	policy: Policy;
 	/** Placements as of the last planning pass; some may have ended since. */
 	placementIndex: {byWorker: Map<string, PlacedUnit[]>};
@@ -61,6 +63,7 @@
 	workerHealth: new Map(),
 	orphanedRuns: new Map(),
 	runTimes: createRunTimes(),
+	workerSpeeds: createWorkerSpeeds(),
 	placementIndex: {byWorker: new Map()},
 	maintenanceDrains: {deadlineByWorker: new Map()},
 	orderedWorkers: new Set(),
@@ -147,9 +150,17 @@
 export const coreEquivalentsOf = ({cpuMillis, accelerators}: Step): number =>
 	cpuMillis / 1000 + accelerators * ACCELERATOR_CORES;
 
-/** Expected run time of a unit: as measured on its step's other units, otherwise derived from the run times of its queue and the estimate. */
+/** Run time on the worker relative to that on a typical one; above 1 on a slower worker. */
+export const runFactorOf = ({policy, workerSpeeds}: LeaderState, workerId: string): number =>
+	policy.runFactorOf(workerSpeeds, workerId);
+
+/** Run time of the part on its workers relative to that on typical ones; the slowest worker decides for a gang. */
+export const partRunFactor = (state: LeaderState, {placements}: Part): number =>
+	placements.length === 0 ? 1 : Math.max(...placements.map(({workerId}) => runFactorOf(state, workerId)));
+
+/** Expected run time of a unit on a typical worker: as measured on its step's other units, otherwise derived from the run times of its queue and the estimate. */
 export const expectedRunMs = ({runTimes, policy}: LeaderState, activeJob: ActiveJob, step: number): number =>
-	activeJob.stepTimes.get(step) ??
+	activeJob.stepTimes.get(step)?.runMs ??
 	policy.expectRunMs(runTimes, activeJob.job.queue, activeJob.job.steps[step]?.estimateMs ?? 0);
 
 /** Time within which the job should complete, based on the expected run times. */
--- a/packages/scheduler/src/placement-reports.ts
+++ b/packages/scheduler/src/placement-reports.ts
@@ -85,6 +85,7 @@
 			// An earlier leader may have throttled the unit.
 			throttlePercent: undefined,
 			throttleDoubtUntilMs: 0,
+			isSpeedCounted: false,
 		});
 		part.orderedRun = Math.max(part.orderedRun, runningUnit.run);
 		activeJob.hasBegun = true;
--- a/packages/scheduler/src/placements.ts
+++ b/packages/scheduler/src/placements.ts
@@ -225,6 +225,7 @@
 				recentFigure: undefined,
 				throttlePercent: 100,
 				throttleDoubtUntilMs: 0,
+				isSpeedCounted: false,
 			}));
 			log.info('part-start', {
 				job: activeJob.job.id,
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -8,12 +8,14 @@
 	expectedObjectiveMs,
 	expectedRunMs,
 	needOf,
+	runFactorOf,
 	workerHealthOf,
 	type LeaderState,
 	type PlacedUnit,
 } from './leader-state.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractResources, sumResources} from './plan/resources.js';
+import {maxRunFactorOf} from './plan/speed-choice.js';
 import {expectedEndMs} from './run-forecast.js';
 import type {Bounds, Declarations} from './types.js';
 
@@ -116,6 +118,7 @@
 				(failureShares.get(worker.id) ?? 0) > failureLimit,
 			hasCrashSuspect,
 			unprovenShare: unprovenShare(health.outcomes, nowMs),
+			runFactor: runFactorOf(state, worker.id),
 			isContended: isContended(worker.id),
 			placements: placedUnits.map((placedUnit) =>
 				viewPlacement(options, placedUnit, covered.has(placedUnit.activeJob), !protectedNow.has(placedUnit.part)),
@@ -161,6 +164,7 @@
 	const estimateMs = runMsOf(part.step);
 	part.waitingSinceMs ??= nowMs;
 	const slackMs = slackOf(expectation, part, options);
+	const objectiveSlackMs = objectiveMs - ageOf(activeJob, part, {nowMs, wallClockMs}) - estimateMs;
 	return {
 		id: partIdOf(activeJob, part),
 		stepId: stepIdOf(activeJob, part),
@@ -172,6 +176,7 @@
 		isGuaranteed,
 		workCoreMs: estimateMs * coreEquivalentsOf(step) * part.indexes.length,
 		slackMs,
+		maxRunFactor: step.longRunning ? Number.POSITIVE_INFINITY : maxRunFactorOf(estimateMs, objectiveSlackMs),
 		sameRack: step.sameRack,
 		requiredLabel: step.requiredLabel,
 		dataRack: step.dataRack,
--- a/packages/scheduler/src/plan/evict.ts
+++ b/packages/scheduler/src/plan/evict.ts
@@ -1,6 +1,7 @@
 import type {Resources} from '../types.js';
 import {isEligible, slotsByRack, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {addResources, fits, subtractResources, sumResources} from './resources.js';
+import {isTooSlow} from './speed-choice.js';
 import type {PlanPart, PlanPlacement} from './types.js';
 
 export type Eviction = Readonly<{
@@ -197,7 +198,9 @@
 	options: PlaceOptions,
 	alreadyEvicted: ReadonlySet<string>,
 ): Eviction | undefined => {
-	const eligible = slots.filter(({worker}) => isEligible(part, worker) && !worker.isSuspect);
+	const eligible = slots.filter(
+		({worker}) => isEligible(part, worker) && !worker.isSuspect && !isTooSlow(part, worker),
+	);
 	const near = eligible.filter(({worker}) => part.dataRack === undefined || worker.rack === part.dataRack);
 	const search = {alreadyEvicted, isVictim: canBeEvictedFor};
 	const found =
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -2,6 +2,7 @@
 import {LAST_ATTEMPT_WAIT_MS, RESERVATION_YIELD_MS} from './constants.js';
 import type {PlanPolicy} from './policy.js';
 import {fits, shareOf, subtractResources} from './resources.js';
+import {isTooSlow, speedCostOf} from './speed-choice.js';
 import {hasOtherSuspect, isEmpty, needsEmptyWorker} from './trials.js';
 import type {PlanPart, PlanWorker} from './types.js';
 
@@ -64,17 +65,19 @@
 	return count;
 };
 
-/** Lower is better. Prefers, in this order: workers that are neither suspected nor avoided, for best-effort units workers without contention, workers near the data, for a last attempt workers with a recent success, and the fullest workers. */
+/** Lower is better. Prefers, in this order: workers that are neither suspected nor avoided, for best-effort units workers without contention, workers near the data, workers of the right speed, for a last attempt workers with a recent success, and the fullest workers. */
 const costOf = (part: PlanPart, slot: WorkerSlot, options: PlaceOptions): number => {
 	const {worker} = slot;
 	const isRemote = part.dataRack !== undefined && part.dataRack !== worker.rack;
+	const remoteFactor = isRemote ? options.remoteFactor : 1;
 	const isDeprioritized = worker.isSuspect || part.avoidedWorkers.has(worker.id);
 	const remaining = subtractResources(slot.free, part.need);
 	return (
 		(isDeprioritized ? 100 : 0) +
 		(part.isBestEffort && worker.isContended ? 50 : 0) +
 		(part.isLastAttempt ? 5 * worker.unprovenShare : 0) +
-		10 * (isRemote ? options.remoteFactor : 1) +
+		10 * remoteFactor +
+		speedCostOf(part, worker, remoteFactor) +
 		// Filling the fullest worker first keeps other workers empty for large units. The crash of an empty one harms least.
 		(part.crashSuspicion === 'none' ? 1 : -1) * shareOf(remaining, worker.capacity)
 	);
@@ -102,6 +105,7 @@
 	(!needsEmptyWorker(part) || isEmpty(slot)) &&
 	!hasOtherSuspect(part, slot.worker) &&
 	!isTooRisky(part, slot.worker) &&
+	!isTooSlow(part, slot.worker) &&
 	isEligible(part, slot.worker) &&
 	(isRemoteAccepted || slot.worker.rack === part.dataRack);
 
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -14,13 +14,14 @@
 import {findPlacement, isEligible, allocate, mayUseReserved, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {freeAtMs} from './reservation.js';
 import {shareOf, subtractResources, sumResources} from './resources.js';
+import {isTooSlow, withoutSpeedWait} from './speed-choice.js';
 import {createTrialBudget, needsEmptyWorker, reserveForTrial} from './trials.js';
 import type {Plan, PlanPart, PlanStart, PlanView, PlanWorker} from './types.js';
 
 /** Earliest time at which all members could start without evictions, by the expected ends of running work. */
 const earliestStartMs = (part: PlanPart, slots: readonly WorkerSlot[], nowMs: number): number => {
 	const times = slots
-		.filter(({worker, reservation}) => reservation === 'none' && isEligible(part, worker))
+		.filter(({worker, reservation}) => reservation === 'none' && isEligible(part, worker) && !isTooSlow(part, worker))
 		.filter(({worker}) => part.dataRack === undefined || worker.rack === part.dataRack)
 		.map(({worker}) => freeAtMs(part, worker, nowMs))
 		.toSorted((a, b) => a - b);
@@ -90,6 +91,11 @@
 			return true;
 		}
 
+		// A part that only waits for a faster worker has room already.
+		if (findPlacement(withoutSpeedWait(part), slots, options) !== undefined) {
+			return false;
+		}
+
 		const latestStartMs = nowMs + part.slackMs - EVICTION_TIME_MS;
 		const isAffordable = part.isGuaranteed || lostWorkCoreMs <= part.workCoreMs * EVICTION_LOSS_RATIO;
 		return isAffordable && earliestStartMs(part, slots, nowMs) > latestStartMs;
--- a/packages/scheduler/src/plan/reservation.ts
+++ b/packages/scheduler/src/plan/reservation.ts
@@ -1,5 +1,6 @@
 import {isEligible, memberLimit, membersIn, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {addResources, fits, sumResources} from './resources.js';
+import {isTooSlow} from './speed-choice.js';
 import type {PlanPart, PlanWorker} from './types.js';
 
 /** Time at which the worker has enough free resources for one member if nothing new starts on it. */
@@ -86,7 +87,7 @@
 	{budget, nowMs, place}: ReserveOptions,
 ): readonly WorkerSlot[] => {
 	const open = slots
-		.filter(({worker, reservation}) => reservation === 'none' && isEligible(part, worker))
+		.filter(({worker, reservation}) => reservation === 'none' && isEligible(part, worker) && !isTooSlow(part, worker))
 		.filter(({worker}) => !part.dataRack || worker.rack === part.dataRack)
 		.map((slot) => ({
 			slot,
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -40,6 +40,8 @@
 	unprovenShare: number;
 	/** Runs a part that may crash it. */
 	hasCrashSuspect: boolean;
+	/** Run time on the worker relative to that on a typical one; above 1 on a slower worker. */
+	runFactor: number;
 	/** Latency-sensitive units on the worker suffer from contention. */
 	isContended: boolean;
 	placements: readonly PlanPlacement[];
@@ -61,6 +63,8 @@
 	workCoreMs: number;
 	/** Time for which the part can still wait without missing its objective; negative when the objective is missed already. */
 	slackMs: number;
+	/** Largest run-time factor of a worker with which the part's job still meets its objective; infinite if it misses it on a typical worker too. */
+	maxRunFactor: number;
 	sameRack: boolean;
 	requiredLabel: string | undefined;
 	dataRack: string | undefined;
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -5,7 +5,7 @@
 import type {Term} from './election.js';
 import {addDueOccurrences, stepOf, type ActiveJob, type Part} from './active-job.js';
 import {describeGang, gangStateOf} from './gangs.js';
-import {expectedRunMs, placedByWorker, workerHealthOf, type LeaderState} from './leader-state.js';
+import {expectedRunMs, partRunFactor, placedByWorker, workerHealthOf, type LeaderState} from './leader-state.js';
 import {recordCrash} from './crash-evidence.js';
 import {updateOutcome} from './job-outcome.js';
 import {createThrottler} from './throttler.js';
@@ -88,7 +88,7 @@
 
 		const {longRunning, usesLeftover, estimateMs} = stepOf(activeJob, part);
 		const stalled = state.policy.findStalled(part, {
-			expectedMs: expectedRunMs(state, activeJob, part.step),
+			expectedMs: expectedRunMs(state, activeJob, part.step) * Math.max(1, partRunFactor(state, part)),
 			estimateMs,
 			isLongRunning: longRunning,
 			isBestEffort: usesLeftover,
--- a/packages/scheduler/src/policy.ts
+++ b/packages/scheduler/src/policy.ts
@@ -1,6 +1,7 @@
 import {DEFAULT_PLAN_POLICY, PLAN_POLICY_CHANGES, type PlanPolicy} from './plan/policy.js';
 import {rankByUrgency, rankOf, type RankInput} from './rank.js';
 import type {RunTimes} from './run-times.js';
+import type {WorkerSpeeds} from './speed/worker-speeds.js';
 import {isSlowWorker, type UnitSpeed} from './slow-units.js';
 import {findStalled} from './stalled-units.js';
 
@@ -10,6 +11,8 @@
 	rank: (input: RankInput) => number;
 	/** Expected run time of a unit with the given estimate of its caller. */
 	expectRunMs: (runTimes: RunTimes, queue: string, estimateMs: number) => number;
+	/** Run time on the worker relative to that on a typical one. */
+	runFactorOf: (speeds: WorkerSpeeds, workerId: string) => number;
 	findStalled: typeof findStalled;
 	/** Whether the speeds of the units on a worker show that it is slow. */
 	isSlowWorker: (units: ReadonlyArray<Readonly<{speed: UnitSpeed; jobId: string}>>) => boolean;
@@ -25,6 +28,7 @@
 	plan: DEFAULT_PLAN_POLICY,
 	rank: rankOf,
 	expectRunMs: (runTimes, queue, estimateMs) => runTimes.expectMs(queue, estimateMs),
+	runFactorOf: (speeds, workerId) => speeds.runFactorOf(workerId),
 	findStalled,
 	isSlowWorker,
 	countsFailures: () => true,
@@ -35,6 +39,7 @@
 const POLICY_CHANGES = {
 	'late-work-last': {rank: rankByUrgency},
 	'run-time-learning': {expectRunMs: (_runTimes, _queue, estimateMs) => estimateMs},
+	'worker-speeds': {runFactorOf: () => 1},
 	'stall-detection': {findStalled: () => undefined},
 	'slow-worker-detection': {isSlowWorker: () => false},
 	'failure-suspicion': {countsFailures: () => false},
--- a/packages/scheduler/src/run-forecast.ts
+++ b/packages/scheduler/src/run-forecast.ts
@@ -1,6 +1,6 @@
 import {MIN_WINDOW_MS} from './constants.js';
 import {stepOf, type Placement} from './active-job.js';
-import {expectedRunMs, type LeaderState, type PlacedUnit} from './leader-state.js';
+import {expectedRunMs, partRunFactor, type LeaderState, type PlacedUnit} from './leader-state.js';
 import {projectedRunMs} from './progress-window.js';
 
 /** Percentage from which the progress of a run predicts its end better than the caller's estimate. */
@@ -33,7 +33,7 @@
 
 	const {percent, startedMs, reportedMs} = placement;
 	const measuredMs = measuredRunMs(placement);
-	const expectedMs = expectedRunMs(state, activeJob, part.step);
+	const expectedMs = expectedRunMs(state, activeJob, part.step) * partRunFactor(state, part);
 	const restShare = (100 - percent) / 100;
 	const endMs =
 		measuredMs === undefined
--- a/packages/scheduler/src/slow-units.test.ts
+++ b/packages/scheduler/src/slow-units.test.ts
@@ -33,7 +33,12 @@
 	return unitSpeed(state, {activeJob, part, placement: part.placements[index]!});
 };
 
-const speed = (ratio: number, isCompared = false): UnitSpeed => ({ratio, expectedMs: 2500, isCompared});
+const speed = (ratio: number, isCompared = false): UnitSpeed => ({
+	ratio,
+	expectedMs: 2500,
+	projectedMs: 2500 * ratio,
+	isCompared,
+});
 
 await t.test('the speed of a run comes from its recent reports', async (t) => {
 	let window = openWindow({atMs: 0, percent: 0});
--- a/packages/scheduler/src/slow-units.ts
+++ b/packages/scheduler/src/slow-units.ts
@@ -1,6 +1,6 @@
 import {MIN_WINDOW_MS, MAX_REPORT_SKEW_MS, SLOW_JOBS_LIMIT, SLOW_RATIO, NORMAL_SPEED_RATIO} from './constants.js';
-import {stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
-import {expectedRunMs, type LeaderState, type PlacedUnit} from './leader-state.js';
+import {stepOf, type Placement} from './active-job.js';
+import {expectedRunMs, runFactorOf, type LeaderState, type PlacedUnit} from './leader-state.js';
 import {projectedRunMs} from './progress-window.js';
 
 /** Whether the progress reports of the run cover enough time to measure its speed. */
@@ -21,13 +21,13 @@
 };
 
 /**
-Run time of a unit of the step on other workers, taken as their first quartile; `undefined` if it has not been measured. A gang begins when its last member has started, so only reports of about the same time are compared.
+Run times of the step's units that are placed on other workers, on a typical worker. A gang begins when its last member has started, so only reports of about the same time are compared.
 */
-const siblingRunMs = (
-	activeJob: ActiveJob,
-	{step, occurrence}: Part,
-	{workerId, reportedMs}: Placement,
-): number | undefined => {
+export const comparableRunMs = (
+	state: LeaderState,
+	{activeJob, part: {step, occurrence}, placement: {workerId}}: PlacedUnit,
+	reportedMs: number,
+): readonly number[] => {
 	const times: number[] = [];
 	for (const part of activeJob.parts.values()) {
 		if (part.step === step && part.occurrence === occurrence) {
@@ -35,22 +35,29 @@
 				const isComparable = placement.workerId !== workerId && placement.reportedMs - reportedMs < MAX_REPORT_SKEW_MS;
 				const projectedMs = isComparable ? projectedRunMsOf(placement) : undefined;
 				if (projectedMs !== undefined) {
-					times.push(projectedMs);
+					times.push(projectedMs / runFactorOf(state, placement.workerId));
 				}
 			}
 		}
 	}
 
-	times.sort((a, b) => a - b);
-	return times[Math.floor(times.length / 4)] ?? activeJob.stepTimes.get(step);
+	return times;
+};
+
+/** Run time of a unit of the step on other workers, taken as their first quartile; `undefined` if it has not been measured. */
+const siblingRunMs = (state: LeaderState, placed: PlacedUnit): number | undefined => {
+	const times = comparableRunMs(state, placed, placed.placement.reportedMs).toSorted((a, b) => a - b);
+	return times[Math.floor(times.length / 4)] ?? placed.activeJob.stepTimes.get(placed.part.step)?.runMs;
 };
 
 /** Speed of one run relative to its expected speed. */
 export type UnitSpeed = Readonly<{
-	/** How many times longer than expected the run takes. */
+	/** How many times longer than expected on its worker the run takes. */
 	ratio: number;
-	/** Expected run time on a worker at normal speed, in milliseconds. */
+	/** Expected run time on a typical worker, in milliseconds. */
 	expectedMs: number;
+	/** Run time at the present speed, in milliseconds. */
+	projectedMs: number;
 	/** Whether the expected time was measured on units of the same step, which do the same work, and is not an estimate. */
 	isCompared: boolean;
 }>;
@@ -63,18 +70,21 @@
 unitSpeed(state, {activeJob, part, placement})?.ratio; // 4 on a worker that is four times slower
 ```
 */
-export const unitSpeed = (state: LeaderState, {activeJob, part, placement}: PlacedUnit): UnitSpeed | undefined => {
+export const unitSpeed = (state: LeaderState, placed: PlacedUnit): UnitSpeed | undefined => {
+	const {activeJob, part, placement} = placed;
 	const {longRunning, dataRack} = stepOf(activeJob, part);
 	const isRemote = dataRack !== undefined && state.directory.get(placement.workerId)?.rack !== dataRack;
 	if (longRunning || isRemote || !isMeasured(placement) || !placement.window) {
 		return undefined;
 	}
 
-	const comparedMs = siblingRunMs(activeJob, part, placement);
+	const comparedMs = siblingRunMs(state, placed);
 	const expectedMs = comparedMs ?? expectedRunMs(state, activeJob, part.step);
+	const projectedMs = projectedRunMs(placement.window);
 	return {
-		ratio: projectedRunMs(placement.window) / Math.max(1, expectedMs),
+		ratio: projectedMs / Math.max(1, expectedMs * runFactorOf(state, placement.workerId)),
 		expectedMs,
+		projectedMs,
 		isCompared: comparedMs !== undefined,
 	};
 };
--- a/packages/scheduler/src/slow-workers.ts
+++ b/packages/scheduler/src/slow-workers.ts
@@ -15,6 +15,7 @@
 import type {Placements} from './placements.js';
 import {projectedRunMs} from './progress-window.js';
 import {unitSpeed, type UnitSpeed} from './slow-units.js';
+import {observeProgress} from './speed/observe-runs.js';
 import {isSlow, recordSlow, recordNormalSpeed} from './worker-evidence.js';
 
 export type SlowWorkersOptions = Readonly<{
@@ -33,7 +34,7 @@
 
 /** Remaining time of the part where it runs. */
 const remainingMs = (units: readonly MeasuredUnit[]): number =>
-	Math.max(...units.map(({placement, speed}) => (speed.ratio * speed.expectedMs * (100 - placement.percent)) / 100));
+	Math.max(...units.map(({placement, speed}) => (speed.projectedMs * (100 - placement.percent)) / 100));
 
 /** Remaining time of the part if it is restarted elsewhere, including the stop and the start. */
 const restartMs = (part: Part, units: readonly MeasuredUnit[], hasCheckpoints: boolean): number => {
@@ -55,7 +56,12 @@
 	const measure = (placed: readonly PlacedUnit[]): readonly MeasuredUnit[] =>
 		placed.flatMap((placedUnit) => {
 			const speed = unitSpeed(state, placedUnit);
-			return speed ? [{...placedUnit, speed, jobId: placedUnit.activeJob.job.id}] : [];
+			if (!speed) {
+				return [];
+			}
+
+			observeProgress(state, placedUnit, speed.projectedMs, now());
+			return [{...placedUnit, speed, jobId: placedUnit.activeJob.job.id}];
 		});
 
 	/** A restart is worth its cost only if the job then meets its objective, or ends before its result has lost its value. */
--- a/packages/scheduler/src/test/active-job.ts
+++ b/packages/scheduler/src/test/active-job.ts
@@ -34,6 +34,7 @@
 	recentFigure: undefined,
 	throttlePercent: 100,
 	throttleDoubtUntilMs: 0,
+	isSpeedCounted: false,
 	...change,
 });
 
--- a/packages/scheduler/src/unit-ends.ts
+++ b/packages/scheduler/src/unit-ends.ts
@@ -3,8 +3,9 @@
 import {partOf, stepOf, type ActiveJob, type Part} from './active-job.js';
 import {describeGang} from './gangs.js';
 import {recordEnd} from './job-outcome.js';
-import {expectedObjectiveMs, isDataLocal, type LeaderState} from './leader-state.js';
+import {expectedObjectiveMs, isDataLocal, partRunFactor, type LeaderState} from './leader-state.js';
 import type {Placements} from './placements.js';
+import {observeEnd, withRun} from './speed/observe-runs.js';
 import type {EndedUnit} from './types.js';
 import {isSlow, recordFailure, recordSuccess} from './worker-evidence.js';
 import type {WorkerLink} from './worker-link-types.js';
@@ -73,6 +74,7 @@
 		metrics.count('unit_ends_total', {how: end.how});
 		const isLocal = isDataLocal(state, activeJob, part);
 		const ranMs = placement && Math.round(now() - placement.startedMs);
+		const runFactor = partRunFactor(state, part);
 		const effect = recordEnd(activeJob, part, {...end, index: name.index}, Date.now());
 		log.info('unit-ended', {
 			unit: end.unit,
@@ -89,8 +91,10 @@
 			recordSuccess(state, end.workerId, now());
 			const isTypical = placement?.isFullRun && isLocal && !isSlow(state, end.workerId, now());
 			if (effect === 'counted' && isTypical && ranMs !== undefined) {
-				state.runTimes.observe(activeJob.job.queue, stepOf(activeJob, part).estimateMs, ranMs);
-				activeJob.stepTimes.set(part.step, ranMs);
+				const typicalMs = ranMs / runFactor;
+				state.runTimes.observe(activeJob.job.queue, stepOf(activeJob, part).estimateMs, typicalMs);
+				observeEnd(state, {activeJob, part, placement}, ranMs, now());
+				activeJob.stepTimes.set(part.step, withRun(activeJob.stepTimes.get(part.step), typicalMs));
 			}
 		}
 	};
