--- a/packages/scheduler/src/keys.ts
+++ b/packages/scheduler/src/keys.ts
@@ -17,6 +17,9 @@
 /** Number of queued jobs by queue, as last counted by the leader. */
 export const PENDING_KEY = `${ROOT_PREFIX}pending`;
 
+/** What leaders have learned of the workers' speeds. */
+export const SPEEDS_KEY = `${ROOT_PREFIX}speeds`;
+
 /** What the leader has ordered for a maintenance wave. */
 export const waveKey = (wave: number): string => `${ROOT_PREFIX}waves/${wave}`;
 
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -22,6 +22,7 @@
 import type {SchedulerContext} from './types.js';
 import {watchEvacuations} from './evacuation/watch-evacuations.js';
 import {createUnitEnds} from './unit-ends.js';
+import {keepSpeeds} from './speed/stored-speeds.js';
 import {createStartGuard, maxViewAgeMs} from './start-guard.js';
 import {createStartWindow} from './start-window.js';
 import {createViewAges} from './view-ages.js';
@@ -265,6 +266,9 @@
 				onSynced,
 			}),
 		);
+		lifecycle.run('speeds', async (signal) =>
+			keepSpeeds({store, term, speeds: state.workerSpeeds, directory: state.directory, log, metrics, signal}),
+		);
 		lifecycle.run('retention', async (signal) => removeEndedJobs({store, table, term, bounds, log, signal}));
 		lifecycle.run('pending', async (signal) =>
 			publishPendingCounts({store, table, term, log, viewAgeMs: ages.jobs.ageMs, signal}),
--- a/packages/scheduler/src/speed/constants.ts
+++ b/packages/scheduler/src/speed/constants.ts
@@ -25,5 +25,12 @@
 /** Longest time for which a unit waits for a worker on which its job meets its objective, while a slower one is free. Well under the three seconds from which idle work counts as lost. */
 export const MAX_SPEED_WAIT_MS = 1000;
 
+/** Most estimates that are stored, 40 bytes each; far below the largest value of a store. */
+export const MAX_STORED_SPEEDS = 5000;
+
+/** Estimates of workers that are not listed are dropped when there are more than this many times the listed workers, and more than `MIN_PRUNED_SPEEDS`. */
+export const PRUNE_FACTOR = 2;
+export const MIN_PRUNED_SPEEDS = 200;
+
 /** Interval between writes of the learned factors; their loss costs only what is learned in a few seconds. */
 export const SPEED_WRITE_MS = 5000;
--- a/packages/scheduler/src/speed/worker-speeds.ts
+++ b/packages/scheduler/src/speed/worker-speeds.ts
@@ -25,8 +25,10 @@
 	observe: (sample: SpeedSample) => void;
 	/** Run time on the worker relative to that on a typical one: 1.8 for a worker that takes 1.8 times as long; 1 while too little is known. */
 	runFactorOf: (workerId: string) => number;
-	/** Forgets a worker that has left. */
-	remove: (workerId: string) => void;
+	/** Forgets the workers that are not listed any more. */
+	keepOnly: (isListed: (workerId: string) => boolean) => void;
+	/** Numbers of workers that are slower and faster than the typical one. */
+	countDiffering: () => Readonly<{slower: number; faster: number}>;
 	estimates: () => ReadonlyMap<string, SpeedEstimate>;
 	/** Takes over the estimates of an earlier leader for workers that have none yet. */
 	restore: (estimates: ReadonlyMap<string, SpeedEstimate>) => void;
@@ -67,19 +69,31 @@
 		return typicalMean;
 	};
 
+	const runFactorOf = (workerId: string): number => {
+		const known = estimates.get(workerId);
+		const deviation = known ? known.mean - typical() : 0;
+		const isSignificant = known && Math.abs(deviation) > SIGNIFICANT_DEVIATIONS * Math.sqrt(known.variance);
+		return isSignificant ? Math.exp(Math.round(deviation / FACTOR_STEP) * FACTOR_STEP) : 1;
+	};
+
 	return {
 		observe(sample) {
 			estimates.set(sample.workerId, updateEstimate(estimates.get(sample.workerId) ?? NO_ESTIMATE, sample));
 			typicalMean = undefined;
 		},
-		runFactorOf(workerId) {
-			const known = estimates.get(workerId);
-			const deviation = known ? known.mean - typical() : 0;
-			const isSignificant = known && Math.abs(deviation) > SIGNIFICANT_DEVIATIONS * Math.sqrt(known.variance);
-			return isSignificant ? Math.exp(Math.round(deviation / FACTOR_STEP) * FACTOR_STEP) : 1;
+		runFactorOf,
+		countDiffering() {
+			const factors = [...estimates.keys()].map((workerId) => runFactorOf(workerId));
+			return {
+				slower: factors.filter((factor) => factor > 1).length,
+				faster: factors.filter((factor) => factor < 1).length,
+			};
 		},
-		remove(workerId) {
-			estimates.delete(workerId);
+		keepOnly(isListed) {
+			for (const workerId of [...estimates.keys()].filter((id) => !isListed(id))) {
+				estimates.delete(workerId);
+			}
+
 			typicalMean = undefined;
 		},
 		estimates: () => estimates,
