Keep apart work that slows other work down, where there is room

Placement knew interference only where latency-sensitive units exceed their target. The leader now learns from the speed of runs which kinds of work slow each other down on one worker, and prefers workers without harmful neighbours.

--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -31,4 +31,13 @@
 export type * from './plan/types.js';
 export {THROTTLE_INTERVAL_MS} from './throttle-constants.js';
 export {startScheduler, type Scheduler} from './scheduler.js';
-export {DEFAULT_POLICY, isMechanism, MECHANISMS, policyWithout, type Mechanism, type Policy} from './policy.js';
+export {
+	DEFAULT_POLICY,
+	INTERFERENCE_MODES,
+	isMechanism,
+	MECHANISMS,
+	policyWithout,
+	type InterferenceMode,
+	type Mechanism,
+	type Policy,
+} from './policy.js';
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -4,6 +4,7 @@
 import {stepOf, type ActiveJob, type Part, type Placement} from './active-job.js';
 import type {Policy} from './policy.js';
 import {fits, sumResources} from './plan/resources.js';
+import {createInterference, type Interference} from './interference/interference.js';
 import {createRunTimes, type RunTimes} from './run-times.js';
 import {createWorkerSpeeds, type WorkerSpeeds} from './speed/worker-speeds.js';
 import type {Resources, Worker} from './types.js';
@@ -42,6 +43,7 @@
 	orphanedRuns: Map<string, ReadonlySet<string>>;
 	runTimes: RunTimes;
 	workerSpeeds: WorkerSpeeds;
+	interference: Interference;
 	policy: Policy;
 	/** Placements as of the last planning pass; some may have ended since. */
 	placementIndex: {byWorker: Map<string, PlacedUnit[]>};
@@ -66,6 +68,7 @@
 	orphanedRuns: new Map(),
 	runTimes: createRunTimes(),
 	workerSpeeds: createWorkerSpeeds(),
+	interference: createInterference(),
 	placementIndex: {byWorker: new Map()},
 	maintenanceDrains: {deadlineByWorker: new Map()},
 	evacuatedZones: new Set(),
--- a/packages/scheduler/src/plan-reports.ts
+++ b/packages/scheduler/src/plan-reports.ts
@@ -1,4 +1,5 @@
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import type {KeptApart} from './interference/kept-apart.js';
 import type {Plan} from './plan/types.js';
 import type {Resources} from './types.js';
 
@@ -11,6 +12,8 @@
 export type PlanReports = Readonly<{
 	/** Reports what a pass has decided on the parts that could not be placed. */
 	reportWaiting: (plan: Plan, describePart: (partId: string) => PartDescription) => void;
+	/** Reports units that run elsewhere than on the worker with the most suitable room, since the work there slows them down or is slowed down. */
+	reportKeptApart: (kept: readonly KeptApart[]) => void;
 	/** Reports how many starts of a pass are held back, by a window of this size. */
 	reportHeldBack: (starts: number, window: number) => void;
 }>;
@@ -28,6 +31,8 @@
 	let reservingParts: ReadonlySet<string> = new Set();
 	let unplaceableSteps: ReadonlySet<string> = new Set();
 	let isHoldingBack = false;
+	/** Units of the last pass; a start that is held back is planned again. */
+	let keptUnits: ReadonlySet<string> = new Set();
 
 	const reportReservations = (reservations: Plan['reservations']) => {
 		metrics.gauge(
@@ -63,6 +68,14 @@
 			reportReservations(reservations);
 			reportUnplaceable(unplaceable, describePart);
 		},
+		reportKeptApart(kept) {
+			for (const fields of kept.filter(({unit}) => !keptUnits.has(unit))) {
+				log.info('worker-passed-over', fields);
+				metrics.count('placements_kept_apart_total');
+			}
+
+			keptUnits = new Set(kept.map(({unit}) => unit));
+		},
 		reportHeldBack(starts, window) {
 			metrics.gauge('starts_held_back', starts);
 			if (starts > 0 && !isHoldingBack) {
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -13,6 +13,7 @@
 	type LeaderState,
 	type PlacedUnit,
 } from './leader-state.js';
+import {kindOf} from './interference/observe-shared.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractResources, sumResources} from './plan/resources.js';
 import {maxRunFactorOf} from './plan/speed-choice.js';
@@ -120,6 +121,8 @@
 			hasCrashSuspect,
 			unprovenShare: unprovenShare(health.outcomes, nowMs),
 			runFactor: runFactorOf(state, worker.id),
+			kinds:
+				state.policy.interference === 'avoided' ? placedUnits.map(({activeJob, part}) => kindOf(activeJob, part)) : [],
 			isContended: isContended(worker.id),
 			placements: placedUnits.map((placedUnit) =>
 				viewPlacement(options, placedUnit, covered.has(placedUnit.activeJob), !protectedNow.has(placedUnit.part)),
@@ -168,6 +171,7 @@
 	const objectiveSlackMs = objectiveMs - ageOf(activeJob, part, {nowMs, wallClockMs}) - estimateMs;
 	return {
 		id: partIdOf(activeJob, part),
+		kind: kindOf(activeJob, part),
 		stepId: stepIdOf(activeJob, part),
 		service: activeJob.job.service,
 		customer: activeJob.job.customer,
@@ -274,6 +278,10 @@
 		parts,
 		trials,
 		unitsOnWorker: (stepId, workerId) => units.get(`${stepId} ${workerId}`) ?? 0,
+		slowdownOf:
+			state.policy.interference === 'avoided' && state.interference.hasHarm(nowMs)
+				? (kind, neighbour) => state.interference.effectOn(kind, neighbour, nowMs)
+				: undefined,
 		nowMs,
 		remoteFactor: bounds.remoteFactor,
 		policy: state.policy.plan,
--- a/packages/scheduler/src/plan/place-part.ts
+++ b/packages/scheduler/src/plan/place-part.ts
@@ -1,10 +1,11 @@
 import type {Resources} from '../types.js';
 import {LAST_ATTEMPT_WAIT_MS, RESERVATION_YIELD_MS} from './constants.js';
 import type {PlanPolicy} from './policy.js';
+import {interferenceCostOf} from './interference-cost.js';
 import {fits, shareOf, subtractResources} from './resources.js';
 import {isTooSlow, speedCostOf} from './speed-choice.js';
 import {hasOtherSuspect, isEmpty, needsEmptyWorker} from './trials.js';
-import type {PlanPart, PlanWorker} from './types.js';
+import type {PlanPart, PlanView, PlanWorker} from './types.js';
 
 /** Whether a worker is kept for a part of an earlier rank. */
 export type Reservation =
@@ -21,6 +22,8 @@
 	reservation: Reservation;
 	/** Units on the worker by step, including those placed in this pass; has entries only for steps placed in this pass. */
 	readonly units: Map<string, number>;
+	/** Kinds of the units placed in this pass. */
+	readonly kinds: Set<string>;
 };
 
 export type PlaceOptions = Readonly<{
@@ -31,6 +34,7 @@
 	/** Whether less than half of the resources of the service's workers is in use. */
 	isPoolIdle: (service: string) => boolean;
 	mayLeaveRack: PlanPolicy['mayLeaveRack'];
+	slowdownOf: PlanView['slowdownOf'];
 }>;
 
 /** Whether the worker could hold a unit of the part when empty, even if it accepts no work now. */
@@ -65,7 +69,7 @@
 	return count;
 };
 
-/** Lower is better. Prefers, in this order: workers that are neither suspected nor avoided, for best-effort units workers without contention, workers near the data, workers of the right speed, for a last attempt workers with a recent success, and the fullest workers. */
+/** Lower is better. Prefers, in this order: workers that are neither suspected nor avoided, for best-effort units workers without contention, workers near the data, workers of the right speed, workers without harmful neighbours, for a last attempt workers with a recent success, and the fullest workers. */
 const costOf = (part: PlanPart, slot: WorkerSlot, options: PlaceOptions): number => {
 	const {worker} = slot;
 	const isRemote = part.dataRack !== undefined && part.dataRack !== worker.rack;
@@ -78,6 +82,7 @@
 		(part.isLastAttempt ? 5 * worker.unprovenShare : 0) +
 		10 * remoteFactor +
 		speedCostOf(part, worker, remoteFactor) +
+		interferenceCostOf(part, slot, options.slowdownOf) +
 		// Filling the fullest worker first keeps other workers empty for large units. The crash of an empty one harms least.
 		(part.crashSuspicion === 'none' ? 1 : -1) * shareOf(remaining, worker.capacity)
 	);
@@ -213,7 +218,7 @@
 
 @example
 ```ts
-const chosen = findPlacement(part, slots, {unitsOnWorker, remoteFactor: 3, workers, isPoolIdle: false, mayLeaveRack});
+const chosen = findPlacement(part, slots, {unitsOnWorker, remoteFactor: 3, workers, isPoolIdle: false, mayLeaveRack, slowdownOf: undefined});
 ```
 */
 export const findPlacement = (
@@ -258,5 +263,6 @@
 	for (const slot of chosen) {
 		slot.free = subtractResources(slot.free, part.need);
 		slot.units.set(part.stepId, unitsOf(part, slot, options) + 1);
+		slot.kinds.add(part.kind);
 	}
 };
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -54,7 +54,7 @@
 	const {workers, nowMs, policy} = view;
 	const slots: WorkerSlot[] = workers
 		.filter(({isUsable}) => isUsable)
-		.map((worker) => ({worker, free: worker.free, reservation: 'none', units: new Map()}));
+		.map((worker) => ({worker, free: worker.free, reservation: 'none', units: new Map(), kinds: new Set()}));
 	const idleByService = new Map<string, boolean>();
 	const options: PlaceOptions = {
 		unitsOnWorker: view.unitsOnWorker,
@@ -66,6 +66,7 @@
 			return isKnownIdle;
 		},
 		mayLeaveRack: policy.mayLeaveRack,
+		slowdownOf: view.slowdownOf,
 	};
 	const starts: PlanStart[] = [];
 	const evictions = new Map<string, string>();
@@ -125,7 +126,20 @@
 		return true;
 	};
 
+	const keptApart: Array<Plan['keptApart'][number]> = [];
+
+	/** Notes the worker that a single unit would run on but for the work there. */
+	const noteKeptApart = (part: PlanPart, chosen: readonly WorkerSlot[]) => {
+		if (options.slowdownOf && part.members === 1) {
+			const usual = findPlacement(part, slots, {...options, slowdownOf: undefined})?.[0];
+			if (usual && usual !== chosen[0]) {
+				keptApart.push({partId: part.id, workerId: usual.worker.id});
+			}
+		}
+	};
+
 	const start = (part: PlanPart, chosen: readonly WorkerSlot[]) => {
+		noteKeptApart(part, chosen);
 		allocate(part, chosen, options);
 		starts.push({partId: part.id, workerIds: chosen.map(({worker}) => worker.id)});
 		if (needsEmptyWorker(part)) {
@@ -203,5 +217,6 @@
 		evictions: [...evictions].map(([partId, forPartId]) => ({partId, forPartId})),
 		reservations,
 		unplaceable,
+		keptApart,
 	};
 };
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -42,6 +42,8 @@
 	hasCrashSuspect: boolean;
 	/** Run time on the worker relative to that on a typical one; above 1 on a slower worker. */
 	runFactor: number;
+	/** Kinds of the units on the worker, if work that slows other work down is kept apart. */
+	kinds: readonly string[];
 	/** Latency-sensitive units on the worker suffer from contention. */
 	isContended: boolean;
 	placements: readonly PlanPlacement[];
@@ -50,6 +52,8 @@
 /** A unit that waits for a worker, or a gang that waits for several. */
 export type PlanPart = Readonly<{
 	id: string;
+	/** Kind of work, of which all units are assumed to behave alike. */
+	kind: string;
 	/** Identifies the step and occurrence, for limits on units of one step on one worker. */
 	stepId: string;
 	service: string;
@@ -93,6 +97,8 @@
 	trials: ReadonlyMap<string, number>;
 	/** Units of a step that are on a worker now. */
 	unitsOnWorker: (stepId: string, workerId: string) => number;
+	/** Slow-down of a kind of work by a neighbour on the same worker, in logarithms; `undefined` while none is known. */
+	slowdownOf: ((kind: string, neighbour: string) => number) | undefined;
 	nowMs: number;
 	remoteFactor: number;
 	policy: PlanPolicy;
@@ -108,4 +114,6 @@
 	reservations: ReadonlyArray<Readonly<{partId: string; workerIds: readonly string[]}>>;
 	/** Parts that the workers can't hold, whatever ends on them. */
 	unplaceable: readonly string[];
+	/** Started parts that would run on another worker but for the work there, which slows them down or is slowed down. */
+	keptApart: ReadonlyArray<Readonly<{partId: string; workerId: string}>>;
 }>;
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -4,6 +4,7 @@
 import type {Advisor} from './advisor.js';
 import {isInEvacuatedZone} from './evacuation/evacuated-zones.js';
 import type {Term} from './election.js';
+import {describeKeptApart, type KeptApart} from './interference/kept-apart.js';
 import {addDueOccurrences, stepOf, type ActiveJob, type Part} from './active-job.js';
 import {describeGang, gangStateOf} from './gangs.js';
 import {expectedRunMs, partRunFactor, placedByWorker, workerHealthOf, type LeaderState} from './leader-state.js';
@@ -45,7 +46,7 @@
 }>;
 
 /** The plan while starts are paused; evictions make room for starts, so they wait for them. */
-const NO_STARTS: Plan = {starts: [], evictions: [], reservations: [], unplaceable: []};
+const NO_STARTS: Plan = {starts: [], evictions: [], reservations: [], unplaceable: [], keptApart: []};
 
 /** Whether the final state of an ended job is stored and none of its units is placed any more. */
 const isSettled = (activeJob: ActiveJob): boolean =>
@@ -76,7 +77,7 @@
 	const {context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, now} = options;
 	const {metrics, bounds, declarations} = context;
 
-	const slowWorkers = createSlowWorkers({state, placements, log: context.log, now});
+	const slowWorkers = createSlowWorkers({state, placements, log: context.log, metrics, now});
 	const throttler = createThrottler({state, placements, bounds, now});
 	const reports = createPlanReports({log: context.log, metrics});
 	/** Starts of the last pass that have not been sent, by rank. */
@@ -193,6 +194,17 @@
 		}
 	};
 
+	const describeAll = (
+		keptApart: Plan['keptApart'],
+		parts: ReadonlyMap<string, readonly [ActiveJob, Part]>,
+	): readonly KeptApart[] =>
+		keptApart
+			.map(({partId, workerId}) => {
+				const [activeJob, part] = parts.get(partId)!;
+				return describeKeptApart(state, {activeJob, part, unit: partId, worker: workerId, nowMs: now()});
+			})
+			.filter((kept) => kept !== undefined);
+
 	const collectParts = (): Readonly<{parts: ReadonlyMap<string, readonly [ActiveJob, Part]>; nextDueMs: number}> => {
 		const parts = new Map<string, readonly [ActiveJob, Part]>();
 		let nextDueMs = Number.POSITIVE_INFINITY;
@@ -238,8 +250,9 @@
 			});
 			advisor?.setRequests(pendingAdviceRequests(view, (partId) => parts.get(partId)?.[0].job.advice));
 			const planned = areViewsRecent ? plan(view) : NO_STARTS;
-			const {starts, evictions} = planned;
+			const {starts, evictions, keptApart} = planned;
 			if (areViewsRecent) {
+				reports.reportKeptApart(describeAll(keptApart, parts));
 				reports.reportWaiting(planned, (partId) => describePart(...parts.get(partId)!));
 			}
 
--- a/packages/scheduler/src/policy.ts
+++ b/packages/scheduler/src/policy.ts
@@ -5,7 +5,12 @@
 import {isSlowWorker, type UnitSpeed} from './slow-units.js';
 import {findStalled} from './stalled-units.js';
 
-/** Decisions of the leader that can be replaced for experiments. */
+/** What is done about work that slows other work down: nothing, measure it, or also keep it apart where there is room. */
+export const INTERFERENCE_MODES = ['ignored', 'observed', 'avoided'] as const;
+
+export type InterferenceMode = (typeof INTERFERENCE_MODES)[number];
+
+/** Decisions of the leader that can be replaced for experiments or chosen by the operators. */
 export type Policy = Readonly<{
 	plan: PlanPolicy;
 	rank: (input: RankInput) => number;
@@ -13,6 +18,7 @@
 	expectRunMs: (runTimes: RunTimes, queue: string, estimateMs: number) => number;
 	/** Run time on the worker relative to that on a typical one. */
 	runFactorOf: (speeds: WorkerSpeeds, workerId: string) => number;
+	interference: InterferenceMode;
 	findStalled: typeof findStalled;
 	/** Whether the speeds of the units on a worker show that it is slow. */
 	isSlowWorker: (units: ReadonlyArray<Readonly<{speed: UnitSpeed; jobId: string}>>) => boolean;
@@ -29,6 +35,7 @@
 	rank: rankOf,
 	expectRunMs: (runTimes, queue, estimateMs) => runTimes.expectMs(queue, estimateMs),
 	runFactorOf: (speeds, workerId) => speeds.runFactorOf(workerId),
+	interference: 'ignored',
 	findStalled,
 	isSlowWorker,
 	countsFailures: () => true,
--- a/packages/scheduler/src/slow-workers.ts
+++ b/packages/scheduler/src/slow-workers.ts
@@ -1,4 +1,4 @@
-import type {Log} from '@bergamotgauge/telemetry';
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {
 	OBJECTIVE_EXPIRY_FACTOR,
 	MAX_POLLED_RUN_MS,
@@ -15,6 +15,7 @@
 import type {Placements} from './placements.js';
 import {projectedRunMs} from './progress-window.js';
 import {unitSpeed, type UnitSpeed} from './slow-units.js';
+import {observeShared, reportPairs} from './interference/observe-shared.js';
 import {observeProgress} from './speed/observe-runs.js';
 import {isSlow, recordSlow, recordNormalSpeed} from './worker-evidence.js';
 
@@ -22,6 +23,7 @@
 	state: LeaderState;
 	placements: Pick<Placements, 'stop'>;
 	log: Log;
+	metrics: Metrics;
 	now: () => number;
 }>;
 
@@ -48,11 +50,11 @@
 
 @example
 ```ts
-const slowWorkers = createSlowWorkers({state, placements, log, now});
+const slowWorkers = createSlowWorkers({state, placements, log, metrics, now});
 slowWorkers.pass();
 ```
 */
-export const createSlowWorkers = ({state, placements, log, now}: SlowWorkersOptions): SlowWorkers => {
+export const createSlowWorkers = ({state, placements, log, metrics, now}: SlowWorkersOptions): SlowWorkers => {
 	const measure = (placed: readonly PlacedUnit[]): readonly MeasuredUnit[] =>
 		placed.flatMap((placedUnit) => {
 			const speed = unitSpeed(state, placedUnit);
@@ -60,7 +62,11 @@
 				return [];
 			}
 
-			observeProgress(state, placedUnit, speed.projectedMs, now());
+			const isCounted = observeProgress(state, placedUnit, speed.projectedMs, now());
+			if (isCounted && state.policy.interference !== 'ignored') {
+				observeShared(state, placedUnit, {slowdown: speed.ratio, nowMs: now(), metrics});
+			}
+
 			return [{...placedUnit, speed, jobId: placedUnit.activeJob.job.id}];
 		});
 
@@ -152,6 +158,10 @@
 				}
 			}
 
+			if (state.policy.interference !== 'ignored') {
+				reportPairs(state, metrics, now());
+			}
+
 			for (const [part, units] of unitsByPart) {
 				if (part.placements.every((placement) => isRunning(placement))) {
 					restart(part, units);
--- a/packages/scheduler/src/speed/observe-runs.ts
+++ b/packages/scheduler/src/speed/observe-runs.ts
@@ -22,18 +22,24 @@
 	);
 };
 
-/** Counts the run time for the worker if enough units of its step are known to compare it with. */
-const count = (state: LeaderState, {activeJob, part, placement}: PlacedUnit, runMs: number, reportedMs: number) => {
+/** Counts the run time for the worker if enough units of its step are known to compare it with, and returns whether it did. */
+const count = (
+	state: LeaderState,
+	{activeJob, part, placement}: PlacedUnit,
+	runMs: number,
+	reportedMs: number,
+): boolean => {
 	const others = comparableRunMs(state, {activeJob, part, placement}, reportedMs);
 	const ended = activeJob.stepTimes.get(part.step);
 	const compared = others.length + (ended?.units ?? 0);
 	if (compared < MIN_COMPARED_UNITS) {
-		return;
+		return false;
 	}
 
 	const sum = others.reduce((total, otherMs) => total + otherMs, 0) + (ended ? ended.runMs * ended.units : 0);
 	state.workerSpeeds.observe({workerId: placement.workerId, runMs, expectedMs: sum / compared, compared});
 	placement.isSpeedCounted = true;
+	return true;
 };
 
 /** Counts a run that has ended for the speed of its worker. */
@@ -48,14 +54,13 @@
 	}
 };
 
-/** Counts a run in progress for the speed of its worker, once its reports show enough; `runMs` is its projected run time. */
-export const observeProgress = (state: LeaderState, placed: PlacedUnit, runMs: number, nowMs: number): void => {
+/** Counts a run in progress for the speed of its worker, once its reports show enough, and returns whether it did; `runMs` is its projected run time. */
+export const observeProgress = (state: LeaderState, placed: PlacedUnit, runMs: number, nowMs: number): boolean => {
 	const {activeJob, part, placement} = placed;
-	if (
+	return (
 		placement.percent >= MIN_COMPARED_PERCENT &&
 		showsSpeed(state, placed, nowMs) &&
-		isDataLocal(state, activeJob, part)
-	) {
-		count(state, placed, runMs, placement.reportedMs);
-	}
+		isDataLocal(state, activeJob, part) &&
+		count(state, placed, runMs, placement.reportedMs)
+	);
 };
--- a/packages/scheduler/src/test/plan-view.ts
+++ b/packages/scheduler/src/test/plan-view.ts
@@ -14,6 +14,7 @@
 	isSuspect: false,
 	unprovenShare: 1,
 	runFactor: 1,
+	kinds: [],
 	isContended: false,
 	hasCrashSuspect: false,
 	placements: [],
@@ -43,6 +44,7 @@
 /** An urgent unit with 8 accelerators. */
 export const newPlanPart = (id: string, change: Partial<PlanPart> = {}): PlanPart => ({
 	id,
+	kind: 'ranking',
 	stepId: id,
 	service: 'matching',
 	customer: 'acme',
@@ -74,6 +76,7 @@
 	parts,
 	trials: new Map(),
 	unitsOnWorker: () => 0,
+	slowdownOf: undefined,
 	nowMs: 0,
 	remoteFactor: 3,
 	policy: DEFAULT_PLAN_POLICY,
