--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -8,12 +8,15 @@
 	expectedObjectiveMs,
 	expectedRunMs,
 	needOf,
+	runFactorOf,
 	workerHealthOf,
 	type LeaderState,
 	type PlacedUnit,
 } from './leader-state.js';
+import {kindOf} from './interference/observe-shared.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractResources, sumResources} from './plan/resources.js';
+import {maxRunFactorOf} from './plan/speed-choice.js';
 import {expectedEndMs} from './run-forecast.js';
 import type {Bounds, Declarations} from './types.js';
 
@@ -117,6 +120,9 @@
 				(failureShares.get(worker.id) ?? 0) > failureLimit,
 			hasCrashSuspect,
 			unprovenShare: unprovenShare(health.outcomes, nowMs),
+			runFactor: runFactorOf(state, worker.id),
+			kinds:
+				state.policy.interference === 'avoided' ? placedUnits.map(({activeJob, part}) => kindOf(activeJob, part)) : [],
 			isContended: isContended(worker.id),
 			placements: placedUnits.map((placedUnit) =>
 				viewPlacement(options, placedUnit, covered.has(placedUnit.activeJob), !protectedNow.has(placedUnit.part)),
@@ -162,8 +168,10 @@
 	const estimateMs = runMsOf(part.step);
 	part.waitingSinceMs ??= nowMs;
 	const slackMs = slackOf(expectation, part, options);
+	const objectiveSlackMs = objectiveMs - ageOf(activeJob, part, {nowMs, wallClockMs}) - estimateMs;
 	return {
 		id: partIdOf(activeJob, part),
+		kind: kindOf(activeJob, part),
 		stepId: stepIdOf(activeJob, part),
 		service: activeJob.job.service,
 		customer: activeJob.job.customer,
@@ -173,6 +181,7 @@
 		isGuaranteed,
 		workCoreMs: estimateMs * coreEquivalentsOf(step) * part.indexes.length,
 		slackMs,
+		maxRunFactor: step.longRunning ? Number.POSITIVE_INFINITY : maxRunFactorOf(estimateMs, objectiveSlackMs),
 		sameRack: step.sameRack,
 		requiredLabel: step.requiredLabel,
 		dataRack: step.dataRack,
@@ -269,6 +278,10 @@
 		parts,
 		trials,
 		unitsOnWorker: (stepId, workerId) => units.get(`${stepId} ${workerId}`) ?? 0,
+		slowdownOf:
+			state.policy.interference === 'avoided' && state.interference.hasHarm(nowMs)
+				? (kind, neighbour) => state.interference.effectOn(kind, neighbour, nowMs)
+				: undefined,
 		nowMs,
 		remoteFactor: bounds.remoteFactor,
 		policy: state.policy.plan,
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -14,13 +14,14 @@
 import {findPlacement, isEligible, allocate, mayUseReserved, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {freeAtMs} from './reservation.js';
 import {shareOf, subtractResources, sumResources} from './resources.js';
+import {isTooSlow, withoutSpeedWait} from './speed-choice.js';
 import {createTrialBudget, needsEmptyWorker, reserveForTrial} from './trials.js';
 import type {Plan, PlanPart, PlanStart, PlanView, PlanWorker} from './types.js';
 
 /** Earliest time at which all members could start without evictions, by the expected ends of running work. */
 const earliestStartMs = (part: PlanPart, slots: readonly WorkerSlot[], nowMs: number): number => {
 	const times = slots
-		.filter(({worker, reservation}) => reservation === 'none' && isEligible(part, worker))
+		.filter(({worker, reservation}) => reservation === 'none' && isEligible(part, worker) && !isTooSlow(part, worker))
 		.filter(({worker}) => part.dataRack === undefined || worker.rack === part.dataRack)
 		.map(({worker}) => freeAtMs(part, worker, nowMs))
 		.toSorted((a, b) => a - b);
@@ -53,7 +54,7 @@
 	const {workers, nowMs, policy} = view;
 	const slots: WorkerSlot[] = workers
 		.filter(({isUsable}) => isUsable)
-		.map((worker) => ({worker, free: worker.free, reservation: 'none', units: new Map()}));
+		.map((worker) => ({worker, free: worker.free, reservation: 'none', units: new Map(), kinds: new Set()}));
 	const idleByService = new Map<string, boolean>();
 	const options: PlaceOptions = {
 		unitsOnWorker: view.unitsOnWorker,
@@ -65,6 +66,7 @@
 			return isKnownIdle;
 		},
 		mayLeaveRack: policy.mayLeaveRack,
+		slowdownOf: view.slowdownOf,
 	};
 	const starts: PlanStart[] = [];
 	const evictions = new Map<string, string>();
@@ -90,6 +92,11 @@
 			return true;
 		}
 
+		// A part that only waits for a faster worker has room already.
+		if (findPlacement(withoutSpeedWait(part), slots, options) !== undefined) {
+			return false;
+		}
+
 		const latestStartMs = nowMs + part.slackMs - EVICTION_TIME_MS;
 		const isAffordable = part.isGuaranteed || lostWorkCoreMs <= part.workCoreMs * EVICTION_LOSS_RATIO;
 		return isAffordable && earliestStartMs(part, slots, nowMs) > latestStartMs;
@@ -119,7 +126,20 @@
 		return true;
 	};
 
+	const keptApart: Array<Plan['keptApart'][number]> = [];
+
+	/** Notes the worker that a single unit would run on but for the work there. */
+	const noteKeptApart = (part: PlanPart, chosen: readonly WorkerSlot[]) => {
+		if (options.slowdownOf && part.members === 1) {
+			const usual = findPlacement(part, slots, {...options, slowdownOf: undefined})?.[0];
+			if (usual && usual !== chosen[0]) {
+				keptApart.push({partId: part.id, workerId: usual.worker.id});
+			}
+		}
+	};
+
 	const start = (part: PlanPart, chosen: readonly WorkerSlot[]) => {
+		noteKeptApart(part, chosen);
 		allocate(part, chosen, options);
 		starts.push({partId: part.id, workerIds: chosen.map(({worker}) => worker.id)});
 		if (needsEmptyWorker(part)) {
@@ -197,5 +217,6 @@
 		evictions: [...evictions].map(([partId, forPartId]) => ({partId, forPartId})),
 		reservations,
 		unplaceable,
+		keptApart,
 	};
 };
--- a/packages/scheduler/src/policy.ts
+++ b/packages/scheduler/src/policy.ts
@@ -1,15 +1,24 @@
 import {DEFAULT_PLAN_POLICY, PLAN_POLICY_CHANGES, type PlanPolicy} from './plan/policy.js';
 import {rankByUrgency, rankOf, type RankInput} from './rank.js';
 import type {RunTimes} from './run-times.js';
+import type {WorkerSpeeds} from './speed/worker-speeds.js';
 import {isSlowWorker, type UnitSpeed} from './slow-units.js';
 import {findStalled} from './stalled-units.js';
 
-/** Decisions of the leader that can be replaced for experiments. */
+/** What is done about work that slows other work down: nothing, measure it, or also keep it apart where there is room. */
+export const INTERFERENCE_MODES = ['ignored', 'observed', 'avoided'] as const;
+
+export type InterferenceMode = (typeof INTERFERENCE_MODES)[number];
+
+/** Decisions of the leader that can be replaced for experiments or chosen by the operators. */
 export type Policy = Readonly<{
 	plan: PlanPolicy;
 	rank: (input: RankInput) => number;
 	/** Expected run time of a unit with the given estimate of its caller. */
 	expectRunMs: (runTimes: RunTimes, queue: string, estimateMs: number) => number;
+	/** Run time on the worker relative to that on a typical one. */
+	runFactorOf: (speeds: WorkerSpeeds, workerId: string) => number;
+	interference: InterferenceMode;
 	findStalled: typeof findStalled;
 	/** Whether the speeds of the units on a worker show that it is slow. */
 	isSlowWorker: (units: ReadonlyArray<Readonly<{speed: UnitSpeed; jobId: string}>>) => boolean;
@@ -25,6 +34,8 @@
 	plan: DEFAULT_PLAN_POLICY,
 	rank: rankOf,
 	expectRunMs: (runTimes, queue, estimateMs) => runTimes.expectMs(queue, estimateMs),
+	runFactorOf: (speeds, workerId) => speeds.runFactorOf(workerId),
+	interference: 'ignored',
 	findStalled,
 	isSlowWorker,
 	countsFailures: () => true,
@@ -35,6 +46,7 @@
 const POLICY_CHANGES = {
 	'late-work-last': {rank: rankByUrgency},
 	'run-time-learning': {expectRunMs: (_runTimes, _queue, estimateMs) => estimateMs},
+	'worker-speeds': {runFactorOf: () => 1},
 	'stall-detection': {findStalled: () => undefined},
 	'slow-worker-detection': {isSlowWorker: () => false},
 	'failure-suspicion': {countsFailures: () => false},
--- a/packages/scheduler/src/test/plan-view.ts
+++ b/packages/scheduler/src/test/plan-view.ts
@@ -13,6 +13,8 @@
 	isDraining: false,
 	isSuspect: false,
 	unprovenShare: 1,
+	runFactor: 1,
+	kinds: [],
 	isContended: false,
 	hasCrashSuspect: false,
 	placements: [],
@@ -42,6 +44,7 @@
 /** An urgent unit with 8 accelerators. */
 export const newPlanPart = (id: string, change: Partial<PlanPart> = {}): PlanPart => ({
 	id,
+	kind: 'ranking',
 	stepId: id,
 	service: 'matching',
 	customer: 'acme',
@@ -51,6 +54,7 @@
 	isGuaranteed: false,
 	workCoreMs: 100_000,
 	slackMs: 1500,
+	maxRunFactor: Number.POSITIVE_INFINITY,
 	sameRack: false,
 	requiredLabel: undefined,
 	dataRack: undefined,
@@ -72,6 +76,7 @@
 	parts,
 	trials: new Map(),
 	unitsOnWorker: () => 0,
+	slowdownOf: undefined,
 	nowMs: 0,
 	remoteFactor: 3,
 	policy: DEFAULT_PLAN_POLICY,
