Bound what clients hold of an instance's memory, connections and time

A body was read before its route and key were known, and nothing bounded all bodies, connections, heads, unread responses and pipelined requests together.

packages/ingress holds a budget for the requests of a process (share per customer and address, reserve for a customer's only request, stalled and last ones give way, never one that was passed on), reads bodies into one buffer that grows by doubling, estimates the cost of a JSON text before it is parsed, and bounds connections and pipelined requests. The configuration's maxHeaderBytes, headerTimeoutMs and idleTimeoutMs apply.

--- /dev/null
+++ b/packages/ingress/src/body.ts
@@ -0,0 +1,143 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {ServiceError} from '@bergamotgauge/model';
+import type {Holding} from './body-budget.js';
+import {FIRST_BUFFER_BYTES, RETRY_AFTER_MS} from './constants.js';
+import type {RefusalCause} from './types.js';
+
+const MESSAGES: Readonly<Record<RefusalCause, string>> = {
+	'customer-share': 'the customer has too many requests under way',
+	'source-share': 'the address has too many requests under way',
+	memory: 'the instance has too many requests under way',
+	'too-slow': 'the body of the request arrived too slowly',
+	'too-large': 'the body is too large',
+	'client-left': 'the client left before the end of the body',
+};
+
+/** The error for a request that was given up before it was passed on. */
+export const createRefusal = (cause: RefusalCause): ServiceError => {
+	const details = {cause};
+	if (cause === 'too-large') {
+		return new ServiceError(MESSAGES[cause], {code: 'too-large', verdict: 'not-run', details});
+	}
+
+	const isOverShare = cause === 'customer-share' || cause === 'source-share';
+	return new ServiceError(MESSAGES[cause], {
+		code: isOverShare ? 'over-quota' : 'overloaded',
+		verdict: 'not-run',
+		retryAfterMs: RETRY_AFTER_MS,
+		details,
+	});
+};
+
+/** Bytes in one buffer that grows by doubling, whatever the size of the pieces that it gets. */
+const createCollector = (firstBytes: number, maxBytes: number) => {
+	let buffer = Buffer.allocUnsafeSlow(firstBytes);
+	let length = 0;
+	return {
+		size: () => buffer.length,
+		/** Size of the buffer that one more piece needs. */
+		sizeFor(piece: Uint8Array): number {
+			let size = Math.max(1, buffer.length);
+			while (size < length + piece.length) {
+				size *= 2;
+			}
+
+			return Math.min(size, maxBytes);
+		},
+		add(piece: Uint8Array, size: number) {
+			if (size > buffer.length) {
+				const larger = Buffer.allocUnsafeSlow(size);
+				buffer.copy(larger, 0, 0, length);
+				buffer = larger;
+			}
+
+			buffer.set(piece, length);
+			length += piece.length;
+		},
+		bytes: () => buffer.subarray(0, length),
+	};
+};
+
+const parseLength = ({headers}: IncomingMessage): number | undefined =>
+	headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
+
+/** The body of a request while it is read. */
+export type BodyReading = Readonly<{
+	body: Promise<Buffer>;
+	receivedBytes: () => number;
+	/** Ends the reading; `body` rejects with the refusal. */
+	giveUp: (cause: RefusalCause) => void;
+}>;
+
+/**
+Reads a body of at most `maxBytes`. A known length is taken from the budget at once, an unknown one as the buffer grows.
+
+@throws {ServiceError} with the verdict `not-run` when the body is too large, too slow or finds no room; `body` rejects with it.
+*/
+export const readBody = (
+	request: IncomingMessage,
+	{maxBytes, holding}: Readonly<{maxBytes: number; holding: Holding}>,
+): BodyReading => {
+	const knownBytes = parseLength(request);
+	const firstBytes = knownBytes ?? Math.min(FIRST_BUFFER_BYTES, maxBytes);
+	let received = 0;
+	let giveUp: (cause: RefusalCause) => void = () => {};
+	const body = new Promise<Buffer>((resolve, reject) => {
+		const cause = firstBytes > maxBytes ? 'too-large' : holding.grow(firstBytes);
+		if (cause !== undefined) {
+			reject(createRefusal(cause));
+			return;
+		}
+
+		const collector = createCollector(firstBytes, maxBytes);
+		const stopReading = () => {
+			request.off('data', handleData);
+			request.off('end', handleEnd);
+			request.off('close', handleClose);
+		};
+
+		giveUp = (reason) => {
+			stopReading();
+			reject(createRefusal(reason));
+		};
+
+		const handleData = (piece: Buffer) => {
+			received += piece.length;
+			if (received > maxBytes) {
+				giveUp('too-large');
+				return;
+			}
+
+			const size = collector.sizeFor(piece);
+			const shortage = size > collector.size() ? holding.grow(size - collector.size()) : undefined;
+			if (shortage) {
+				giveUp(shortage);
+				return;
+			}
+
+			holding.recordProgress();
+			collector.add(piece, size);
+		};
+
+		const handleEnd = () => {
+			stopReading();
+			resolve(collector.bytes());
+		};
+
+		const handleClose = () => {
+			giveUp('client-left');
+		};
+
+		request.on('data', handleData);
+		request.once('end', handleEnd);
+		request.once('close', handleClose);
+	});
+	return {
+		body,
+		receivedBytes: () => received,
+		giveUp(cause) {
+			giveUp(cause);
+		},
+	};
+};
--- /dev/null
+++ b/packages/ingress/src/connections.ts
@@ -0,0 +1,200 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {createRefusal} from './body.js';
+import {CROWDED_SHARE} from './constants.js';
+import type {ClosingCause, IngressLimits} from './types.js';
+
+type Connection = {
+	readonly socket: Socket;
+	readonly source: string;
+	/** Requests that were read, and their responses until they are sent. */
+	readonly unanswered: Map<IncomingMessage, ServerResponse>;
+	/** Responses to those of them that run. */
+	readonly running: Set<ServerResponse>;
+	/** Whether the connection ends once nothing of it runs. */
+	isEnding: boolean;
+	activeMs: number;
+};
+
+export type Connections = Readonly<{
+	/** Watches the connections of a server, of which there may be `maxConnections`. */
+	watch: (server: Server, maxConnections: number) => void;
+	/** Notes that the request runs: until its response, its connection is not closed and nothing more is read from it. */
+	passOn: (request: IncomingMessage, response: ServerResponse) => void;
+	/** Whether a request of the connection runs, or was read in full and may run. */
+	mayRun: (socket: Socket) => boolean;
+	/** Whether the connection takes no further requests. */
+	isEnding: (socket: Socket) => boolean;
+	/** Closes a connection that made no progress for too long, after the responses to what runs. */
+	timeOut: (socket: Socket) => void;
+	count: () => number;
+}>;
+
+type ConnectionsOptions = Readonly<{
+	limits: Pick<IngressLimits, 'maxPipelined' | 'maxUnanswered'>;
+	now: () => number;
+	onClosed: (cause: ClosingCause) => void;
+}>;
+
+/** A response that is ready no longer counts as running, also while the client does not read it. */
+const isRunning = ({running}: Connection): boolean => [...running].some((response) => !response.writableEnded);
+
+/**
+Drops the further requests in what was read from a socket. One read may hold thousands of small requests, and each would take several kilobytes until its connection has ended. The parser is not a documented property: where it is missing, they are handled as before.
+*/
+const dropFurtherRequests = (socket: Socket): void => {
+	const {parser} = socket as Readonly<{parser?: {onIncoming?: () => number}}>;
+	if (parser?.onIncoming) {
+		parser.onIncoming = () => 0;
+	}
+};
+
+/** The connection that gives way to a new one: of the source with the most connections, the one that was active least recently. */
+const chooseVictim = (connections: ReadonlySet<Connection>, newcomer: Connection): Connection | undefined => {
+	const counts = new Map<string, number>();
+	for (const {source} of connections) {
+		counts.set(source, (counts.get(source) ?? 0) + 1);
+	}
+
+	let victim: Connection | undefined;
+	for (const connection of connections) {
+		if (connection === newcomer || isRunning(connection) || connection.isEnding) {
+			continue;
+		}
+
+		const difference = (counts.get(connection.source) ?? 0) - (victim ? (counts.get(victim.source) ?? 0) : 0);
+		if (difference > 0 || (difference === 0 && victim && connection.activeMs < victim.activeMs)) {
+			victim = connection;
+		}
+	}
+
+	return victim;
+};
+
+/**
+Keeps account of the connections of a process, and closes those that take too much; never one with a request that runs.
+
+@example
+```ts
+const connections = createConnections({limits, now: () => performance.now(), onClosed});
+connections.watch(server, limits.maxConnections);
+```
+*/
+export const createConnections = ({limits, now, onClosed}: ConnectionsOptions): Connections => {
+	const bySocket = new WeakMap<Socket, Connection>();
+	let total = 0;
+	let unanswered = 0;
+
+	const end = (connection: Connection, cause: ClosingCause) => {
+		if (!connection.isEnding) {
+			connection.isEnding = true;
+			onClosed(cause);
+		}
+
+		if (!isRunning(connection)) {
+			connection.socket.destroy();
+		}
+	};
+
+	const watchRequest = (request: IncomingMessage, response: ServerResponse) => {
+		const connection = bySocket.get(request.socket);
+		if (!connection) {
+			return;
+		}
+
+		connection.unanswered.set(request, response);
+		connection.activeMs = now();
+		unanswered += 1;
+		if (connection.unanswered.size > (unanswered > limits.maxUnanswered ? 1 : limits.maxPipelined)) {
+			// Of the requests in one read, none runs before the next tick.
+			dropFurtherRequests(request.socket);
+			end(connection, 'pipelined');
+		}
+
+		response.once('close', () => {
+			if (connection.unanswered.delete(request)) {
+				unanswered -= 1;
+				connection.activeMs = now();
+			}
+		});
+	};
+
+	return {
+		watch(server, maxConnections) {
+			const connections = new Set<Connection>();
+			server.maxConnections = maxConnections;
+			server.on('drop', () => {
+				onClosed('connections');
+			});
+			server.prependListener('connection', (socket: Socket) => {
+				const connection: Connection = {
+					socket,
+					source: socket.remoteAddress ?? '',
+					unanswered: new Map(),
+					running: new Set(),
+					isEnding: false,
+					activeMs: now(),
+				};
+				bySocket.set(socket, connection);
+				connections.add(connection);
+				total += 1;
+				socket.once('close', () => {
+					connections.delete(connection);
+					total -= 1;
+					// Responses that waited behind an earlier one get no event when their connection ends.
+					unanswered -= connection.unanswered.size;
+					connection.unanswered.clear();
+				});
+				if (connections.size > maxConnections * CROWDED_SHARE) {
+					const victim = chooseVictim(connections, connection);
+					if (victim) {
+						end(victim, 'connections');
+					}
+				}
+			});
+			server.prependListener('request', watchRequest);
+		},
+		passOn(request, response) {
+			const {socket} = request;
+			const connection = bySocket.get(socket);
+			if (!connection || response.closed) {
+				return;
+			}
+
+			if (connection.isEnding) {
+				throw createRefusal('memory');
+			}
+
+			connection.running.add(response);
+			// At most one more read of pipelined requests can wait behind this one.
+			socket.pause();
+			response.once('close', () => {
+				connection.running.delete(response);
+				if (isRunning(connection)) {
+					return;
+				}
+
+				if (connection.isEnding) {
+					socket.destroySoon();
+				} else {
+					socket.resume();
+				}
+			});
+		},
+		mayRun(socket) {
+			const connection = bySocket.get(socket);
+			return (
+				connection !== undefined &&
+				(isRunning(connection) || [...connection.unanswered.keys()].some(({complete}) => complete))
+			);
+		},
+		isEnding: (socket) => bySocket.get(socket)?.isEnding === true,
+		timeOut(socket) {
+			const connection = bySocket.get(socket);
+			if (connection) {
+				end(connection, connection.unanswered.size > 0 ? 'timeout' : 'idle');
+			}
+		},
+		count: () => total,
+	};
+};
--- /dev/null
+++ b/packages/ingress/src/ingress.ts
@@ -0,0 +1,198 @@
+import type {Buffer} from 'node:buffer';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {ServiceError} from '@bergamotgauge/model';
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import {createBodyBudget, type Holding} from './body-budget.js';
+import {createRefusal, readBody, type BodyReading} from './body.js';
+import {refuseUnreadableRequests} from './client-errors.js';
+import {createConnections} from './connections.js';
+import {MAX_DEPTH, MAX_PARSED_SHARE, RUNNING_BYTES, SWEEP_MS} from './constants.js';
+import {respondEarly, type EarlyResponse} from './early-response.js';
+import {estimateJsonCost} from './json-cost.js';
+import {createReport} from './report.js';
+import type {IngressLimits, RefusalCause} from './types.js';
+
+export type BodyOptions = Readonly<{customer: string; maxBytes: number}>;
+
+/** Limits that the operators' configuration may set. */
+export type HeadLimits = Partial<Pick<IngressLimits, 'maxHeaderBytes' | 'headerTimeoutMs' | 'idleTimeoutMs'>>;
+
+/** Protects the listeners of one process. */
+export type Ingress = Readonly<{
+	/** Applies the limits to a server: one for callers, or one for probes. */
+	protect: (server: Server, kind: 'callers' | 'probes') => void;
+	/** Applies head limits to all protected servers, for connections from then on. */
+	configure: (limits: HeadLimits) => void;
+	/** Reads a body within the budget, once route and key of its request are known. */
+	readBody: (request: IncomingMessage, options: BodyOptions) => Promise<Buffer>;
+	/** Reads and parses a JSON body; `undefined` when it is empty. */
+	readJson: (request: IncomingMessage, options: BodyOptions) => Promise<unknown>;
+	/** Notes that the request runs from here on; it is neither refused nor is its connection closed before its response. */
+	passOn: (request: IncomingMessage, response: ServerResponse, customer: string) => void;
+	/** Gives back what the request holds; to be called when its handling has ended. */
+	release: (request: IncomingMessage) => void;
+	/** Whether the request is to be handled; the connections of others are being closed. */
+	isAccepted: (request: IncomingMessage) => boolean;
+	/** Responds to a request before its body was read to its end, and closes the connection. */
+	respondEarly: (request: IncomingMessage, response: ServerResponse, early: EarlyResponse) => void;
+	/** Ends the checks. */
+	close: () => void;
+}>;
+
+export type IngressOptions = Readonly<{
+	limits: IngressLimits;
+	log: Log;
+	metrics: Metrics;
+	/** Header lines of responses to requests that cannot be read. */
+	headers?: readonly string[];
+}>;
+
+type Reading = Readonly<{reading: BodyReading; startedMs: number}>;
+
+const now = () => performance.now();
+
+/**
+Creates the protection of a process against clients that take too much of its memory, connections or time.
+
+@example
+```ts
+const ingress = createIngress({limits: createLimits(machine), log, metrics});
+ingress.protect(server, 'callers');
+const body = await ingress.readJson(request, {customer: 'acme', maxBytes: 262_144});
+```
+*/
+export const createIngress = ({limits, log, metrics, headers = []}: IngressOptions): Ingress => {
+	const servers = new Set<Server>();
+	const budget = createBodyBudget({limits, now});
+	const holdings = new WeakMap<IncomingMessage, Holding>();
+	const readings = new Set<Reading>();
+	const report = createReport({log, metrics, budgetBytes: limits.budgetBytes});
+	const connections = createConnections({limits, now, onClosed: report.countClosed});
+	let headLimits: HeadLimits = {};
+
+	const applyHeadLimits = (server: Server) => {
+		const {maxHeaderBytes, headerTimeoutMs, idleTimeoutMs} = {...limits, ...headLimits};
+		// Node reads all of these when a connection or a request begins.
+		Object.assign(server, {maxHeaderSize: maxHeaderBytes});
+		server.headersTimeout = headerTimeoutMs;
+		server.requestTimeout = headerTimeoutMs + limits.bodyTimeoutMs;
+		server.keepAliveTimeout = idleTimeoutMs;
+		server.timeout = idleTimeoutMs;
+	};
+
+	/** The reason why a body is given up, besides a lack of room. */
+	const isTooSlow = ({reading, startedMs}: Reading): boolean => {
+		const ageMs = now() - startedMs;
+		const isBelowRate = reading.receivedBytes() < (limits.minBodyRate * ageMs) / 1000;
+		return ageMs > limits.bodyTimeoutMs || (ageMs > limits.slowGraceMs && isBelowRate);
+	};
+
+	const sweep = () => {
+		for (const reading of readings) {
+			if (isTooSlow(reading)) {
+				reading.reading.giveUp('too-slow');
+			}
+		}
+
+		report.update({heldBytes: budget.heldBytes(), requests: budget.count(), connections: connections.count()});
+	};
+
+	const timer = setInterval(() => {
+		// What arrived while this process was held up is read first.
+		setImmediate(sweep);
+	}, SWEEP_MS);
+	timer.unref();
+
+	/** Counts a refusal. */
+	const refuse = (cause: RefusalCause): ServiceError => {
+		report.countRefused(cause);
+		return createRefusal(cause);
+	};
+
+	const openHolding = (
+		request: IncomingMessage,
+		customer: string,
+		giveUp: (cause: RefusalCause) => void = () => {},
+	): Holding => {
+		const holding = budget.open({customer, source: request.socket.remoteAddress ?? ''}, giveUp);
+		holdings.set(request, holding);
+		return holding;
+	};
+
+	const read = async (request: IncomingMessage, {customer, maxBytes}: BodyOptions): Promise<Buffer> => {
+		let giveUp: (cause: RefusalCause) => void = () => {};
+		const holding = openHolding(request, customer, (cause) => {
+			giveUp(cause);
+		});
+		const reading = readBody(request, {maxBytes, holding});
+		giveUp = reading.giveUp;
+		const entry = {reading, startedMs: now()};
+		readings.add(entry);
+		try {
+			return await reading.body;
+		} catch (error) {
+			holding.release();
+			report.countRefused((error as ServiceError).details.cause as RefusalCause);
+			throw error;
+		} finally {
+			readings.delete(entry);
+		}
+	};
+
+	return {
+		protect(server, kind) {
+			servers.add(server);
+			applyHeadLimits(server);
+			connections.watch(server, kind === 'callers' ? limits.maxConnections : limits.maxProbeConnections);
+			refuseUnreadableRequests(server, {connections, headers});
+			server.on('timeout', connections.timeOut);
+		},
+		configure(next) {
+			headLimits = next;
+			for (const server of servers) {
+				applyHeadLimits(server);
+			}
+		},
+		readBody: read,
+		async readJson(request, options) {
+			const body = await read(request, options);
+			if (body.length === 0) {
+				return undefined;
+			}
+
+			const {depth, bytes} = estimateJsonCost(body);
+			const isTooComplex = depth > MAX_DEPTH || bytes > limits.budgetBytes * MAX_PARSED_SHARE;
+			const cause = isTooComplex ? 'too-large' : holdings.get(request)?.grow(bytes);
+			if (cause) {
+				throw refuse(cause);
+			}
+
+			try {
+				return JSON.parse(body.toString()) as unknown;
+			} catch (error) {
+				throw new ServiceError(`the body is not JSON: ${(error as Error).message}`, {
+					code: 'bad-request',
+					verdict: 'not-run',
+				});
+			}
+		},
+		passOn(request, response, customer) {
+			const holding = holdings.get(request) ?? openHolding(request, customer);
+			const cause = holding.grow(RUNNING_BYTES);
+			if (cause) {
+				throw refuse(cause);
+			}
+
+			holding.passOn();
+			connections.passOn(request, response);
+		},
+		release(request) {
+			holdings.get(request)?.release();
+		},
+		isAccepted: ({socket}) => !connections.isEnding(socket),
+		respondEarly,
+		close() {
+			clearInterval(timer);
+		},
+	};
+};
