Keep the workers on which work is evicted for a part over planning passes

A stop takes several planning passes, and each decided anew whom to evict for a gang and where: units of an earlier rank took what had been freed, and the next pass chose other workers. Ruled out: that the search itself prefers other workers; what is being freed costs nothing there.

A part now holds the workers of its evictions until it starts, or until one of them can't be used or completed any more; each end is logged with its reason. Work lost by earlier evictions counts when further ones are weighed. Parts that a guarantee covers may take workers that others hold.

In the test of twelve workers and an urgent unit in each pass, six of twelve passes evicted for the gang, which never started; now one pass does, and the gang starts there.

--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -14,6 +14,7 @@
 } from './leader-state.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractResources, sumResources} from './plan/resources.js';
+import type {HeldByPart} from './reservation/types.js';
 import {expectedEndMs} from './run-forecast.js';
 import type {Bounds, Declarations} from './types.js';
 
@@ -31,6 +32,8 @@
 	isBlocked: (activeJob: ActiveJob, part: Part) => boolean;
 	/** Whether latency-sensitive units on the worker suffer interference. */
 	isContended: (workerId: string) => boolean;
+	/** Workers that pending parts keep since an earlier pass. */
+	held: HeldByPart;
 	/** Workers that the advice service has approved for a step. */
 	allowedWorkers: (stepId: string) => ReadonlySet<string>;
 }>;
@@ -112,6 +115,7 @@
 				!state.maintenanceDrains.deadlineByWorker.has(worker.id) &&
 				!state.evacuatedZones.has(worker.availabilityZone),
 			isDraining: worker.state !== 'ready',
+			isEvacuated: state.evacuatedZones.has(worker.availabilityZone),
 			isSuspect:
 				Math.max(health.suspectUntilMs, health.slowUntilMs) > nowMs ||
 				(failureShares.get(worker.id) ?? 0) > failureLimit,
@@ -268,6 +272,7 @@
 		workers: viewWorkers(options, covered),
 		parts,
 		trials,
+		held: options.held,
 		unitsOnWorker: (stepId, workerId) => units.get(`${stepId} ${workerId}`) ?? 0,
 		nowMs,
 		remoteFactor: bounds.remoteFactor,
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -1,3 +1,4 @@
+import {createHeldSlots} from '../reservation/held-slots.js';
 import {
 	EVICTION_LOSS_RATIO,
 	EVICTION_TIME_MS,
@@ -9,7 +10,7 @@
 	MAX_RESERVING_PARTS,
 	RESERVED_SHARE,
 } from './constants.js';
-import {findEviction} from './evict.js';
+import {findEviction, type Eviction} from './evict.js';
 import {createFleetCapacity} from './fleet-capacity.js';
 import {findPlacement, isEligible, allocate, mayUseReserved, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {freeAtMs} from './reservation.js';
@@ -66,6 +67,7 @@
 		},
 		mayLeaveRack: policy.mayLeaveRack,
 	};
+	const held = createHeldSlots(view, slots, options);
 	const starts: PlanStart[] = [];
 	const evictions = new Map<string, string>();
 	const failedShapes = new Set<string>();
@@ -84,8 +86,9 @@
 		evictionSearches < MAX_EVICTION_SEARCHES &&
 		(part.isGuaranteed || policy.mayEvictUncovered(part));
 
-	/** Evictions that lose little work may happen at once; others only when no running work is expected to end in time. */
-	const isWorthwhile = (part: PlanPart, lostWorkCoreMs: number): boolean => {
+	/** Evictions that lose little work may happen at once; others only when no running work is expected to end in time. Those of earlier passes count. */
+	const isWorthwhile = (part: PlanPart, newlyLostCoreMs: number): boolean => {
+		const lostWorkCoreMs = held.lostWorkCoreMs(part.id) + newlyLostCoreMs;
 		if (policy.isCheapEviction(part, lostWorkCoreMs)) {
 			return true;
 		}
@@ -95,6 +98,22 @@
 		return isAffordable && earliestStartMs(part, slots, nowMs) > latestStartMs;
 	};
 
+	/** Reserves the resources that are being freed, and those that the victims will free, for the part; over passes if work was stopped for it. */
+	const evict = (part: PlanPart, {chosen, victims, lostWorkCoreMs}: Eviction, isHolding = victims.length > 0) => {
+		for (const victim of victims) {
+			evictions.set(victim, part.id);
+		}
+
+		for (const slot of chosen) {
+			slot.reservation = 'in-use';
+		}
+
+		allocate(part, chosen, options);
+		if (isHolding) {
+			held.hold(part, chosen, {evictions: victims.length, lostWorkCoreMs});
+		}
+	};
+
 	const tryEvict = (part: PlanPart): boolean => {
 		if (!mayEvict(part)) {
 			return false;
@@ -106,17 +125,32 @@
 			return false;
 		}
 
-		for (const victim of eviction.victims) {
-			evictions.set(victim, part.id);
+		evict(part, eviction);
+		return true;
+	};
+
+	/** Starts a part on the workers that it holds, or on others if these have room first, or goes on holding them. Returns whether it has one of these. */
+	const completeHeld = (part: PlanPart, own: readonly WorkerSlot[]): boolean => {
+		// The part has waited for these workers, so their racks are accepted.
+		const chosen =
+			findPlacement(part, own, {...options, mayLeaveRack: () => true}) ?? findPlacement(part, slots, options);
+		if (chosen) {
+			start(part, chosen);
+			held.hold(part, chosen, {evictions: 0, lostWorkCoreMs: 0});
+			return true;
 		}
 
-		// The freed resources are reserved for this part.
-		for (const slot of eviction.chosen) {
-			slot.reservation = 'in-use';
+		const eviction = findEviction(part, own, options, new Set(evictions.keys()));
+		if (
+			eviction &&
+			(eviction.victims.length === 0 || (mayEvict(part) && isWorthwhile(part, eviction.lostWorkCoreMs)))
+		) {
+			evict(part, eviction, true);
+			return true;
 		}
 
-		allocate(part, eviction.chosen, options);
-		return true;
+		held.release(part, 'cannot-complete');
+		return false;
 	};
 
 	const start = (part: PlanPart, chosen: readonly WorkerSlot[]) => {
@@ -166,6 +200,15 @@
 			break;
 		}
 
+		if (!part.isGuaranteed) {
+			held.keepUncovered();
+		}
+
+		const own = held.open(part);
+		if (own && completeHeld(part, own)) {
+			continue;
+		}
+
 		const shape = shapeOf(part, options);
 		if (unplaceableShapes.has(shape)) {
 			unplaceable.push(part.id);
@@ -196,6 +239,7 @@
 		starts,
 		evictions: [...evictions].map(([partId, forPartId]) => ({partId, forPartId})),
 		reservations,
+		...held.result(),
 		unplaceable,
 	};
 };
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '../types.js';
+import type {HeldByPart, Release} from '../reservation/types.js';
 import type {PlanPolicy} from './policy.js';
 
 /** A run on a worker, as a candidate for eviction. */
@@ -34,6 +35,8 @@
 	isUsable: boolean;
 	/** Will not accept new work again. */
 	isDraining: boolean;
+	/** In an availability zone that is evacuated; accepts no new work until that ends. */
+	isEvacuated: boolean;
 	/** Suspected of failing or slow work; used only when no other worker fits. */
 	isSuspect: boolean;
 	/** From 0 for a worker that has just completed a run to 1 for one without a recent success. */
@@ -87,6 +90,8 @@
 	parts: readonly PlanPart[];
 	/** Suspects that run alone on their workers now, by customer. */
 	trials: ReadonlyMap<string, number>;
+	/** Workers that pending parts keep since an earlier pass. */
+	held: HeldByPart;
 	/** Units of a step that are on a worker now. */
 	unitsOnWorker: (stepId: string, workerId: string) => number;
 	nowMs: number;
@@ -102,6 +107,10 @@
 	evictions: ReadonlyArray<Readonly<{partId: string; forPartId: string}>>;
 	/** Workers that get no work of a later rank, since a part that can't be placed yet waits for them. */
 	reservations: ReadonlyArray<Readonly<{partId: string; workerIds: readonly string[]}>>;
+	/** Workers that pending parts keep for the next pass. */
+	held: HeldByPart;
+	/** Reservations of earlier passes that were given up. */
+	released: readonly Release[];
 	/** Parts that the workers can't hold, whatever ends on them. */
 	unplaceable: readonly string[];
 }>;
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -16,6 +16,7 @@
 import {plan} from './plan/plan.js';
 import type {Plan} from './plan/types.js';
 import type {Placements} from './placements.js';
+import {createReservations} from './reservation/reservations.js';
 import {createSlowWorkers} from './slow-workers.js';
 import type {StartWindow} from './start-window.js';
 import type {SchedulerContext} from './types.js';
@@ -45,7 +46,7 @@
 }>;
 
 /** The plan while starts are paused; evictions make room for starts, so they wait for them. */
-const NO_STARTS: Plan = {starts: [], evictions: [], reservations: [], unplaceable: []};
+const NO_STARTS = {starts: [], evictions: [], reservations: [], unplaceable: []} as const;
 
 /** Whether the final state of an ended job is stored and none of its units is placed any more. */
 const isSettled = (activeJob: ActiveJob): boolean =>
@@ -58,6 +59,10 @@
 const isPending = (activeJob: ActiveJob, part: Part): boolean =>
 	activeJob.outcome === undefined && !activeJob.isCancelled && !part.isDone && part.placements.length === 0;
 
+/** Whether a part of a reservation still waits to be started. */
+const isWaiting = (entry: readonly [ActiveJob, Part] | undefined): boolean =>
+	entry !== undefined && isPending(...entry);
+
 /** What a part needs, as fields of a log line. */
 const describePart = (activeJob: ActiveJob, part: Part): PartDescription => {
 	const {cpuMillis, memoryMb, accelerators, requiredLabel} = stepOf(activeJob, part);
@@ -79,6 +84,7 @@
 	const slowWorkers = createSlowWorkers({state, placements, log: context.log, now});
 	const throttler = createThrottler({state, placements, bounds, now});
 	const reports = createPlanReports({log: context.log, metrics});
+	const reservations = createReservations({log: context.log, metrics, now});
 	/** Starts of the last pass that have not been sent, by rank. */
 	let plannedStarts: PlannedStart[] = [];
 
@@ -225,6 +231,10 @@
 			state.placementIndex.byWorker = placedByWorker(state);
 			evacuate();
 			slowWorkers.pass();
+			reservations.prune(
+				(partId) => isWaiting(parts.get(partId)),
+				(partId) => (parts.get(partId)?.[1].placements.length ?? 0) > 0,
+			);
 			const view = createPlanView({
 				state,
 				declarations: declarations(),
@@ -233,11 +243,13 @@
 				wallClockMs: Date.now(),
 				isOrderable: fleet.isOrderable,
 				isBlocked,
+				held: reservations.held(),
 				isContended: throttler.isContended,
 				allowedWorkers: (stepId) => advisor?.allowedWorkers(stepId) ?? new Set(),
 			});
 			advisor?.setRequests(pendingAdviceRequests(view, (partId) => parts.get(partId)?.[0].job.advice));
-			const planned = areViewsRecent ? plan(view) : NO_STARTS;
+			const planned: Plan = areViewsRecent ? plan(view) : {...NO_STARTS, held: reservations.held(), released: []};
+			reservations.update(planned);
 			const {starts, evictions} = planned;
 			if (areViewsRecent) {
 				reports.reportWaiting(planned, (partId) => describePart(...parts.get(partId)!));
