--- a/packages/scheduler/src/evacuation/watch-evacuations.ts
+++ b/packages/scheduler/src/evacuation/watch-evacuations.ts
@@ -46,7 +46,13 @@
 
 	const report = (event: string, zone: string) => {
 		const inZone = [...state.directory.values()].filter(({availabilityZone}) => availabilityZone === zone);
-		log.info(event, {zone, workers: inZone.length, placedUnits: placedUnitsIn(state, zone)});
+		// A new leader often reads the requests before the workers.
+		const isDirectoryRead = state.directory.size > 0;
+		log.info(event, {
+			zone,
+			workers: isDirectoryRead ? inZone.length : undefined,
+			placedUnits: isDirectoryRead ? placedUnitsIn(state, zone) : undefined,
+		});
 	};
 
 	const apply = (changes: KeyChanges) => {
