Leave reserved workers alone while a guarantee finds room elsewhere

A part that a guarantee covers took the workers reserved by parts without one at once, since it fills the fullest workers first; three of 36 reservations of a replay ended so (cannot-complete). It now looks for other room first.

--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -167,6 +167,15 @@
 		}
 	};
 
+	const tryStart = (part: PlanPart): boolean => {
+		const chosen = findPlacement(part, slots, options);
+		if (chosen) {
+			start(part, chosen);
+		}
+
+		return chosen !== undefined;
+	};
+
 	/** Makes room for a part that can't be placed, or reserves workers for it. Returns whether others of its shape may be placed in the same way. */
 	const prepareStart = (part: PlanPart): boolean => {
 		if (needsEmptyWorker(part)) {
@@ -200,10 +209,6 @@
 			break;
 		}
 
-		if (!part.isGuaranteed) {
-			held.keepUncovered();
-		}
-
 		const own = held.open(part);
 		if (own && completeHeld(part, own)) {
 			continue;
@@ -230,7 +235,13 @@
 		triedParts += 1;
 		if (chosen) {
 			start(part, chosen);
-		} else if (!prepareStart(part)) {
+			continue;
+		}
+
+		const isServed = part.isGuaranteed
+			? held.tryWithoutUncovered(() => tryStart(part) || prepareStart(part))
+			: prepareStart(part);
+		if (!isServed) {
 			failedShapes.add(shape);
 		}
 	}
--- a/packages/scheduler/src/reservation/held-slots.ts
+++ b/packages/scheduler/src/reservation/held-slots.ts
@@ -5,8 +5,8 @@
 
 /** The slots that pending parts hold in one pass. */
 export type HeldSlots = Readonly<{
-	/** Keeps the slots of parts without a guarantee from others too; parts with one are planned before and may take them. */
-	keepUncovered: () => void;
+	/** Tries to make room for a part that a guarantee covers, which may take the slots of parts without one. */
+	tryWithoutUncovered: (attempt: () => boolean) => boolean;
 	/** Opens the slots of a part to it; `undefined` if it holds none. */
 	open: (part: PlanPart) => readonly WorkerSlot[] | undefined;
 	/** Records what the part holds from now on, of which `evictions` and `lostWorkCoreMs` are new. */
@@ -61,7 +61,6 @@
 	const slotById = new Map(slots.map((slot) => [slot.worker.id, slot]));
 	/** Slots that count as taken by the members of a part that has not been planned yet. */
 	const kept = new Map<string, readonly WorkerSlot[]>();
-	let hasKeptUncovered = false;
 
 	const release = ({id}: PlanPart, reason: ReleaseReason) => {
 		held.set(id, {...(held.get(id) ?? NOTHING), workerIds: []});
@@ -81,6 +80,20 @@
 		}
 	};
 
+	/** Gives the resources of the part's slots back. */
+	const giveBack = (part: PlanPart): readonly WorkerSlot[] => {
+		const own = kept.get(part.id) ?? [];
+		kept.delete(part.id);
+		const others = new Set([...kept.values()].flat());
+		for (const slot of own) {
+			slot.free = addResources(slot.free, part.need);
+			slot.units.set(part.stepId, (slot.units.get(part.stepId) ?? 1) - 1);
+			slot.reservation = others.has(slot) ? 'in-use' : 'none';
+		}
+
+		return [...new Set(own)];
+	};
+
 	const holders = earlier.size === 0 ? [] : parts.filter(({id}) => earlier.has(id));
 	for (const part of holders) {
 		const before = earlier.get(part.id)!;
@@ -88,42 +101,26 @@
 		const reason = before.workerIds.map((id) => findReason(part, id, options.workers)).find(Boolean);
 		if (reason) {
 			release(part, reason);
-		} else if (part.isGuaranteed) {
+		} else {
 			keep(part);
 		}
 	}
 
-	const keepUncovered = () => {
-		if (hasKeptUncovered) {
-			return;
-		}
-
-		hasKeptUncovered = true;
-		for (const part of holders) {
-			if (!part.isGuaranteed) {
-				keep(part);
-			}
-		}
-	};
-
 	return {
-		keepUncovered,
-		open(part) {
-			const own = kept.get(part.id);
-			if (!own) {
-				return undefined;
+		tryWithoutUncovered(attempt) {
+			const uncovered = holders.filter(({id, isGuaranteed}) => !isGuaranteed && kept.has(id));
+			for (const part of uncovered) {
+				giveBack(part);
 			}
 
-			kept.delete(part.id);
-			const others = new Set([...kept.values()].flat());
-			for (const slot of own) {
-				slot.free = addResources(slot.free, part.need);
-				slot.units.set(part.stepId, (slot.units.get(part.stepId) ?? 1) - 1);
-				slot.reservation = others.has(slot) ? 'in-use' : 'none';
+			const isSuccessful = attempt();
+			for (const part of uncovered) {
+				keep(part);
 			}
 
-			return [...new Set(own)];
+			return isSuccessful;
 		},
+		open: (part) => (kept.has(part.id) ? giveBack(part) : undefined),
 		hold(part, chosen, {evictions, lostWorkCoreMs}) {
 			const before = held.get(part.id) ?? NOTHING;
 			held.set(part.id, {
--- a/packages/scheduler/src/reservation/held-workers.test.ts
+++ b/packages/scheduler/src/reservation/held-workers.test.ts
@@ -143,6 +143,21 @@
 	t.same(second.released, [{partId: 'gang', reason: 'cannot-complete'}]);
 });
 
+// Guards against the opposite: a part with a guarantee that takes them although there is room for it elsewhere.
+await t.test('a guarantee leaves held workers alone while there is other room', async (t) => {
+	const uncovered = {...GANG, isGuaranteed: false, rank: 10};
+	const covered = newPlanPart('covered', {need: ONE, isGuaranteed: true, rank: -10});
+	const {changed, reservations} = planTwice(({placements, ...worker}) => ({
+		...worker,
+		free: ONE,
+		placements: placements.slice(1),
+	}));
+	const workers = [...changed, newPlanWorker('idle', {capacity: WHOLE, free: WHOLE})];
+	const third = plan({...newPlanView(workers, [uncovered, covered]), held: reservations.held()});
+	t.match(third.starts, [{partId: 'covered', workerIds: ['idle']}]);
+	t.same(third.released, []);
+});
+
 // Guards against workers that stay reserved for a part that has started or ended.
 await t.test('the reservation of a part that waits no more ends', async (t) => {
 	for (const isStarted of [true, false]) {
