--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -17,6 +17,7 @@
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractResources, sumResources} from './plan/resources.js';
 import {maxRunFactorOf} from './plan/speed-choice.js';
+import type {HeldByPart} from './reservation/types.js';
 import {expectedEndMs} from './run-forecast.js';
 import type {Bounds, Declarations} from './types.js';
 
@@ -34,6 +35,8 @@
 	isBlocked: (activeJob: ActiveJob, part: Part) => boolean;
 	/** Whether latency-sensitive units on the worker suffer interference. */
 	isContended: (workerId: string) => boolean;
+	/** Workers that pending parts keep since an earlier pass. */
+	held: HeldByPart;
 	/** Workers that the advice service has approved for a step. */
 	allowedWorkers: (stepId: string) => ReadonlySet<string>;
 }>;
@@ -115,6 +118,7 @@
 				!state.maintenanceDrains.deadlineByWorker.has(worker.id) &&
 				!state.evacuatedZones.has(worker.availabilityZone),
 			isDraining: worker.state !== 'ready',
+			isEvacuated: state.evacuatedZones.has(worker.availabilityZone),
 			isSuspect:
 				Math.max(health.suspectUntilMs, health.slowUntilMs) > nowMs ||
 				(failureShares.get(worker.id) ?? 0) > failureLimit,
@@ -277,6 +281,7 @@
 		workers: viewWorkers(options, covered),
 		parts,
 		trials,
+		held: options.held,
 		unitsOnWorker: (stepId, workerId) => units.get(`${stepId} ${workerId}`) ?? 0,
 		slowdownOf:
 			state.policy.interference === 'avoided' && state.interference.hasHarm(nowMs)
