Relay callers' requests to peers while the store turns an instance away

An instance that lost the store refused its callers until the store was back, although other instances were served; open connections stay with it. It now passes submissions, state reads, pending counts and cancellations to a peer that has the store: one hop, authenticated by the peer with its own configuration, never by an older one than a caller may have seen. A request that may have run at one peer is repeated at another, since ids make all of them idempotent, and is never answered with a refusal afterwards. Peers are known from leased records in the store and probed only while requests need one; links and frames are those of packages/peer. docs/design/relay.md has the decisions and what happens halfway.

--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -4,8 +4,8 @@
 import {FRAME_HEADER_BYTES, MAX_FRAME_BYTES} from './constants.js';
 import type {Frame} from './types.js';
 
-const frameTooLargeError = (bytes: number): ServiceError =>
-	new ServiceError(`frame of ${bytes} bytes exceeds the limit of ${MAX_FRAME_BYTES}`, {
+const frameTooLargeError = (bytes: number, maxBytes: number): ServiceError =>
+	new ServiceError(`frame of ${bytes} bytes exceeds the limit of ${maxBytes}`, {
 		code: 'too-large',
 		verdict: 'not-run',
 	});
@@ -18,7 +18,7 @@
 export const encodeFrame = (frame: Frame): Buffer => {
 	const body = encode(frame);
 	if (body.length > MAX_FRAME_BYTES) {
-		throw frameTooLargeError(body.length);
+		throw frameTooLargeError(body.length, MAX_FRAME_BYTES);
 	}
 
 	const header = Buffer.alloc(FRAME_HEADER_BYTES);
@@ -37,9 +37,9 @@
 }
 ```
 
-@throws {ServiceError} `too-large` when a frame's length exceeds `MAX_FRAME_BYTES`; the connection must then be closed.
+@throws {ServiceError} `too-large` when a frame's length exceeds `maxBytes`; the connection must then be closed.
 */
-export const createFrameReader = () => {
+export const createFrameReader = (maxBytes = MAX_FRAME_BYTES) => {
 	let chunks: Buffer[] = [];
 	let size = 0;
 
@@ -69,8 +69,8 @@
 				}
 
 				const length = peekLength();
-				if (length > MAX_FRAME_BYTES) {
-					throw frameTooLargeError(length);
+				if (length > maxBytes) {
+					throw frameTooLargeError(length, maxBytes);
 				}
 
 				if (size < FRAME_HEADER_BYTES + length) {
--- a/packages/peer/src/peer-link.ts
+++ b/packages/peer/src/peer-link.ts
@@ -90,11 +90,12 @@
 			return;
 		}
 
-		const {code, verdict, message, retryAfterMs} = frame.error;
+		const {code, verdict, message, status, retryAfterMs} = frame.error;
 		call?.reject(
 			new ServiceError(message, {
 				code: code as ErrorCode,
 				verdict: verdict as Verdict,
+				...(status !== undefined && {status}),
 				...(retryAfterMs !== undefined && {retryAfterMs}),
 			}),
 		);
--- a/packages/peer/src/peer-server.ts
+++ b/packages/peer/src/peer-server.ts
@@ -11,6 +11,12 @@
 	handlers: Handlers;
 	lifecycle: Lifecycle;
 	log: Log;
+	/** Connections beyond this number are closed at once; unlimited when it is missing. */
+	maxConnections?: number;
+	/** Larger frames are refused. */
+	maxFrameBytes?: number;
+	/** A connection without traffic for this long is closed; 0 keeps it open. */
+	idleMs?: number;
 }>;
 
 const handleRequest = async (
@@ -27,18 +33,18 @@
 	try {
 		return {kind: 'response', id: frame.id, ok: true, body: await handler(frame.body, from)};
 	} catch (error) {
-		const {code, verdict, message, retryAfterMs} = toServiceError(error, 'may-have-run');
+		const {code, verdict, message, status, retryAfterMs} = toServiceError(error, 'may-have-run');
 		return {
 			kind: 'response',
 			id: frame.id,
 			ok: false,
-			error: {code, verdict, message, ...(retryAfterMs !== undefined && {retryAfterMs})},
+			error: {code, verdict, message, status, ...(retryAfterMs !== undefined && {retryAfterMs})},
 		};
 	}
 };
 
-const serveConnection = (socket: Socket, {handlers, log}: PeerServerOptions): void => {
-	const reader = createFrameReader();
+const serveConnection = (socket: Socket, {handlers, log, maxFrameBytes, idleMs = 0}: PeerServerOptions): void => {
+	const reader = createFrameReader(maxFrameBytes);
 	const from = `${socket.remoteAddress}:${socket.remotePort}`;
 
 	const handleFrame = async (frame: Frame) => {
@@ -67,6 +73,9 @@
 	};
 
 	socket.setNoDelay(true);
+	socket.setTimeout(idleMs, () => {
+		socket.destroy();
+	});
 	socket.on('data', (chunk) => {
 		try {
 			for (const frame of reader.push(chunk)) {
@@ -92,7 +101,7 @@
 @returns The bound `host:port`.
 */
 export const startPeerServer = async (options: PeerServerOptions): Promise<string> => {
-	const {host, port, lifecycle} = options;
+	const {host, port, lifecycle, maxConnections} = options;
 	const sockets = new Set<Socket>();
 	const server = createServer((socket) => {
 		sockets.add(socket);
@@ -101,6 +110,10 @@
 		});
 		serveConnection(socket, options);
 	});
+	if (maxConnections !== undefined) {
+		server.maxConnections = maxConnections;
+	}
+
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(port, host, resolve);
--- a/packages/peer/src/types.ts
+++ b/packages/peer/src/types.ts
@@ -7,7 +7,14 @@
 	| Readonly<{kind: 'response'; id: number; ok: false; error: FrameError}>
 	| Readonly<{kind: 'event'; method: string; body: unknown}>;
 
-export type FrameError = Readonly<{code: string; verdict: string; message: string; retryAfterMs?: number}>;
+export type FrameError = Readonly<{
+	code: string;
+	verdict: string;
+	message: string;
+	/** HTTP status for callers; that of the code when it is missing. */
+	status?: number;
+	retryAfterMs?: number;
+}>;
 
 export type RequestHandler = (body: unknown, from: string) => Promise<unknown> | unknown;
 
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -27,6 +27,9 @@
 export {MIN_START_BOUND_MS} from './start-guard.js';
 export {createClocks, type Clocks} from './clocks.js';
 export {createStoreHealth, type StoreHealth} from './store-health.js';
+export {startRelay, type StartRelayOptions} from './relay/start-relay.js';
+export type {Relay} from './relay/relay.js';
+export type {CallerCall} from './relay/types.js';
 export {plan} from './plan/plan.js';
 export type * from './plan/types.js';
 export {THROTTLE_INTERVAL_MS} from './throttle-constants.js';
--- a/packages/scheduler/src/store-health.ts
+++ b/packages/scheduler/src/store-health.ts
@@ -9,6 +9,8 @@
 	recordFailure: () => void;
 	/** Whether contact with the store is lost: calls have failed for a while without a response in between. */
 	isLost: () => boolean;
+	/** Whether the last call has got no response; far more often than `isLost` this is a single failure. */
+	isInDoubt: () => boolean;
 	/** Records that the configuration was current at this time, by `clocks.latestNow`. */
 	recordSync: (atMs: number) => void;
 	/** Time since the configuration was last known to be current. */
@@ -42,6 +44,7 @@
 			isFailing = true;
 		},
 		isLost: () => isFailing && now() - lastResponseMs > STORE_LOST_MS,
+		isInDoubt: () => isFailing,
 		recordSync: configurationAge.recordSync,
 		stalenessMs: configurationAge.ageMs,
 	};
