Admit jobs by what a leader can hold and do, and take over without creating all units

A leader created the parts of all units of all jobs at once and viewed each in every pass, and submissions were accepted without regard to what waits. Parts are now created for units that may start soon, done parts are kept apart from those that passes look at, and stored jobs are read in turns. An instance refuses a job that does not fit into a leader's memory, that no worker of its service can hold, or that would certainly lose its value, by a figure that the leader publishes under the prefix of its own key, so that submissions cost no further store call.

--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -1,16 +1,15 @@
 import {
 	formatUnitName,
 	occurrenceOfKey,
-	partKey,
 	type CrashedRun,
 	type Job,
 	type JobFailure,
-	type PartRecord,
 	type Progress,
 	type RunEnd,
 	type Step,
 } from '@bergamotgauge/jobs';
 import {RUNS_PER_TERM} from './constants.js';
+import {addOccurrence, findPart, hasUnopened, type UnopenedUnits} from './job-parts.js';
 import type {ProgressWindow} from './progress-window.js';
 
 /** One run of a unit on a worker. */
@@ -63,9 +62,9 @@
 	/** Number of the latest run that has ended. */
 	run: number;
 	/** Numbers of the runs whose failures were counted; ends of several runs may be reported in any order. */
-	readonly failedRuns: Set<number>;
+	failedRuns: ReadonlySet<number>;
 	/** Runs whose ends were recorded by this leader, by worker, index and number. */
-	readonly endedRuns: Set<string>;
+	endedRuns: Set<string> | undefined;
 	/** Number of the latest run that was ordered. */
 	orderedRun: number;
 	checkpoint: string;
@@ -73,7 +72,7 @@
 	/** Time since which the part has been ready but not placed. */
 	waitingSinceMs: number | undefined;
 	/** Workers on which the part failed, stalled or was slow. */
-	avoided: Set<string>;
+	avoided: ReadonlySet<string>;
 	/** Times that the part was stopped as stalled. */
 	stalls: number;
 	/** Times that the part was moved off slow workers. */
@@ -89,8 +88,12 @@
 /** In-memory state of a job on the leader, kept until its outcome is stored and none of its units is placed any more. */
 export type ActiveJob = {
 	readonly job: Job;
-	/** Parts of the due occurrences, by key. */
+	/** Parts of the due occurrences, by key, without those of the unopened units and the settled parts. */
 	readonly parts: Map<string, Part>;
+	/** Parts that are done and placed nowhere, by key; kept apart, since passes look at all others. */
+	readonly settledParts: Map<string, Part>;
+	/** Units of the due occurrences that have no part yet, by occurrence and step. */
+	readonly unopened: Map<string, UnopenedUnits>;
 	/** Run time of a unit, by step, for steps of which a unit has ended. */
 	readonly stepTimes: Map<number, number>;
 	/** Number of occurrences whose parts have been added. */
@@ -126,43 +129,6 @@
 		? nowMs - (part.waitingSinceMs ?? nowMs)
 		: wallClockMs - dueMs(activeJob.job, part.occurrence);
 
-const createPart = (
-	identity: Pick<Part, 'key' | 'occurrence' | 'step' | 'indexes'>,
-	record: PartRecord | undefined,
-): Part => ({
-	...identity,
-	isDone: record?.isDone ?? false,
-	doneMs: undefined,
-	failures: record?.failures ?? 0,
-	run: record?.run ?? 0,
-	failedRuns: new Set(record?.failedRuns ?? (record?.failedRun ? [record.failedRun] : [])),
-	endedRuns: new Set(),
-	orderedRun: record?.run ?? 0,
-	checkpoint: record?.checkpoint ?? '',
-	placements: [],
-	waitingSinceMs: undefined,
-	avoided: new Set(),
-	stalls: 0,
-	slowRestarts: 0,
-	crashes: record?.crashes ?? [],
-	trialRun: record?.trialRun ?? 0,
-	pausedUntilMs: 0,
-});
-
-/** Adds the parts of the next occurrence. */
-export const addOccurrence = (activeJob: ActiveJob, progress?: Progress): void => {
-	const occurrence = activeJob.occurrences;
-	activeJob.occurrences += 1;
-	for (const [stepIndex, step] of activeJob.job.steps.entries()) {
-		const indexes = Array.from({length: step.count}, (_value, index) => index);
-		const groups = step.gang ? [indexes] : indexes.map((index) => [index]);
-		for (const group of groups) {
-			const key = partKey(occurrence, stepIndex, step.gang ? 'gang' : group[0]!);
-			activeJob.parts.set(key, createPart({key, occurrence, step: stepIndex, indexes: group}, progress?.parts[key]));
-		}
-	}
-};
-
 /**
 Creates the in-memory state of a job from its stored records; `nowMs` is wall-clock time.
 
@@ -185,6 +151,8 @@
 	const activeJob: ActiveJob = {
 		job,
 		parts: new Map(),
+		settledParts: new Map(),
+		unopened: new Map(),
 		stepTimes: new Map(),
 		occurrences: 0,
 		isCancelled,
@@ -222,6 +190,10 @@
 };
 
 const isStepComplete = (activeJob: ActiveJob, occurrence: number, step: number): boolean => {
+	if (hasUnopened(activeJob, occurrence, step)) {
+		return false;
+	}
+
 	for (const part of activeJob.parts.values()) {
 		if (part.occurrence === occurrence && part.step === step && !part.isDone) {
 			return false;
@@ -231,7 +203,15 @@
 	return true;
 };
 
-/** Parts whose preceding steps are complete and that are not placed, in the order of their steps. */
+/** Whether the steps before this one are complete. */
+export const isStepReady = (activeJob: ActiveJob, occurrence: number, step: number): boolean =>
+	(activeJob.job.steps[step]?.after ?? []).every((earlier) => isStepComplete(activeJob, occurrence, earlier));
+
+/** Whether all units have ended that have been due by now. */
+export const isComplete = ({job, occurrences, parts, unopened}: ActiveJob): boolean =>
+	occurrences === occurrencesOf(job) && unopened.size === 0 && [...parts.values()].every(({isDone}) => isDone);
+
+/** Opened parts whose preceding steps are complete and that are not placed, in the order of their steps. */
 export const readyParts = (activeJob: ActiveJob): Part[] => {
 	if (activeJob.outcome !== undefined || activeJob.isCancelled) {
 		return [];
@@ -240,14 +220,8 @@
 	const openSteps = new Map<string, boolean>();
 	const isOpen = ({occurrence, step}: Part): boolean => {
 		const key = `${occurrence}.${step}`;
-		let open = openSteps.get(key);
-		if (open === undefined) {
-			open = (activeJob.job.steps[step]?.after ?? []).every((earlier) =>
-				isStepComplete(activeJob, occurrence, earlier),
-			);
-			openSteps.set(key, open);
-		}
-
+		const open = openSteps.get(key) ?? isStepReady(activeJob, occurrence, step);
+		openSteps.set(key, open);
 		return open;
 	};
 
@@ -265,19 +239,19 @@
 	`${workerId}@${startedMs ?? ''} ${index} ${run}`;
 
 export const markEnded = (part: Part, unitRun: UnitRun): void => {
+	part.endedRuns ??= new Set();
 	part.endedRuns.add(unitRunKey(unitRun));
 };
 
 /** Whether this leader has recorded the end of the run. */
-export const hasEnded = (part: Part, unitRun: UnitRun): boolean => part.endedRuns.has(unitRunKey(unitRun));
+export const hasEnded = (part: Part, unitRun: UnitRun): boolean => part.endedRuns?.has(unitRunKey(unitRun)) ?? false;
 
 export const partOf = (activeJob: ActiveJob, occurrence: number, step: number, index: number): Part | undefined => {
-	const isGang = activeJob.job.steps[step]?.gang ?? false;
 	while (activeJob.occurrences <= occurrence && activeJob.occurrences < occurrencesOf(activeJob.job)) {
 		addOccurrence(activeJob);
 	}
 
-	return activeJob.parts.get(partKey(occurrence, step, isGang ? 'gang' : index));
+	return findPart(activeJob, occurrence, step, index);
 };
 
 export const stepOf = (activeJob: ActiveJob, part: Part): Step => activeJob.job.steps[part.step]!;
--- a/packages/scheduler/src/apply-job.ts
+++ b/packages/scheduler/src/apply-job.ts
@@ -1,9 +1,12 @@
 import {toServiceError} from '@bergamotgauge/model';
+import type {KeyChanges} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
 import {createActiveJob, type ActiveJob} from './active-job.js';
+import {MAX_TURN_MS} from './constants.js';
 import {cancelJob} from './job-outcome.js';
 import type {JobTable} from './job-table.js';
 import type {LeaderState} from './leader-state.js';
+import {createTurns} from './turns.js';
 
 export type ApplyJobOptions = Readonly<{
 	state: LeaderState;
@@ -42,6 +45,7 @@
 				nowMs: Date.now(),
 			});
 		state.activeJobs.set(id, activeJob);
+		table.forgetUnits(id);
 		if (entry.cancelRevision > 0 && activeJob.outcome === undefined) {
 			cancelJob(activeJob, Date.now());
 			onCancelled(activeJob);
@@ -56,3 +60,30 @@
 		}
 	};
 };
+
+/**
+Applies changes to the table. Those of a listing go on to the leader's state here, in turns, since a listing holds all jobs; those of a watch do by the table's events. Returns whether it was a listing.
+
+@example
+```ts
+const isLoaded = await applyChanges({table, applyJob}, await store.list(JOBS_PREFIX));
+```
+*/
+export const applyChanges = async (
+	{table, applyJob}: Readonly<{table: JobTable; applyJob: (id: string) => void}>,
+	changes: KeyChanges,
+): Promise<boolean> => {
+	if (!changes.isListing) {
+		table.apply(changes);
+		return false;
+	}
+
+	const takeTurn = createTurns(MAX_TURN_MS);
+	await table.applyListing(changes, takeTurn);
+	for (const [id] of table.entries()) {
+		applyJob(id);
+		await takeTurn();
+	}
+
+	return true;
+};
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -78,6 +78,9 @@
 /** Pause before a link to a worker whose lease has ended is opened again, on new connections. */
 export const WORKER_REOPEN_MS = 1000;
 
+/** Time for which reading the stored jobs may hold the processor; renewals of the leader lease and orders wait meanwhile. */
+export const MAX_TURN_MS = 20;
+
 /** Share of the longest lease that is requested; the rest covers the error of the clock estimate. */
 export const LEASE_SHARE = 0.95;
 
@@ -118,6 +121,13 @@
 export const RESOLVE_RETRY_MIN_MS = 60;
 export const RESOLVE_RETRY_MAX_MS = 500;
 
+/** Units of a job whose parts are created with it. A pass considers at least as many waiting units of each job. */
+export const OPEN_UNITS_AT_FIRST = 64;
+
+/** Waiting units of a job, and of all jobs with more units than that, that a pass considers; at most 256 starts await their responses at the same time. */
+export const OPEN_UNITS_PER_JOB = 256;
+export const MAX_OPEN_UNITS = 1024;
+
 /** Longest time between two planning passes when there are no active jobs. */
 export const IDLE_PLAN_INTERVAL_MS = 1000;
 
--- a/packages/scheduler/src/job-entry.ts
+++ b/packages/scheduler/src/job-entry.ts
@@ -19,6 +19,9 @@
 	cancelRevision: 0,
 };
 
+/** The units of a job that has ended are no longer of use, and may be thousands. */
+const withoutEndedUnits = (progress: Progress): Progress => (progress.outcome ? {...progress, parts: {}} : progress);
+
 /**
 Merges a record into the entry of its job; an older record is ignored.
 
@@ -32,7 +35,7 @@
 
 		case 'progress': {
 			return revision > entry.progressRevision
-				? {...entry, progress: decodeProgress(value), progressRevision: revision}
+				? {...entry, progress: withoutEndedUnits(decodeProgress(value)), progressRevision: revision}
 				: entry;
 		}
 
--- a/packages/scheduler/src/job-outcome.ts
+++ b/packages/scheduler/src/job-outcome.ts
@@ -1,6 +1,6 @@
 import type {Progress, RunEnd} from '@bergamotgauge/jobs';
 import {hasReachedCrashLimit} from './crash-evidence.js';
-import {markEnded, occurrencesOf, stepOf, type ActiveJob, type Part, type UnitRun} from './active-job.js';
+import {isComplete, markEnded, stepOf, type ActiveJob, type Part, type UnitRun} from './active-job.js';
 
 /** Sets the outcome of a job that has just ended; `nowMs` is wall-clock time. */
 export const updateOutcome = (activeJob: ActiveJob, nowMs: number): void => {
@@ -13,9 +13,9 @@
 		(part) => !part.isDone && part.failures >= activeJob.job.attempts && !stepOf(activeJob, part).longRunning,
 	);
 	const hasCrashed = parts.some((part) => !part.isDone && hasReachedCrashLimit(part));
-	const isComplete = activeJob.occurrences === occurrencesOf(activeJob.job) && parts.every(({isDone}) => isDone);
-	if (activeJob.isCancelled || hasFailed || hasCrashed || isComplete) {
-		activeJob.outcome = isComplete ? 'completed' : activeJob.isCancelled ? 'cancelled' : 'failed';
+	const hasCompleted = isComplete(activeJob);
+	if (activeJob.isCancelled || hasFailed || hasCrashed || hasCompleted) {
+		activeJob.outcome = hasCompleted ? 'completed' : activeJob.isCancelled ? 'cancelled' : 'failed';
 		activeJob.failure = activeJob.outcome === 'failed' ? (hasCrashed ? 'worker-crashes' : 'failed-runs') : undefined;
 		activeJob.endedMs = nowMs;
 		activeJob.changes += 1;
@@ -73,8 +73,8 @@
 
 	if (isFailure) {
 		part.failures += 1;
-		part.failedRuns.add(end.run);
-		part.avoided.add(end.workerId);
+		part.failedRuns = new Set([...part.failedRuns, end.run]);
+		part.avoided = new Set([...part.avoided, end.workerId]);
 	}
 
 	if (end.checkpoint && end.run >= part.run) {
@@ -94,7 +94,7 @@
 	...(activeJob.failure && {failure: activeJob.failure}),
 	endedMs: activeJob.endedMs,
 	parts: Object.fromEntries(
-		[...activeJob.parts.values()]
+		[...activeJob.settledParts.values(), ...activeJob.parts.values()]
 			.filter(({run: ended, crashes, trialRun}) => ended > 0 || crashes.length > 0 || trialRun > 0)
 			.map(({key, isDone, run: ended, failures, failedRuns, crashes, trialRun, checkpoint}) => [
 				key,
--- a/packages/scheduler/src/job-service.test.ts
+++ b/packages/scheduler/src/job-service.test.ts
@@ -4,6 +4,7 @@
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import FakeTimers from '@sinonjs/fake-timers';
 import t, {type Test} from 'tap';
+import type {Refusal} from './admission/types.js';
 import {createJobService} from './job-service.js';
 import {createStoreHealth} from './store-health.js';
 import {createMemoryKeyValue} from './test/memory-key-value.js';
@@ -21,6 +22,10 @@
 	return {clock, store, health, jobs, request};
 };
 
+const ignore = () => {
+	// Nothing is counted here.
+};
+
 const ADDRESS = {queue: QUEUE, customer: 'acme', id: '0000000000000001'};
 
 // Guards against a repeated request that becomes a second job, or is refused.
@@ -101,3 +106,36 @@
 	await jobs.cancel(ADDRESS);
 	t.equal(await jobs.state(ADDRESS), 'cancelled');
 });
+
+const REFUSAL: Refusal = {reason: 'memory', message: 'full', code: 'overloaded', retryAfterMs: 3000};
+
+// Guards against an accepted job whose repeated submission is told that it never runs, and against a refused one that is stored.
+await t.test(
+	'a refusal is true: a job that is stored is confirmed, another one leaves nothing in the store',
+	async (t) => {
+		const {store, health, jobs, request} = createFixture(t);
+		const admission = {admit: () => REFUSAL, release: ignore, setBacklog: ignore};
+		const full = createJobService({store, health, admission, log: createSilentLog(), metrics: createMetrics()});
+		await t.rejects(full.submit(request), {code: 'overloaded', verdict: 'not-run', status: 503, retryAfterMs: 3000});
+		t.same(store.items(), []);
+		await jobs.submit(request);
+		await full.submit(request);
+		const other = {...request, submission: {...request.submission, spec: 'other'}};
+		await t.rejects(full.submit(other), {code: 'conflict', verdict: 'not-run'});
+
+		const unreadable: KeyValueStore = {
+			...store,
+			async get() {
+				throw new ServiceError('refused', {code: 'store-unavailable', verdict: 'not-run'});
+			},
+		};
+		const blind = createJobService({
+			store: unreadable,
+			health,
+			admission,
+			log: createSilentLog(),
+			metrics: createMetrics(),
+		});
+		await t.rejects(blind.submit(request), {code: 'deadline-exceeded', verdict: 'may-have-run', status: 504});
+	},
+);
--- a/packages/scheduler/src/job-table.ts
+++ b/packages/scheduler/src/job-table.ts
@@ -13,6 +13,12 @@
 	/** Whether a complete listing has been applied. */
 	isLoaded: () => boolean;
 	apply: (changes: KeyChanges) => void;
+	/** Applies a listing without events; other tasks run in the turns taken between its items. */
+	applyListing: (listing: KeyChanges, takeTurn: () => Promise<void>) => Promise<void>;
+	/** Forgets the stored progress of a job's units, which the leader keeps with the active job. */
+	forgetUnits: (id: string) => void;
+	/** Revision of the store up to which the changes are applied. */
+	revision: () => number;
 	/** Merges items that this instance has written. */
 	mergeWritten: (items: readonly StoredItem[]) => void;
 	events: Emittery<JobTableEvents>;
@@ -31,6 +37,7 @@
 	const jobs = new Map<string, JobEntry>();
 	const events = new Emittery<JobTableEvents>();
 	let isLoaded = false;
+	let revision = 0;
 
 	const mergeItem = (item: StoredItem): string | undefined => {
 		const id = parseJobKey(item.key)?.id;
@@ -87,8 +94,30 @@
 			const removed = removalsOf(changes).map((key) => removeJob(key));
 			const merged = changes.items.map((item) => mergeItem(item));
 			isLoaded ||= changes.isListing;
+			revision = Math.max(revision, changes.revision);
 			emitChanged([...removed, ...merged]);
 		},
+		async applyListing(listing, takeTurn) {
+			for (const key of removalsOf(listing)) {
+				removeJob(key);
+			}
+
+			for (const item of listing.items) {
+				mergeItem(item);
+				// The records of a job may be read in any order, so none is used before all are merged.
+				await takeTurn();
+			}
+
+			isLoaded = true;
+			revision = Math.max(revision, listing.revision);
+		},
+		forgetUnits(id) {
+			const entry = jobs.get(id);
+			if (entry?.progress) {
+				jobs.set(id, {...entry, progress: {...entry.progress, parts: {}}});
+			}
+		},
+		revision: () => revision,
 		mergeWritten(items) {
 			emitChanged(items.map((item) => mergeItem(item)));
 		},
--- a/packages/scheduler/src/keys.ts
+++ b/packages/scheduler/src/keys.ts
@@ -8,6 +8,9 @@
 /** Key of the leader, which is bound to its lease. */
 export const LEADER_KEY = `${ROOT_PREFIX}leader`;
 
+/** What the leader publishes about accepted work. The prefix is that of the leader key, so the watch on that reads it too. */
+export const BACKLOG_KEY = `${LEADER_KEY}-backlog`;
+
 /** Number of the latest term, which is the fencing token. */
 export const TERM_KEY = `${ROOT_PREFIX}term`;
 
--- a/packages/scheduler/src/leader-watch.ts
+++ b/packages/scheduler/src/leader-watch.ts
@@ -1,7 +1,7 @@
 import {runKeyWatch, type KeyValueStore} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
 import {LEADER_WATCH_WAIT_MS, WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
-import {LEADER_KEY} from './keys.js';
+import {BACKLOG_KEY, LEADER_KEY} from './keys.js';
 import type {StoreHealth} from './store-health.js';
 
 /** Whether an instance holds the leadership, as of the latest response of the store. */
@@ -14,11 +14,11 @@
 }>;
 
 /**
-Creates the watch on the leader key.
+Creates the watch on the leader key and on what the leader publishes.
 
 @example
 ```ts
-const leader = createLeaderWatch({store, health, log});
+const leader = createLeaderWatch({store, health, log, onBacklog});
 lifecycle.run('leader-watch', leader.run);
 ```
 */
@@ -26,7 +26,14 @@
 	store,
 	health,
 	log,
-}: Readonly<{store: KeyValueStore; health: StoreHealth; log: Log}>): LeaderWatch => {
+	onBacklog,
+}: Readonly<{
+	store: KeyValueStore;
+	health: StoreHealth;
+	log: Log;
+	/** Called with the backlog that a leader has published. */
+	onBacklog: (value: Uint8Array) => void;
+}>): LeaderWatch => {
 	let isLoaded = false;
 	let heldRevision = 0;
 	let vacantRevision = 0;
@@ -46,6 +53,11 @@
 				retryMaxMs: WATCH_RETRY_MAX_MS,
 				onChanges(changes) {
 					isLoaded = true;
+					const backlog = changes.items.find(({key}) => key === BACKLOG_KEY);
+					if (backlog) {
+						onBacklog(backlog.value);
+					}
+
 					const item = changes.items.find(({key}) => key === LEADER_KEY);
 					if (item) {
 						heldRevision = Math.max(heldRevision, item.revision);
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -3,9 +3,10 @@
 import type {KeyChanges} from '@bergamotgauge/store';
 import {DIRECTORY_PAUSE_MS, PENDING_VIEW_MAX_AGE_MS, WATCH_PAUSE_MS} from './constants.js';
 import type {Term} from './election.js';
+import {publishBacklog} from './admission/publish-backlog.js';
 import {createAdvisor} from './advisor.js';
 import type {ActiveJob} from './active-job.js';
-import {createApplyJob} from './apply-job.js';
+import {applyChanges, createApplyJob} from './apply-job.js';
 import {createJobTable} from './job-table.js';
 import {JOBS_PREFIX} from './keys.js';
 import {createLeaderState} from './leader-state.js';
@@ -14,6 +15,7 @@
 import {createPlacements} from './placements.js';
 import {stepIdOf} from './plan-view.js';
 import {runLeaderWaves} from './maintenance/leader-waves.js';
+import type {PlanView} from './plan/types.js';
 import {createPlanner} from './planner.js';
 import {runPlanLoop} from './plan-loop.js';
 import {createProgressWriter} from './progress-writer.js';
@@ -34,6 +36,8 @@
 	context: SchedulerContext;
 	health: StoreHealth;
 	term: Term;
+	/** Memory that accepted jobs may take on this instance. */
+	limitBytes: number;
 }>;
 
 const errorOf = (thrown: unknown): string => toServiceError(thrown, 'may-have-run').message;
@@ -43,10 +47,10 @@
 
 @example
 ```ts
-await runLeader({context, health, term});
+await runLeader({context, health, term, limitBytes});
 ```
 */
-export const runLeader = async ({context, health, term}: LeaderOptions): Promise<void> => {
+export const runLeader = async ({context, health, term, limitBytes}: LeaderOptions): Promise<void> => {
 	const {store, log, metrics, bounds, workerPrefix} = context;
 	const {clocks} = health;
 	const {now, latestNow} = clocks;
@@ -165,7 +169,23 @@
 		void storeChanges(activeJob);
 	};
 
-	const planner = createPlanner({context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, now});
+	let view: PlanView | undefined;
+	const onView = (latest: PlanView) => {
+		view = state.policy.publishesDemand() ? latest : undefined;
+	};
+
+	const planner = createPlanner({
+		context,
+		term,
+		state,
+		fleet,
+		placements,
+		startWindow,
+		advisor,
+		onCrashRecorded,
+		onView,
+		now,
+	});
 
 	const applyJob = createApplyJob({
 		state,
@@ -177,14 +197,10 @@
 		},
 	});
 
-	const applyJobChanges = (changes: KeyChanges) => {
-		table.apply(changes);
-		if (changes.isListing) {
-			for (const [id] of table.entries()) {
-				applyJob(id);
-			}
-
+	const applyJobChanges = async (changes: KeyChanges) => {
+		if (await applyChanges({table, applyJob}, changes)) {
 			loaded.wake();
+			waker.wake();
 		}
 	};
 
@@ -269,6 +285,9 @@
 		lifecycle.run('pending', async (signal) =>
 			publishPendingCounts({store, table, term, log, viewAgeMs: ages.jobs.ageMs, signal}),
 		);
+		lifecycle.run('backlog', async (signal) =>
+			publishBacklog({store, term, state, limitBytes, log, metrics, now, view: () => view, signal}),
+		);
 		if (advisor) {
 			lifecycle.run('advice', advisor.run);
 		}
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -5,16 +5,18 @@
 import {isInEvacuatedZone} from './evacuation/evacuated-zones.js';
 import type {Term} from './election.js';
 import {addDueOccurrences, stepOf, type ActiveJob, type Part} from './active-job.js';
+import {settleParts} from './job-parts.js';
 import {describeGang, gangStateOf} from './gangs.js';
 import {expectedRunMs, placedByWorker, workerHealthOf, type LeaderState} from './leader-state.js';
 import {recordCrash} from './crash-evidence.js';
 import {updateOutcome} from './job-outcome.js';
 import {createThrottler} from './throttler.js';
 import {createPlanReports, type PartDescription} from './plan-reports.js';
+import {openWaitingUnits} from './open-units.js';
 import {createPlanView, partIdOf, stepIdOf} from './plan-view.js';
 import {expectedEndMs} from './run-forecast.js';
 import {plan} from './plan/plan.js';
-import type {Plan} from './plan/types.js';
+import type {Plan, PlanView} from './plan/types.js';
 import type {Placements} from './placements.js';
 import {createSlowWorkers} from './slow-workers.js';
 import type {StartWindow} from './start-window.js';
@@ -33,6 +35,8 @@
 	advisor: Advisor | undefined;
 	/** Called when a crash has been recorded against a part of the job. */
 	onCrashRecorded: (activeJob: ActiveJob) => void;
+	/** Called with the view of each pass. */
+	onView: (view: PlanView) => void;
 	now: () => number;
 }>;
 
@@ -73,7 +77,7 @@
 
 /** Creates the planner of a term. */
 export const createPlanner = (options: PlannerOptions): Planner => {
-	const {context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, now} = options;
+	const {context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, onView, now} = options;
 	const {metrics, bounds, declarations} = context;
 
 	const slowWorkers = createSlowWorkers({state, placements, log: context.log, now});
@@ -96,7 +100,7 @@
 		});
 		if (stalled && state.links.get(stalled.workerId)?.state() === 'synced') {
 			recordStall(state, stalled.workerId, now());
-			part.avoided.add(stalled.workerId);
+			part.avoided = new Set([...part.avoided, stalled.workerId]);
 			part.stalls += 1;
 			placements.stop(activeJob, part, 'stalled');
 		}
@@ -193,6 +197,7 @@
 		}
 	};
 
+	/** The parts that run or may run; also gives the time of the next occurrence. */
 	const collectParts = (): Readonly<{parts: ReadonlyMap<string, readonly [ActiveJob, Part]>; nextDueMs: number}> => {
 		const parts = new Map<string, readonly [ActiveJob, Part]>();
 		let nextDueMs = Number.POSITIVE_INFINITY;
@@ -206,6 +211,7 @@
 			}
 
 			nextDueMs = Math.min(nextDueMs, addDueOccurrences(activeJob, Date.now()) ?? Number.POSITIVE_INFINITY);
+			settleParts(activeJob);
 			for (const part of activeJob.parts.values()) {
 				stopStalled(activeJob, part);
 				stopIncompleteGang(activeJob, part);
@@ -221,6 +227,7 @@
 		sendHeldBack,
 		pass(areViewsRecent) {
 			const startedMs = performance.now();
+			const hasMoreUnits = openWaitingUnits(state.activeJobs.values());
 			const {parts, nextDueMs} = collectParts();
 			state.placementIndex.byWorker = placedByWorker(state);
 			evacuate();
@@ -236,6 +243,7 @@
 				isContended: throttler.isContended,
 				allowedWorkers: (stepId) => advisor?.allowedWorkers(stepId) ?? new Set(),
 			});
+			onView(view);
 			advisor?.setRequests(pendingAdviceRequests(view, (partId) => parts.get(partId)?.[0].job.advice));
 			const planned = areViewsRecent ? plan(view) : NO_STARTS;
 			const {starts, evictions} = planned;
@@ -266,7 +274,8 @@
 			fleet.setInUse(new Set(state.placementIndex.byWorker.keys()));
 			metrics.gauge('parts_waiting', view.parts.length - starts.length + plannedStarts.length);
 			metrics.observe('plan_milliseconds', performance.now() - startedMs);
-			return nextDueMs;
+			// The next units of a large job are opened as soon as these have started.
+			return hasMoreUnits && starts.length > 0 ? Date.now() : nextDueMs;
 		},
 	};
 };
--- a/packages/scheduler/src/policy.ts
+++ b/packages/scheduler/src/policy.ts
@@ -17,6 +17,8 @@
 	countsFailures: () => boolean;
 	/** Whether short urgent runs are polled between the regular reports. */
 	pollsUrgentRuns: () => boolean;
+	/** Whether the work that waits is published, by which instances refuse jobs that would lose their value. */
+	publishesDemand: () => boolean;
 	/** Whether a run that ends at `endMs` has to leave a worker that may go at `deadlineMs`. */
 	mustMove: (endMs: number, deadlineMs: number) => boolean;
 }>;
@@ -29,6 +31,7 @@
 	isSlowWorker,
 	countsFailures: () => true,
 	pollsUrgentRuns: () => true,
+	publishesDemand: () => true,
 	mustMove: (endMs, deadlineMs) => endMs > deadlineMs,
 };
 
@@ -39,6 +42,7 @@
 	'slow-worker-detection': {isSlowWorker: () => false},
 	'failure-suspicion': {countsFailures: () => false},
 	'urgent-polls': {pollsUrgentRuns: () => false},
+	'value-admission': {publishesDemand: () => false},
 	'drain-moves': {mustMove: () => false},
 } as const satisfies Readonly<Record<string, Partial<Policy>>>;
 
--- a/packages/scheduler/src/rank.ts
+++ b/packages/scheduler/src/rank.ts
@@ -9,6 +9,9 @@
 /** Added to the rank of work that is so late that it has no value left. */
 const EXPIRED_OFFSET = 1e11;
 
+/** Whether work of the rank has no value left. */
+export const isExpiredRank = (rank: number): boolean => rank > EXPIRED_OFFSET / 2;
+
 export type RankInput = Readonly<{
 	/** Priority of the part's job; 0 is the highest. */
 	priority: number;
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,4 +1,8 @@
+import {getHeapStatistics} from 'node:v8';
 import type {Lifecycle} from '@bergamotgauge/lifecycle';
+import {createAdmission} from './admission/admission.js';
+import {memoryLimitBytes} from './admission/memory.js';
+import {decodeBacklog} from './admission/publish-backlog.js';
 import {runElection} from './election.js';
 import {createJobService, type JobService} from './job-service.js';
 import {runLeader} from './leader.js';
@@ -30,7 +34,23 @@
 	lifecycle,
 }: Readonly<{context: SchedulerContext; health: StoreHealth; lifecycle: Lifecycle}>): Scheduler => {
 	const {store, log, metrics} = context;
-	const leader = createLeaderWatch({store, health, log});
+	const limitBytes = memoryLimitBytes({memoryMb: context.memoryMb, heapBytes: getHeapStatistics().heap_size_limit});
+	const leader = createLeaderWatch({
+		store,
+		health,
+		log,
+		onBacklog(value) {
+			admission.setBacklog(decodeBacklog(value));
+		},
+	});
+	const admission = createAdmission({
+		limitBytes,
+		guaranteeOf: (customer) =>
+			context.declarations()?.customers.find(({name}) => name === customer)?.guaranteedAccelerators ?? 0,
+		isVacant: leader.isVacant,
+		now: health.clocks.now,
+		random: Math.random,
+	});
 	let isResigned = false;
 
 	lifecycle.run('leader-watch', leader.run);
@@ -39,14 +59,14 @@
 			context,
 			leader,
 			health,
-			lead: async (term) => runLeader({context, health, term}),
+			lead: async (term) => runLeader({context, health, term, limitBytes}),
 			isCandidate: () => !isResigned && context.declarations() !== undefined,
 			signal,
 		}),
 	);
 
 	return {
-		jobs: createJobService({store, health, log, metrics}),
+		jobs: createJobService({store, health, admission, log, metrics}),
 		isReady: leader.isLoaded,
 		resign() {
 			isResigned = true;
--- a/packages/scheduler/src/slow-workers.ts
+++ b/packages/scheduler/src/slow-workers.ts
@@ -81,7 +81,7 @@
 
 		part.slowRestarts += 1;
 		for (const {placement} of units) {
-			part.avoided.add(placement.workerId);
+			part.avoided = new Set([...part.avoided, placement.workerId]);
 		}
 
 		placements.stop(first.activeJob, part, 'slow-worker');
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -206,6 +206,8 @@
 	instanceId: string;
 	/** Processor cores that the instance may use. */
 	cores: number;
+	/** Memory that the instance may use; `undefined` if only its heap is limited. */
+	memoryMb?: number | undefined;
 	store: KeyValueStore;
 	bounds: Bounds;
 	log: Log;
--- a/packages/scheduler/src/watch-view.ts
+++ b/packages/scheduler/src/watch-view.ts
@@ -16,7 +16,7 @@
 	pauseMs: number;
 	/** Age of the replica that the changes go to. */
 	age: ReplicaAge;
-	onChanges: (changes: KeyChanges) => void;
+	onChanges: (changes: KeyChanges) => void | Promise<void>;
 	/** Called when the age has been updated. */
 	onSynced: () => void;
 	signal: AbortSignal;
--- a/packages/store/src/key-watch.ts
+++ b/packages/store/src/key-watch.ts
@@ -11,7 +11,8 @@
 	pauseMs: () => number;
 	retryMinMs: number;
 	retryMaxMs: number;
-	onChanges: (changes: KeyChanges) => void;
+	/** Handles changes; the next call starts when it has resolved. */
+	onChanges: (changes: KeyChanges) => void | Promise<void>;
 	/** Called after each successful call with the time at which it started. */
 	onSuccess?: (startedMs: number) => void;
 	onFailure?: (error: Error) => void;
@@ -44,7 +45,7 @@
 			}
 
 			const wasCaughtUp = isCaughtUp;
-			onChanges(changes);
+			await onChanges(changes);
 			// A change that could not be handled is requested again, so that success means that all changes were handled.
 			revision = changes.revision;
 			isCaughtUp = !changes.isListing;
