--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -122,11 +122,11 @@
 export const RESOLVE_RETRY_MAX_MS = 500;
 
 /** Units of a job whose parts are created with it. A pass considers at least as many waiting units of each job. */
-export const OPEN_UNITS_AT_FIRST = 64;
+export const OPEN_UNITS_AT_FIRST = 32;
 
 /** Waiting units of a job, and of all jobs with more units than that, that a pass considers; at most 256 starts await their responses at the same time. */
 export const OPEN_UNITS_PER_JOB = 256;
-export const MAX_OPEN_UNITS = 1024;
+export const MAX_OPEN_UNITS = 512;
 
 /** Longest time between two planning passes when there are no active jobs. */
 export const IDLE_PLAN_INTERVAL_MS = 1000;
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -12,8 +12,8 @@
 import type {KeyValueStore, StoredItem, Transaction} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {LRUCache} from 'lru-cache';
-import {createRefusalError, type Admission} from './admission/admission.js';
-import type {Refusal} from './admission/types.js';
+import type {Admission} from './admission/admission.js';
+import {createJobIntake} from './admission/job-intake.js';
 import {createWithdrawals, withdrawalKey} from './callers/withdrawals.js';
 import {
 	ENDED_CACHE_ENTRIES,
@@ -114,61 +114,7 @@
 		}
 	};
 
-	/** Stores a job; returns the stored item if the id is in use. */
-	const storeJob = async (queue: Queue, job: Job): Promise<StoredItem | undefined> => {
-		const key = jobKey(job.id, 'submission');
-		try {
-			const current = await transactUntilResolved({
-				expected: [
-					{key, revision: 0},
-					{key: withdrawalKey({queue, customer: job.customer, id: job.id}), revision: 0},
-				],
-				writes: [{key, value: encodeJob(job)}],
-			});
-			const item = current?.find((one) => one.key === key);
-			if (current && !item) {
-				throw new ServiceError(`job ${job.id} was cancelled before it was stored`, {
-					code: 'conflict',
-					verdict: 'not-run',
-				});
-			}
-
-			if (item) {
-				admission?.release(job);
-			}
-
-			return item;
-		} catch (error) {
-			if (toServiceError(error, 'may-have-run').verdict === 'not-run') {
-				admission?.release(job);
-			}
-
-			throw error;
-		}
-	};
-
-	/** Reads a job that would be refused: the response to an earlier submission may have been lost, and a refusal says that it never runs. */
-	const readRefused = async (job: Job, refusal: Refusal): Promise<StoredItem> => {
-		let item: StoredItem | undefined;
-		try {
-			item = await store.get(jobKey(job.id, 'submission'));
-		} catch (error) {
-			const message = 'whether the job was accepted before is unknown';
-			throw new ServiceError(message, {
-				code: 'deadline-exceeded',
-				verdict: 'may-have-run',
-				cause: toServiceError(error, 'may-have-run'),
-			});
-		}
-
-		if (!item) {
-			metrics.count('jobs_refused_total', {queue: job.queue, customer: job.customer, reason: refusal.reason});
-			log.info('job-refused', {job: job.id, queue: job.queue, customer: job.customer, reason: refusal.reason});
-			throw createRefusalError(refusal);
-		}
-
-		return item;
-	};
+	const intake = createJobIntake({store, admission, transact: transactUntilResolved, log, metrics});
 
 	const readEntry = async (id: string): Promise<JobEntry> => {
 		const known = ended.get(id);
@@ -261,8 +207,7 @@
 				throw storeUnavailable();
 			}
 
-			const refusal = admission?.admit(job);
-			const item = await (refusal ? readRefused(job, refusal) : storeJob(queue, job));
+			const item = await intake(queue, job);
 			const stored = item && decodeJob(item.value);
 			if (stored && !isSameSubmission(stored, job)) {
 				throw new ServiceError(`job ${job.id} already exists with different content`, {
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -27,6 +27,7 @@
 import {createStartGuard, maxViewAgeMs} from './start-guard.js';
 import {createStartWindow} from './start-window.js';
 import {createViewAges} from './view-ages.js';
+import {waitForAbort} from './wait-for-abort.js';
 import {createWaker} from './waker.js';
 import {watchView} from './watch-view.js';
 import {recordRefusal} from './worker-evidence.js';
@@ -210,21 +211,6 @@
 		}
 	};
 
-	const waitForTermEnd = async () =>
-		new Promise<void>((resolve) => {
-			if (term.signal.aborted) {
-				resolve();
-			}
-
-			term.signal.addEventListener(
-				'abort',
-				() => {
-					resolve();
-				},
-				{once: true},
-			);
-		});
-
 	try {
 		lifecycle.run('loop-delay', async (signal) => watchLoopDelay({metrics, onDelay: startWindow.observeDelay, signal}));
 		lifecycle.add(
@@ -300,7 +286,7 @@
 		}
 
 		lifecycle.run('plan', async (signal) => runPlanLoop({term, state, fleet, planner, guard, waker, log, now, signal}));
-		await waitForTermEnd();
+		await waitForAbort(term.signal);
 	} finally {
 		term.signal.removeEventListener('abort', endLifecycle);
 		// An instance that does not lead holds no starts back.
