--- a/packages/scheduler/src/admission/constants.ts
+++ b/packages/scheduler/src/admission/constants.ts
@@ -39,16 +39,16 @@
 /** Time over which the capacity of a service counts as the largest that was usable; longer than a takeover and than the pauses of workers. */
 export const CAPACITY_WINDOW_MS = 10_000;
 
-/** Wait from which demand is published; jobs lose their value later than that. */
-export const DEMAND_MIN_WAIT_MS = 3000;
+/** Wait from which demand is published: what a job with an objective of a second can stand, and `WAIT_ERROR_FACTOR`. */
+export const DEMAND_MIN_WAIT_MS = 6000;
 
 /** Interval between publications of demand. */
-export const DEMAND_INTERVAL_MS = 1000;
+export const DEMAND_INTERVAL_MS = 2000;
 
-/** Oldest demand by which jobs are refused; three publications may be missed. */
-export const DEMAND_MAX_AGE_MS = 4000;
+/** Oldest demand by which jobs are refused; two publications may be missed. */
+export const DEMAND_MAX_AGE_MS = 6000;
 
-export const MAX_DEMAND_ENTRIES = 64;
+export const MAX_DEMAND_ENTRIES = 32;
 
 /** Factor by which a wait has to exceed what a job can stand: run times are learned, and estimates are off by this much where they are not. */
 export const WAIT_ERROR_FACTOR = 2;
--- a/packages/scheduler/src/job-parts.ts
+++ b/packages/scheduler/src/job-parts.ts
@@ -11,6 +11,12 @@
 
 const NONE: ReadonlySet<never> = new Set();
 
+/** Records of older versions hold the latest failed run only. */
+const failedRunsOf = (record: PartRecord | undefined): ReadonlySet<number> => {
+	const runs = record?.failedRuns ?? [record?.failedRun ?? 0].filter((run) => run > 0);
+	return runs.length > 0 ? new Set(runs) : NONE;
+};
+
 const createPart = (
 	identity: Pick<Part, 'key' | 'occurrence' | 'step' | 'indexes'>,
 	record: PartRecord | undefined,
@@ -20,7 +26,7 @@
 	doneMs: undefined,
 	failures: record?.failures ?? 0,
 	run: record?.run ?? 0,
-	failedRuns: record?.failedRuns ? new Set(record.failedRuns) : record?.failedRun ? new Set([record.failedRun]) : NONE,
+	failedRuns: failedRunsOf(record),
 	endedRuns: undefined,
 	orderedRun: record?.run ?? 0,
 	checkpoint: record?.checkpoint ?? '',
--- a/packages/scheduler/src/open-units.ts
+++ b/packages/scheduler/src/open-units.ts
@@ -27,5 +27,7 @@
 		room -= ready + opened;
 	}
 
-	return partial.some(({unopened}) => unopened.size > 0);
+	return partial.some((activeJob) =>
+		[...activeJob.unopened.values()].some(({occurrence, step}) => isStepReady(activeJob, occurrence, step)),
+	);
 };
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -274,8 +274,8 @@
 			fleet.setInUse(new Set(state.placementIndex.byWorker.keys()));
 			metrics.gauge('parts_waiting', view.parts.length - starts.length + plannedStarts.length);
 			metrics.observe('plan_milliseconds', performance.now() - startedMs);
-			// The next units of a large job are opened as soon as these have started.
-			return hasMoreUnits && starts.length > 0 ? Date.now() : nextDueMs;
+			// The next units of a large job are opened once these are sent.
+			return hasMoreUnits && starts.length > 0 && plannedStarts.length === 0 ? Date.now() : nextDueMs;
 		},
 	};
 };
