--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -12,6 +12,8 @@
 import type {KeyValueStore, StoredItem, Transaction} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {LRUCache} from 'lru-cache';
+import type {Admission} from './admission/admission.js';
+import {createJobIntake} from './admission/job-intake.js';
 import {createWithdrawals, withdrawalKey} from './callers/withdrawals.js';
 import {
 	ENDED_CACHE_ENTRIES,
@@ -29,6 +31,8 @@
 export type JobServiceOptions = Readonly<{
 	store: KeyValueStore;
 	health: StoreHealth;
+	/** Without it, all jobs are accepted. */
+	admission?: Admission;
 	log: Log;
 	metrics: Metrics;
 }>;
@@ -71,7 +75,7 @@
 await service.submit({queue, customer: 'acme', submission});
 ```
 */
-export const createJobService = ({store, health, log, metrics}: JobServiceOptions): JobService => {
+export const createJobService = ({store, health, admission, log, metrics}: JobServiceOptions): JobService => {
 	const readPending = createPendingReader(store, health.clocks.latestNow);
 	const withdrawals = createWithdrawals(store, health.clocks.latestNow);
 	/** Ended jobs, which are immutable. */
@@ -110,6 +114,8 @@
 		}
 	};
 
+	const intake = createJobIntake({store, admission, transact: transactUntilResolved, log, metrics});
+
 	const readEntry = async (id: string): Promise<JobEntry> => {
 		const known = ended.get(id);
 		if (known) {
@@ -201,22 +207,7 @@
 				throw storeUnavailable();
 			}
 
-			const key = jobKey(job.id, 'submission');
-			const current = await transactUntilResolved({
-				expected: [
-					{key, revision: 0},
-					{key: withdrawalKey({queue, customer, id: job.id}), revision: 0},
-				],
-				writes: [{key, value: encodeJob(job)}],
-			});
-			const item = current?.find((one) => one.key === key);
-			if (current && !item) {
-				throw new ServiceError(`job ${job.id} was cancelled before it was stored`, {
-					code: 'conflict',
-					verdict: 'not-run',
-				});
-			}
-
+			const item = await intake(queue, job);
 			const stored = item && decodeJob(item.value);
 			if (stored && !isSameSubmission(stored, job)) {
 				throw new ServiceError(`job ${job.id} already exists with different content`, {
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -3,9 +3,10 @@
 import type {KeyChanges} from '@bergamotgauge/store';
 import {DIRECTORY_PAUSE_MS, PENDING_VIEW_MAX_AGE_MS, WATCH_PAUSE_MS} from './constants.js';
 import type {Term} from './election.js';
+import {publishBacklog} from './admission/publish-backlog.js';
 import {createAdvisor} from './advisor.js';
 import type {ActiveJob} from './active-job.js';
-import {createApplyJob} from './apply-job.js';
+import {applyChanges, createApplyJob} from './apply-job.js';
 import {createJobTable} from './job-table.js';
 import {JOBS_PREFIX} from './keys.js';
 import {createLeaderState} from './leader-state.js';
@@ -14,6 +15,7 @@
 import {createPlacements} from './placements.js';
 import {stepIdOf} from './plan-view.js';
 import {runLeaderWaves} from './maintenance/leader-waves.js';
+import type {PlanView} from './plan/types.js';
 import {createPlanner} from './planner.js';
 import {runPlanLoop} from './plan-loop.js';
 import {createProgressWriter} from './progress-writer.js';
@@ -26,6 +28,7 @@
 import {createStartGuard, maxViewAgeMs} from './start-guard.js';
 import {createStartWindow} from './start-window.js';
 import {createViewAges} from './view-ages.js';
+import {waitForAbort} from './wait-for-abort.js';
 import {createWaker} from './waker.js';
 import {watchView} from './watch-view.js';
 import {recordRefusal} from './worker-evidence.js';
@@ -35,6 +38,8 @@
 	context: SchedulerContext;
 	health: StoreHealth;
 	term: Term;
+	/** Memory that accepted jobs may take on this instance. */
+	limitBytes: number;
 }>;
 
 const errorOf = (thrown: unknown): string => toServiceError(thrown, 'may-have-run').message;
@@ -44,10 +49,10 @@
 
 @example
 ```ts
-await runLeader({context, health, term});
+await runLeader({context, health, term, limitBytes});
 ```
 */
-export const runLeader = async ({context, health, term}: LeaderOptions): Promise<void> => {
+export const runLeader = async ({context, health, term, limitBytes}: LeaderOptions): Promise<void> => {
 	const {store, log, metrics, bounds, workerPrefix} = context;
 	const {clocks} = health;
 	const {now, latestNow} = clocks;
@@ -168,7 +173,23 @@
 		void storeChanges(activeJob);
 	};
 
-	const planner = createPlanner({context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, now});
+	let view: PlanView | undefined;
+	const onView = (latest: PlanView) => {
+		view = state.policy.publishesDemand() ? latest : undefined;
+	};
+
+	const planner = createPlanner({
+		context,
+		term,
+		state,
+		fleet,
+		placements,
+		startWindow,
+		advisor,
+		onCrashRecorded,
+		onView,
+		now,
+	});
 
 	const applyJob = createApplyJob({
 		state,
@@ -180,14 +201,10 @@
 		},
 	});
 
-	const applyJobChanges = (changes: KeyChanges) => {
-		table.apply(changes);
-		if (changes.isListing) {
-			for (const [id] of table.entries()) {
-				applyJob(id);
-			}
-
+	const applyJobChanges = async (changes: KeyChanges) => {
+		if (await applyChanges({table, applyJob}, changes)) {
 			loaded.wake();
+			waker.wake();
 		}
 	};
 
@@ -197,21 +214,6 @@
 		}
 	};
 
-	const waitForTermEnd = async () =>
-		new Promise<void>((resolve) => {
-			if (term.signal.aborted) {
-				resolve();
-			}
-
-			term.signal.addEventListener(
-				'abort',
-				() => {
-					resolve();
-				},
-				{once: true},
-			);
-		});
-
 	try {
 		lifecycle.run('loop-delay', async (signal) => watchLoopDelay({metrics, onDelay: startWindow.observeDelay, signal}));
 		lifecycle.add(
@@ -275,6 +277,9 @@
 		lifecycle.run('pending', async (signal) =>
 			publishPendingCounts({store, table, term, log, viewAgeMs: ages.jobs.ageMs, signal}),
 		);
+		lifecycle.run('backlog', async (signal) =>
+			publishBacklog({store, term, state, limitBytes, log, metrics, now, view: () => view, signal}),
+		);
 		if (advisor) {
 			lifecycle.run('advice', advisor.run);
 		}
@@ -287,7 +292,7 @@
 		}
 
 		lifecycle.run('plan', async (signal) => runPlanLoop({term, state, fleet, planner, guard, waker, log, now, signal}));
-		await waitForTermEnd();
+		await waitForAbort(term.signal);
 	} finally {
 		term.signal.removeEventListener('abort', endLifecycle);
 		// An instance that does not lead holds no starts back.
