--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -4,7 +4,7 @@
 import type {Advisor} from './advisor.js';
 import {isInEvacuatedZone} from './evacuation/evacuated-zones.js';
 import type {Term} from './election.js';
-import {describeKeptApart, type KeptApart} from './interference/kept-apart.js';
+import {describeKeptApart} from './interference/kept-apart.js';
 import {addDueOccurrences, stepOf, type ActiveJob, type Part} from './active-job.js';
 import {settleParts} from './job-parts.js';
 import {describeGang, gangStateOf} from './gangs.js';
@@ -204,17 +204,6 @@
 		}
 	};
 
-	const describeAll = (
-		keptApart: Plan['keptApart'],
-		parts: ReadonlyMap<string, readonly [ActiveJob, Part]>,
-	): readonly KeptApart[] =>
-		keptApart
-			.map(({partId, workerId}) => {
-				const [activeJob, part] = parts.get(partId)!;
-				return describeKeptApart(state, {activeJob, part, unit: partId, worker: workerId, nowMs: now()});
-			})
-			.filter((kept) => kept !== undefined);
-
 	/** The parts that run or may run; also gives the time of the next occurrence. */
 	const collectParts = (): Readonly<{parts: ReadonlyMap<string, readonly [ActiveJob, Part]>; nextDueMs: number}> => {
 		const parts = new Map<string, readonly [ActiveJob, Part]>();
@@ -272,7 +261,7 @@
 			reservations.update(planned);
 			const {starts, evictions, keptApart} = planned;
 			if (areViewsRecent) {
-				reports.reportKeptApart(describeAll(keptApart, parts));
+				reports.reportKeptApart(describeKeptApart(state, {keptApart, parts, nowMs: now()}));
 				reports.reportWaiting(planned, (partId) => describePart(...parts.get(partId)!));
 			}
 
