--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -27,8 +27,20 @@
 export {MIN_START_BOUND_MS} from './start-guard.js';
 export {createClocks, type Clocks} from './clocks.js';
 export {createStoreHealth, type StoreHealth} from './store-health.js';
+export {startRelay, type StartRelayOptions} from './relay/start-relay.js';
+export type {Relay} from './relay/relay.js';
+export type {CallerCall} from './relay/types.js';
 export {plan} from './plan/plan.js';
 export type * from './plan/types.js';
 export {THROTTLE_INTERVAL_MS} from './throttle-constants.js';
 export {startScheduler, type Scheduler} from './scheduler.js';
-export {DEFAULT_POLICY, isMechanism, MECHANISMS, policyWithout, type Mechanism, type Policy} from './policy.js';
+export {
+	DEFAULT_POLICY,
+	INTERFERENCE_MODES,
+	isMechanism,
+	MECHANISMS,
+	policyWithout,
+	type InterferenceMode,
+	type Mechanism,
+	type Policy,
+} from './policy.js';
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -24,6 +24,7 @@
 import type {SchedulerContext} from './types.js';
 import {watchEvacuations} from './evacuation/watch-evacuations.js';
 import {createUnitEnds} from './unit-ends.js';
+import {keepSpeeds} from './speed/stored-speeds.js';
 import {createStartGuard, maxViewAgeMs} from './start-guard.js';
 import {createStartWindow} from './start-window.js';
 import {createViewAges} from './view-ages.js';
@@ -75,6 +76,8 @@
 		store,
 		term,
 		log,
+		metrics,
+		maxValueBytes: context.maxValueBytes,
 		onStored: table.mergeWritten,
 		onCancelled(activeJob) {
 			ends.finishJob(activeJob);
@@ -122,12 +125,12 @@
 		state,
 		lifecycle,
 		clocks,
-		onReport(link, running, times) {
-			placements.reconcile(link, running, times);
+		onReport(link, running, details) {
+			placements.reconcile(link, running, details);
 			waker.wake();
 		},
-		onProgress(link, running, times) {
-			placements.updateProgress(link, running, times);
+		onProgress(link, running, details) {
+			placements.updateProgress(link, running, details);
 			waker.wake();
 		},
 		async onEnds(link, ended) {
@@ -267,6 +270,9 @@
 				onSynced,
 			}),
 		);
+		lifecycle.run('speeds', async (signal) =>
+			keepSpeeds({store, term, speeds: state.workerSpeeds, directory: state.directory, log, metrics, signal}),
+		);
 		lifecycle.run('retention', async (signal) => removeEndedJobs({store, table, term, bounds, log, signal}));
 		lifecycle.run('pending', async (signal) =>
 			publishPendingCounts({store, table, term, log, viewAgeMs: ages.jobs.ageMs, signal}),
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -8,12 +8,16 @@
 	expectedObjectiveMs,
 	expectedRunMs,
 	needOf,
+	runFactorOf,
 	workerHealthOf,
 	type LeaderState,
 	type PlacedUnit,
 } from './leader-state.js';
+import {kindOf} from './interference/observe-shared.js';
 import type {PlanPart, PlanPlacement, PlanView, PlanWorker} from './plan/types.js';
 import {subtractResources, sumResources} from './plan/resources.js';
+import {maxRunFactorOf} from './plan/speed-choice.js';
+import type {HeldByPart} from './reservation/types.js';
 import {expectedEndMs} from './run-forecast.js';
 import type {Bounds, Declarations} from './types.js';
 
@@ -31,6 +35,8 @@
 	isBlocked: (activeJob: ActiveJob, part: Part) => boolean;
 	/** Whether latency-sensitive units on the worker suffer interference. */
 	isContended: (workerId: string) => boolean;
+	/** Workers that pending parts keep since an earlier pass. */
+	held: HeldByPart;
 	/** Workers that the advice service has approved for a step. */
 	allowedWorkers: (stepId: string) => ReadonlySet<string>;
 }>;
@@ -112,11 +118,15 @@
 				!state.maintenanceDrains.deadlineByWorker.has(worker.id) &&
 				!state.evacuatedZones.has(worker.availabilityZone),
 			isDraining: worker.state !== 'ready',
+			isEvacuated: state.evacuatedZones.has(worker.availabilityZone),
 			isSuspect:
 				Math.max(health.suspectUntilMs, health.slowUntilMs) > nowMs ||
 				(failureShares.get(worker.id) ?? 0) > failureLimit,
 			hasCrashSuspect,
 			unprovenShare: unprovenShare(health.outcomes, nowMs),
+			runFactor: runFactorOf(state, worker.id),
+			kinds:
+				state.policy.interference === 'avoided' ? placedUnits.map(({activeJob, part}) => kindOf(activeJob, part)) : [],
 			isContended: isContended(worker.id),
 			placements: placedUnits.map((placedUnit) =>
 				viewPlacement(options, placedUnit, covered.has(placedUnit.activeJob), !protectedNow.has(placedUnit.part)),
@@ -162,8 +172,10 @@
 	const estimateMs = runMsOf(part.step);
 	part.waitingSinceMs ??= nowMs;
 	const slackMs = slackOf(expectation, part, options);
+	const objectiveSlackMs = objectiveMs - ageOf(activeJob, part, {nowMs, wallClockMs}) - estimateMs;
 	return {
 		id: partIdOf(activeJob, part),
+		kind: kindOf(activeJob, part),
 		stepId: stepIdOf(activeJob, part),
 		service: activeJob.job.service,
 		customer: activeJob.job.customer,
@@ -173,6 +185,7 @@
 		isGuaranteed,
 		workCoreMs: estimateMs * coreEquivalentsOf(step) * part.indexes.length,
 		slackMs,
+		maxRunFactor: step.longRunning ? Number.POSITIVE_INFINITY : maxRunFactorOf(estimateMs, objectiveSlackMs),
 		sameRack: step.sameRack,
 		requiredLabel: step.requiredLabel,
 		dataRack: step.dataRack,
@@ -268,7 +281,12 @@
 		workers: viewWorkers(options, covered),
 		parts,
 		trials,
+		held: options.held,
 		unitsOnWorker: (stepId, workerId) => units.get(`${stepId} ${workerId}`) ?? 0,
+		slowdownOf:
+			state.policy.interference === 'avoided' && state.interference.hasHarm(nowMs)
+				? (kind, neighbour) => state.interference.effectOn(kind, neighbour, nowMs)
+				: undefined,
 		nowMs,
 		remoteFactor: bounds.remoteFactor,
 		policy: state.policy.plan,
--- a/packages/scheduler/src/plan/types.ts
+++ b/packages/scheduler/src/plan/types.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '../types.js';
+import type {HeldByPart, Release} from '../reservation/types.js';
 import type {PlanPolicy} from './policy.js';
 
 /** A run on a worker, as a candidate for eviction. */
@@ -34,12 +35,18 @@
 	isUsable: boolean;
 	/** Will not accept new work again. */
 	isDraining: boolean;
+	/** In an availability zone that is evacuated; accepts no new work until that ends. */
+	isEvacuated: boolean;
 	/** Suspected of failing or slow work; used only when no other worker fits. */
 	isSuspect: boolean;
 	/** From 0 for a worker that has just completed a run to 1 for one without a recent success. */
 	unprovenShare: number;
 	/** Runs a part that may crash it. */
 	hasCrashSuspect: boolean;
+	/** Run time on the worker relative to that on a typical one; above 1 on a slower worker. */
+	runFactor: number;
+	/** Kinds of the units on the worker, if work that slows other work down is kept apart. */
+	kinds: readonly string[];
 	/** Latency-sensitive units on the worker suffer from contention. */
 	isContended: boolean;
 	placements: readonly PlanPlacement[];
@@ -48,6 +55,8 @@
 /** A unit that waits for a worker, or a gang that waits for several. */
 export type PlanPart = Readonly<{
 	id: string;
+	/** Kind of work, of which all units are assumed to behave alike. */
+	kind: string;
 	/** Identifies the step and occurrence, for limits on units of one step on one worker. */
 	stepId: string;
 	service: string;
@@ -61,6 +70,8 @@
 	workCoreMs: number;
 	/** Time for which the part can still wait without missing its objective; negative when the objective is missed already. */
 	slackMs: number;
+	/** Largest run-time factor of a worker with which the part's job still meets its objective; infinite if it misses it on a typical worker too. */
+	maxRunFactor: number;
 	sameRack: boolean;
 	requiredLabel: string | undefined;
 	dataRack: string | undefined;
@@ -87,8 +98,12 @@
 	parts: readonly PlanPart[];
 	/** Suspects that run alone on their workers now, by customer. */
 	trials: ReadonlyMap<string, number>;
+	/** Workers that pending parts keep since an earlier pass. */
+	held: HeldByPart;
 	/** Units of a step that are on a worker now. */
 	unitsOnWorker: (stepId: string, workerId: string) => number;
+	/** Slow-down of a kind of work by a neighbour on the same worker, in logarithms; `undefined` while none is known. */
+	slowdownOf: ((kind: string, neighbour: string) => number) | undefined;
 	nowMs: number;
 	remoteFactor: number;
 	policy: PlanPolicy;
@@ -102,6 +117,12 @@
 	evictions: ReadonlyArray<Readonly<{partId: string; forPartId: string}>>;
 	/** Workers that get no work of a later rank, since a part that can't be placed yet waits for them. */
 	reservations: ReadonlyArray<Readonly<{partId: string; workerIds: readonly string[]}>>;
+	/** Workers that pending parts keep for the next pass. */
+	held: HeldByPart;
+	/** Reservations of earlier passes that were given up. */
+	released: readonly Release[];
 	/** Parts that the workers can't hold, whatever ends on them. */
 	unplaceable: readonly string[];
+	/** Started parts that would run on another worker but for the work there, which slows them down or is slowed down. */
+	keptApart: ReadonlyArray<Readonly<{partId: string; workerId: string}>>;
 }>;
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -4,10 +4,11 @@
 import type {Advisor} from './advisor.js';
 import {isInEvacuatedZone} from './evacuation/evacuated-zones.js';
 import type {Term} from './election.js';
+import {describeKeptApart, type KeptApart} from './interference/kept-apart.js';
 import {addDueOccurrences, stepOf, type ActiveJob, type Part} from './active-job.js';
 import {settleParts} from './job-parts.js';
 import {describeGang, gangStateOf} from './gangs.js';
-import {expectedRunMs, placedByWorker, workerHealthOf, type LeaderState} from './leader-state.js';
+import {expectedRunMs, partRunFactor, placedByWorker, workerHealthOf, type LeaderState} from './leader-state.js';
 import {recordCrash} from './crash-evidence.js';
 import {updateOutcome} from './job-outcome.js';
 import {createThrottler} from './throttler.js';
@@ -18,6 +19,7 @@
 import {plan} from './plan/plan.js';
 import type {Plan, PlanView} from './plan/types.js';
 import type {Placements} from './placements.js';
+import {createReservations} from './reservation/reservations.js';
 import {createSlowWorkers} from './slow-workers.js';
 import type {StartWindow} from './start-window.js';
 import type {SchedulerContext} from './types.js';
@@ -49,7 +51,7 @@
 }>;
 
 /** The plan while starts are paused; evictions make room for starts, so they wait for them. */
-const NO_STARTS: Plan = {starts: [], evictions: [], reservations: [], unplaceable: []};
+const NO_STARTS = {starts: [], evictions: [], reservations: [], unplaceable: [], keptApart: []} as const;
 
 /** Whether the final state of an ended job is stored and none of its units is placed any more. */
 const isSettled = (activeJob: ActiveJob): boolean =>
@@ -62,6 +64,10 @@
 const isPending = (activeJob: ActiveJob, part: Part): boolean =>
 	activeJob.outcome === undefined && !activeJob.isCancelled && !part.isDone && part.placements.length === 0;
 
+/** Whether a part of a reservation still waits to be started. */
+const isWaiting = (entry: readonly [ActiveJob, Part] | undefined): boolean =>
+	entry !== undefined && isPending(...entry);
+
 /** What a part needs, as fields of a log line. */
 const describePart = (activeJob: ActiveJob, part: Part): PartDescription => {
 	const {cpuMillis, memoryMb, accelerators, requiredLabel} = stepOf(activeJob, part);
@@ -80,9 +86,10 @@
 	const {context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, onView, now} = options;
 	const {metrics, bounds, declarations} = context;
 
-	const slowWorkers = createSlowWorkers({state, placements, log: context.log, now});
+	const slowWorkers = createSlowWorkers({state, placements, log: context.log, metrics, now});
 	const throttler = createThrottler({state, placements, bounds, now});
 	const reports = createPlanReports({log: context.log, metrics});
+	const reservations = createReservations({log: context.log, metrics, now});
 	/** Starts of the last pass that have not been sent, by rank. */
 	let plannedStarts: PlannedStart[] = [];
 
@@ -93,7 +100,7 @@
 
 		const {longRunning, usesLeftover, estimateMs} = stepOf(activeJob, part);
 		const stalled = state.policy.findStalled(part, {
-			expectedMs: expectedRunMs(state, activeJob, part.step),
+			expectedMs: expectedRunMs(state, activeJob, part.step) * Math.max(1, partRunFactor(state, part)),
 			estimateMs,
 			isLongRunning: longRunning,
 			isBestEffort: usesLeftover,
@@ -197,6 +204,17 @@
 		}
 	};
 
+	const describeAll = (
+		keptApart: Plan['keptApart'],
+		parts: ReadonlyMap<string, readonly [ActiveJob, Part]>,
+	): readonly KeptApart[] =>
+		keptApart
+			.map(({partId, workerId}) => {
+				const [activeJob, part] = parts.get(partId)!;
+				return describeKeptApart(state, {activeJob, part, unit: partId, worker: workerId, nowMs: now()});
+			})
+			.filter((kept) => kept !== undefined);
+
 	/** The parts that run or may run; also gives the time of the next occurrence. */
 	const collectParts = (): Readonly<{parts: ReadonlyMap<string, readonly [ActiveJob, Part]>; nextDueMs: number}> => {
 		const parts = new Map<string, readonly [ActiveJob, Part]>();
@@ -232,6 +250,10 @@
 			state.placementIndex.byWorker = placedByWorker(state);
 			evacuate();
 			slowWorkers.pass();
+			reservations.prune(
+				(partId) => isWaiting(parts.get(partId)),
+				(partId) => (parts.get(partId)?.[1].placements.length ?? 0) > 0,
+			);
 			const view = createPlanView({
 				state,
 				declarations: declarations(),
@@ -240,14 +262,17 @@
 				wallClockMs: Date.now(),
 				isOrderable: fleet.isOrderable,
 				isBlocked,
+				held: reservations.held(),
 				isContended: throttler.isContended,
 				allowedWorkers: (stepId) => advisor?.allowedWorkers(stepId) ?? new Set(),
 			});
 			onView(view);
 			advisor?.setRequests(pendingAdviceRequests(view, (partId) => parts.get(partId)?.[0].job.advice));
-			const planned = areViewsRecent ? plan(view) : NO_STARTS;
-			const {starts, evictions} = planned;
+			const planned: Plan = areViewsRecent ? plan(view) : {...NO_STARTS, held: reservations.held(), released: []};
+			reservations.update(planned);
+			const {starts, evictions, keptApart} = planned;
 			if (areViewsRecent) {
+				reports.reportKeptApart(describeAll(keptApart, parts));
 				reports.reportWaiting(planned, (partId) => describePart(...parts.get(partId)!));
 			}
 
--- a/packages/scheduler/src/slow-workers.ts
+++ b/packages/scheduler/src/slow-workers.ts
@@ -1,4 +1,4 @@
-import type {Log} from '@bergamotgauge/telemetry';
+import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {
 	OBJECTIVE_EXPIRY_FACTOR,
 	MAX_POLLED_RUN_MS,
@@ -15,12 +15,15 @@
 import type {Placements} from './placements.js';
 import {projectedRunMs} from './progress-window.js';
 import {unitSpeed, type UnitSpeed} from './slow-units.js';
+import {observeShared, reportPairs} from './interference/observe-shared.js';
+import {observeProgress} from './speed/observe-runs.js';
 import {isSlow, recordSlow, recordNormalSpeed} from './worker-evidence.js';
 
 export type SlowWorkersOptions = Readonly<{
 	state: LeaderState;
 	placements: Pick<Placements, 'stop'>;
 	log: Log;
+	metrics: Metrics;
 	now: () => number;
 }>;
 
@@ -33,7 +36,7 @@
 
 /** Remaining time of the part where it runs. */
 const remainingMs = (units: readonly MeasuredUnit[]): number =>
-	Math.max(...units.map(({placement, speed}) => (speed.ratio * speed.expectedMs * (100 - placement.percent)) / 100));
+	Math.max(...units.map(({placement, speed}) => (speed.projectedMs * (100 - placement.percent)) / 100));
 
 /** Remaining time of the part if it is restarted elsewhere, including the stop and the start. */
 const restartMs = (part: Part, units: readonly MeasuredUnit[], hasCheckpoints: boolean): number => {
@@ -47,15 +50,24 @@
 
 @example
 ```ts
-const slowWorkers = createSlowWorkers({state, placements, log, now});
+const slowWorkers = createSlowWorkers({state, placements, log, metrics, now});
 slowWorkers.pass();
 ```
 */
-export const createSlowWorkers = ({state, placements, log, now}: SlowWorkersOptions): SlowWorkers => {
+export const createSlowWorkers = ({state, placements, log, metrics, now}: SlowWorkersOptions): SlowWorkers => {
 	const measure = (placed: readonly PlacedUnit[]): readonly MeasuredUnit[] =>
 		placed.flatMap((placedUnit) => {
 			const speed = unitSpeed(state, placedUnit);
-			return speed ? [{...placedUnit, speed, jobId: placedUnit.activeJob.job.id}] : [];
+			if (!speed) {
+				return [];
+			}
+
+			const isCounted = observeProgress(state, placedUnit, speed.projectedMs, now());
+			if (isCounted && state.policy.interference !== 'ignored') {
+				observeShared(state, placedUnit, {slowdown: speed.ratio, nowMs: now(), metrics});
+			}
+
+			return [{...placedUnit, speed, jobId: placedUnit.activeJob.job.id}];
 		});
 
 	/** A restart is worth its cost only if the job then meets its objective, or ends before its result has lost its value. */
@@ -146,6 +158,10 @@
 				}
 			}
 
+			if (state.policy.interference !== 'ignored') {
+				reportPairs(state, metrics, now());
+			}
+
 			for (const [part, units] of unitsByPart) {
 				if (part.placements.every((placement) => isRunning(placement))) {
 					restart(part, units);
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -95,7 +95,10 @@
 			/** Start time of the incarnation that responds; see `Incarnation`. */
 			startedMs?: number | undefined;
 			running: readonly RunningUnit[];
+			/** Ends that are not acknowledged, the earliest first. */
 			ended: readonly EndedUnit[];
+			/** Whether the worker may have further ends, which it lists when these are acknowledged; left out if it lists all. */
+			hasMoreEnds?: boolean;
 	  }>
 	| Readonly<{outcome: 'refused'; reason: StartRefusal}>;
 
@@ -209,6 +212,8 @@
 	/** Memory that the instance may use; `undefined` if only its heap is limited. */
 	memoryMb?: number | undefined;
 	store: KeyValueStore;
+	/** Largest value that the store takes. */
+	maxValueBytes: number;
 	bounds: Bounds;
 	log: Log;
 	metrics: Metrics;
