--- a/packages/ingress/src/body.ts
+++ b/packages/ingress/src/body.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import {ServiceError} from '@bergamotgauge/model';
 import type {Holding} from './body-budget.js';
-import {FIRST_BUFFER_BYTES, RETRY_AFTER_MS} from './constants.js';
+import {FIRST_BUFFER_BYTES, RETRY_AFTER_MS, SMALL_PIECE_BYTES, SMALL_PIECES} from './constants.js';
 import type {RefusalCause} from './types.js';
 
 const MESSAGES: Readonly<Record<RefusalCause, string>> = {
@@ -11,6 +11,7 @@
 	memory: 'the instance has too many requests under way',
 	'too-slow': 'the body of the request arrived too slowly',
 	'too-large': 'the body is too large',
+	'small-pieces': 'the body of the request arrives in too small pieces',
 	'client-left': 'the client left before the end of the body',
 };
 
@@ -70,6 +71,13 @@
 	giveUp: (cause: RefusalCause) => void;
 }>;
 
+export type BodyReadingOptions = Readonly<{
+	maxBytes: number;
+	holding: Holding;
+	/** Whether a body in many small pieces, which take far more processor time than their bytes, is still read. */
+	maySendSmallPieces: () => boolean;
+}>;
+
 /**
 Reads a body of at most `maxBytes`. A known length is taken from the budget at once, an unknown one as the buffer grows.
 
@@ -77,11 +85,12 @@
 */
 export const readBody = (
 	request: IncomingMessage,
-	{maxBytes, holding}: Readonly<{maxBytes: number; holding: Holding}>,
+	{maxBytes, holding, maySendSmallPieces}: BodyReadingOptions,
 ): BodyReading => {
 	const knownBytes = parseLength(request);
 	const firstBytes = knownBytes ?? Math.min(FIRST_BUFFER_BYTES, maxBytes);
 	let received = 0;
+	let pieces = 0;
 	let giveUp: (cause: RefusalCause) => void = () => {};
 	const body = new Promise<Buffer>((resolve, reject) => {
 		const cause = firstBytes > maxBytes ? 'too-large' : holding.grow(firstBytes);
@@ -104,6 +113,15 @@
 
 		const handleData = (piece: Buffer) => {
 			received += piece.length;
+			pieces += 1;
+			const isInSmallPieces = pieces % SMALL_PIECES === 0 && received < pieces * SMALL_PIECE_BYTES;
+			if (isInSmallPieces && !maySendSmallPieces()) {
+				// Reading goes on for up to two megabytes otherwise, before anything else is served.
+				request.socket.pause();
+				giveUp('small-pieces');
+				return;
+			}
+
 			if (received > maxBytes) {
 				giveUp('too-large');
 				return;
--- a/packages/ingress/src/constants.ts
+++ b/packages/ingress/src/constants.ts
@@ -32,6 +32,10 @@
 /** First size of the buffer for a body of unknown length; it doubles as bytes arrive. */
 export const FIRST_BUFFER_BYTES = 4096;
 
+/** A body in this many pieces of less than this many bytes on average counts as one in small pieces; no ordinary job is. */
+export const SMALL_PIECES = 8192;
+export const SMALL_PIECE_BYTES = 16;
+
 /** Memory of an object or array once parsed and checked, and of a value in one. */
 export const CONTAINER_BYTES = 800;
 export const VALUE_BYTES = 32;
@@ -50,6 +54,9 @@
 export const LINGER_MS = 1000;
 export const LINGER_BYTES = 65_536;
 
+/** Least size that a piece of such a rest counts as, since small pieces take processor time. */
+export const LINGER_PIECE_BYTES = 256;
+
 export const DEFAULT_LIMITS: IngressLimits = {
 	budgetBytes: MAX_BUDGET_BYTES,
 	reserveBytes: MAX_BUDGET_BYTES * RESERVE_SHARE,
@@ -59,6 +66,7 @@
 	bodyTimeoutMs: 30_000,
 	minBodyRate: 256,
 	slowGraceMs: 5000,
+	maxSmallPieceBodies: 8,
 	maxConnections: 2000,
 	maxProbeConnections: 40,
 	maxPipelined: 32,
--- a/packages/ingress/src/early-response.ts
+++ b/packages/ingress/src/early-response.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {LINGER_BYTES, LINGER_MS} from './constants.js';
+import {LINGER_BYTES, LINGER_MS, LINGER_PIECE_BYTES} from './constants.js';
 
 /** A response that was decided before the end of the body. */
 export type EarlyResponse = Readonly<{status: number; body: unknown}>;
@@ -29,17 +29,23 @@
 	const end = () => {
 		clearTimeout(timer);
 		request.off('data', drop);
+		request.socket.pause();
 		response.end();
 	};
 
 	const drop = (piece: Uint8Array) => {
-		dropped += piece.length;
+		dropped += Math.max(piece.length, LINGER_PIECE_BYTES);
 		if (dropped > LINGER_BYTES) {
 			end();
 		}
 	};
 
 	const timer = setTimeout(end, LINGER_MS);
+	if (request.socket.isPaused()) {
+		end();
+		return;
+	}
+
 	request.on('data', drop);
 	request.once('end', end);
 	request.once('close', end);
--- a/packages/ingress/src/ingress.ts
+++ b/packages/ingress/src/ingress.ts
@@ -66,6 +66,7 @@
 	const budget = createBodyBudget({limits, now});
 	const holdings = new WeakMap<IncomingMessage, Holding>();
 	const readings = new Set<Reading>();
+	const inSmallPieces = new Set<Holding>();
 	const report = createReport({log, metrics, budgetBytes: limits.budgetBytes});
 	const connections = createConnections({limits, now, onClosed: report.countClosed});
 	let headLimits: HeadLimits = {};
@@ -124,7 +125,17 @@
 		const holding = openHolding(request, customer, (cause) => {
 			giveUp(cause);
 		});
-		const reading = readBody(request, {maxBytes, holding});
+		const reading = readBody(request, {
+			maxBytes,
+			holding,
+			maySendSmallPieces() {
+				if (inSmallPieces.size < limits.maxSmallPieceBodies) {
+					inSmallPieces.add(holding);
+				}
+
+				return inSmallPieces.has(holding);
+			},
+		});
 		giveUp = reading.giveUp;
 		const entry = {reading, startedMs: now()};
 		readings.add(entry);
@@ -136,6 +147,7 @@
 			throw error;
 		} finally {
 			readings.delete(entry);
+			inSmallPieces.delete(holding);
 		}
 	};
 
--- a/packages/ingress/src/types.ts
+++ b/packages/ingress/src/types.ts
@@ -1,5 +1,6 @@
 /** Why a request was refused before it was passed on, or its body given up. */
-export type RefusalCause = 'customer-share' | 'source-share' | 'memory' | 'too-slow' | 'too-large' | 'client-left';
+export type RefusalCause =
+	'customer-share' | 'source-share' | 'memory' | 'too-slow' | 'small-pieces' | 'too-large' | 'client-left';
 
 /** Why a connection was closed without a refusal. */
 export type ClosingCause = 'connections' | 'pipelined' | 'idle' | 'timeout';
@@ -19,6 +20,8 @@
 	bodyTimeoutMs: number;
 	minBodyRate: number;
 	slowGraceMs: number;
+	/** Bodies in many small pieces that are read at the same time. */
+	maxSmallPieceBodies: number;
 	/** Connections of the callers' listener, and of each other listener. */
 	maxConnections: number;
 	maxProbeConnections: number;
