--- a/packages/ingress/src/constants.ts
+++ b/packages/ingress/src/constants.ts
@@ -36,6 +36,9 @@
 export const SMALL_PIECES = 8192;
 export const SMALL_PIECE_BYTES = 16;
 
+/** Time after the refusal of such a body for which a customer's bodies of unknown length are read only a few at a time. */
+export const SMALL_PIECES_MEMORY_MS = 10_000;
+
 /** Memory of an object or array once parsed and checked, and of a value in one. */
 export const CONTAINER_BYTES = 800;
 export const VALUE_BYTES = 32;
--- a/packages/ingress/src/ingress.ts
+++ b/packages/ingress/src/ingress.ts
@@ -6,7 +6,7 @@
 import {createRefusal, readBody, type BodyReading} from './body.js';
 import {refuseUnreadableRequests} from './client-errors.js';
 import {createConnections} from './connections.js';
-import {MAX_DEPTH, MAX_PARSED_SHARE, RUNNING_BYTES, SWEEP_MS} from './constants.js';
+import {MAX_DEPTH, MAX_PARSED_SHARE, RUNNING_BYTES, SMALL_PIECES_MEMORY_MS, SWEEP_MS} from './constants.js';
 import {respondEarly, type EarlyResponse} from './early-response.js';
 import {estimateJsonCost} from './json-cost.js';
 import {createReport} from './report.js';
@@ -47,7 +47,7 @@
 	headers?: readonly string[];
 }>;
 
-type Reading = Readonly<{reading: BodyReading; startedMs: number}>;
+type Reading = Readonly<{reading: BodyReading; startedMs: number; customer: string; isChunked: boolean}>;
 
 const now = () => performance.now();
 
@@ -67,6 +67,8 @@
 	const holdings = new WeakMap<IncomingMessage, Holding>();
 	const readings = new Set<Reading>();
 	const inSmallPieces = new Set<Holding>();
+	/** By customer, the time until which bodies of unknown length are few at a time. */
+	const crowdedUntilMs = new Map<string, number>();
 	const report = createReport({log, metrics, budgetBytes: limits.budgetBytes});
 	const connections = createConnections({limits, now, onClosed: report.countClosed});
 	let headLimits: HeadLimits = {};
@@ -120,7 +122,20 @@
 		return holding;
 	};
 
+	/** Whether a body of the customer was refused lately for its small pieces, and enough others of unknown length are read. */
+	const isCrowdedBySmallPieces = (customer: string): boolean =>
+		now() < (crowdedUntilMs.get(customer) ?? 0) &&
+		[...readings].filter((reading) => reading.isChunked && reading.customer === customer).length >=
+			limits.maxSmallPieceBodies;
+
 	const read = async (request: IncomingMessage, {customer, maxBytes}: BodyOptions): Promise<Buffer> => {
+		const isChunked = request.headers['content-length'] === undefined;
+		if (isChunked && isCrowdedBySmallPieces(customer)) {
+			// One read of the socket may hold thousands of pieces.
+			request.socket.pause();
+			throw refuse('small-pieces');
+		}
+
 		let giveUp: (cause: RefusalCause) => void = () => {};
 		const holding = openHolding(request, customer, (cause) => {
 			giveUp(cause);
@@ -133,11 +148,16 @@
 					inSmallPieces.add(holding);
 				}
 
-				return inSmallPieces.has(holding);
+				const isAllowed = inSmallPieces.has(holding);
+				if (!isAllowed) {
+					crowdedUntilMs.set(customer, now() + SMALL_PIECES_MEMORY_MS);
+				}
+
+				return isAllowed;
 			},
 		});
 		giveUp = reading.giveUp;
-		const entry = {reading, startedMs: now()};
+		const entry = {reading, startedMs: now(), customer, isChunked};
 		readings.add(entry);
 		try {
 			return await reading.body;
