Let a guarantee keep workers that are being freed for others

A part that a guarantee covers may take what is being freed for a part without one. It evicted nothing itself then, so it held nothing, and took such workers anew in each pass, while the other part evicted anew.

That this was the cause there is inferred; the test shows the fault.

--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -105,8 +105,12 @@
 		return isAffordable && earliestStartMs(part, slots, nowMs) > latestStartMs;
 	};
 
-	/** Reserves the resources that are being freed, and those that the victims will free, for the part; over passes if work was stopped for it. */
-	const evict = (part: PlanPart, {chosen, victims, lostWorkCoreMs}: Eviction, isHolding = victims.length > 0) => {
+	/** Reserves the resources that are being freed, and those that the victims will free, for the part; over passes if work was stopped for it, or if a guarantee covers it, which may have taken them from another part. */
+	const evict = (
+		part: PlanPart,
+		{chosen, victims, lostWorkCoreMs}: Eviction,
+		isHolding = part.isGuaranteed || victims.length > 0,
+	) => {
 		for (const victim of victims) {
 			evictions.set(victim, part.id);
 		}
--- a/packages/scheduler/src/reservation/held-workers.test.ts
+++ b/packages/scheduler/src/reservation/held-workers.test.ts
@@ -158,6 +158,26 @@
 	t.same(third.released, []);
 });
 
+// Guards against a guarantee that takes what is being freed for another part in pass after pass without keeping it, so that
+// the other part evicts in each of them.
+await t.test('a guarantee keeps the workers that it has taken from a part without one', async (t) => {
+	const uncovered = {...GANG, isGuaranteed: false, rank: 10};
+	const covered = newPlanPart('covered', {need: WHOLE, isGuaranteed: true, workCoreMs: 9e9, rank: -10});
+	const {second, changed, reservations} = planTwice((worker) => worker, [uncovered, covered]);
+	t.equal(second.held.get('covered')?.workerIds.length, 1);
+	t.equal(second.evictions.length, 8, 'the units of one other worker');
+	const evicted = new Set(second.evictions.map(({partId}) => partId));
+	const workers = changed.map((worker) => ({
+		...worker,
+		placements: worker.placements.map((placement) => ({
+			...placement,
+			isStopping: placement.isStopping || evicted.has(placement.partId),
+		})),
+	}));
+	const third = plan({...newPlanView(workers, [uncovered, covered]), held: reservations.held()});
+	t.same([third.evictions, third.released], [[], []]);
+});
+
 // Guards against workers that stay reserved for a part that has started or ended.
 await t.test('the reservation of a part that waits no more ends', async (t) => {
 	for (const isStarted of [true, false]) {
