Let a guarantee evict other work before it takes reserved workers

What is being freed for a part without a guarantee costs nothing in the search for evictions, so a part with one took it first, and the other part evicted anew in later passes. It now takes such workers only if it can't evict other work instead.

--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -228,6 +228,15 @@
 		return false;
 	};
 
+	/** The same; a part that a guarantee covers takes workers that others hold, if it can't evict other work instead. */
+	const makeRoom = (part: PlanPart): boolean => {
+		if (!part.isGuaranteed || !held.hasUncovered() || needsEmptyWorker(part)) {
+			return prepareStart(part);
+		}
+
+		return tryEvict(part) || held.tryWithoutUncovered(() => tryStart(part) || prepareStart(part));
+	};
+
 	for (const part of view.parts.toSorted((a, b) => a.rank - b.rank)) {
 		if (triedParts >= MAX_PLANNED_PARTS) {
 			break;
@@ -262,10 +271,7 @@
 			continue;
 		}
 
-		const isServed = part.isGuaranteed
-			? held.tryWithoutUncovered(() => tryStart(part) || prepareStart(part))
-			: prepareStart(part);
-		if (!isServed) {
+		if (!makeRoom(part)) {
 			failedShapes.add(shape);
 		}
 	}
--- a/packages/scheduler/src/reservation/held-slots.ts
+++ b/packages/scheduler/src/reservation/held-slots.ts
@@ -5,6 +5,8 @@
 
 /** The slots that pending parts hold in one pass. */
 export type HeldSlots = Readonly<{
+	/** Whether parts without a guarantee that have not been planned yet hold slots. */
+	hasUncovered: () => boolean;
 	/** Tries to make room for a part that a guarantee covers, which may take the slots of parts without one. */
 	tryWithoutUncovered: (attempt: () => boolean) => boolean;
 	/** Opens the slots of a part to it; `undefined` if it holds none. */
@@ -106,9 +108,12 @@
 		}
 	}
 
+	const uncoveredHolders = () => holders.filter(({id, isGuaranteed}) => !isGuaranteed && kept.has(id));
+
 	return {
+		hasUncovered: () => uncoveredHolders().length > 0,
 		tryWithoutUncovered(attempt) {
-			const uncovered = holders.filter(({id, isGuaranteed}) => !isGuaranteed && kept.has(id));
+			const uncovered = uncoveredHolders();
 			for (const part of uncovered) {
 				giveBack(part);
 			}
