--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -105,8 +105,12 @@
 		return isAffordable && earliestStartMs(part, slots, nowMs) > latestStartMs;
 	};
 
-	/** Reserves the resources that are being freed, and those that the victims will free, for the part; over passes if work was stopped for it. */
-	const evict = (part: PlanPart, {chosen, victims, lostWorkCoreMs}: Eviction, isHolding = victims.length > 0) => {
+	/** Reserves the resources that are being freed, and those that the victims will free, for the part; over passes if work was stopped for it, or if a guarantee covers it, which may have taken them from another part. */
+	const evict = (
+		part: PlanPart,
+		{chosen, victims, lostWorkCoreMs}: Eviction,
+		isHolding = part.isGuaranteed || victims.length > 0,
+	) => {
 		for (const victim of victims) {
 			evictions.set(victim, part.id);
 		}
@@ -224,6 +228,15 @@
 		return false;
 	};
 
+	/** The same; a part that a guarantee covers takes workers that others hold, if it can't evict other work instead. */
+	const makeRoom = (part: PlanPart): boolean => {
+		if (!part.isGuaranteed || !held.hasUncovered() || needsEmptyWorker(part)) {
+			return prepareStart(part);
+		}
+
+		return tryEvict(part) || held.tryWithoutUncovered(() => tryStart(part) || prepareStart(part));
+	};
+
 	for (const part of view.parts.toSorted((a, b) => a.rank - b.rank)) {
 		if (triedParts >= MAX_PLANNED_PARTS) {
 			break;
@@ -258,10 +271,7 @@
 			continue;
 		}
 
-		const isServed = part.isGuaranteed
-			? held.tryWithoutUncovered(() => tryStart(part) || prepareStart(part))
-			: prepareStart(part);
-		if (!isServed) {
+		if (!makeRoom(part)) {
 			failedShapes.add(shape);
 		}
 	}
