--- a/packages/scheduler/src/admission/publish-backlog.test.ts
+++ b/packages/scheduler/src/admission/publish-backlog.test.ts
@@ -5,6 +5,7 @@
 import type {Term} from '../election.js';
 import {BACKLOG_KEY, LEADER_KEY} from '../keys.js';
 import type {ActiveJob} from '../active-job.js';
+import {DEFAULT_POLICY} from '../policy.js';
 import {newActiveJob} from '../test/active-job.js';
 import {newWorker} from '../test/cluster.js';
 import {createMemoryKeyValue} from '../test/memory-key-value.js';
@@ -37,12 +38,16 @@
 	const done = publishBacklog({
 		store,
 		term,
-		state: {activeJobs, directory: new Map([['w1', newWorker('w1')]])},
+		state: {
+			activeJobs,
+			directory: new Map([['w1', newWorker('w1')]]),
+			latestView: {view: undefined},
+			policy: DEFAULT_POLICY,
+		},
 		limitBytes: LIMIT_BYTES,
 		log: createSilentLog(),
 		metrics: createMetrics(),
 		now: () => Date.now(),
-		view: () => undefined,
 		signal: controller.signal,
 	});
 	const read = async () => {
--- a/packages/scheduler/src/admission/publish-backlog.ts
+++ b/packages/scheduler/src/admission/publish-backlog.ts
@@ -3,7 +3,6 @@
 import type {KeyValueStore} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import type {Term} from '../election.js';
-import type {PlanView} from '../plan/types.js';
 import {BACKLOG_KEY, LEADER_KEY} from '../keys.js';
 import type {LeaderState} from '../leader-state.js';
 import {BACKLOG_LEVELS, BACKLOG_WRITE_MS, DEMAND_INTERVAL_MS} from './constants.js';
@@ -15,14 +14,12 @@
 export type PublishOptions = Readonly<{
 	store: KeyValueStore;
 	term: Term;
-	state: Pick<LeaderState, 'activeJobs' | 'directory'>;
+	state: Pick<LeaderState, 'activeJobs' | 'directory' | 'latestView' | 'policy'>;
 	/** Memory that accepted jobs may take on this instance. */
 	limitBytes: number;
 	log: Log;
 	metrics: Metrics;
 	now: () => number;
-	/** View of the latest planning pass; `undefined` if demand is not to be published. */
-	view: () => PlanView | undefined;
 	signal: AbortSignal;
 }>;
 
@@ -65,11 +62,11 @@
 
 @example
 ```ts
-lifecycle.run('backlog', async (signal) => publishBacklog({store, term, state, limitBytes, log, metrics, now, view, signal}));
+lifecycle.run('backlog', async (signal) => publishBacklog({store, term, state, limitBytes, log, metrics, now, signal}));
 ```
 */
 export const publishBacklog = async (options: PublishOptions): Promise<void> => {
-	const {store, term, state, limitBytes, log, metrics, now, view, signal} = options;
+	const {store, term, state, limitBytes, log, metrics, now, signal} = options;
 	const sizes = createFleetSizes();
 	const levelBytes = limitBytes / BACKLOG_LEVELS;
 	let published: string | undefined;
@@ -97,9 +94,9 @@
 
 	while (!signal.aborted) {
 		sizes.observe(state.directory.values(), now());
-		const latest = view();
-		if (latest && now() - demandMs >= DEMAND_INTERVAL_MS) {
-			demand = observeDemand(latest);
+		const {view} = state.latestView;
+		if (view && state.policy.publishesDemand() && now() - demandMs >= DEMAND_INTERVAL_MS) {
+			demand = observeDemand(view);
 			demandMs = now();
 			metrics.gauge('services_overloaded', Object.keys(demand).length);
 		}
--- a/packages/scheduler/src/leader-state.ts
+++ b/packages/scheduler/src/leader-state.ts
@@ -5,6 +5,7 @@
 import type {Policy} from './policy.js';
 import {fits, sumResources} from './plan/resources.js';
 import {createInterference, type Interference} from './interference/interference.js';
+import type {PlanView} from './plan/types.js';
 import {createRunTimes, type RunTimes} from './run-times.js';
 import {createWorkerSpeeds, type WorkerSpeeds} from './speed/worker-speeds.js';
 import type {Resources, Worker} from './types.js';
@@ -45,6 +46,8 @@
 	workerSpeeds: WorkerSpeeds;
 	interference: Interference;
 	policy: Policy;
+	/** View of the last planning pass; `undefined` before the first one. */
+	latestView: {view: PlanView | undefined};
 	/** Placements as of the last planning pass; some may have ended since. */
 	placementIndex: {byWorker: Map<string, PlacedUnit[]>};
 	/** Workers that are drained for the maintenance of their machines, with their drain deadlines in monotonic time; the disruption budgets go to them in this order. */
@@ -69,6 +72,7 @@
 	runTimes: createRunTimes(),
 	workerSpeeds: createWorkerSpeeds(),
 	interference: createInterference(),
+	latestView: {view: undefined},
 	placementIndex: {byWorker: new Map()},
 	maintenanceDrains: {deadlineByWorker: new Map()},
 	evacuatedZones: new Set(),
--- a/packages/scheduler/src/leader.ts
+++ b/packages/scheduler/src/leader.ts
@@ -15,7 +15,6 @@
 import {createPlacements} from './placements.js';
 import {stepIdOf} from './plan-view.js';
 import {runLeaderWaves} from './maintenance/leader-waves.js';
-import type {PlanView} from './plan/types.js';
 import {createPlanner} from './planner.js';
 import {runPlanLoop} from './plan-loop.js';
 import {createProgressWriter} from './progress-writer.js';
@@ -173,23 +172,7 @@
 		void storeChanges(activeJob);
 	};
 
-	let view: PlanView | undefined;
-	const onView = (latest: PlanView) => {
-		view = state.policy.publishesDemand() ? latest : undefined;
-	};
-
-	const planner = createPlanner({
-		context,
-		term,
-		state,
-		fleet,
-		placements,
-		startWindow,
-		advisor,
-		onCrashRecorded,
-		onView,
-		now,
-	});
+	const planner = createPlanner({context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, now});
 
 	const applyJob = createApplyJob({
 		state,
@@ -278,7 +261,7 @@
 			publishPendingCounts({store, table, term, log, viewAgeMs: ages.jobs.ageMs, signal}),
 		);
 		lifecycle.run('backlog', async (signal) =>
-			publishBacklog({store, term, state, limitBytes, log, metrics, now, view: () => view, signal}),
+			publishBacklog({store, term, state, limitBytes, log, metrics, now, signal}),
 		);
 		if (advisor) {
 			lifecycle.run('advice', advisor.run);
--- a/packages/scheduler/src/plan-reports.ts
+++ b/packages/scheduler/src/plan-reports.ts
@@ -2,12 +2,27 @@
 import type {KeptApart} from './interference/kept-apart.js';
 import type {Plan} from './plan/types.js';
 import type {Resources} from './types.js';
+import {stepOf, type ActiveJob, type Part} from './active-job.js';
+import {stepIdOf} from './plan-view.js';
 
 /** What one part needs, as fields of a log line. */
 export type PartDescription = Readonly<
 	{step: string; members: number; label: string | undefined} & Record<keyof Resources, number>
 >;
 
+/** What a part needs, as fields of a log line. */
+export const partDescriptionOf = (activeJob: ActiveJob, part: Part): PartDescription => {
+	const {cpuMillis, memoryMb, accelerators, requiredLabel} = stepOf(activeJob, part);
+	return {
+		step: stepIdOf(activeJob, part),
+		members: part.indexes.length,
+		cpuMillis,
+		memoryMb,
+		accelerators,
+		label: requiredLabel,
+	};
+};
+
 /** Lines and gauges on the parts that wait. */
 export type PlanReports = Readonly<{
 	/** Reports what a pass has decided on the parts that could not be placed. */
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -12,12 +12,12 @@
 import {recordCrash} from './crash-evidence.js';
 import {updateOutcome} from './job-outcome.js';
 import {createThrottler} from './throttler.js';
-import {createPlanReports, type PartDescription} from './plan-reports.js';
+import {createPlanReports, partDescriptionOf} from './plan-reports.js';
 import {openWaitingUnits} from './open-units.js';
 import {createPlanView, partIdOf, stepIdOf} from './plan-view.js';
 import {expectedEndMs} from './run-forecast.js';
 import {plan} from './plan/plan.js';
-import type {Plan, PlanView} from './plan/types.js';
+import type {Plan} from './plan/types.js';
 import type {Placements} from './placements.js';
 import {createReservations} from './reservation/reservations.js';
 import {createSlowWorkers} from './slow-workers.js';
@@ -37,8 +37,6 @@
 	advisor: Advisor | undefined;
 	/** Called when a crash has been recorded against a part of the job. */
 	onCrashRecorded: (activeJob: ActiveJob) => void;
-	/** Called with the view of each pass. */
-	onView: (view: PlanView) => void;
 	now: () => number;
 }>;
 
@@ -68,22 +66,9 @@
 const isWaiting = (entry: readonly [ActiveJob, Part] | undefined): boolean =>
 	entry !== undefined && isPending(...entry);
 
-/** What a part needs, as fields of a log line. */
-const describePart = (activeJob: ActiveJob, part: Part): PartDescription => {
-	const {cpuMillis, memoryMb, accelerators, requiredLabel} = stepOf(activeJob, part);
-	return {
-		step: stepIdOf(activeJob, part),
-		members: part.indexes.length,
-		cpuMillis,
-		memoryMb,
-		accelerators,
-		label: requiredLabel,
-	};
-};
-
 /** Creates the planner of a term. */
 export const createPlanner = (options: PlannerOptions): Planner => {
-	const {context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, onView, now} = options;
+	const {context, term, state, fleet, placements, startWindow, advisor, onCrashRecorded, now} = options;
 	const {metrics, bounds, declarations} = context;
 
 	const slowWorkers = createSlowWorkers({state, placements, log: context.log, metrics, now});
@@ -215,7 +200,6 @@
 			})
 			.filter((kept) => kept !== undefined);
 
-	/** The parts that run or may run; also gives the time of the next occurrence. */
 	const collectParts = (): Readonly<{parts: ReadonlyMap<string, readonly [ActiveJob, Part]>; nextDueMs: number}> => {
 		const parts = new Map<string, readonly [ActiveJob, Part]>();
 		let nextDueMs = Number.POSITIVE_INFINITY;
@@ -266,14 +250,14 @@
 				isContended: throttler.isContended,
 				allowedWorkers: (stepId) => advisor?.allowedWorkers(stepId) ?? new Set(),
 			});
-			onView(view);
+			state.latestView.view = view;
 			advisor?.setRequests(pendingAdviceRequests(view, (partId) => parts.get(partId)?.[0].job.advice));
 			const planned: Plan = areViewsRecent ? plan(view) : {...NO_STARTS, held: reservations.held(), released: []};
 			reservations.update(planned);
 			const {starts, evictions, keptApart} = planned;
 			if (areViewsRecent) {
 				reports.reportKeptApart(describeAll(keptApart, parts));
-				reports.reportWaiting(planned, (partId) => describePart(...parts.get(partId)!));
+				reports.reportWaiting(planned, (partId) => partDescriptionOf(...parts.get(partId)!));
 			}
 
 			// Those of the last pass that were held back are planned again, so that more urgent work may come before them.
