--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -95,11 +95,6 @@
 			return true;
 		}
 
-		// A part that only waits for a faster worker has room already.
-		if (findPlacement(withoutSpeedWait(part), slots, options) !== undefined) {
-			return false;
-		}
-
 		const latestStartMs = nowMs + part.slackMs - EVICTION_TIME_MS;
 		const isAffordable = part.isGuaranteed || lostWorkCoreMs <= part.workCoreMs * EVICTION_LOSS_RATIO;
 		return isAffordable && earliestStartMs(part, slots, nowMs) > latestStartMs;
@@ -125,8 +120,13 @@
 		}
 	};
 
+	/** Whether the part has room already and only waits for faster workers, which is no reason to stop other work. */
+	const waitsForSpeed = (part: PlanPart): boolean =>
+		slots.some(({worker}) => isTooSlow(part, worker)) &&
+		findPlacement(withoutSpeedWait(part), slots, options) !== undefined;
+
 	const tryEvict = (part: PlanPart): boolean => {
-		if (!mayEvict(part)) {
+		if (!mayEvict(part) || waitsForSpeed(part)) {
 			return false;
 		}
 
--- a/packages/scheduler/src/speed/constants.ts
+++ b/packages/scheduler/src/speed/constants.ts
@@ -22,8 +22,8 @@
 /** Progress in percent from which a run shows the speed of its worker before its end. */
 export const MIN_COMPARED_PERCENT = 20;
 
-/** Longest time for which a unit waits for a worker on which its job meets its objective, while a slower one is free. Well under the three seconds from which idle work counts as lost. */
-export const MAX_SPEED_WAIT_MS = 1000;
+/** Longest time for which a unit waits for a worker on which its job meets its objective, while a slower one is free. About a tenth of a typical urgent run, so that the wait alone makes no job late. */
+export const MAX_SPEED_WAIT_MS = 400;
 
 /** Most estimates that are stored, 40 bytes each; far below the largest value of a store. */
 export const MAX_STORED_SPEEDS = 5000;
