--- a/packages/ingress/src/limits.test.ts
+++ b/packages/ingress/src/limits.test.ts
@@ -37,7 +37,7 @@
 	t.equal(cost(String.raw`{"spec":"[[[[{{{{,,,\"[[["}`).depth, 1, 'what is in a string does not count');
 	t.ok(cost(`[${'{},'.repeat(80_000)}{}]`).bytes > 60 * MB);
 	t.ok(cost('['.repeat(100_000)).depth === 100_000);
-	const step = '{"count":20,"cpu":2000,"memMb":1024,"estimateMs":7000,"after":[0],"checkpointing":true}';
+	const step = '{"count":20,"cpu":2000,"memory":1024,"estimateMs":7000,"after":[0],"checkpointing":true}';
 	const largest = cost(`{"steps":[${Array.from({length: 2900}, () => step).join(',')}]}`).bytes;
 	t.ok(largest < createLimits({...CALM, memoryMb: 210}).budgetBytes / 2, 'a job of 262,144 bytes is served');
 	t.ok(cost(`{"spec":"${'x'.repeat(4000)}","steps":[${step}]}`).bytes < 32_768, 'an ordinary job');
