Mend what a review of the speeds and of the interference has found

- Workers held after evictions were given up when the part's time to its objective had shrunk, so that work was stopped in vain.
- A fast member of a gang that also runs on a slow worker counted as slow.
- Estimates of a large fleet were dropped before a new leader had listed it.
- Stored rows that are no numbers, or far off, spoilt the mean of the fleet.
- A unit that waits for speed kept others of its step from slow workers.
- Long-running units preferred fast workers for good.
- One run that hangs marked all kinds of work beside it as harmful; effects are now computed once a pass.

Tests for the first, second, fourth and last.

--- a/packages/scheduler/src/interference/interference.test.ts
+++ b/packages/scheduler/src/interference/interference.test.ts
@@ -33,6 +33,9 @@
 	return interference;
 };
 
+const effectOn = (interference: Interference, neighbour: string, nowMs: number): number =>
+	interference.harmfulEffects(nowMs).get('a')?.get(neighbour) ?? 0;
+
 const SEEDS = Array.from({length: 100}, (_value, index) => index + 1);
 
 // Guards against work that is kept apart by chance, and against a harmful neighbour that is missed or confused with another
@@ -43,9 +46,9 @@
 	let invented = 0;
 	for (const seed of SEEDS) {
 		const harmed = learn({runs: 60, seed, slowdownOf: (kinds) => (kinds.includes('b') ? 1.5 : 1)});
-		missed += harmed.effectOn('a', 'b', 6000) === 0 ? 1 : 0;
-		confused += harmed.effectOn('a', 'c', 6000) + harmed.effectOn('a', 'd', 6000) > 0 ? 1 : 0;
-		invented += learn({runs: 60, seed, slowdownOf: () => 1}).hasHarm(6000) ? 1 : 0;
+		missed += effectOn(harmed, 'b', 6000) === 0 ? 1 : 0;
+		confused += effectOn(harmed, 'c', 6000) + effectOn(harmed, 'd', 6000) > 0 ? 1 : 0;
+		invented += learn({runs: 60, seed, slowdownOf: () => 1}).harmfulEffects(6000).size > 0 ? 1 : 0;
 	}
 
 	t.comment(`missed ${missed}, confused ${confused}, invented ${invented} of ${SEEDS.length}`);
@@ -57,9 +60,8 @@
 // Guards against work that is kept apart for good by an estimate that holds no longer.
 await t.test('a stale estimate is forgotten', async (t) => {
 	const interference = learn({runs: 60, seed: 1, slowdownOf: (kinds) => (kinds.includes('b') ? 1.5 : 1)});
-	t.ok(interference.effectOn('a', 'b', 6000) > 0.2);
-	t.equal(interference.effectOn('a', 'b', 6000 + 2 * EFFECT_HALF_LIFE_MS), 0);
-	t.equal(interference.hasHarm(6000 + 2 * EFFECT_HALF_LIFE_MS), false);
+	t.ok(effectOn(interference, 'b', 6000) > 0.2);
+	t.equal(effectOn(interference, 'b', 6000 + 2 * EFFECT_HALF_LIFE_MS), 0);
 });
 
 // Guards against memory that grows with the number of kinds, which callers choose.
@@ -74,3 +76,16 @@
 	interference.observe({kind: 'beside many', neighbours: crowd, slowdown: 2, nowMs: 0});
 	t.equal(interference.runsOf('beside many', 'n0'), 0, 'a run beside too many kinds shows nothing');
 });
+
+// Guards against one run that hangs, or a figure that is no number, which would mark all kinds beside it.
+await t.test('one run marks nothing, whatever it shows', async (t) => {
+	const interference = createInterference();
+	for (const slowdown of [50, Number.POSITIVE_INFINITY, Number.NaN, -1, 0]) {
+		interference.observe({kind: 'a', neighbours: ['b'], slowdown, nowMs: 0});
+	}
+
+	t.equal(interference.harmfulEffects(0).size, 0);
+	t.equal(interference.runsOf('a', 'b'), 1);
+	interference.observe({kind: 'a', neighbours: ['b'], slowdown: 1, nowMs: 0});
+	t.equal(interference.harmfulEffects(0).size, 0);
+});
--- a/packages/scheduler/src/interference/interference.ts
+++ b/packages/scheduler/src/interference/interference.ts
@@ -2,6 +2,7 @@
 import {
 	EFFECT_HALF_LIFE_MS,
 	EFFECT_PRIOR_VARIANCE,
+	MAX_COUNTED_EFFECT,
 	MAX_NEIGHBOUR_KINDS,
 	MAX_PAIRS,
 	RUN_VARIANCE,
@@ -21,15 +22,16 @@
 /** Effect of a neighbour on a kind of work: mean and variance of the logarithm of the slow-down, as of a time. */
 export type Effect = Readonly<{mean: number; variance: number; runs: number; atMs: number}>;
 
+/** Slow-downs in logarithms, by kind and neighbour. */
+export type HarmfulEffects = ReadonlyMap<string, ReadonlyMap<string, number>>;
+
 /** How kinds of work slow each other down on one worker, learned from their runs. */
 export type Interference = Readonly<{
 	observe: (run: SharedRun) => void;
-	/** Slow-down of the kind by the neighbour, in logarithms; 0 while it may be chance. */
-	effectOn: (kind: string, neighbour: string, nowMs: number) => number;
+	/** Slow-downs that are not chance, in logarithms, by kind and neighbour. */
+	harmfulEffects: (nowMs: number) => HarmfulEffects;
 	/** Number of runs that the effect was learned from. */
 	runsOf: (kind: string, neighbour: string) => number;
-	/** Whether any kind is slowed down, so that placement has something to decide. */
-	hasHarm: (nowMs: number) => boolean;
 	/** Numbers of known and of harmful pairs. */
 	countPairs: (nowMs: number) => Readonly<{known: number; harmful: number}>;
 }>;
@@ -45,7 +47,13 @@
 	};
 };
 
-const isHarmful = ({mean, variance}: Effect): boolean => mean > SIGNIFICANT_DEVIATIONS * Math.sqrt(variance);
+/** One run alone shows nothing, since it may have been slow for another reason. */
+const isHarmful = ({mean, variance, runs}: Effect): boolean =>
+	runs > 1 && mean > SIGNIFICANT_DEVIATIONS * Math.sqrt(variance);
+
+/** Slow-down of a run in logarithms. A run that hangs shows no more than one that takes twice as long. */
+const observedEffect = (slowdown: number): number =>
+	Math.min(MAX_COUNTED_EFFECT, Math.max(-MAX_COUNTED_EFFECT, Math.log(slowdown)));
 
 const pairKey = (kind: string, neighbour: string): string => JSON.stringify([kind, neighbour]);
 
@@ -56,7 +64,7 @@
 ```ts
 const interference = createInterference();
 interference.observe({kind: 'render', neighbours: ['index'], slowdown: 1.6, nowMs: now()});
-interference.effectOn('render', 'index', now()); // 0 after one run, about 0.4 after several
+interference.harmfulEffects(now()).get('render')?.get('index'); // undefined after one run, about 0.4 after several
 ```
 */
 export const createInterference = (): Interference => {
@@ -68,26 +76,32 @@
 		return known ? fade(known, nowMs) : {mean: 0, variance: EFFECT_PRIOR_VARIANCE, runs: 0, atMs: nowMs};
 	};
 
-	const countHarmful = (nowMs: number): number => {
-		let count = 0;
-		for (const effect of effects.values()) {
-			count += isHarmful(fade(effect, nowMs)) ? 1 : 0;
+	const harmfulEffects = (nowMs: number): HarmfulEffects => {
+		const harmful = new Map<string, Map<string, number>>();
+		for (const [key, effect] of effects.entries()) {
+			const faded = fade(effect, nowMs);
+			if (isHarmful(faded)) {
+				const [kind, neighbour] = JSON.parse(key) as [string, string];
+				const byNeighbour = harmful.get(kind) ?? new Map<string, number>();
+				harmful.set(kind, byNeighbour.set(neighbour, faded.mean));
+			}
 		}
 
-		return count;
+		return harmful;
 	};
 
 	return {
 		observe({kind, neighbours, slowdown, nowMs}) {
 			const kinds = [...new Set(neighbours)];
-			if (kinds.length === 0 || kinds.length > MAX_NEIGHBOUR_KINDS) {
+			const isMeasured = slowdown > 0 && Number.isFinite(slowdown);
+			if (!isMeasured || kinds.length === 0 || kinds.length > MAX_NEIGHBOUR_KINDS) {
 				return;
 			}
 
 			const known = kinds.map((neighbour) => effectOf(kind, neighbour, nowMs));
 			const expected = known.reduce((sum, {mean}) => sum + mean, 0);
 			const variance = known.reduce((sum, effect) => sum + effect.variance, RUN_VARIANCE);
-			const surprise = Math.log(slowdown) - expected;
+			const surprise = observedEffect(slowdown) - expected;
 			for (const [index, neighbour] of kinds.entries()) {
 				const effect = known[index]!;
 				const gain = effect.variance / variance;
@@ -99,12 +113,11 @@
 				});
 			}
 		},
-		effectOn(kind, neighbour, nowMs) {
-			const effect = effectOf(kind, neighbour, nowMs);
-			return isHarmful(effect) ? effect.mean : 0;
-		},
+		harmfulEffects,
 		runsOf: (kind, neighbour) => effects.peek(pairKey(kind, neighbour))?.runs ?? 0,
-		hasHarm: (nowMs) => countHarmful(nowMs) > 0,
-		countPairs: (nowMs) => ({known: effects.size, harmful: countHarmful(nowMs)}),
+		countPairs: (nowMs) => ({
+			known: effects.size,
+			harmful: [...harmfulEffects(nowMs).values()].reduce((sum, {size}) => sum + size, 0),
+		}),
 	};
 };
--- a/packages/scheduler/src/interference/kept-apart.ts
+++ b/packages/scheduler/src/interference/kept-apart.ts
@@ -1,6 +1,7 @@
 import type {ActiveJob, Part} from '../active-job.js';
 import type {LeaderState} from '../leader-state.js';
 import type {Plan} from '../plan/types.js';
+import type {HarmfulEffects} from './interference.js';
 import {kindOf} from './observe-shared.js';
 
 /** A unit, the worker that it was kept from, and the most harmful pair there, learned from this many runs; `slowdown` 1.4 means that the run takes 1.4 times as long. */
@@ -17,10 +18,10 @@
 
 /** The most harmful pair of the kind and the work on the worker; `undefined` if that has ended, or is only planned. */
 const worstPair = (
-	{interference, placementIndex}: LeaderState,
+	{placementIndex}: LeaderState,
 	own: string,
 	workerId: string,
-	nowMs: number,
+	effects: HarmfulEffects,
 ): HarmfulPair | undefined =>
 	(placementIndex.byWorker.get(workerId) ?? [])
 		.map(({activeJob, part}) => kindOf(activeJob, part))
@@ -28,7 +29,7 @@
 			{kind: own, neighbour: other},
 			{kind: other, neighbour: own},
 		])
-		.map((pair) => ({...pair, effect: interference.effectOn(pair.kind, pair.neighbour, nowMs)}))
+		.map((pair) => ({...pair, effect: effects.get(pair.kind)?.get(pair.neighbour) ?? 0}))
 		.filter(({effect}) => effect > 0)
 		.toSorted((a, b) => b.effect - a.effect)[0];
 
@@ -44,10 +45,11 @@
 		parts: ReadonlyMap<string, readonly [ActiveJob, Part]>;
 		nowMs: number;
 	}>,
-): readonly KeptApart[] =>
-	keptApart.flatMap(({partId, workerId}) => {
+): readonly KeptApart[] => {
+	const effects = state.interference.harmfulEffects(nowMs);
+	return keptApart.flatMap(({partId, workerId}) => {
 		const [activeJob, part] = parts.get(partId)!;
-		const worst = worstPair(state, kindOf(activeJob, part), workerId, nowMs);
+		const worst = worstPair(state, kindOf(activeJob, part), workerId, effects);
 		if (!worst) {
 			return [];
 		}
@@ -56,3 +58,4 @@
 		const runs = state.interference.runsOf(kind, neighbour);
 		return [{unit: partId, worker: workerId, kind, neighbour, slowdown: Math.exp(effect).toFixed(2), runs}];
 	});
+};
--- a/packages/scheduler/src/plan-view.ts
+++ b/packages/scheduler/src/plan-view.ts
@@ -236,6 +236,16 @@
 	return covered;
 };
 
+/** Slow-downs between kinds of work; `undefined` if there are none or they do not count. */
+const slowdownsOf = ({policy, interference}: LeaderState, nowMs: number): PlanView['slowdownOf'] => {
+	if (policy.interference !== 'avoided') {
+		return undefined;
+	}
+
+	const effects = interference.harmfulEffects(nowMs);
+	return effects.size > 0 ? (kind, neighbour) => effects.get(kind)?.get(neighbour) ?? 0 : undefined;
+};
+
 /**
 Creates a snapshot of the workers and the pending parts for one planning pass.
 
@@ -283,10 +293,7 @@
 		trials,
 		held: options.held,
 		unitsOnWorker: (stepId, workerId) => units.get(`${stepId} ${workerId}`) ?? 0,
-		slowdownOf:
-			state.policy.interference === 'avoided' && state.interference.hasHarm(nowMs)
-				? (kind, neighbour) => state.interference.effectOn(kind, neighbour, nowMs)
-				: undefined,
+		slowdownOf: slowdownsOf(state, nowMs),
 		nowMs,
 		remoteFactor: bounds.remoteFactor,
 		policy: state.policy.plan,
--- a/packages/scheduler/src/plan/plan.ts
+++ b/packages/scheduler/src/plan/plan.ts
@@ -15,7 +15,7 @@
 import {findPlacement, isEligible, allocate, mayUseReserved, type PlaceOptions, type WorkerSlot} from './place-part.js';
 import {freeAtMs} from './reservation.js';
 import {shareOf, subtractResources, sumResources} from './resources.js';
-import {isTooSlow, withoutSpeedWait} from './speed-choice.js';
+import {hasSpeedWait, isTooSlow, withoutSpeedWait} from './speed-choice.js';
 import {createTrialBudget, needsEmptyWorker, reserveForTrial} from './trials.js';
 import type {Plan, PlanPart, PlanStart, PlanView, PlanWorker} from './types.js';
 
@@ -40,7 +40,8 @@
 const shapeOf = (part: PlanPart, options: PlaceOptions): string => {
 	const {stepId, members, avoidedWorkers, crashSuspicion, isLastAttempt} = part;
 	const avoided = [...avoidedWorkers].toSorted().join(',');
-	return [stepId, members, crashSuspicion, isLastAttempt, mayUseReserved(part, options), avoided].join('/');
+	const waits = [mayUseReserved(part, options), hasSpeedWait(part)];
+	return [stepId, members, crashSuspicion, isLastAttempt, ...waits, avoided].join('/');
 };
 
 /**
@@ -154,16 +155,17 @@
 
 	/** Starts a part on the workers that it holds, or on others if these have room first, or goes on holding them. Returns whether it has one of these. */
 	const completeHeld = (part: PlanPart, own: readonly WorkerSlot[]): boolean => {
-		// The part has waited for these workers, so their racks are accepted.
+		// The part has waited for these workers, so their racks and speeds are accepted.
+		const accepting = withoutSpeedWait(part);
 		const chosen =
-			findPlacement(part, own, {...options, mayLeaveRack: () => true}) ?? findPlacement(part, slots, options);
+			findPlacement(accepting, own, {...options, mayLeaveRack: () => true}) ?? findPlacement(part, slots, options);
 		if (chosen) {
-			start(part, chosen);
+			start(part, chosen, false);
 			held.hold(part, chosen, {evictions: 0, lostWorkCoreMs: 0});
 			return true;
 		}
 
-		const eviction = findEviction(part, own, options, new Set(evictions.keys()));
+		const eviction = findEviction(accepting, own, options, new Set(evictions.keys()));
 		if (
 			eviction &&
 			(eviction.victims.length === 0 || (mayEvict(part) && isWorthwhile(part, eviction.lostWorkCoreMs)))
@@ -176,8 +178,11 @@
 		return false;
 	};
 
-	const start = (part: PlanPart, chosen: readonly WorkerSlot[]) => {
-		noteKeptApart(part, chosen);
+	const start = (part: PlanPart, chosen: readonly WorkerSlot[], isChosenFreely = true) => {
+		if (isChosenFreely) {
+			noteKeptApart(part, chosen);
+		}
+
 		allocate(part, chosen, options);
 		starts.push({partId: part.id, workerIds: chosen.map(({worker}) => worker.id)});
 		if (needsEmptyWorker(part)) {
--- a/packages/scheduler/src/plan/speed-choice.test.ts
+++ b/packages/scheduler/src/plan/speed-choice.test.ts
@@ -60,3 +60,19 @@
 	const [, fast] = newWorkers(1000);
 	t.same(plan(newPlanView([full, fast!], [urgent])).evictions, [{partId: 'other', forPartId: 'urgent'}]);
 });
+
+// Guards against work that was stopped in vain: the time to the objective shrinks while the stops go on, so that a worker
+// on which work was evicted for a part becomes too slow for it.
+await t.test(
+	'a part keeps the workers on which work was evicted for it, also when they have become too slow',
+	async (t) => {
+		const urgent = newPlanPart('urgent', {maxRunFactor: 1.5, waitedMs: 100});
+		const stopping = newFullWorker('slow', [newPlacement('other', {isStopping: true})], {runFactor: SLOW});
+		const held = new Map([['urgent', {workerIds: ['slow'], evictions: 1, lostWorkCoreMs: 1000}]]);
+		const waiting = plan({...newPlanView([stopping], [urgent]), held});
+		t.same(waiting.released, []);
+		t.same(waiting.held.get('urgent')?.workerIds, ['slow']);
+		const free = newPlanWorker('slow', {runFactor: SLOW});
+		t.same(plan({...newPlanView([free], [urgent]), held}).starts, [{partId: 'urgent', workerIds: ['slow']}]);
+	},
+);
--- a/packages/scheduler/src/plan/speed-choice.ts
+++ b/packages/scheduler/src/plan/speed-choice.ts
@@ -16,17 +16,22 @@
 	members === 1 && priority > 0 && maxRunFactor < Number.POSITIVE_INFINITY && runFactor <= maxRunFactor;
 
 /**
-Cost of the worker's speed for the part; lower is better, and 0 on a typical worker. Urgent work, gangs and late work prefer fast workers; other work prefers slow ones on which it still meets its objective.
+Cost of the worker's speed for the part; lower is better, and 0 on a typical worker. Urgent work, gangs and late work prefer fast workers; other work prefers slow ones on which it still meets its objective. Long-running work has no end that a faster worker would bring nearer.
 
 @example
 ```ts
 speedCostOf(urgentPart, slowWorker, 1); // 8.2 on a worker that takes 1.82 times as long
 ```
 */
-export const speedCostOf = (part: PlanPart, {runFactor}: PlanWorker, remoteFactor: number): number =>
-	mayYield(part, runFactor * remoteFactor)
+export const speedCostOf = (part: PlanPart, {runFactor}: PlanWorker, remoteFactor: number): number => {
+	if (part.isLongRunning) {
+		return 0;
+	}
+
+	return mayYield(part, runFactor * remoteFactor)
 		? YIELD_COST * (1 / runFactor - 1)
 		: RUN_TIME_COST * remoteFactor * (runFactor - 1);
+};
 
 /**
 Largest run-time factor of a worker with which a part meets its objective, by the time that it can still wait; infinite for a part that misses it on a typical worker too.
@@ -37,9 +42,12 @@
 /** A guarantee leaves less time, since accelerators have to be reclaimed after the wait. */
 const maxWaitMs = ({isGuaranteed}: PlanPart): number => (isGuaranteed ? MAX_SPEED_WAIT_MS / 2 : MAX_SPEED_WAIT_MS);
 
+/** Whether the part still waits for workers on which its job meets its objective. */
+export const hasSpeedWait = (part: PlanPart): boolean => part.priority === 0 && part.waitedMs < maxWaitMs(part);
+
 /** Whether an urgent part waits for a faster worker for a while, because its job would miss its objective on this one. */
 export const isTooSlow = (part: PlanPart, {runFactor}: PlanWorker): boolean =>
-	part.priority === 0 && runFactor > 1 && runFactor > part.maxRunFactor && part.waitedMs < maxWaitMs(part);
+	hasSpeedWait(part) && runFactor > 1 && runFactor > part.maxRunFactor;
 
 /** The part without its wait for a faster worker. */
 export const withoutSpeedWait = (part: PlanPart): PlanPart => ({...part, maxRunFactor: Number.POSITIVE_INFINITY});
--- a/packages/scheduler/src/slow-units.test.ts
+++ b/packages/scheduler/src/slow-units.test.ts
@@ -64,6 +64,24 @@
 	t.ok(speedOf(newGang([3, 3, 3], 1000), 0)!.ratio < 1.5);
 });
 
+// Guards against a fast worker that is taken for slow, because the gang of its unit also runs on a slow one.
+await t.test('a gang is compared at the speed of its slowest worker', async (t) => {
+	const gang = newGang([50, 50, 50], 1000);
+	for (let run = 0; run < 8; run += 1) {
+		for (const [workerId, runMs] of [
+			['w0', 670],
+			['w1', 1820],
+			['w2', 1000],
+			['w3', 1000],
+		] as const) {
+			gang.state.workerSpeeds.observe({workerId, runMs, expectedMs: 1000, compared: 8});
+		}
+	}
+
+	t.ok(gang.state.workerSpeeds.runFactorOf('w0') < 0.8);
+	t.ok(speedOf(gang, 0)!.ratio < 1.5, `${speedOf(gang, 0)!.ratio}`);
+});
+
 await t.test('a unit without other units of its step is compared with its estimate', async (t) => {
 	t.match(speedOf(newGang([4], 4000), 0), {isCompared: false});
 	t.ok(speedOf(newGang([4], 4000), 0)!.ratio > 4);
--- a/packages/scheduler/src/slow-units.ts
+++ b/packages/scheduler/src/slow-units.ts
@@ -1,6 +1,6 @@
 import {MIN_WINDOW_MS, MAX_REPORT_SKEW_MS, SLOW_JOBS_LIMIT, SLOW_RATIO, NORMAL_SPEED_RATIO} from './constants.js';
 import {stepOf, type Placement} from './active-job.js';
-import {expectedRunMs, runFactorOf, type LeaderState, type PlacedUnit} from './leader-state.js';
+import {expectedRunMs, partRunFactor, type LeaderState, type PlacedUnit} from './leader-state.js';
 import {projectedRunMs} from './progress-window.js';
 
 /** Whether the progress reports of the run cover enough time to measure its speed. */
@@ -35,7 +35,7 @@
 				const isComparable = placement.workerId !== workerId && placement.reportedMs - reportedMs < MAX_REPORT_SKEW_MS;
 				const projectedMs = isComparable ? projectedRunMsOf(placement) : undefined;
 				if (projectedMs !== undefined) {
-					times.push(projectedMs / runFactorOf(state, placement.workerId));
+					times.push(projectedMs / partRunFactor(state, part));
 				}
 			}
 		}
@@ -82,7 +82,7 @@
 	const expectedMs = comparedMs ?? expectedRunMs(state, activeJob, part.step);
 	const projectedMs = projectedRunMs(placement.window);
 	return {
-		ratio: projectedMs / Math.max(1, expectedMs * runFactorOf(state, placement.workerId)),
+		ratio: projectedMs / Math.max(1, expectedMs * partRunFactor(state, part)),
 		expectedMs,
 		projectedMs,
 		isCompared: comparedMs !== undefined,
--- a/packages/scheduler/src/speed/stored-speeds.test.ts
+++ b/packages/scheduler/src/speed/stored-speeds.test.ts
@@ -78,7 +78,16 @@
 
 // Guards against a record of another writer or version that would give workers a speed that is no number.
 await t.test('rows that are not usable are left out', async (t) => {
-	const rows = [['w1', 0.5, 0.01], ['w2', null, 0.01], ['w3', 0.5, -1], 'w4', [5, 0, 1]];
+	const rows = [
+		['w1', 0.5, 0.01],
+		['w2', null, 0.01],
+		['w3', 0.5, -1],
+		'w4',
+		[5, 0, 0.1],
+		['w6', 0.5, '0.1'],
+		['w7', 1000, 0.01],
+		['w8', 0.5, true],
+	];
 	t.same([...decodeSpeeds(Buffer.from(JSON.stringify(rows))).keys()], ['w1']);
 	t.same([...decodeSpeeds(Buffer.from('{}')).keys()], []);
 	const estimates = new Map([['w1', {mean: 0.123_45, variance: 0.01}]]);
--- a/packages/scheduler/src/speed/stored-speeds.ts
+++ b/packages/scheduler/src/speed/stored-speeds.ts
@@ -5,7 +5,14 @@
 import {WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from '../constants.js';
 import type {Term} from '../election.js';
 import {LEADER_KEY, SPEEDS_KEY} from '../keys.js';
-import {MAX_STORED_SPEEDS, MIN_PRUNED_SPEEDS, PRUNE_FACTOR, SPEED_WRITE_MS} from './constants.js';
+import {
+	MAX_DEVIATION,
+	MAX_STORED_SPEEDS,
+	MIN_PRUNED_SPEEDS,
+	PRUNE_FACTOR,
+	SPEED_PRIOR_VARIANCE,
+	SPEED_WRITE_MS,
+} from './constants.js';
 import type {SpeedEstimate, WorkerSpeeds} from './worker-speeds.js';
 
 export type StoredSpeedsOptions = Readonly<{
@@ -34,8 +41,18 @@
 	return encoder.encode(JSON.stringify(rows));
 };
 
-const isRow = (row: unknown): row is [string, number, number] =>
-	Array.isArray(row) && typeof row[0] === 'string' && Number.isFinite(row[1]) && Number(row[2]) > 0;
+/** Observed means and variances stay within these limits; others would spoil the mean of the fleet. */
+const isRow = (row: unknown): row is [string, number, number] => {
+	const [workerId, mean, variance] = (Array.isArray(row) ? row : []) as unknown[];
+	return (
+		typeof workerId === 'string' &&
+		typeof mean === 'number' &&
+		Math.abs(mean) <= MAX_DEVIATION &&
+		typeof variance === 'number' &&
+		variance > 0 &&
+		variance <= SPEED_PRIOR_VARIANCE
+	);
+};
 
 /**
 Decodes stored estimates. Rows that are not usable are left out, since the estimates only make placement better.
@@ -80,9 +97,12 @@
 		}
 	};
 
-	/** Workers that have left are forgotten late, since a store outage removes the entries of workers that go on. */
+	let largestFleet = 0;
+	/** Workers that have left are forgotten late, since a store outage removes the entries of workers that go on, and a new leader has listed none yet. */
 	const prune = () => {
-		if (speeds.estimates().size > PRUNE_FACTOR * directory.size + MIN_PRUNED_SPEEDS) {
+		largestFleet = Math.max(largestFleet, directory.size);
+		const isFleetListed = directory.size > 0 && directory.size >= largestFleet / PRUNE_FACTOR;
+		if (isFleetListed && speeds.estimates().size > PRUNE_FACTOR * largestFleet + MIN_PRUNED_SPEEDS) {
 			speeds.keepOnly((workerId) => directory.has(workerId));
 		}
 	};
@@ -135,10 +155,13 @@
 			}
 
 			prune();
-			if (report()) {
+			// A difference that has ended is stored once more, so that the next leader does not take it over.
+			if (report() || stored !== '') {
 				await write();
 			}
 
+			backoff.reset();
+
 			await sleep(SPEED_WRITE_MS, signal);
 		} catch (error) {
 			log.debug('speeds-not-stored', {error: toServiceError(error, 'may-have-run').message});
