--- a/packages/scheduler/src/interference/constants.ts
+++ b/packages/scheduler/src/interference/constants.ts
@@ -19,5 +19,8 @@
 /** Weight of a slow-down in the cost of a placement: less than the rack of the data or the speed of the worker, more than the packing of workers. */
 export const INTERFERENCE_COST = 5;
 
+/** Least time between two reports of the known pairs, since counting them visits them all. */
+export const PAIR_REPORT_MS = 1000;
+
 /** Largest slow-down that counts in the cost, in logarithms. */
 export const MAX_COUNTED_EFFECT = 0.7;
--- a/packages/scheduler/src/slow-workers.ts
+++ b/packages/scheduler/src/slow-workers.ts
@@ -15,7 +15,7 @@
 import type {Placements} from './placements.js';
 import {projectedRunMs} from './progress-window.js';
 import {unitSpeed, type UnitSpeed} from './slow-units.js';
-import {observeShared, reportPairs} from './interference/observe-shared.js';
+import {createSharedRuns} from './interference/observe-shared.js';
 import {observeProgress} from './speed/observe-runs.js';
 import {isSlow, recordSlow, recordNormalSpeed} from './worker-evidence.js';
 
@@ -55,6 +55,8 @@
 ```
 */
 export const createSlowWorkers = ({state, placements, log, metrics, now}: SlowWorkersOptions): SlowWorkers => {
+	const sharedRuns = createSharedRuns({state, log, metrics, now});
+
 	const measure = (placed: readonly PlacedUnit[]): readonly MeasuredUnit[] =>
 		placed.flatMap((placedUnit) => {
 			const speed = unitSpeed(state, placedUnit);
@@ -64,7 +66,7 @@
 
 			const isCounted = observeProgress(state, placedUnit, speed.projectedMs, now());
 			if (isCounted && state.policy.interference !== 'ignored') {
-				observeShared(state, placedUnit, {slowdown: speed.ratio, nowMs: now(), metrics});
+				sharedRuns.observe(placedUnit, speed.ratio);
 			}
 
 			return [{...placedUnit, speed, jobId: placedUnit.activeJob.job.id}];
@@ -159,7 +161,7 @@
 			}
 
 			if (state.policy.interference !== 'ignored') {
-				reportPairs(state, metrics, now());
+				sharedRuns.report();
 			}
 
 			for (const [part, units] of unitsByPart) {
