Keep units with unstored ends in the roster

What callers saw: a unit that was done ran a second time after a change of leader, and the end of its first run was acknowledged afterwards (TWICE).

Cause: the roster lists what may be on a worker that gets no more orders. It listed the units that are placed there, and a placement is removed when its end is reported, before the end is stored. A leader that stored the roster and ended in between left nothing that held the unit back, so the next leader started it elsewhere before the worker had listed its end again.

Change: the entry also lists the parts with an end on the worker while the changes of their job are not stored.

Why this works: the next leader reads the records of all jobs before it plans, so an end is either in the record, or its part is held back until the worker has listed all its ends.

--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -248,6 +248,10 @@
 	part.endedRuns.add(unitRunKey(unitRun));
 };
 
+/** Whether this leader has recorded the end of a run of the part on the worker. */
+export const hasEndedOn = (part: Part, workerId: string): boolean =>
+	[...(part.endedRuns ?? [])].some((key) => key.startsWith(`${workerId}@`));
+
 /** Whether this leader has recorded the end of the run. */
 export const hasEnded = (part: Part, unitRun: UnitRun): boolean => part.endedRuns?.has(unitRunKey(unitRun)) ?? false;
 
--- a/packages/scheduler/src/roster.ts
+++ b/packages/scheduler/src/roster.ts
@@ -2,6 +2,7 @@
 import {toServiceError} from '@bergamotgauge/model';
 import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
+import {hasEndedOn} from './active-job.js';
 import {WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
 import {ROSTER_KEY} from './keys.js';
 import {allPlacedUnits, type LeaderState} from './leader-state.js';
@@ -11,7 +12,7 @@
 /** What a later leader has to know about a worker. */
 export type RosterEntry = Readonly<{
 	worker: Worker;
-	/** Parts that may run on a worker that gets no more orders; `undefined` for a worker that may still get orders. */
+	/** Parts that may run, or have ended, on a worker that gets no more orders; `undefined` for a worker that may still get orders. */
 	partIds?: readonly string[];
 }>;
 
@@ -23,7 +24,14 @@
 export const decodeRoster = (value: Uint8Array): readonly RosterEntry[] =>
 	JSON.parse(decoder.decode(value)) as readonly RosterEntry[];
 
-/** Parts with units on the worker. */
+/**
+Parts that a later leader has to expect on the worker: those with units there, and those with ends there that may not be stored yet, since the worker lists these again.
+
+@example
+```ts
+const entry = {worker: link.worker, partIds: partIdsOn(state, link.worker.id)};
+```
+*/
 export const partIdsOn = (state: LeaderState, workerId: string): readonly string[] => {
 	const ids = new Set<string>();
 	for (const {activeJob, part, placement} of allPlacedUnits(state)) {
@@ -32,6 +40,16 @@
 		}
 	}
 
+	for (const activeJob of state.activeJobs.values()) {
+		if (activeJob.storedChanges !== activeJob.changes) {
+			for (const part of [...activeJob.parts.values(), ...activeJob.settledParts.values()]) {
+				if (hasEndedOn(part, workerId)) {
+					ids.add(partIdOf(activeJob, part));
+				}
+			}
+		}
+	}
+
 	return [...ids];
 };
 
