Keep the reading and the cancelling of callers' jobs in modules of their own

job-service.ts held the submission, the cache of ended jobs, the cancellation and the repetition of transactions. The coming changes of cancellations need them apart.

--- a/packages/scheduler/src/admission/job-intake.ts
+++ b/packages/scheduler/src/admission/job-intake.ts
@@ -1,7 +1,8 @@
 import {encodeJob, type Job} from '@bergamotgauge/jobs';
 import {ServiceError, toServiceError} from '@bergamotgauge/model';
-import type {KeyValueStore, StoredItem, Transaction} from '@bergamotgauge/store';
+import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
+import type {Transact} from '../callers/transact.js';
 import {withdrawalKey} from '../callers/withdrawals.js';
 import {jobKey} from '../keys.js';
 import type {Queue} from '../types.js';
@@ -12,8 +13,7 @@
 	store: KeyValueStore;
 	/** Without it, all jobs are admitted. */
 	admission: Admission | undefined;
-	/** Retries a transaction until its outcome is known. Returns the current items on a conflict and `undefined` if it was applied. */
-	transact: (transaction: Transaction) => Promise<readonly StoredItem[] | undefined>;
+	transact: Transact;
 	log: Log;
 	metrics: Metrics;
 }>;
--- a/packages/scheduler/src/callers/withdrawals.ts
+++ b/packages/scheduler/src/callers/withdrawals.ts
@@ -2,8 +2,8 @@
 import {ServiceError} from '@bergamotgauge/model';
 import type {KeyValueStore} from '@bergamotgauge/store';
 import {ROOT_PREFIX} from '../constants.js';
-import type {Queue} from '../types.js';
 import {MAX_WITHDRAWALS_PER_LEASE, WITHDRAWAL_LEASE_REUSE_MS, WITHDRAWAL_TTL_MS} from './constants.js';
+import type {JobAddress} from './types.js';
 
 /** Marks of jobs that were cancelled before they were stored; the write of their submission expects that there is none. */
 export type Withdrawals = Readonly<{
@@ -21,11 +21,7 @@
 withdrawalKey({queue, customer: 'acme', id: '5c0e7a21d94b36f8'});
 ```
 */
-export const withdrawalKey = ({
-	queue,
-	customer,
-	id,
-}: Readonly<{queue: Queue; customer: string; id: string}>): string => {
+export const withdrawalKey = ({queue, customer, id}: JobAddress): string => {
 	const owner = JSON.stringify([queue.name, queue.isPublic ? '' : customer]);
 	return `${ROOT_PREFIX}withdrawn/${id}/${createHash('sha256').update(owner).digest('base64url').slice(0, 22)}`;
 };
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,7 +1,8 @@
 export type {Machine, MachinePort, MachineReply, Wave, WaveRecords, WaveState} from './maintenance/types.js';
 export type * from './types.js';
 export type * from './evacuation/types.js';
-export {createJobService, type JobAddress, type JobService} from './job-service.js';
+export type {JobAddress} from './callers/types.js';
+export {createJobService, type JobService} from './job-service.js';
 export {
 	CLOCK_RATE_ERROR,
 	LEADER_WATCH_WAIT_MS,
