Read the store for cancellations, and let the cache of ended jobs expire

What callers saw: an id was used again after the records of its first job had been removed.

Cause: the cache of ended jobs had no age, so its entries outlived the records, and cancellations read it too.

Why this works: while an entry is valid the records exist, so no other job can have the id.

--- a/packages/scheduler/src/callers/cancellation.ts
+++ b/packages/scheduler/src/callers/cancellation.ts
@@ -65,7 +65,7 @@
 			throw createNotFoundError(address.id);
 		}
 
-		return reader.findVisible(address);
+		return requireVisible(await reader.read(address.id), address);
 	};
 
 	return async (address) => {
--- a/packages/scheduler/src/callers/job-reader.ts
+++ b/packages/scheduler/src/callers/job-reader.ts
@@ -5,13 +5,20 @@
 import {EMPTY_ENTRY, mergeRecord, type JobEntry} from '../job-entry.js';
 import {jobPrefix} from '../keys.js';
 import type {StoreHealth} from '../store-health.js';
+import type {Bounds} from '../types.js';
 import type {JobAddress} from './types.js';
 
+export type JobReaderOptions = Readonly<{
+	store: KeyValueStore;
+	health: StoreHealth;
+	bounds: Pick<Bounds, 'stateRetentionMs'>;
+}>;
+
 /** Reads stored jobs for callers. */
 export type JobReader = Readonly<{
-	/** Reads the records of a job; an ended one may come from a cache. */
+	/** Reads the records of a job from the store. */
 	read: (id: string) => Promise<JobEntry>;
-	/** Reads a job that the caller may see. */
+	/** Reads a job that the caller may see; an ended one may come from a cache. */
 	findVisible: (address: JobAddress) => Promise<JobEntry>;
 }>;
 
@@ -49,22 +56,17 @@
 
 @example
 ```ts
-const reader = createJobReader({store, health});
+const reader = createJobReader({store, health, bounds});
 const {progress} = await reader.findVisible({queue, customer: 'acme', id: '5c0e7a21d94b36f8'});
 ```
 
-Both operations throw `store-unavailable` with verdict `not-run` while contact with the store is lost.
+Both throw `store-unavailable` with verdict `not-run` when they need the store and contact with it is lost.
 */
-export const createJobReader = ({store, health}: Readonly<{store: KeyValueStore; health: StoreHealth}>): JobReader => {
-	/** Ended jobs, which are immutable. */
-	const ended = new LRUCache<string, JobEntry>({max: ENDED_CACHE_ENTRIES});
+export const createJobReader = ({store, health, bounds}: JobReaderOptions): JobReader => {
+	/** Ended jobs, which are immutable while they are stored; another job may have the id after that. */
+	const ended = new LRUCache<string, JobEntry>({max: ENDED_CACHE_ENTRIES, perf: {now: health.clocks.latestNow}});
 
 	const read = async (id: string): Promise<JobEntry> => {
-		const known = ended.get(id);
-		if (known) {
-			return known;
-		}
-
 		if (health.isLost()) {
 			throw createUnavailableError();
 		}
@@ -75,8 +77,13 @@
 			entry = mergeRecord(entry, item);
 		}
 
-		if (entry.progress?.outcome) {
-			ended.set(id, entry);
+		const {outcome, endedMs} = entry.progress ?? {};
+		if (outcome) {
+			// The margin of the retention exceeds the differences between the clocks of instances.
+			const ttl = (endedMs ?? 0) + bounds.stateRetentionMs - Date.now();
+			if (ttl > 0) {
+				ended.set(id, entry, {ttl});
+			}
 		}
 
 		return entry;
@@ -84,6 +91,6 @@
 
 	return {
 		read,
-		findVisible: async (address) => requireVisible(await read(address.id), address),
+		findVisible: async (address) => requireVisible(ended.get(address.id) ?? (await read(address.id)), address),
 	};
 };
--- a/packages/scheduler/src/callers/withdrawals.test.ts
+++ b/packages/scheduler/src/callers/withdrawals.test.ts
@@ -1,54 +1,14 @@
-import {newStep, newSubmission} from '@bergamotgauge/jobs/test/fixtures.js';
-import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
-import FakeTimers from '@sinonjs/fake-timers';
-import t, {type Test} from 'tap';
-import {createJobService} from '../job-service.js';
-import {createStoreHealth} from '../store-health.js';
+import t from 'tap';
 import {QUEUE} from '../test/cluster.js';
-import {createMemoryKeyValue} from '../test/memory-key-value.js';
+import {createJobServices} from '../test/job-services.js';
 import {MAX_WITHDRAWALS_PER_LEASE, WITHDRAWAL_TTL_MS} from './constants.js';
 
-const createFixture = (t: Test) => {
-	const clock = FakeTimers.install({now: 1_000_000});
-	t.teardown(() => {
-		clock.uninstall();
-	});
-	const store = createMemoryKeyValue();
-	const calls = {grantLease: 0, transact: 0, list: 0};
-	const counted = {
-		...store,
-		async grantLease(ttlMs: number) {
-			calls.grantLease += 1;
-			return store.grantLease(ttlMs);
-		},
-		async transact(transaction: Parameters<typeof store.transact>[0]) {
-			calls.transact += 1;
-			return store.transact(transaction);
-		},
-		async list(prefix: string) {
-			calls.list += 1;
-			return store.list(prefix);
-		},
-	};
-	/** Two instances on one store. */
-	const [front, other] = [0, 1].map(() =>
-		createJobService({
-			store: counted,
-			health: createStoreHealth(),
-			log: createSilentLog(),
-			metrics: createMetrics(),
-		}),
-	);
-	const request = {queue: QUEUE, customer: 'acme', submission: newSubmission(1, [newStep()])};
-	return {clock, store, calls, front: front!, other: other!, request};
-};
-
 const ADDRESS = {queue: QUEUE, customer: 'acme', id: '0000000000000001'};
 const GONE = {code: 'not-found', status: 410};
 
 // Guards against a job that runs although its cancellation was answered with "no such job".
 await t.test('a submission that is under way when its job is cancelled is refused', async (t) => {
-	const {clock, store, front, other, request} = createFixture(t);
+	const {clock, store, front, other, request} = createJobServices(t);
 	store.faults.delayed = 1;
 	const submitted = t.rejects(front.submit(request), {code: 'conflict', verdict: 'not-run'});
 	await t.rejects(other.cancel(ADDRESS), GONE);
@@ -64,7 +24,7 @@
 
 // Guards against an answer of 410 for a job that another instance stores between the two store calls of the cancellation.
 await t.test('a job that is stored while it is withdrawn is cancelled', async (t) => {
-	const {calls, front, other, request} = createFixture(t);
+	const {calls, front, other, request} = createJobServices(t);
 	// The cancellation has read that there is no job when the submission is stored.
 	await Promise.all([other.cancel(ADDRESS), front.submit(request)]);
 	t.equal(calls.list, 2, 'the job was read again');
@@ -73,7 +33,7 @@
 
 // Guards against a customer that blocks the ids of another one's jobs.
 await t.test('a mark does not hold for the jobs of other customers', async (t) => {
-	const {front, other, request} = createFixture(t);
+	const {front, other, request} = createJobServices(t);
 	await t.rejects(other.cancel({...ADDRESS, customer: 'globex'}), GONE);
 	await front.submit(request);
 	t.equal(await front.state(ADDRESS), 'queued');
@@ -81,7 +41,7 @@
 
 // Guards against a burst of cancellations that costs a lease each or fills the store.
 await t.test('marks share a lease and are bounded in number', async (t) => {
-	const {clock, calls, other} = createFixture(t);
+	const {clock, calls, other} = createJobServices(t);
 	const withdraw = async (index: number) =>
 		other.cancel({...ADDRESS, id: index.toString(16).padStart(16, '0')}).catch((error: unknown) => error);
 	for (let index = 0; index < MAX_WITHDRAWALS_PER_LEASE; index += 1) {
--- a/packages/scheduler/src/job-service.test.ts
+++ b/packages/scheduler/src/job-service.test.ts
@@ -8,7 +8,7 @@
 import {createJobService} from './job-service.js';
 import {createStoreHealth} from './store-health.js';
 import {createMemoryKeyValue} from './test/memory-key-value.js';
-import {QUEUE} from './test/cluster.js';
+import {BOUNDS, QUEUE} from './test/cluster.js';
 
 const createFixture = (t: Test) => {
 	const clock = FakeTimers.install({now: 1_000_000});
@@ -17,7 +17,7 @@
 	});
 	const store = createMemoryKeyValue();
 	const health = createStoreHealth();
-	const jobs = createJobService({store, health, log: createSilentLog(), metrics: createMetrics()});
+	const jobs = createJobService({store, health, bounds: BOUNDS, log: createSilentLog(), metrics: createMetrics()});
 	const request = {queue: QUEUE, customer: 'acme', submission: newSubmission(1, [newStep()])};
 	return {clock, store, health, jobs, request};
 };
@@ -68,7 +68,13 @@
 			});
 		},
 	};
-	const jobs = createJobService({store: refusing, health, log: createSilentLog(), metrics: createMetrics()});
+	const jobs = createJobService({
+		store: refusing,
+		health,
+		bounds: BOUNDS,
+		log: createSilentLog(),
+		metrics: createMetrics(),
+	});
 	const unknown = t.rejects(jobs.submit(request), {code: 'deadline-exceeded', verdict: 'may-have-run'});
 	await clock.tickAsync(4000);
 	await unknown;
@@ -79,7 +85,13 @@
 await t.test('a transaction that was not applied is never taken for a stored job', async (t) => {
 	const {store, health, request} = createFixture(t);
 	const refusing: KeyValueStore = {...store, transact: async () => ({outcome: 'lease-ended'})};
-	const jobs = createJobService({store: refusing, health, log: createSilentLog(), metrics: createMetrics()});
+	const jobs = createJobService({
+		store: refusing,
+		health,
+		bounds: BOUNDS,
+		log: createSilentLog(),
+		metrics: createMetrics(),
+	});
 	await t.rejects(jobs.submit(request), {code: 'store-unavailable', verdict: 'not-run'});
 });
 
@@ -115,7 +127,14 @@
 	async (t) => {
 		const {store, health, jobs, request} = createFixture(t);
 		const admission = {admit: () => REFUSAL, release: ignore, setBacklog: ignore};
-		const full = createJobService({store, health, admission, log: createSilentLog(), metrics: createMetrics()});
+		const full = createJobService({
+			store,
+			health,
+			bounds: BOUNDS,
+			admission,
+			log: createSilentLog(),
+			metrics: createMetrics(),
+		});
 		await t.rejects(full.submit(request), {code: 'overloaded', verdict: 'not-run', status: 503, retryAfterMs: 3000});
 		t.same(store.items(), []);
 		await jobs.submit(request);
@@ -132,6 +151,7 @@
 		const blind = createJobService({
 			store: unreadable,
 			health,
+			bounds: BOUNDS,
 			admission,
 			log: createSilentLog(),
 			metrics: createMetrics(),
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -11,11 +11,12 @@
 import {stateOf} from './job-entry.js';
 import {createPendingReader} from './pending-counts.js';
 import type {StoreHealth} from './store-health.js';
-import type {JobRequest, Queue} from './types.js';
+import type {Bounds, JobRequest, Queue} from './types.js';
 
 export type JobServiceOptions = Readonly<{
 	store: KeyValueStore;
 	health: StoreHealth;
+	bounds: Pick<Bounds, 'stateRetentionMs'>;
 	/** Without it, all jobs are accepted. */
 	admission?: Admission;
 	log: Log;
@@ -43,13 +44,13 @@
 
 @example
 ```ts
-const service = createJobService({store, health, log, metrics});
+const service = createJobService({store, health, bounds, log, metrics});
 await service.submit({queue, customer: 'acme', submission});
 ```
 */
-export const createJobService = ({store, health, admission, log, metrics}: JobServiceOptions): JobService => {
+export const createJobService = ({store, health, bounds, admission, log, metrics}: JobServiceOptions): JobService => {
 	const readPending = createPendingReader(store, health.clocks.latestNow);
-	const reader = createJobReader({store, health});
+	const reader = createJobReader({store, health, bounds});
 
 	const transact = createTransact(store, health.clocks);
 	const intake = createJobIntake({store, admission, transact, log, metrics});
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -66,7 +66,7 @@
 	);
 
 	return {
-		jobs: createJobService({store, health, admission, log, metrics}),
+		jobs: createJobService({store, health, bounds: context.bounds, admission, log, metrics}),
 		isReady: leader.isLoaded,
 		resign() {
 			isResigned = true;
