--- a/packages/scheduler/src/callers/cancellation.test.ts
+++ b/packages/scheduler/src/callers/cancellation.test.ts
@@ -1,5 +1,5 @@
 import {encodeProgress} from '@bergamotgauge/jobs';
-import t from 'tap';
+import t, {type Test} from 'tap';
 import {RETENTION_MARGIN_MS} from '../constants.js';
 import {jobKey} from '../keys.js';
 import {BOUNDS, QUEUE} from '../test/cluster.js';
@@ -47,3 +47,35 @@
 	await front.cancel(ADDRESS);
 	t.equal(await other.state(ADDRESS), 'cancelled');
 });
+
+/** Lets another job take the place of the stored one as often as the instances list its records. */
+const replaceAtListings = async (t: Test, times: number) => {
+	const {store, hooks, front, other, request} = createJobServices(t);
+	await front.submit(request);
+	const submission = store.items().find(({key}) => key === jobKey(ID, 'submission'))!;
+	let replaced = 0;
+	hooks.afterListing = () => {
+		if (replaced < times) {
+			replaced += 1;
+			removeJob(store);
+			store.put(submission.key, submission.value);
+		}
+	};
+
+	return {front, other};
+};
+
+// Guards against a job that runs on although its cancellation was answered with "no such job": it had taken the place of
+// an ended one between the two store calls of the cancellation.
+await t.test('a job that replaces another one while that is cancelled is cancelled', async (t) => {
+	const {front, other} = await replaceAtListings(t, 1);
+	await front.cancel(ADDRESS);
+	t.equal(await other.state(ADDRESS), 'cancelled');
+});
+
+// Guards against a cancellation that never ends, and against an answer that says more than is known.
+await t.test('a cancellation whose job is replaced again and again is refused', async (t) => {
+	const {front, other} = await replaceAtListings(t, 100);
+	await t.rejects(front.cancel(ADDRESS), {code: 'overloaded', verdict: 'not-run', status: 503});
+	t.equal(await other.state(ADDRESS), 'queued');
+});
--- a/packages/scheduler/src/callers/constants.ts
+++ b/packages/scheduler/src/callers/constants.ts
@@ -6,3 +6,6 @@
 
 /** Bounds the marks in the store to three times this number for each instance. */
 export const MAX_WITHDRAWALS_PER_LEASE = 2000;
+
+/** Attempts at a cancellation whose job changes between its read and its write, which a reuse of ids causes once at most. */
+export const CANCEL_ATTEMPTS = 3;
--- a/packages/scheduler/src/test/job-services.ts
+++ b/packages/scheduler/src/test/job-services.ts
@@ -7,7 +7,7 @@
 import {BOUNDS, QUEUE} from './cluster.js';
 import {createMemoryKeyValue} from './memory-key-value.js';
 
-/** Two instances that serve callers from one store, on a fake clock; `calls` counts their store calls by kind. */
+/** Two instances that serve callers from one store, on a fake clock; `calls` counts their store calls by kind, and `hooks` are called during them. */
 export const createJobServices = (t: Test) => {
 	const clock = FakeTimers.install({now: 1_000_000});
 	t.teardown(() => {
@@ -15,6 +15,7 @@
 	});
 	const store = createMemoryKeyValue();
 	const calls = {grantLease: 0, transact: 0, list: 0};
+	const hooks: {afterListing?: () => void} = {};
 	const counted = {
 		...store,
 		async grantLease(ttlMs: number) {
@@ -27,7 +28,9 @@
 		},
 		async list(prefix: string) {
 			calls.list += 1;
-			return store.list(prefix);
+			const listing = await store.list(prefix);
+			hooks.afterListing?.();
+			return listing;
 		},
 	};
 	/** Two instances on one store. */
@@ -41,5 +44,5 @@
 		}),
 	);
 	const request = {queue: QUEUE, customer: 'acme', submission: newSubmission(1, [newStep()])};
-	return {clock, store, calls, front: front!, other: other!, request};
+	return {clock, store, calls, hooks, front: front!, other: other!, request};
 };
