Let marks of cancelled jobs hold over changes of a queue's key requirement

The two instances had versions of the configuration that differ in whether the queue is public.

Cause: the key of the mark depended on that, by the configuration of the instance at hand, so the submission looked for another mark.

Change: a submission expects neither a mark of its customer nor one of anyone.

Why this works: a cancellation by the same customer leaves one of these under either version. A mark of anyone is left only where any caller may cancel.

--- a/packages/scheduler/src/admission/job-intake.ts
+++ b/packages/scheduler/src/admission/job-intake.ts
@@ -3,7 +3,7 @@
 import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import type {Transact} from '../callers/transact.js';
-import {withdrawalKey} from '../callers/withdrawals.js';
+import {withdrawalKeysAgainst} from '../callers/withdrawals.js';
 import {jobKey} from '../keys.js';
 import type {Queue} from '../types.js';
 import {createRefusalError, type Admission} from './admission.js';
@@ -40,7 +40,10 @@
 			const current = await transact({
 				expected: [
 					{key, revision: 0},
-					{key: withdrawalKey({queue, customer: job.customer, id: job.id}), revision: 0},
+					...withdrawalKeysAgainst({queue, customer: job.customer, id: job.id}).map((mark) => ({
+						key: mark,
+						revision: 0,
+					})),
 				],
 				writes: [{key, value: encodeJob(job)}],
 			});
--- a/packages/scheduler/src/callers/withdrawals.test.ts
+++ b/packages/scheduler/src/callers/withdrawals.test.ts
@@ -5,12 +5,13 @@
 
 const ADDRESS = {queue: QUEUE, customer: 'acme', id: '0000000000000001'};
 const GONE = {code: 'not-found', status: 410};
+const WITHDRAWN = {code: 'conflict', verdict: 'not-run'};
 
 // Guards against a job that runs although its cancellation was answered with "no such job".
 await t.test('a submission that is under way when its job is cancelled is refused', async (t) => {
 	const {clock, store, front, other, request} = createJobServices(t);
 	store.faults.delayed = 1;
-	const submitted = t.rejects(front.submit(request), {code: 'conflict', verdict: 'not-run'});
+	const submitted = t.rejects(front.submit(request), WITHDRAWN);
 	await t.rejects(other.cancel(ADDRESS), GONE);
 	store.release();
 	await clock.tickAsync(3000);
@@ -39,6 +40,31 @@
 	t.equal(await front.state(ADDRESS), 'queued');
 });
 
+// Guards against a job that runs although its cancellation was answered with "no such job": the two instances had different
+// versions of the configuration, in one of which calls of the queue need no key.
+for (const isPublicAtSubmission of [true, false]) {
+	await t.test(`a mark holds when the queue ${isPublicAtSubmission ? 'was' : 'becomes'} public`, async (t) => {
+		const {clock, store, front, other, request} = createJobServices(t);
+		const queueAtSubmission = {...QUEUE, isPublic: isPublicAtSubmission};
+		const queueAtCancellation = {...QUEUE, isPublic: !isPublicAtSubmission};
+		store.faults.delayed = 1;
+		const submitted = t.rejects(front.submit({...request, queue: queueAtSubmission}), WITHDRAWN);
+		await t.rejects(other.cancel({...ADDRESS, queue: queueAtCancellation}), GONE);
+		store.release();
+		await clock.tickAsync(3000);
+		await submitted;
+		await t.rejects(other.state(ADDRESS), GONE);
+	});
+}
+
+// Guards against a caller that cannot cancel a job of a queue whose calls need no key, since it names another key or none.
+await t.test('any caller withdraws a job of a public queue', async (t) => {
+	const {front, other, request} = createJobServices(t);
+	const queue = {...QUEUE, isPublic: true};
+	await t.rejects(other.cancel({...ADDRESS, queue, customer: ''}), GONE);
+	await t.rejects(front.submit({...request, queue}), WITHDRAWN);
+});
+
 // Guards against a burst of cancellations that costs a lease each or fills the store.
 await t.test('marks share a lease and are bounded in number', async (t) => {
 	const {clock, calls, other} = createJobServices(t);
--- a/packages/scheduler/src/callers/withdrawals.ts
+++ b/packages/scheduler/src/callers/withdrawals.ts
@@ -13,18 +13,39 @@
 	dropLease: () => void;
 }>;
 
+const markKey = (queue: string, id: string, owner: string): string => {
+	const digest = createHash('sha256')
+		.update(JSON.stringify([queue, owner]))
+		.digest('base64url')
+		.slice(0, 22);
+	return `${ROOT_PREFIX}withdrawn/${id}/${digest}`;
+};
+
+/** Owner of the mark that any caller of a public queue may leave; no customer has this name. */
+const ANYONE = '';
+
 /**
-Key of the mark. It differs by queue and customer, so that no customer can block the id of another one's job; on a public queue, any caller may cancel.
+Key of the mark that a cancellation leaves. It differs by queue and customer, so that no customer can block the id of another one's job; on a public queue, any caller may cancel.
 
 @example
 ```ts
-withdrawalKey({queue, customer: 'acme', id: '5c0e7a21d94b36f8'});
+const writes = [{key: withdrawalKey({queue, customer: 'acme', id: '5c0e7a21d94b36f8'}), value, lease}];
 ```
 */
-export const withdrawalKey = ({queue, customer, id}: JobAddress): string => {
-	const owner = JSON.stringify([queue.name, queue.isPublic ? '' : customer]);
-	return `${ROOT_PREFIX}withdrawn/${id}/${createHash('sha256').update(owner).digest('base64url').slice(0, 22)}`;
-};
+export const withdrawalKey = ({queue, customer, id}: JobAddress): string =>
+	markKey(queue.name, id, queue.isPublic ? ANYONE : customer);
+
+/**
+Keys of all marks that hold against a submission. Instances may have different versions of the configuration, so the submission meets the mark of its customer and that of anyone, whether or not the queue is public here.
+
+@example
+```ts
+const expected = withdrawalKeysAgainst({queue, customer: 'acme', id}).map((key) => ({key, revision: 0}));
+```
+*/
+export const withdrawalKeysAgainst = ({queue, customer, id}: JobAddress): readonly string[] => [
+	...new Set([customer, ANYONE].map((owner) => markKey(queue.name, id, owner))),
+];
 
 /**
 Creates the lease of an instance's marks. One lease serves all marks of a while, so that a burst of cancellations needs no lease each.
