Count suspensions in the time for which callers' writes are repeated

What callers would see: a DELETE is answered with 410 while an instance repeats the write of the submission; its machine is suspended until the mark of the cancellation has ended, and the job is stored when it goes on (UNASKED).

Cause: the 2.2 s of the repetition were measured by the monotonic clock, which stops during a suspension.

Change: the time is measured by the clock that counts suspensions, and checked before each attempt.

Why this works: the mark lives for 30 s at least, and the attempts end 2.2 s after the first one, suspensions included.

--- a/packages/scheduler/src/callers/transact.ts
+++ b/packages/scheduler/src/callers/transact.ts
@@ -20,12 +20,14 @@
 A transaction fails with verdict `not-run` if its first attempt has failed so, and with `deadline-exceeded`, verdict `may-have-run`, if its outcome is still unknown after `SUBMIT_RESOLVE_MS`.
 */
 export const createTransact =
-	(store: KeyValueStore, {now}: Clocks): Transact =>
+	(store: KeyValueStore, {latestNow}: Clocks): Transact =>
 	async (transaction) => {
-		const deadlineMs = now() + SUBMIT_RESOLVE_MS;
+		// The mark of a cancellation may end while the machine is suspended, so the time of a suspension counts.
+		const deadlineMs = latestNow() + SUBMIT_RESOLVE_MS;
 		const backoff = createBackoff({minMs: RESOLVE_RETRY_MIN_MS, maxMs: RESOLVE_RETRY_MAX_MS});
-		let mayHaveRun = false;
-		for (;;) {
+		let failure: ServiceError | undefined;
+		// The last attempt is made at the deadline; a machine that is much later has been suspended.
+		while (failure === undefined || latestNow() < deadlineMs + RESOLVE_RETRY_MAX_MS) {
 			try {
 				const result = await store.transact(transaction);
 				if (result.outcome === 'lease-ended') {
@@ -35,20 +37,22 @@
 				return result.outcome === 'conflict' ? result.current : undefined;
 			} catch (error_) {
 				const error = toServiceError(error_, 'may-have-run');
-				mayHaveRun ||= error.verdict === 'may-have-run';
-				if (!mayHaveRun) {
+				if (failure === undefined && error.verdict !== 'may-have-run') {
 					throw error;
 				}
 
-				if (now() >= deadlineMs) {
-					throw new ServiceError(`the outcome of the request is unknown: ${error.message}`, {
-						code: 'deadline-exceeded',
-						verdict: 'may-have-run',
-						cause: error,
-					});
+				failure = error;
+				if (latestNow() >= deadlineMs) {
+					break;
 				}
 
-				await sleep(Math.min(backoff.next(), deadlineMs - now()));
+				await sleep(Math.min(backoff.next(), deadlineMs - latestNow()));
 			}
 		}
+
+		throw new ServiceError(`the outcome of the request is unknown: ${failure.message}`, {
+			code: 'deadline-exceeded',
+			verdict: 'may-have-run',
+			cause: failure,
+		});
 	};
