Refuse a cancelled submission with 503 and the time until the id is free

What callers saw: a caller that submitted an id again after its own DELETE got 409 without Retry-After for 30 to 60 s.

Cause: the refusal had the status of a job that exists with different content.

The code stays conflict, by which a relaying instance knows that the refusal is definite.

Why this works: nothing was stored, the refused write cannot be applied later, and each mark has ended after 60 s.

--- a/packages/scheduler/src/admission/job-intake.ts
+++ b/packages/scheduler/src/admission/job-intake.ts
@@ -3,7 +3,7 @@
 import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import type {Transact} from '../callers/transact.js';
-import {withdrawalKeysAgainst} from '../callers/withdrawals.js';
+import {createWithdrawnError, withdrawalKeysAgainst} from '../callers/withdrawals.js';
 import {jobKey} from '../keys.js';
 import type {Queue} from '../types.js';
 import {createRefusalError, type Admission} from './admission.js';
@@ -49,10 +49,7 @@
 			});
 			const item = current?.find((one) => one.key === key);
 			if (current && !item) {
-				throw new ServiceError(`job ${job.id} was cancelled before it was stored`, {
-					code: 'conflict',
-					verdict: 'not-run',
-				});
+				throw createWithdrawnError(job.id);
 			}
 
 			if (item) {
--- a/packages/scheduler/src/callers/withdrawals.test.ts
+++ b/packages/scheduler/src/callers/withdrawals.test.ts
@@ -32,6 +32,18 @@
 	t.equal(await other.state(ADDRESS), 'cancelled');
 });
 
+// Guards against a caller that repeats a cancelled submission in vain: a status that the platform's callers do not know, and
+// no time after which the id may be used again.
+await t.test('the refusal of a cancelled submission says why, and when the id may be used again', async (t) => {
+	const {clock, front, other, request} = createJobServices(t);
+	await t.rejects(other.cancel(ADDRESS), GONE);
+	const refusal = {...WITHDRAWN, status: 503, retryAfterMs: WITHDRAWAL_TTL_MS, message: /was cancelled/v};
+	await t.rejects(front.submit(request), refusal);
+	await clock.tickAsync(WITHDRAWAL_TTL_MS);
+	await front.submit(request);
+	t.equal(await other.state(ADDRESS), 'queued');
+});
+
 // Guards against a customer that blocks the ids of another one's jobs.
 await t.test('a mark does not hold for the jobs of other customers', async (t) => {
 	const {front, other, request} = createJobServices(t);
--- a/packages/scheduler/src/callers/withdrawals.ts
+++ b/packages/scheduler/src/callers/withdrawals.ts
@@ -47,6 +47,15 @@
 	...new Set([customer, ANYONE].map((owner) => markKey(queue.name, id, owner))),
 ];
 
+/** The refusal of a submission that meets a mark. Callers take 503 for a job that was not accepted; the id may be used again when the mark has ended. */
+export const createWithdrawnError = (id: string): ServiceError =>
+	new ServiceError(`job ${id} was cancelled before it was stored`, {
+		code: 'conflict',
+		verdict: 'not-run',
+		status: 503,
+		retryAfterMs: WITHDRAWAL_TTL_MS,
+	});
+
 /**
 Creates the lease of an instance's marks. One lease serves all marks of a while, so that a burst of cancellations needs no lease each.
 
