Show a refusal that is not true while an earlier attempt is under way

What callers would see: an attempt at a job gets no response at one instance, the next one is refused at another with 503 and verdict not-run, and the job runs: the store carries out the write of the first attempt after the refusal.

Cause: the instance that refuses reads that the job is not stored, and leaves nothing that keeps a write under way from storing it.

Not mended here: a mark of 30 s would also refuse the caller's next attempt, and a mark that does not needs an order between that attempt and the refusal.

--- a/packages/scheduler/src/job-service.test.ts
+++ b/packages/scheduler/src/job-service.test.ts
@@ -159,3 +159,25 @@
 		await t.rejects(blind.submit(request), {code: 'deadline-exceeded', verdict: 'may-have-run', status: 504});
 	},
 );
+
+// Guards against a job that runs although its caller was refused: an earlier attempt got no response at another instance, and
+// the store carries it out after the refusal.
+await t.test('a refusal is true while an earlier attempt at the job is under way', async (t) => {
+	const {clock, store, health, jobs, request} = createFixture(t);
+	const admission = {admit: () => REFUSAL, release: ignore, setBacklog: ignore};
+	const full = createJobService({
+		store,
+		health,
+		bounds: BOUNDS,
+		admission,
+		log: createSilentLog(),
+		metrics: createMetrics(),
+	});
+	store.faults.delayed = 100;
+	const unknown = t.rejects(jobs.submit(request), {code: 'deadline-exceeded', verdict: 'may-have-run'});
+	await clock.tickAsync(4000);
+	await unknown;
+	await t.rejects(full.submit(request), {code: 'overloaded', verdict: 'not-run', status: 503});
+	store.release();
+	await t.rejects(jobs.state(ADDRESS), {code: 'not-found'});
+});
