--- a/packages/scheduler/src/callers/job-reader.ts
+++ b/packages/scheduler/src/callers/job-reader.ts
@@ -60,7 +60,7 @@
 const {progress} = await reader.findVisible({queue, customer: 'acme', id: '5c0e7a21d94b36f8'});
 ```
 
-Both throw `store-unavailable` with verdict `not-run` when they need the store and contact with it is lost.
+Both operations throw `store-unavailable` with verdict `not-run` when they need the store while contact with it is lost.
 */
 export const createJobReader = ({store, health, bounds}: JobReaderOptions): JobReader => {
 	/** Ended jobs, which are immutable while they are stored; another job may have the id after that. */
--- a/packages/scheduler/src/job-service.test.ts
+++ b/packages/scheduler/src/job-service.test.ts
@@ -4,12 +4,23 @@
 import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import FakeTimers from '@sinonjs/fake-timers';
 import t, {type Test} from 'tap';
+import type {Admission} from './admission/admission.js';
 import type {Refusal} from './admission/types.js';
 import {createJobService} from './job-service.js';
-import {createStoreHealth} from './store-health.js';
+import {createStoreHealth, type StoreHealth} from './store-health.js';
 import {createMemoryKeyValue} from './test/memory-key-value.js';
 import {BOUNDS, QUEUE} from './test/cluster.js';
 
+const createService = (store: KeyValueStore, health: StoreHealth, admission?: Admission) =>
+	createJobService({
+		store,
+		health,
+		bounds: BOUNDS,
+		...(admission && {admission}),
+		log: createSilentLog(),
+		metrics: createMetrics(),
+	});
+
 const createFixture = (t: Test) => {
 	const clock = FakeTimers.install({now: 1_000_000});
 	t.teardown(() => {
@@ -17,7 +28,7 @@
 	});
 	const store = createMemoryKeyValue();
 	const health = createStoreHealth();
-	const jobs = createJobService({store, health, bounds: BOUNDS, log: createSilentLog(), metrics: createMetrics()});
+	const jobs = createService(store, health);
 	const request = {queue: QUEUE, customer: 'acme', submission: newSubmission(1, [newStep()])};
 	return {clock, store, health, jobs, request};
 };
@@ -68,13 +79,7 @@
 			});
 		},
 	};
-	const jobs = createJobService({
-		store: refusing,
-		health,
-		bounds: BOUNDS,
-		log: createSilentLog(),
-		metrics: createMetrics(),
-	});
+	const jobs = createService(refusing, health);
 	const unknown = t.rejects(jobs.submit(request), {code: 'deadline-exceeded', verdict: 'may-have-run'});
 	await clock.tickAsync(4000);
 	await unknown;
@@ -85,13 +90,7 @@
 await t.test('a transaction that was not applied is never taken for a stored job', async (t) => {
 	const {store, health, request} = createFixture(t);
 	const refusing: KeyValueStore = {...store, transact: async () => ({outcome: 'lease-ended'})};
-	const jobs = createJobService({
-		store: refusing,
-		health,
-		bounds: BOUNDS,
-		log: createSilentLog(),
-		metrics: createMetrics(),
-	});
+	const jobs = createService(refusing, health);
 	await t.rejects(jobs.submit(request), {code: 'store-unavailable', verdict: 'not-run'});
 });
 
@@ -127,14 +126,7 @@
 	async (t) => {
 		const {store, health, jobs, request} = createFixture(t);
 		const admission = {admit: () => REFUSAL, release: ignore, setBacklog: ignore};
-		const full = createJobService({
-			store,
-			health,
-			bounds: BOUNDS,
-			admission,
-			log: createSilentLog(),
-			metrics: createMetrics(),
-		});
+		const full = createService(store, health, admission);
 		await t.rejects(full.submit(request), {code: 'overloaded', verdict: 'not-run', status: 503, retryAfterMs: 3000});
 		t.same(store.items(), []);
 		await jobs.submit(request);
@@ -148,14 +140,7 @@
 				throw new ServiceError('refused', {code: 'store-unavailable', verdict: 'not-run'});
 			},
 		};
-		const blind = createJobService({
-			store: unreadable,
-			health,
-			bounds: BOUNDS,
-			admission,
-			log: createSilentLog(),
-			metrics: createMetrics(),
-		});
+		const blind = createService(unreadable, health, admission);
 		await t.rejects(blind.submit(request), {code: 'deadline-exceeded', verdict: 'may-have-run', status: 504});
 	},
 );
@@ -165,14 +150,7 @@
 await t.test('a refusal is true while an earlier attempt at the job is under way', async (t) => {
 	const {clock, store, health, jobs, request} = createFixture(t);
 	const admission = {admit: () => REFUSAL, release: ignore, setBacklog: ignore};
-	const full = createJobService({
-		store,
-		health,
-		bounds: BOUNDS,
-		admission,
-		log: createSilentLog(),
-		metrics: createMetrics(),
-	});
+	const full = createService(store, health, admission);
 	store.faults.delayed = 100;
 	const unknown = t.rejects(jobs.submit(request), {code: 'deadline-exceeded', verdict: 'may-have-run'});
 	await clock.tickAsync(4000);
