Use the memory of large bodies again

What callers saw: an instance on a machine of 160 MB takes more than that while a crowd sends whole bodies that it refuses.

Cause: each body was read into a buffer of its own, which was left to garbage collection.

Change: buffers of 16 KB and more are used for further bodies; at most a quarter of the budget is kept. A reading that has ended no longer reacts to giving up, so a buffer has one owner. Parsing moves into a function of its own, and readBody, which nothing outside used, leaves the interface of the ingress.

--- a/packages/ingress/src/body.ts
+++ b/packages/ingress/src/body.ts
@@ -1,7 +1,8 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {ServiceError} from '@bergamotgauge/model';
 import type {Holding} from './body-budget.js';
+import type {BodyBuffers} from './body-buffers.js';
 import {FIRST_BUFFER_BYTES, RETRY_AFTER_MS, SMALL_PIECE_BYTES, SMALL_PIECES} from './constants.js';
 import type {RefusalCause} from './types.js';
 
@@ -32,8 +33,8 @@
 };
 
 /** Bytes in one buffer that grows by doubling, whatever the size of the pieces that it gets. */
-const createCollector = (firstBytes: number, maxBytes: number) => {
-	let buffer = Buffer.allocUnsafeSlow(firstBytes);
+const createCollector = (buffers: BodyBuffers, firstBytes: number, maxBytes: number) => {
+	let buffer = buffers.take(firstBytes);
 	let length = 0;
 	return {
 		size: () => buffer.length,
@@ -48,8 +49,9 @@
 		},
 		add(piece: Uint8Array, size: number) {
 			if (size > buffer.length) {
-				const larger = Buffer.allocUnsafeSlow(size);
+				const larger = buffers.take(size);
 				buffer.copy(larger, 0, 0, length);
+				buffers.giveBack(buffer);
 				buffer = larger;
 			}
 
@@ -57,6 +59,9 @@
 			length += piece.length;
 		},
 		bytes: () => buffer.subarray(0, length),
+		discard() {
+			buffers.giveBack(buffer);
+		},
 	};
 };
 
@@ -65,14 +70,16 @@
 
 /** The body of a request while it is read. */
 export type BodyReading = Readonly<{
+	/** The bytes belong to whoever awaits it, who gives them back to the buffers. */
 	body: Promise<Buffer>;
 	receivedBytes: () => number;
-	/** Ends the reading; `body` rejects with the refusal. */
+	/** Ends the reading; `body` rejects with the refusal. Without effect once the body was read. */
 	giveUp: (cause: RefusalCause) => void;
 }>;
 
 export type BodyReadingOptions = Readonly<{
 	maxBytes: number;
+	buffers: BodyBuffers;
 	holding: Holding;
 	/** Whether a body in many small pieces, which take far more processor time than their bytes, is still read. */
 	maySendSmallPieces: () => boolean;
@@ -85,7 +92,7 @@
 */
 export const readBody = (
 	request: IncomingMessage,
-	{maxBytes, holding, maySendSmallPieces}: BodyReadingOptions,
+	{maxBytes, buffers, holding, maySendSmallPieces}: BodyReadingOptions,
 ): BodyReading => {
 	const knownBytes = parseLength(request);
 	const firstBytes = knownBytes ?? Math.min(FIRST_BUFFER_BYTES, maxBytes);
@@ -99,15 +106,23 @@
 			return;
 		}
 
-		const collector = createCollector(firstBytes, maxBytes);
+		const collector = createCollector(buffers, firstBytes, maxBytes);
+		let isReading = true;
 		const stopReading = () => {
+			isReading = false;
 			request.off('data', handleData);
 			request.off('end', handleEnd);
 			request.off('close', handleClose);
 		};
 
 		giveUp = (reason) => {
+			// The buffer of a body that was read belongs to its reader, and that of one given up may hold another body by now.
+			if (!isReading) {
+				return;
+			}
+
 			stopReading();
+			collector.discard();
 			reject(createRefusal(reason));
 		};
 
--- a/packages/ingress/src/constants.ts
+++ b/packages/ingress/src/constants.ts
@@ -32,6 +32,10 @@
 /** First size of the buffer for a body of unknown length; it doubles as bytes arrive. */
 export const FIRST_BUFFER_BYTES = 4096;
 
+/** Part of the budget that is kept, beside it, as buffers for further bodies, and the smallest one worth keeping. */
+export const SPARE_BUFFERS_SHARE = 0.25;
+export const MIN_SPARE_BUFFER_BYTES = 16_384;
+
 /** A body in this many pieces of less than this many bytes on average counts as one in small pieces; no ordinary job is. */
 export const SMALL_PIECES = 8192;
 export const SMALL_PIECE_BYTES = 16;
--- a/packages/ingress/src/ingress.ts
+++ b/packages/ingress/src/ingress.ts
@@ -3,10 +3,18 @@
 import {ServiceError} from '@bergamotgauge/model';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {createBodyBudget, type Holding} from './body-budget.js';
+import {createBodyBuffers} from './body-buffers.js';
 import {createRefusal, readBody, type BodyReading} from './body.js';
 import {refuseUnreadableRequests} from './client-errors.js';
 import {createConnections} from './connections.js';
-import {MAX_DEPTH, MAX_PARSED_SHARE, RUNNING_BYTES, SMALL_PIECES_MEMORY_MS, SWEEP_MS} from './constants.js';
+import {
+	MAX_DEPTH,
+	MAX_PARSED_SHARE,
+	RUNNING_BYTES,
+	SMALL_PIECES_MEMORY_MS,
+	SPARE_BUFFERS_SHARE,
+	SWEEP_MS,
+} from './constants.js';
 import {respondEarly, type EarlyResponse} from './early-response.js';
 import {estimateJsonCost} from './json-cost.js';
 import {createReport} from './report.js';
@@ -23,9 +31,7 @@
 	protect: (server: Server, kind: 'callers' | 'probes') => void;
 	/** Applies head limits to all protected servers, for connections from then on. */
 	configure: (limits: HeadLimits) => void;
-	/** Reads a body within the budget, once route and key of its request are known. */
-	readBody: (request: IncomingMessage, options: BodyOptions) => Promise<Buffer>;
-	/** Reads and parses a JSON body; `undefined` when it is empty. */
+	/** Reads and parses a JSON body within the budget, once route and key of its request are known; `undefined` when it is empty. */
 	readJson: (request: IncomingMessage, options: BodyOptions) => Promise<unknown>;
 	/** Notes that the request runs from here on; it is neither refused nor is its connection closed before its response. */
 	passOn: (request: IncomingMessage, response: ServerResponse, customer: string) => void;
@@ -64,6 +70,7 @@
 export const createIngress = ({limits, log, metrics, headers = []}: IngressOptions): Ingress => {
 	const servers = new Set<Server>();
 	const budget = createBodyBudget({limits, now});
+	const buffers = createBodyBuffers(limits.budgetBytes * SPARE_BUFFERS_SHARE);
 	const holdings = new WeakMap<IncomingMessage, Holding>();
 	const readings = new Set<Reading>();
 	const inSmallPieces = new Set<Holding>();
@@ -142,6 +149,7 @@
 		});
 		const reading = readBody(request, {
 			maxBytes,
+			buffers,
 			holding,
 			maySendSmallPieces() {
 				if (inSmallPieces.size < limits.maxSmallPieceBodies) {
@@ -171,6 +179,24 @@
 		}
 	};
 
+	const parseJson = (request: IncomingMessage, body: Buffer): unknown => {
+		const {depth, bytes} = estimateJsonCost(body);
+		const isTooComplex = depth > MAX_DEPTH || bytes > limits.budgetBytes * MAX_PARSED_SHARE;
+		const cause = isTooComplex ? 'too-large' : holdings.get(request)?.grow(bytes);
+		if (cause) {
+			throw refuse(cause);
+		}
+
+		try {
+			return JSON.parse(body.toString()) as unknown;
+		} catch (error) {
+			throw new ServiceError(`the body is not JSON: ${(error as Error).message}`, {
+				code: 'bad-request',
+				verdict: 'not-run',
+			});
+		}
+	};
+
 	return {
 		protect(server, kind) {
 			servers.add(server);
@@ -185,27 +211,12 @@
 				applyHeadLimits(server);
 			}
 		},
-		readBody: read,
 		async readJson(request, options) {
 			const body = await read(request, options);
-			if (body.length === 0) {
-				return undefined;
-			}
-
-			const {depth, bytes} = estimateJsonCost(body);
-			const isTooComplex = depth > MAX_DEPTH || bytes > limits.budgetBytes * MAX_PARSED_SHARE;
-			const cause = isTooComplex ? 'too-large' : holdings.get(request)?.grow(bytes);
-			if (cause) {
-				throw refuse(cause);
-			}
-
 			try {
-				return JSON.parse(body.toString()) as unknown;
-			} catch (error) {
-				throw new ServiceError(`the body is not JSON: ${(error as Error).message}`, {
-					code: 'bad-request',
-					verdict: 'not-run',
-				});
+				return body.length === 0 ? undefined : parseJson(request, body);
+			} finally {
+				buffers.giveBack(body);
 			}
 		},
 		passOn(request, response, customer) {
