Take a machine for removed only when three listings in a row lack it

What operators would see: a maintenance wave is shown as completed for good although machines of it were never maintained, or more of its machines are down than it allows.

Cause: a machine of a wave that one listing lacks counted as removed.

Evidence: three new tests in run-waves.test.ts fail on the code before: the wave is completed at once and no machine maintained, more machines are down than allowed, and a machine is no longer drained.

Change: listings are combined. A machine that fewer than three listings in a row lack is taken to be as it was last listed, or down if it never was. Orders and the end of a maintenance still rest on the latest listing alone.

--- a/packages/scheduler/src/maintenance/constants.ts
+++ b/packages/scheduler/src/maintenance/constants.ts
@@ -12,3 +12,6 @@
 
 /** Oldest listing of the machines on which a maintenance order may rest. */
 export const MACHINE_LISTING_MAX_AGE_MS = 1000;
+
+/** Listings in a row without a machine after which it counts as removed, and its maintenance as no longer due. */
+export const ABSENT_LISTINGS = 3;
--- a/packages/scheduler/src/maintenance/run-waves.test.ts
+++ b/packages/scheduler/src/maintenance/run-waves.test.ts
@@ -7,6 +7,7 @@
 import {BOUNDS} from '../test/cluster.js';
 import {createMemoryKeyValue, type MemoryKeyValue} from '../test/memory-key-value.js';
 import {createModelMachines, type ModelMachines} from '../test/model-machines.js';
+import {MAINTENANCE_POLL_MS} from './constants.js';
 import {runWaves} from './run-waves.js';
 import type {Wave, WaveState} from './types.js';
 
@@ -163,6 +164,46 @@
 	t.equal(await state(), 'completed');
 });
 
+// Guards against a wave that is completed although the maintenance of a machine is due, since one listing lacked the machine.
+await t.test('a machine that listings lack is maintained once it is listed', async (t) => {
+	const {clock, machines, lead, state} = await createFixture(t);
+	machines.faults.unlisted.push(['a', 'b', 'c', 'd', 'e'], ['d']);
+	await lead(1);
+	await clock.tickAsync(1000);
+	t.equal(await state(), 'active');
+	await clock.tickAsync(20_000);
+	t.same(machines.started.toSorted(), WAVE.machineIds);
+	t.equal(await state(), 'completed');
+});
+
+// Guards against more machines down than the wave allows, since one that is under maintenance is missing from a listing.
+await t.test('a machine under maintenance counts as down while listings lack it', async (t) => {
+	const {clock, machines, lead} = await createFixture(t);
+	machines.faults.unlisted.push([], ['a', 'b'], ['a', 'b']);
+	await lead(1);
+	await clock.tickAsync(20_000);
+	t.same(machines.started.toSorted(), WAVE.machineIds);
+	t.equal(machines.maxDown(), WAVE.maxDown);
+});
+
+// Guards against a worker that gets new work in the middle of its drain, since its machine is missing from a listing, and
+// against an order that rests on what an earlier listing said.
+await t.test('a machine stays drained, and is not ordered down, while listings lack it', async (t) => {
+	const {clock, machines, lead, drained, protectedIds} = await createFixture(t);
+	protectedIds.add('w-a');
+	await lead(1);
+	await clock.tickAsync(500);
+	t.ok(drained().includes('w-a'));
+	machines.faults.unlisted.push(['a']);
+	protectedIds.clear();
+	await clock.tickAsync(MAINTENANCE_POLL_MS);
+	t.same(machines.faults.unlisted, []);
+	t.ok(drained().includes('w-a'));
+	t.notOk(machines.started.includes('a'));
+	await clock.tickAsync(MAINTENANCE_POLL_MS);
+	t.ok(machines.started.includes('a'));
+});
+
 // Guards against a wave that is shown as active for good, because the write of that state takes effect after the wave has
 // been completed.
 await t.test('a write of the state that takes effect late does not replace a newer state', async (t) => {
--- a/packages/scheduler/src/maintenance/run-waves.ts
+++ b/packages/scheduler/src/maintenance/run-waves.ts
@@ -11,17 +11,18 @@
 	MAINTENANCE_POLL_MS,
 	WAVE_WATCH_WAIT_MS,
 } from './constants.js';
+import {createMachineListings, type CombinedListing} from './machine-listings.js';
 import {planWave} from './plan-wave.js';
 import type {Machine, Wave, WaveRecord, WavesOptions, WaveState} from './types.js';
 
 /** All machines as listed by the platform. */
-type MachineListing = Readonly<{
-	machines: ReadonlyMap<string, Machine>;
-	/** Time at which the listing was requested. */
-	sentMs: number;
-	/** Time at which it was received, by `latestNow`. */
-	receivedMs: number;
-}>;
+type MachineListing = CombinedListing &
+	Readonly<{
+		/** Time at which the listing was requested. */
+		sentMs: number;
+		/** Time at which it was received, by `latestNow`. */
+		receivedMs: number;
+	}>;
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
@@ -52,6 +53,7 @@
 	const {now, latestNow} = clocks;
 	const waves = new Map<number, ActiveWave>();
 	let drainDeadlines: ReadonlyMap<string, number> = new Map();
+	const listings = createMachineListings();
 	const waker = createWaker();
 	const startedMs = now();
 
@@ -161,12 +163,13 @@
 		await storeRecord(active, {...record, ordered, done: [...new Set([...record.done, machineId])]});
 	};
 
-	/** Whether an order may rest on the listing; workers are replaced meanwhile. */
-	const isCurrent = ({receivedMs}: MachineListing): boolean => latestNow() - receivedMs <= MACHINE_LISTING_MAX_AGE_MS;
+	/** Whether an order for the machine may rest on the listing; workers are replaced meanwhile. */
+	const isCurrent = ({receivedMs, absentIds}: MachineListing, machineId: string): boolean =>
+		latestNow() - receivedMs <= MACHINE_LISTING_MAX_AGE_MS && !absentIds.has(machineId);
 
 	/** Orders the maintenance, unless that would end a unit that is protected by now: the decision may be much older than the order. */
 	const order = async (active: ActiveWave, machine: Machine, listing: MachineListing) => {
-		const maySend = () => term.isValid() && mayOrder() && isCurrent(listing) && !isProtected(machine);
+		const maySend = () => term.isValid() && mayOrder() && isCurrent(listing, machine.id) && !isProtected(machine);
 		if (!maySend()) {
 			return;
 		}
@@ -210,7 +213,8 @@
 		for (const machineId of active.record.ordered) {
 			const acceptedMs = active.acceptedMs.get(machineId);
 			const machine = listing.machines.get(machineId);
-			const isUpAgain = acceptedMs !== undefined && machine?.state === 'up' && listing.sentMs > acceptedMs;
+			const isUp = machine?.state === 'up' && !listing.absentIds.has(machineId);
+			const isUpAgain = acceptedMs !== undefined && isUp && listing.sentMs > acceptedMs;
 			if (isUpAgain || !machine) {
 				await markDone(active, machineId, machine?.workerId);
 			} else if (acceptedMs === undefined) {
@@ -242,12 +246,12 @@
 		active.drainDeadlines = new Map([...drain, ...start.map((id) => [id, now()] as const)]);
 		publishDrains(machines);
 		for (const machineId of start) {
-			if (!mayOrder() || !isCurrent(listing)) {
-				break;
-			}
-
 			const {record} = active;
-			if (await storeRecord(active, {...record, ordered: [...record.ordered, machineId]})) {
+			if (
+				mayOrder() &&
+				isCurrent(listing, machineId) &&
+				(await storeRecord(active, {...record, ordered: [...record.ordered, machineId]}))
+			) {
 				await order(active, machines.get(machineId)!, listing);
 			}
 		}
@@ -270,13 +274,14 @@
 
 		const sentMs = now();
 		const listed = await port.list();
-		const machines = new Map(listed.map((machine) => [machine.id, machine]));
+		const expectedIds = active.flatMap(({wave}) => wave.machineIds);
+		const combined = listings.combine(listed, expectedIds);
 		const receivedMs = latestNow();
 		for (const activeWave of active) {
-			await advance(activeWave, {machines, sentMs, receivedMs});
+			await advance(activeWave, {...combined, sentMs, receivedMs});
 		}
 
-		publishDrains(machines);
+		publishDrains(combined.machines);
 	};
 
 	const watching = runKeyWatch({
--- a/packages/scheduler/src/test/model-machines.ts
+++ b/packages/scheduler/src/test/model-machines.ts
@@ -9,6 +9,8 @@
 	connectionWaitMs: number;
 	/** Time that the other orders take to be answered. */
 	replyMs: number;
+	/** For each of the following listings, the machines that it lacks. */
+	unlisted: Array<readonly string[]>;
 };
 
 /** Simulated machines that follow the protocol for fencing tokens and repeated orders. */
@@ -47,7 +49,7 @@
 	const done = new Set<string>();
 	const started: string[] = [];
 	const orders: Array<Readonly<{machineId: string; token: number; atMs: number}>> = [];
-	const faults: MachineFaults = {delaysMs: [], connectionWaitMs: 0, replyMs: 0};
+	const faults: MachineFaults = {delaysMs: [], connectionWaitMs: 0, replyMs: 0, unlisted: []};
 	let maxDown = 0;
 
 	const countMachinesDown = () => [...machines.values()].filter(({state}) => state === 'upkeep').length;
@@ -98,7 +100,10 @@
 			machines.set(machineId, {...machine, workerId: `${machine.workerId}-next`});
 		},
 		port: {
-			list: async () => [...machines.values()],
+			async list() {
+				const unlisted = faults.unlisted.shift() ?? [];
+				return [...machines.values()].filter(({id}) => !unlisted.includes(id));
+			},
 			async maintain(order, maySend) {
 				if (faults.connectionWaitMs > 0) {
 					await sleep(faults.connectionWaitMs);
