Read the jobs once for the roster, not once for each worker

Cause: the roster lists the parts on each worker that gets no orders. Since it looked at all parts of the jobs with unstored changes for each of these workers, beside all placed units as before, each time that the roster is stored.

Change: one pass over the jobs fills the lists of all these workers. The entries are the same.

roster.test.ts checks the entries, and that the jobs are read as often for many workers as for one.

--- a/packages/scheduler/src/active-job.ts
+++ b/packages/scheduler/src/active-job.ts
@@ -240,6 +240,8 @@
 /** A run of one unit of a part on a worker incarnation. */
 export type UnitRun = Readonly<{workerId: string; startedMs?: number | undefined; index: number; run: number}>;
 
+const NO_WORKERS: readonly string[] = [];
+
 const unitRunKey = ({workerId, startedMs, index, run}: UnitRun): string =>
 	`${workerId}@${startedMs ?? ''} ${index} ${run}`;
 
@@ -248,9 +250,9 @@
 	part.endedRuns.add(unitRunKey(unitRun));
 };
 
-/** Whether this leader has recorded the end of a run of the part on the worker. */
-export const hasEndedOn = (part: Part, workerId: string): boolean =>
-	[...(part.endedRuns ?? [])].some((key) => key.startsWith(`${workerId}@`));
+/** Workers on which this leader has recorded the end of a run of the part; a worker may be given several times. */
+export const workersOfEnds = ({endedRuns}: Part): readonly string[] =>
+	endedRuns ? [...endedRuns].map((key) => key.slice(0, key.indexOf('@'))) : NO_WORKERS;
 
 /** Whether this leader has recorded the end of the run. */
 export const hasEnded = (part: Part, unitRun: UnitRun): boolean => part.endedRuns?.has(unitRunKey(unitRun)) ?? false;
--- a/packages/scheduler/src/roster.ts
+++ b/packages/scheduler/src/roster.ts
@@ -2,7 +2,7 @@
 import {toServiceError} from '@bergamotgauge/model';
 import type {KeyValueStore, StoredItem} from '@bergamotgauge/store';
 import type {Log} from '@bergamotgauge/telemetry';
-import {hasEndedOn} from './active-job.js';
+import {workersOfEnds, type ActiveJob, type Part} from './active-job.js';
 import {WATCH_RETRY_MAX_MS, WATCH_RETRY_MIN_MS} from './constants.js';
 import {ROSTER_KEY} from './keys.js';
 import {allPlacedUnits, type LeaderState} from './leader-state.js';
@@ -25,32 +25,41 @@
 	JSON.parse(decoder.decode(value)) as readonly RosterEntry[];
 
 /**
-Parts that a later leader has to expect on the worker: those with units there, and those with ends there that may not be stored yet, since the worker lists these again.
+Parts that a later leader has to expect on each of the workers: those with units there, and those with ends there that may not be stored yet, since the worker lists these again. One pass over the jobs for all workers, since many may stop getting orders at the same time.
 
 @example
 ```ts
-const entry = {worker: link.worker, partIds: partIdsOn(state, link.worker.id)};
+const partIds = partIdsByWorker(state, new Set([link.worker.id])).get(link.worker.id);
 ```
 */
-export const partIdsOn = (state: LeaderState, workerId: string): readonly string[] => {
-	const ids = new Set<string>();
+export const partIdsByWorker = (
+	state: LeaderState,
+	workerIds: ReadonlySet<string>,
+): ReadonlyMap<string, ReadonlySet<string>> => {
+	const idsByWorker = new Map([...workerIds].map((id) => [id, new Set<string>()]));
+	if (idsByWorker.size === 0) {
+		return idsByWorker;
+	}
+
+	const add = (workerId: string, activeJob: ActiveJob, part: Part) => {
+		idsByWorker.get(workerId)?.add(partIdOf(activeJob, part));
+	};
+
 	for (const {activeJob, part, placement} of allPlacedUnits(state)) {
-		if (placement.workerId === workerId) {
-			ids.add(partIdOf(activeJob, part));
-		}
+		add(placement.workerId, activeJob, part);
 	}
 
 	for (const activeJob of state.activeJobs.values()) {
 		if (activeJob.storedChanges !== activeJob.changes) {
 			for (const part of [...activeJob.parts.values(), ...activeJob.settledParts.values()]) {
-				if (hasEndedOn(part, workerId)) {
-					ids.add(partIdOf(activeJob, part));
+				for (const workerId of workersOfEnds(part)) {
+					add(workerId, activeJob, part);
 				}
 			}
 		}
 	}
 
-	return [...ids];
+	return idsByWorker;
 };
 
 /**
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -8,7 +8,7 @@
 import {createLateStartProbe} from './late-start-probe.js';
 import {pendingLateStarts} from './late-starts.js';
 import type {LeaderState} from './leader-state.js';
-import {partIdsOn, type RosterEntry} from './roster.js';
+import {partIdsByWorker, type RosterEntry} from './roster.js';
 import {createStoredRoster} from './stored-roster.js';
 import type {EndedUnit, RunningUnit, SchedulerContext, Worker} from './types.js';
 import {createWorkerDirectory} from './worker-directory.js';
@@ -206,15 +206,22 @@
 
 	const acceptsOrders = (link: WorkerLink): boolean => isSynced(link) && link.worker.state === 'ready';
 
-	const entryOf = (link: WorkerLink): RosterEntry => {
-		const worker = {...link.worker, startedMs: link.startedMs()};
-		if (acceptsOrders(link)) {
-			return {worker};
-		}
+	/** The entry of the earlier leader for a worker that has not listed all its ends to this one; without one it has had no orders. */
+	const earlierEntryOf = ({worker}: WorkerLink): RosterEntry | undefined =>
+		unsynced.has(worker.id) ? storedRoster.get(worker.id) : undefined;
+
+	const rosterEntries = (): readonly RosterEntry[] => {
+		const links = [...state.links.values()].filter((link) => link.state() !== 'gone');
+		const withoutOrders = links.filter((link) => !acceptsOrders(link) && !earlierEntryOf(link));
+		const partIds = partIdsByWorker(state, new Set(withoutOrders.map(({worker}) => worker.id)));
+		return links.map((link) => {
+			const worker = {...link.worker, startedMs: link.startedMs()};
+			if (acceptsOrders(link)) {
+				return {worker};
+			}
 
-		// A worker that has not listed all its ends to this leader keeps the entry of the earlier leader; without one it has had no orders.
-		const known = storedRoster.get(worker.id);
-		return unsynced.has(worker.id) && known ? known : {worker, partIds: partIdsOn(state, worker.id)};
+			return earlierEntryOf(link) ?? {worker, partIds: [...(partIds.get(worker.id) ?? [])]};
+		});
 	};
 
 	return {
@@ -239,8 +246,7 @@
 			[...storedRoster.workerIds()].some((id) => !state.links.has(id)) ||
 			[...state.links].some(([id, link]) => !unsynced.has(id) && acceptsOrders(link) !== storedRoster.isOrderable(id)),
 		async storeRoster() {
-			const openLinks = [...state.links.values()].filter((link) => link.state() !== 'gone');
-			await storedRoster.store(openLinks.map((link) => entryOf(link)));
+			await storedRoster.store(rosterEntries());
 		},
 		isOrderable(workerId) {
 			const link = state.links.get(workerId);
