End a connection's requests at the one that was refused early

Cause: a request that is refused before the end of its body is answered with "Connection: close", and the rest of its body is read and dropped for a second. The requests behind it were read and handled too. When the refused one ended, Node.js ended the connection and forgot that other responses wait; the next request that was read got the connection before them, and its end broke the order that Node.js asserts (ERR_INTERNAL_ASSERTION in resOnFinish), which ends the process.

Change: from such a response on, further requests of the connection are neither parsed nor handled. Their responses could never be delivered; no job of them is stored, so a caller that sends them again loses nothing.

--- a/packages/ingress/src/connections.ts
+++ b/packages/ingress/src/connections.ts
@@ -13,6 +13,8 @@
 	readonly running: Set<ServerResponse>;
 	/** Whether the connection ends once nothing of it runs. */
 	isEnding: boolean;
+	/** Whether its last request was read: the response to that one says that the connection closes. */
+	hasLastRequest: boolean;
 	activeMs: number;
 };
 
@@ -23,8 +25,10 @@
 	passOn: (request: IncomingMessage, response: ServerResponse) => void;
 	/** Whether a request of the connection runs, or was read in full and may run. */
 	mayRun: (socket: Socket) => boolean;
-	/** Whether the connection takes no further requests. */
-	isEnding: (socket: Socket) => boolean;
+	/** Notes that the response to a request says that the connection closes; later requests on it are not handled. */
+	endAfter: (request: IncomingMessage) => void;
+	/** Whether the request is to be handled; the connections of others are being closed. */
+	isAccepted: (request: IncomingMessage) => boolean;
 	/** Closes a connection that made no progress for too long, after the responses to what runs. */
 	timeOut: (socket: Socket) => void;
 	count: () => number;
@@ -133,6 +137,7 @@
 					unanswered: new Map(),
 					running: new Set(),
 					isEnding: false,
+					hasLastRequest: false,
 					activeMs: now(),
 				};
 				bySocket.set(socket, connection);
@@ -188,7 +193,17 @@
 				(isRunning(connection) || [...connection.unanswered.keys()].some(({complete}) => complete))
 			);
 		},
-		isEnding: (socket) => bySocket.get(socket)?.isEnding === true,
+		endAfter({socket}) {
+			const connection = bySocket.get(socket);
+			if (connection) {
+				connection.hasLastRequest = true;
+				dropFurtherRequests(socket);
+			}
+		},
+		isAccepted({socket}) {
+			const connection = bySocket.get(socket);
+			return !connection?.isEnding && !connection?.hasLastRequest;
+		},
 		timeOut(socket) {
 			const connection = bySocket.get(socket);
 			if (connection) {
--- a/packages/ingress/src/ingress.ts
+++ b/packages/ingress/src/ingress.ts
@@ -232,8 +232,12 @@
 		release(request) {
 			holdings.get(request)?.release();
 		},
-		isAccepted: ({socket}) => !connections.isEnding(socket),
-		respondEarly,
+		isAccepted: connections.isAccepted,
+		respondEarly(request, response, early) {
+			// Node.js handles the requests that follow, and lets their responses overtake those that wait for this one's.
+			connections.endAfter(request);
+			respondEarly(request, response, early);
+		},
 		close() {
 			clearInterval(timer);
 		},
