Write the reason of a process's end ahead of the lines that wait

Operators found no line "process-failed" in the logs of instances that had ended by an unhandled error beside a crowd; the last lines were those of refused requests.

Cause: the line was appended to the buffered ones, and the flush before the exit is given up after 200 ms. While the reader of the log is slow, the pipe is full and the line is never reached.

The new check of log-output.test.ts, with a reader that begins after the process has ended, fails when the line is logged like the others and passes now.

Change: the line goes to the descriptor directly, ahead of the buffer, with attempts for at most a second while the reader is slow. Nothing else of the process runs meanwhile.

--- a/packages/telemetry/src/constants.ts
+++ b/packages/telemetry/src/constants.ts
@@ -22,3 +22,7 @@
 
 /** Longest time that a terminating process waits for its buffered log lines to be written. */
 export const LOG_FLUSH_DEADLINE_MS = 200;
+
+/** Longest time that a process waits until its last line is written, and the pause between attempts while its reader is slow. */
+export const LAST_LINE_DEADLINE_MS = 1000;
+export const LAST_LINE_RETRY_MS = 5;
--- a/packages/telemetry/src/log-output.test.ts
+++ b/packages/telemetry/src/log-output.test.ts
@@ -1,4 +1,5 @@
 import {spawn} from 'node:child_process';
+import {once} from 'node:events';
 import {text} from 'node:stream/consumers';
 import {fileURLToPath} from 'node:url';
 import process from 'node:process';
@@ -30,6 +31,16 @@
 	t.match(await text(child.stdout), /event=first .*\n.* event=last\n$/v);
 });
 
+// Guards against a process whose reason to end is lost: the lines before it filled the pipe, which was read after the end.
+await t.test('the last line is written although many lines wait for a slow reader', async (t) => {
+	const script = fileURLToPath(new URL('test/fail-after-many-lines.js', import.meta.url));
+	const child = spawn(process.execPath, [script], {stdio: ['ignore', 'pipe', 'inherit']});
+	// Without a listener, what has not been read is dropped at the end of the process.
+	child.stdout.on('readable', () => {});
+	await once(child, 'exit');
+	t.match(await text(child.stdout), /^.* event=process-failed error=why$/mv);
+});
+
 // Guards against flooding the log when a fault logs one line for each of thousands of units at the same time.
 await t.test('lines of one event are rate-limited, and omitted lines are counted', async (t) => {
 	const clock = FakeTimers.install({now: 0});
--- a/packages/telemetry/src/log-output.ts
+++ b/packages/telemetry/src/log-output.ts
@@ -1,7 +1,16 @@
+import {Buffer} from 'node:buffer';
+import {writeSync} from 'node:fs';
 import process from 'node:process';
 import {sleep} from '@bergamotgauge/lifecycle';
 import sonicBoom from 'sonic-boom';
-import {LOG_BUFFER_BYTES, LOG_FLUSH_INTERVAL_MS, MAX_LOG_BACKLOG_BYTES, LOG_FLUSH_DEADLINE_MS} from './constants.js';
+import {
+	LOG_BUFFER_BYTES,
+	LOG_FLUSH_INTERVAL_MS,
+	LOG_FLUSH_DEADLINE_MS,
+	LAST_LINE_DEADLINE_MS,
+	LAST_LINE_RETRY_MS,
+	MAX_LOG_BACKLOG_BYTES,
+} from './constants.js';
 import type {LogOutput} from './types.js';
 
 /** A buffered, non-blocking stream for log lines. */
@@ -11,8 +20,35 @@
 		dropped: () => number;
 		/** Resolves when the buffered lines are written, or after a short time, so that a missing reader cannot delay termination. */
 		flush: () => Promise<void>;
+		/** Writes a line ahead of the buffered ones and blocks until it is written, for a second at most; for the reason why the process ends. */
+		writeLast: (text: string) => void;
 	}>;
 
+/** Blocks the process. */
+const block = (ms: number): void => {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+};
+
+const isReaderSlow = (error: unknown): boolean => (error as NodeJS.ErrnoException).code === 'EAGAIN';
+
+/** Writes to a non-blocking descriptor until all is written, the deadline has passed or the reader is gone. */
+const writeBlocking = (fd: number, text: string): void => {
+	const deadlineMs = performance.now() + LAST_LINE_DEADLINE_MS;
+	let rest = Buffer.from(text);
+	while (rest.length > 0) {
+		try {
+			rest = rest.subarray(writeSync(fd, rest));
+		} catch (error) {
+			// Nothing can be logged about a log that fails, and the process is about to end.
+			if (!isReaderSlow(error) || performance.now() >= deadlineMs) {
+				return;
+			}
+
+			block(LAST_LINE_RETRY_MS);
+		}
+	}
+};
+
 /**
 Opens the standard output for log lines. Writing never blocks on the reader: lines are buffered and written in the background, and while the backlog is full, new lines are dropped and counted.
 
@@ -58,5 +94,9 @@
 		write: (text) => stream.write(text),
 		dropped: () => dropped,
 		flush: async () => Promise.race([flushAll(), sleep(LOG_FLUSH_DEADLINE_MS)]),
+		writeLast(text) {
+			// What was written before may end in the middle of a line.
+			writeBlocking(process.stdout.fd, `\n${text}`);
+		},
 	};
 };
