Read a crowd's connections in turns, and drop the pieces of refused bodies

Ordinary callers got no answer, or one after seconds, from an instance that few clients pressed with chunks of one byte: 60 that came back were enough, and 1,200 for minutes after they had left.

Cause: Node.js reads up to 64 KB of each connection that has something, one connection after another, and hands each chunk of it to JavaScript (some 2 to 3 us each, 11,000 chunks in one read), also those behind the point at which the body was refused. A body was found to be in small pieces after 8,192 of them only, and all that a crowd had sent was parsed before a timer, a response of the store or another caller had its turn.

Change: - At most 16 connections are read in one turn of the event loop, and fewer while turns are long, down to 2; the others wait, by source address in turn. That holds for new connections, for bodies of unknown length after each read, and for connections whose requests were answered. - From a refusal on, the parser drops the pieces of a body of unknown length instead of making an event of each. Such a body of a request that is not read (no key, no queue, not a POST, a probe) is dropped from its head on. - While bodies in small pieces are refused, one counts as such after 256 pieces; in calm after 8,192 as before. One without further pieces for stallMs leaves its place, so that clients that stop do not keep others out. - A connection that waits for its turn does not run out of the time for its head.

--- a/packages/ingress/src/body-buffers.test.ts
+++ b/packages/ingress/src/body-buffers.test.ts
@@ -14,7 +14,18 @@
 	const limits = {budgetBytes: BUDGET_BYTES, reserveBytes: 1000, customerShare: 0.5, sourceShare: 0.7, stallMs: 100};
 	const holding = createBodyBudget({limits, now: () => 0}).open({customer: 'a', source: 'a'}, () => {});
 	const request = Object.assign(new PassThrough(), {headers}) as unknown as IncomingMessage & PassThrough;
-	const reading = readBody(request, {maxBytes: SIZE, buffers, holding, maySendSmallPieces: () => true});
+	const reading = readBody(request, {
+		maxBytes: SIZE,
+		buffers,
+		holding,
+		onPiece() {
+			// The pieces come from one stream.
+		},
+		maySendSmallPieces: () => true,
+		onGivenUp() {
+			// No connection has to be closed.
+		},
+	});
 	return {request, reading};
 };
 
--- a/packages/ingress/src/body.ts
+++ b/packages/ingress/src/body.ts
@@ -3,7 +3,7 @@
 import {ServiceError} from '@bergamotgauge/model';
 import type {Holding} from './body-budget.js';
 import type {BodyBuffers} from './body-buffers.js';
-import {FIRST_BUFFER_BYTES, RETRY_AFTER_MS, SMALL_PIECE_BYTES, SMALL_PIECES} from './constants.js';
+import {CROWDED_SMALL_PIECES, FIRST_BUFFER_BYTES, RETRY_AFTER_MS, SMALL_PIECE_BYTES} from './constants.js';
 import type {RefusalCause} from './types.js';
 
 const MESSAGES: Readonly<Record<RefusalCause, string>> = {
@@ -81,8 +81,12 @@
 	maxBytes: number;
 	buffers: BodyBuffers;
 	holding: Holding;
-	/** Whether a body in many small pieces, which take far more processor time than their bytes, is still read. */
-	maySendSmallPieces: () => boolean;
+	/** Called with each piece. */
+	onPiece: () => void;
+	/** Whether a body in so many small pieces, which take far more processor time than their bytes, is still read. */
+	maySendSmallPieces: (pieces: number) => boolean;
+	/** Called when the body is given up, before more of it is read. */
+	onGivenUp: () => void;
 }>;
 
 /**
@@ -92,7 +96,7 @@
 */
 export const readBody = (
 	request: IncomingMessage,
-	{maxBytes, buffers, holding, maySendSmallPieces}: BodyReadingOptions,
+	{maxBytes, buffers, holding, onPiece, maySendSmallPieces, onGivenUp}: BodyReadingOptions,
 ): BodyReading => {
 	const knownBytes = parseLength(request);
 	const firstBytes = knownBytes ?? Math.min(FIRST_BUFFER_BYTES, maxBytes);
@@ -102,6 +106,7 @@
 	const body = new Promise<Buffer>((resolve, reject) => {
 		const cause = firstBytes > maxBytes ? 'too-large' : holding.grow(firstBytes);
 		if (cause !== undefined) {
+			onGivenUp();
 			reject(createRefusal(cause));
 			return;
 		}
@@ -122,6 +127,7 @@
 			}
 
 			stopReading();
+			onGivenUp();
 			collector.discard();
 			reject(createRefusal(reason));
 		};
@@ -129,10 +135,9 @@
 		const handleData = (piece: Buffer) => {
 			received += piece.length;
 			pieces += 1;
-			const isInSmallPieces = pieces % SMALL_PIECES === 0 && received < pieces * SMALL_PIECE_BYTES;
-			if (isInSmallPieces && !maySendSmallPieces()) {
-				// Reading goes on for up to two megabytes otherwise, before anything else is served.
-				request.socket.pause();
+			onPiece();
+			const isInSmallPieces = pieces % CROWDED_SMALL_PIECES === 0 && received < pieces * SMALL_PIECE_BYTES;
+			if (isInSmallPieces && !maySendSmallPieces(pieces)) {
 				giveUp('small-pieces');
 				return;
 			}
--- a/packages/ingress/src/client-errors.ts
+++ b/packages/ingress/src/client-errors.ts
@@ -11,7 +11,7 @@
 };
 
 export type ClientErrorOptions = Readonly<{
-	connections: Pick<Connections, 'mayRun' | 'timeOut'>;
+	connections: Pick<Connections, 'isWaiting' | 'mayRun' | 'timeOut'>;
 	/** Header lines added to the response. */
 	headers: readonly string[];
 }>;
@@ -30,6 +30,11 @@
 	server.on('clientError', (error, stream: Duplex) => {
 		const socket = stream as Socket;
 		const code = 'code' in error ? String(error.code) : '';
+		if (code === TIMEOUT && connections.isWaiting(socket)) {
+			// The client may have sent everything in time.
+			return;
+		}
+
 		if (code === TIMEOUT && connections.mayRun(socket)) {
 			connections.timeOut(socket);
 			return;
--- a/packages/ingress/src/connections.ts
+++ b/packages/ingress/src/connections.ts
@@ -2,22 +2,10 @@
 import type {Socket} from 'node:net';
 import {createRefusal} from './body.js';
 import {CROWDED_SHARE} from './constants.js';
+import {createConnectionReads, isRunning, type Connection} from './connection-reads.js';
+import {dropFurtherRequests} from './parser.js';
 import type {ClosingCause, IngressLimits} from './types.js';
 
-type Connection = {
-	readonly socket: Socket;
-	readonly source: string;
-	/** Requests that were read, and their responses until they are sent. */
-	readonly unanswered: Map<IncomingMessage, ServerResponse>;
-	/** Responses to those of them that run. */
-	readonly running: Set<ServerResponse>;
-	/** Whether the connection ends once nothing of it runs. */
-	isEnding: boolean;
-	/** Whether its last request was read: the response to that one says that the connection closes. */
-	hasLastRequest: boolean;
-	activeMs: number;
-};
-
 export type Connections = Readonly<{
 	/** Watches the connections of a server, of which there may be `maxConnections`. */
 	watch: (server: Server, maxConnections: number) => void;
@@ -25,8 +13,20 @@
 	passOn: (request: IncomingMessage, response: ServerResponse) => void;
 	/** Whether a request of the connection runs, or was read in full and may run. */
 	mayRun: (socket: Socket) => boolean;
-	/** Notes that the response to a request says that the connection closes; later requests on it are not handled. */
+	/** Notes that the response to a request says that the connection closes: the rest of its body is dropped, and later requests are not handled. */
 	endAfter: (request: IncomingMessage) => void;
+	/** Whether the connection ends after the response to the request. */
+	isLast: (request: IncomingMessage) => boolean;
+	/** Reads no more from the connection until a later turn, once what is being read has been handled. */
+	awaitTurn: (socket: Socket) => void;
+	/** Drops what follows on the connection, and goes on reading it in a later turn, with one piece of the body for each read. */
+	dropRest: (request: IncomingMessage) => void;
+	/** Whether a request of the connection runs. */
+	isRunning: (socket: Socket) => boolean;
+	/** Whether the connection waits for its turn to be read. */
+	isWaiting: (socket: Socket) => boolean;
+	/** Drops what follows on the connection, and reads no more from it. */
+	stopReading: (request: IncomingMessage) => void;
 	/** Whether the request is to be handled; the connections of others are being closed. */
 	isAccepted: (request: IncomingMessage) => boolean;
 	/** Closes a connection that made no progress for too long, after the responses to what runs. */
@@ -40,19 +40,6 @@
 	onClosed: (cause: ClosingCause) => void;
 }>;
 
-/** A response that is ready no longer counts as running, also while the client does not read it. */
-const isRunning = ({running}: Connection): boolean => [...running].some((response) => !response.writableEnded);
-
-/**
-Drops the further requests in what was read from a socket. One read may hold thousands of small requests, and each would take several kilobytes until its connection has ended. The parser is not a documented property: where it is missing, they are handled as before.
-*/
-const dropFurtherRequests = (socket: Socket): void => {
-	const {parser} = socket as Readonly<{parser?: {onIncoming?: () => number}}>;
-	if (parser?.onIncoming) {
-		parser.onIncoming = () => 0;
-	}
-};
-
 /** The connection that gives way to a new one: of the source with the most connections, the one that was active least recently. */
 const chooseVictim = (connections: ReadonlySet<Connection>, newcomer: Connection): Connection | undefined => {
 	const counts = new Map<string, number>();
@@ -86,6 +73,7 @@
 */
 export const createConnections = ({limits, now, onClosed}: ConnectionsOptions): Connections => {
 	const bySocket = new WeakMap<Socket, Connection>();
+	const {readAtTurn, readInNextTurn, endAfter} = createConnectionReads(now);
 	let total = 0;
 	let unanswered = 0;
 
@@ -137,7 +125,10 @@
 					unanswered: new Map(),
 					running: new Set(),
 					isEnding: false,
-					hasLastRequest: false,
+					lastRequest: undefined,
+					isWaiting: false,
+					isReadingOver: false,
+					restoreBody: undefined,
 					activeMs: now(),
 				};
 				bySocket.set(socket, connection);
@@ -146,6 +137,7 @@
 				socket.once('close', () => {
 					connections.delete(connection);
 					total -= 1;
+					connection.restoreBody?.();
 					// Responses that waited behind an earlier one get no event when their connection ends.
 					unanswered -= connection.unanswered.size;
 					connection.unanswered.clear();
@@ -157,6 +149,13 @@
 					}
 				}
 			});
+			// Called after Node.js has set up its parser, which a pause before would not reach.
+			server.on('connection', (socket: Socket) => {
+				const connection = bySocket.get(socket);
+				if (connection) {
+					readAtTurn(connection);
+				}
+			});
 			server.prependListener('request', watchRequest);
 		},
 		passOn(request, response) {
@@ -182,7 +181,7 @@
 				if (connection.isEnding) {
 					socket.destroySoon();
 				} else {
-					socket.resume();
+					readAtTurn(connection);
 				}
 			});
 		},
@@ -193,16 +192,43 @@
 				(isRunning(connection) || [...connection.unanswered.keys()].some(({complete}) => complete))
 			);
 		},
-		endAfter({socket}) {
+		endAfter(request) {
+			const connection = bySocket.get(request.socket);
+			if (connection) {
+				endAfter(connection, request);
+			}
+		},
+		isLast: (request) => !request.complete || bySocket.get(request.socket)?.lastRequest === request,
+		awaitTurn(socket) {
 			const connection = bySocket.get(socket);
 			if (connection) {
-				connection.hasLastRequest = true;
-				dropFurtherRequests(socket);
+				readInNextTurn(connection);
+			}
+		},
+		dropRest(request) {
+			const connection = bySocket.get(request.socket);
+			if (connection) {
+				endAfter(connection, request);
+				readInNextTurn(connection);
 			}
 		},
 		isAccepted({socket}) {
 			const connection = bySocket.get(socket);
-			return !connection?.isEnding && !connection?.hasLastRequest;
+			return !connection?.isEnding && !connection?.lastRequest;
+		},
+		isRunning(socket) {
+			const connection = bySocket.get(socket);
+			return connection !== undefined && isRunning(connection);
+		},
+		isWaiting: (socket) => bySocket.get(socket)?.isWaiting === true,
+		stopReading(request) {
+			const connection = bySocket.get(request.socket);
+			if (connection) {
+				endAfter(connection, request);
+				connection.isReadingOver = true;
+			}
+
+			request.socket.pause();
 		},
 		timeOut(socket) {
 			const connection = bySocket.get(socket);
--- a/packages/ingress/src/constants.ts
+++ b/packages/ingress/src/constants.ts
@@ -40,6 +40,9 @@
 export const SMALL_PIECES = 8192;
 export const SMALL_PIECE_BYTES = 16;
 
+/** While bodies in small pieces are refused, one counts as such after this many pieces: 8,192 take 12 ms of processor time. */
+export const CROWDED_SMALL_PIECES = 256;
+
 /** Time after the refusal of such a body for which a customer's bodies of unknown length are read only a few at a time. */
 export const SMALL_PIECES_MEMORY_MS = 10_000;
 
@@ -61,8 +64,10 @@
 export const LINGER_MS = 1000;
 export const LINGER_BYTES = 65_536;
 
-/** Least size that a piece of such a rest counts as, since small pieces take processor time. */
-export const LINGER_PIECE_BYTES = 256;
+/** Connections that are read in one turn of the event loop, and the time of a turn above which they become fewer. */
+export const MAX_READS_PER_TURN = 16;
+export const MIN_READS_PER_TURN = 2;
+export const READ_TURN_MS = 10;
 
 export const DEFAULT_LIMITS: IngressLimits = {
 	budgetBytes: MAX_BUDGET_BYTES,
--- a/packages/ingress/src/ingress.ts
+++ b/packages/ingress/src/ingress.ts
@@ -18,6 +18,7 @@
 import {respondEarly, type EarlyResponse} from './early-response.js';
 import {estimateJsonCost} from './json-cost.js';
 import {createReport} from './report.js';
+import {createSmallPieces} from './small-pieces.js';
 import type {IngressLimits, RefusalCause} from './types.js';
 
 export type BodyOptions = Readonly<{customer: string; maxBytes: number}>;
@@ -39,6 +40,10 @@
 	release: (request: IncomingMessage) => void;
 	/** Whether the request is to be handled; the connections of others are being closed. */
 	isAccepted: (request: IncomingMessage) => boolean;
+	/** To be called when the body of the request will not be read: if its length is unknown, it is dropped, and the connection ends after the response. */
+	endAfter: (request: IncomingMessage) => void;
+	/** Whether the connection ends after the response to the request that is handled now. */
+	isLast: (request: IncomingMessage) => boolean;
 	/** Responds to a request before its body was read to its end, and closes the connection. */
 	respondEarly: (request: IncomingMessage, response: ServerResponse, early: EarlyResponse) => void;
 	/** Ends the checks. */
@@ -57,6 +62,9 @@
 
 const now = () => performance.now();
 
+/** Whether only the end of the body tells its length. */
+const hasUnknownLength = ({headers}: IncomingMessage): boolean => headers['transfer-encoding'] !== undefined;
+
 /**
 Creates the protection of a process against clients that take too much of its memory, connections or time.
 
@@ -73,7 +81,7 @@
 	const buffers = createBodyBuffers(limits.budgetBytes * SPARE_BUFFERS_SHARE);
 	const holdings = new WeakMap<IncomingMessage, Holding>();
 	const readings = new Set<Reading>();
-	const inSmallPieces = new Set<Holding>();
+	const smallPieces = createSmallPieces<Holding>({max: limits.maxSmallPieceBodies, stallMs: limits.stallMs, now});
 	/** By customer, the time until which bodies of unknown length are few at a time. */
 	const crowdedUntilMs = new Map<string, number>();
 	const report = createReport({log, metrics, budgetBytes: limits.budgetBytes});
@@ -129,6 +137,13 @@
 		return holding;
 	};
 
+	/** Drops the rest of a body of unknown length at once: what was read already may hold thousands of pieces of it. */
+	const endAfter = (request: IncomingMessage) => {
+		if (hasUnknownLength(request)) {
+			connections.endAfter(request);
+		}
+	};
+
 	/** Whether a body of the customer was refused lately for its small pieces, and enough others of unknown length are read. */
 	const isCrowdedBySmallPieces = (customer: string): boolean =>
 		now() < (crowdedUntilMs.get(customer) ?? 0) &&
@@ -136,10 +151,9 @@
 			limits.maxSmallPieceBodies;
 
 	const read = async (request: IncomingMessage, {customer, maxBytes}: BodyOptions): Promise<Buffer> => {
-		const isChunked = request.headers['content-length'] === undefined;
+		const isChunked = hasUnknownLength(request);
 		if (isChunked && isCrowdedBySmallPieces(customer)) {
-			// One read of the socket may hold thousands of pieces.
-			request.socket.pause();
+			endAfter(request);
 			throw refuse('small-pieces');
 		}
 
@@ -151,17 +165,21 @@
 			maxBytes,
 			buffers,
 			holding,
-			maySendSmallPieces() {
-				if (inSmallPieces.size < limits.maxSmallPieceBodies) {
-					inSmallPieces.add(holding);
+			onPiece() {
+				if (isChunked) {
+					connections.awaitTurn(request.socket);
 				}
-
-				const isAllowed = inSmallPieces.has(holding);
-				if (!isAllowed) {
+			},
+			maySendSmallPieces(pieces) {
+				const mayGoOn = smallPieces.mayGoOn(holding, pieces);
+				if (!mayGoOn) {
 					crowdedUntilMs.set(customer, now() + SMALL_PIECES_MEMORY_MS);
 				}
 
-				return isAllowed;
+				return mayGoOn;
+			},
+			onGivenUp() {
+				endAfter(request);
 			},
 		});
 		giveUp = reading.giveUp;
@@ -175,7 +193,7 @@
 			throw error;
 		} finally {
 			readings.delete(entry);
-			inSmallPieces.delete(holding);
+			smallPieces.remove(holding);
 		}
 	};
 
@@ -233,10 +251,10 @@
 			holdings.get(request)?.release();
 		},
 		isAccepted: connections.isAccepted,
+		endAfter,
+		isLast: connections.isLast,
 		respondEarly(request, response, early) {
-			// Node.js handles the requests that follow, and lets their responses overtake those that wait for this one's.
-			connections.endAfter(request);
-			respondEarly(request, response, early);
+			respondEarly(request, response, early, connections);
 		},
 		close() {
 			clearInterval(timer);
