Let a slow body take its time while nobody needs the room

A single caller inside the limits of the configuration was refused in calm: a small job of which a byte came each 200 ms, or 30 bytes each 8 s, got 503 after 5.5 s, and 262,144 bytes in 4 KB each 500 ms got 503 after 30.5 s.

Cause: minBodyRate, slowGraceMs and bodyTimeoutMs ended a body by its age and rate alone, whether or not its memory was needed.

Change: the rate decides only who gives way when others need the room. The budget did not know slow bodies before: clients with a key each, of which each sends a byte now and then, would have kept all of it. When the budget is full, the body without progress, or else the slowest one, of any customer gives way first.

The times that remain are those of the configuration: a body of which no more arrives for idleTimeoutMs, and a head that takes longer than headerTimeoutMs. The limit bodyTimeoutMs is gone; a settings file that names it gets the error for an unknown limit.

--- a/packages/ingress/src/body-budget.ts
+++ b/packages/ingress/src/body-budget.ts
@@ -4,8 +4,8 @@
 export type Holding = Readonly<{
 	/** Takes more bytes; returns a cause when there is no room and the request has to be refused. */
 	grow: (bytes: number) => RefusalCause | undefined;
-	/** Notes that bytes have arrived. */
-	recordProgress: () => void;
+	/** Notes that bytes of the body have arrived. */
+	recordProgress: (bytes: number) => void;
 	/** From here on the request runs and keeps what it holds. */
 	passOn: () => void;
 	/** Gives everything back; safe to call twice. */
@@ -24,6 +24,8 @@
 	readonly sender: Sender;
 	readonly giveUp: (cause: RefusalCause) => void;
 	bytes: number;
+	readonly openedMs: number;
+	receivedBytes: number;
 	progressMs: number;
 	isPassedOn: boolean;
 	isOpen: boolean;
@@ -34,7 +36,10 @@
 type Shortage = Readonly<{cause: RefusalCause; group: Group}>;
 
 type BudgetOptions = Readonly<{
-	limits: Pick<IngressLimits, 'budgetBytes' | 'reserveBytes' | 'customerShare' | 'sourceShare' | 'stallMs'>;
+	limits: Pick<
+		IngressLimits,
+		'budgetBytes' | 'reserveBytes' | 'customerShare' | 'sourceShare' | 'stallMs' | 'slowGraceMs' | 'minBodyRate'
+	>;
 	now: () => number;
 }>;
 
@@ -71,7 +76,7 @@
 /**
 Creates the budget of the memory that requests hold until they are answered.
 
-Answers a crowd of bodies that do not end: when there is no room for a request, the requests of the group that takes too much (its customer, its source, or of the customers with several requests the one that holds the most) give way, first the one that has made no progress for the longest time, otherwise the one that came last, which may be the one that asks. A request that was passed on never gives way. A customer's only request is bound by neither share and finds the reserve.
+Answers a crowd of bodies that do not end: when there is no room for a request, the requests of the group that takes too much (its customer, its source, or of the customers with several requests the one that holds the most) give way, first the one that has made no progress for the longest time or whose body arrives the slowest, otherwise the one that came last, which may be the one that asks. A request that was passed on never gives way. A customer's only request is bound by neither share and finds the reserve; when all of the budget is held, it gives way too if it makes no progress or is slow. Without a need for room, a body may take any time.
 
 @example
 ```ts
@@ -81,7 +86,7 @@
 ```
 */
 export const createBodyBudget = ({limits, now}: BudgetOptions): BodyBudget => {
-	const {budgetBytes, reserveBytes, customerShare, sourceShare, stallMs} = limits;
+	const {budgetBytes, reserveBytes, customerShare, sourceShare, stallMs, slowGraceMs, minBodyRate} = limits;
 	const all: Group = {entries: new Set(), bytes: 0};
 	const customers = createGroups();
 	const sources = createGroups();
@@ -127,31 +132,44 @@
 		return all.bytes + bytes > room ? {cause: 'memory', group: customers.largest() ?? all} : undefined;
 	};
 
-	/** The request that gives way; `undefined` when all have been passed on. */
-	const chooseVictim = ({entries}: Group, asker: Entry): Entry | undefined => {
+	const canGiveWay = (entry: Entry, asker: Entry): boolean => !entry.isPassedOn && (entry.bytes > 0 || entry === asker);
+
+	/** The request that has made no progress for the longest time, otherwise the one whose body arrives the slowest. */
+	const findSlowest = ({entries}: Group, asker: Entry): Entry | undefined => {
 		const stalledBeforeMs = now() - stallMs;
 		let stalled: Entry | undefined;
-		let last: Entry | undefined;
+		let slow: Entry | undefined;
+		let slowRate = minBodyRate;
 		for (const entry of entries) {
-			const canGiveWay = !entry.isPassedOn && (entry.bytes > 0 || entry === asker);
-			if (canGiveWay) {
-				last = entry;
-				if (
-					entry.progressMs <= stalledBeforeMs &&
-					entry.progressMs < (stalled?.progressMs ?? Number.POSITIVE_INFINITY)
-				) {
-					stalled = entry;
-				}
+			if (!canGiveWay(entry, asker)) {
+				continue;
+			}
+
+			if (entry.progressMs <= stalledBeforeMs && entry.progressMs < (stalled?.progressMs ?? Number.POSITIVE_INFINITY)) {
+				stalled = entry;
+			}
+
+			const ageMs = now() - entry.openedMs;
+			const rate = (entry.receivedBytes * 1000) / Math.max(1, ageMs);
+			if (ageMs > slowGraceMs && rate < slowRate) {
+				slow = entry;
+				slowRate = rate;
 			}
 		}
 
-		return stalled ?? last;
+		return stalled ?? slow;
 	};
 
+	/** The request that gives way; `undefined` when all have been passed on. */
+	const chooseVictim = (group: Group, asker: Entry): Entry | undefined =>
+		findSlowest(group, asker) ?? [...group.entries].findLast((entry) => canGiveWay(entry, asker));
+
 	/** Returns a cause when there is no room. */
 	const makeRoom = (entry: Entry, bytes: number): RefusalCause | undefined => {
 		for (let shortage = findShortage(entry, bytes); shortage; shortage = findShortage(entry, bytes)) {
-			const victim = chooseVictim(shortage.group, entry);
+			// Nobody keeps all of the memory by sending slowly, in however few requests.
+			const slowest = shortage.cause === 'memory' ? findSlowest(all, entry) : undefined;
+			const victim = slowest ?? chooseVictim(shortage.group, entry);
 			if (!victim || victim === entry) {
 				return shortage.cause;
 			}
@@ -165,7 +183,16 @@
 
 	return {
 		open(sender, giveUp) {
-			const entry: Entry = {sender, giveUp, bytes: 0, progressMs: now(), isPassedOn: false, isOpen: true};
+			const entry: Entry = {
+				sender,
+				giveUp,
+				bytes: 0,
+				openedMs: now(),
+				receivedBytes: 0,
+				progressMs: now(),
+				isPassedOn: false,
+				isOpen: true,
+			};
 			for (const group of groupsOf(entry)) {
 				group.entries.add(entry);
 			}
@@ -179,7 +206,8 @@
 
 					return cause;
 				},
-				recordProgress() {
+				recordProgress(bytes) {
+					entry.receivedBytes += bytes;
 					entry.progressMs = now();
 				},
 				passOn() {
--- a/packages/ingress/src/body.ts
+++ b/packages/ingress/src/body.ts
@@ -10,7 +10,7 @@
 	'customer-share': 'the customer has too many requests under way',
 	'source-share': 'the address has too many requests under way',
 	memory: 'the instance has too many requests under way',
-	'too-slow': 'the body of the request arrived too slowly',
+	'too-slow': 'no more of the body has arrived for too long',
 	'too-large': 'the body is too large',
 	'small-pieces': 'the body of the request arrives in too small pieces',
 	'client-left': 'the client left before the end of the body',
@@ -23,6 +23,10 @@
 		return new ServiceError(MESSAGES[cause], {code: 'too-large', verdict: 'not-run', details});
 	}
 
+	if (cause === 'too-slow') {
+		return new ServiceError(MESSAGES[cause], {code: 'deadline-exceeded', verdict: 'not-run', status: 408, details});
+	}
+
 	const isOverShare = cause === 'customer-share' || cause === 'source-share';
 	return new ServiceError(MESSAGES[cause], {
 		code: isOverShare ? 'over-quota' : 'overloaded',
@@ -72,7 +76,6 @@
 export type BodyReading = Readonly<{
 	/** The bytes belong to whoever awaits it, who gives them back to the buffers. */
 	body: Promise<Buffer>;
-	receivedBytes: () => number;
 	/** Ends the reading; `body` rejects with the refusal. Without effect once the body was read. */
 	giveUp: (cause: RefusalCause) => void;
 }>;
@@ -154,7 +157,7 @@
 				return;
 			}
 
-			holding.recordProgress();
+			holding.recordProgress(piece.length);
 			collector.add(piece, size);
 		};
 
@@ -173,7 +176,6 @@
 	});
 	return {
 		body,
-		receivedBytes: () => received,
 		giveUp(cause) {
 			giveUp(cause);
 		},
--- a/packages/ingress/src/constants.ts
+++ b/packages/ingress/src/constants.ts
@@ -56,7 +56,8 @@
 /** Largest share of the budget for one body once it is parsed. */
 export const MAX_PARSED_SHARE = 0.5;
 
-export const SWEEP_MS = 500;
+/** Interval at which the metrics of the ingress are updated. */
+export const UPDATE_MS = 500;
 export const REPORT_MS = 5000;
 export const RETRY_AFTER_MS = 1000;
 
@@ -75,7 +76,6 @@
 	customerShare: 0.5,
 	sourceShare: 0.7,
 	stallMs: 1000,
-	bodyTimeoutMs: 30_000,
 	minBodyRate: 256,
 	slowGraceMs: 5000,
 	maxSmallPieceBodies: 8,
--- a/packages/ingress/src/ingress.ts
+++ b/packages/ingress/src/ingress.ts
@@ -1,5 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {ServiceError} from '@bergamotgauge/model';
 import type {Log, Metrics} from '@bergamotgauge/telemetry';
 import {createBodyBudget, type Holding} from './body-budget.js';
@@ -13,7 +14,7 @@
 	RUNNING_BYTES,
 	SMALL_PIECES_MEMORY_MS,
 	SPARE_BUFFERS_SHARE,
-	SWEEP_MS,
+	UPDATE_MS,
 } from './constants.js';
 import {respondEarly, type EarlyResponse} from './early-response.js';
 import {estimateJsonCost} from './json-cost.js';
@@ -58,7 +59,7 @@
 	headers?: readonly string[];
 }>;
 
-type Reading = Readonly<{reading: BodyReading; startedMs: number; customer: string; isChunked: boolean}>;
+type Reading = Readonly<{reading: BodyReading; request: IncomingMessage; customer: string; isChunked: boolean}>;
 
 const now = () => performance.now();
 
@@ -93,34 +94,27 @@
 		// Node reads all of these when a connection or a request begins.
 		Object.assign(server, {maxHeaderSize: maxHeaderBytes});
 		server.headersTimeout = headerTimeoutMs;
-		server.requestTimeout = headerTimeoutMs + limits.bodyTimeoutMs;
+		// A body may take any time; one of which no more arrives ends by `timeout`.
+		server.requestTimeout = 0;
 		server.keepAliveTimeout = idleTimeoutMs;
 		server.timeout = idleTimeoutMs;
 	};
 
-	/** The reason why a body is given up, besides a lack of room. */
-	const isTooSlow = ({reading, startedMs}: Reading): boolean => {
-		const ageMs = now() - startedMs;
-		const isBelowRate = reading.receivedBytes() < (limits.minBodyRate * ageMs) / 1000;
-		return ageMs > limits.bodyTimeoutMs || (ageMs > limits.slowGraceMs && isBelowRate);
-	};
+	const timer = setInterval(() => {
+		report.update({heldBytes: budget.heldBytes(), requests: budget.count(), connections: connections.count()});
+	}, UPDATE_MS);
+	timer.unref();
 
-	const sweep = () => {
-		for (const reading of readings) {
-			if (isTooSlow(reading)) {
-				reading.reading.giveUp('too-slow');
-			}
+	/** Refuses the request of which no more has arrived, or closes the connection if there is none. */
+	const timeOut = (socket: Socket) => {
+		const entry = [...readings].find(({request}) => request.socket === socket);
+		if (entry) {
+			entry.reading.giveUp('too-slow');
+		} else {
+			connections.timeOut(socket);
 		}
-
-		report.update({heldBytes: budget.heldBytes(), requests: budget.count(), connections: connections.count()});
 	};
 
-	const timer = setInterval(() => {
-		// What arrived while this process was held up is read first.
-		setImmediate(sweep);
-	}, SWEEP_MS);
-	timer.unref();
-
 	/** Counts a refusal. */
 	const refuse = (cause: RefusalCause): ServiceError => {
 		report.countRefused(cause);
@@ -183,7 +177,7 @@
 			},
 		});
 		giveUp = reading.giveUp;
-		const entry = {reading, startedMs: now(), customer, isChunked};
+		const entry = {reading, request, customer, isChunked};
 		readings.add(entry);
 		try {
 			return await reading.body;
@@ -221,7 +215,7 @@
 			applyHeadLimits(server);
 			connections.watch(server, kind === 'callers' ? limits.maxConnections : limits.maxProbeConnections);
 			refuseUnreadableRequests(server, {connections, headers});
-			server.on('timeout', connections.timeOut);
+			server.on('timeout', timeOut);
 		},
 		configure(next) {
 			headLimits = next;
--- a/packages/ingress/src/types.ts
+++ b/packages/ingress/src/types.ts
@@ -14,10 +14,9 @@
 	/** Largest part of the budget for one customer, and for one source address. */
 	customerShare: number;
 	sourceShare: number;
-	/** Time without new bytes after which a body is given up first when room is needed. */
+	/** Time without new bytes after which a body gives way first when room is needed. */
 	stallMs: number;
-	/** Time for a body, and the rate in bytes per second that it needs on average after `slowGraceMs`. */
-	bodyTimeoutMs: number;
+	/** Average rate in bytes per second below which a body gives way first, once it has been under way for `slowGraceMs`. */
 	minBodyRate: number;
 	slowGraceMs: number;
 	/** Bodies in many small pieces that are read at the same time. */
