--- a/packages/ingress/src/slow-body.test.ts
+++ b/packages/ingress/src/slow-body.test.ts
@@ -1,59 +1,35 @@
-import {once} from 'node:events';
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {connect, type AddressInfo} from 'node:net';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {toServiceError} from '@bergamotgauge/model';
-import {createMetrics, createSilentLog} from '@bergamotgauge/telemetry';
 import t, {type Test} from 'tap';
-import {DEFAULT_LIMITS} from './constants.js';
-import {createIngress} from './ingress.js';
+import type {Ingress} from './ingress.js';
+import {openConnection, startProtectedServer} from './test/protected-server.js';
 import type {IngressLimits} from './types.js';
 
-/** Serves requests with their body; returns the port. */
-const startEcho = async (t: Test, limits: Partial<IngressLimits>): Promise<number> => {
-	const ingress = createIngress({
-		limits: {...DEFAULT_LIMITS, ...limits},
-		log: createSilentLog(),
-		metrics: createMetrics(),
-	});
-	const respond = async (request: IncomingMessage, response: ServerResponse) => {
-		try {
-			response.end(JSON.stringify(await ingress.readJson(request, {customer: 'a', maxBytes: 1000})));
-		} catch (error) {
-			const {status, message} = toServiceError(error, 'not-run');
-			ingress.respondEarly(request, response, {status, body: {message}});
-		}
-	};
+const respond = async (ingress: Ingress, request: IncomingMessage, response: ServerResponse) => {
+	try {
+		response.end(JSON.stringify(await ingress.readJson(request, {customer: 'a', maxBytes: 1000})));
+	} catch (error) {
+		const {status, message} = toServiceError(error, 'not-run');
+		ingress.respondEarly(request, response, {status, body: {message}});
+	}
+};
 
-	const server = createServer({connectionsCheckingInterval: 20}, (request, response) => {
-		void respond(request, response);
+/** Answers requests with their body; returns the port. */
+const startEcho = async (t: Test, limits: Partial<IngressLimits>): Promise<number> =>
+	startProtectedServer(t, limits, (ingress, request, response) => {
+		void respond(ingress, request, response);
 	});
-	ingress.protect(server, 'callers');
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	t.teardown(() => {
-		ingress.close();
-		server.closeAllConnections();
-		server.close();
-	});
-	return (server.address() as AddressInfo).port;
-};
 
 /** Sends pieces with a pause after each, and returns the response. */
 const send = async (port: number, pieces: readonly string[], pauseMs: number): Promise<string> => {
-	const socket = connect({port, host: '127.0.0.1', noDelay: true});
-	let text = '';
-	socket.on('data', (chunk) => {
-		text += chunk.toString();
-	});
-	const closed = once(socket, 'close');
+	const {socket, received} = openConnection(port);
 	for (const piece of pieces) {
 		socket.write(piece);
 		await sleep(pauseMs);
 	}
 
-	await closed;
-	return text;
+	return received;
 };
 
 const head = (field: string): string => `POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n${field}\r\n\r\n`;
